--- /dev/null
+++ b/packages/api/src/index.ts
@@ -0,0 +1,1 @@
+export type * from './ports.js';
--- /dev/null
+++ b/packages/cli/src/main.ts
@@ -0,0 +1,4 @@
+/** The program's entry. */
+import process from 'node:process';
+
+process.stdout.write('gentianshift\n');
--- /dev/null
+++ b/packages/decisions/src/index.ts
@@ -0,0 +1,1 @@
+export type * from './lending.js';
--- /dev/null
+++ b/packages/resources/src/index.ts
@@ -0,0 +1,5 @@
+export * from './finding.js';
+export * from './job-id.js';
+export * from './kinds.js';
+export * from './resource.js';
+export * from './submission.js';
--- /dev/null
+++ b/scripts/build.mjs
@@ -0,0 +1,48 @@
+/**
+Builds the one binary: an esbuild bundle, made a single executable with Node's own runtime.
+
+Usage: `node scripts/build.mjs`. Result: `dist/gentianshift` and `dist/gentianshift.cjs`.
+*/
+import {execFileSync} from 'node:child_process';
+import {
+	chmodSync,
+	copyFileSync,
+	mkdirSync,
+	readFileSync,
+	writeFileSync,
+} from 'node:fs';
+import process from 'node:process';
+import {build} from 'esbuild';
+import {inject} from 'postject';
+
+const fuse = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
+
+mkdirSync('dist', {recursive: true});
+await build({
+	entryPoints: ['packages/cli/src/main.ts'],
+	bundle: true,
+	platform: 'node',
+	target: 'node20',
+	format: 'cjs',
+	outfile: 'dist/gentianshift.cjs',
+	external: ['dtrace-provider', 'cbor-extract', 'mv'],
+	logLevel: 'warning',
+});
+const sea = {
+	main: 'dist/gentianshift.cjs',
+	output: 'dist/gentianshift.blob',
+	disableExperimentalSEAWarning: true,
+};
+writeFileSync('dist/sea.json', JSON.stringify(sea));
+execFileSync(process.execPath, ['--experimental-sea-config', 'dist/sea.json'], {
+	stdio: 'ignore',
+});
+copyFileSync(process.execPath, 'dist/gentianshift');
+chmodSync('dist/gentianshift', 0o755);
+await inject(
+	'dist/gentianshift',
+	'NODE_SEA_BLOB',
+	readFileSync('dist/gentianshift.blob'),
+	{sentinelFuse: fuse},
+);
+process.stdout.write('built dist/gentianshift\n');
--- /dev/null
+++ b/scripts/test.mjs
@@ -0,0 +1,40 @@
+/**
+Runs the tests with Node's own runner: all of them, or those whose file path holds a given word.
+
+Usage: `npm test`, `npm test -- decisions`. Tests between processes run one file at a time,
+because they share the machine's processors; the others run side by side.
+*/
+import {spawnSync} from 'node:child_process';
+import {readdirSync} from 'node:fs';
+import path from 'node:path';
+import process from 'node:process';
+
+const word = process.argv[2] ?? '';
+
+function listTests(dir) {
+	return readdirSync(dir, {withFileTypes: true, recursive: true})
+		.filter((entry) => entry.isFile() && entry.name.endsWith('.test.ts'))
+		.map((entry) => path.join(entry.parentPath ?? entry.path, entry.name))
+		.filter((file) => !file.includes('node_modules') && file.includes(word))
+		.toSorted();
+}
+
+const files = listTests('packages');
+if (files.length === 0) {
+	process.stderr.write(`no test file's path holds "${word}"\n`);
+	process.exit(1);
+}
+
+const run = spawnSync(
+	process.execPath,
+	[
+		'--import',
+		'tsx',
+		'--test',
+		'--test-concurrency=4',
+		'--test-reporter=spec',
+		...files,
+	],
+	{stdio: 'inherit'},
+);
+process.exit(run.status ?? 1);
