Add logs, metrics and spans of a host

Cause: the host package needs named counters, JSON logs and one trace id from caller to executor before it can be wired.

Ruled out: the SDK's own batch processor, which drops silently; the spans' buffer here counts what it drops, so a dead collector shows in the metrics.

--- /dev/null
+++ b/packages/telemetry/src/index.ts
@@ -0,0 +1,4 @@
+export * from './logger.js';
+export * from './metrics.js';
+export * from './span-buffer.js';
+export * from './tracer.js';
--- /dev/null
+++ b/packages/telemetry/src/metrics.ts
@@ -0,0 +1,163 @@
+/**
+Metrics of one host, in a registry of its own so that several hosts fit into one test process.
+*/
+import {
+	collectDefaultMetrics,
+	Counter,
+	Gauge,
+	Histogram,
+	Registry,
+} from 'prom-client';
+
+/**
+Buckets of durations, seconds: from one round trip (1 ms) to the longest task (minutes),
+finest between 50 ms and 1 s, where most tasks lie.
+*/
+const durationBuckets = [
+	0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 0.75, 1, 2, 5,
+	10, 30, 120,
+];
+
+export type Metrics = ReturnType<typeof createMetrics>;
+
+/**
+Makes the metrics of one host.
+
+@example
+const metrics = createMetrics();
+metrics.tasksStarted.inc();
+metrics.refusals.inc({code: 'overloaded'});
+await metrics.render(); // Prometheus text
+*/
+export function createMetrics() {
+	const registry = new Registry();
+	collectDefaultMetrics({register: registry});
+	return {
+		...createMessageMetrics(registry),
+		...createJobMetrics(registry),
+		...createStateMetrics(registry),
+		/** Prometheus text of all of them. */
+		render: async (): Promise<string> => registry.metrics(),
+		contentType: registry.contentType,
+	};
+}
+
+/** What goes over the wires. */
+function createMessageMetrics(registry: Registry) {
+	const registers = [registry];
+	return {
+		messages: new Counter({
+			name: 'gentianshift_messages_total',
+			help: 'Messages between hosts, by direction (in, out) and kind.',
+			labelNames: ['direction', 'kind'] as const,
+			registers,
+		}),
+		bytes: new Counter({
+			name: 'gentianshift_bytes_total',
+			help: 'Bytes sent and received, by direction (in, out) and link.',
+			labelNames: ['direction', 'link'] as const,
+			registers,
+		}),
+		executorRequests: new Counter({
+			name: 'gentianshift_executor_requests_total',
+			help: 'Requests to executors, by outcome: done, failed, unknown, refused, unreachable.',
+			labelNames: ['outcome'] as const,
+			registers,
+		}),
+		platformCalls: new Counter({
+			name: 'gentianshift_platform_calls_total',
+			help: 'Calls of the platform, a waiting watch counted as one, by kind.',
+			labelNames: ['kind'] as const,
+			registers,
+		}),
+		badFrames: new Counter({
+			name: 'gentianshift_bad_frames_total',
+			help: 'Frames of peers that were oversized, garbage or against the schema.',
+			registers,
+		}),
+		wasted: new Counter({
+			name: 'gentianshift_wasted_total',
+			help: 'Messages that carried no needed step, by reason.',
+			labelNames: ['reason'] as const,
+			registers,
+		}),
+		spansDropped: new Counter({
+			name: 'gentianshift_spans_dropped_total',
+			help: 'Spans dropped because the collector was dead or slow.',
+			registers,
+		}),
+	};
+}
+
+/** What becomes of jobs and tasks. */
+function createJobMetrics(registry: Registry) {
+	const registers = [registry];
+	return {
+		tasksStarted: new Counter({
+			name: 'gentianshift_tasks_started_total',
+			help: 'Tasks whose request was sent to an executor.',
+			registers,
+		}),
+		jobs: new Counter({
+			name: 'gentianshift_jobs_total',
+			help: 'Jobs ended at their owner, by outcome.',
+			labelNames: ['outcome'] as const,
+			registers,
+		}),
+		refusals: new Counter({
+			name: 'gentianshift_refusals_total',
+			help: 'Refusals sent to callers, by code.',
+			labelNames: ['code'] as const,
+			registers,
+		}),
+		lateAnswers: new Counter({
+			name: 'gentianshift_late_answers_total',
+			help: 'Answers of executors that came after their job had ended; dropped.',
+			registers,
+		}),
+		jobSeconds: new Histogram({
+			name: 'gentianshift_job_seconds',
+			help: 'Time from submission to the whole answer at the owner.',
+			labelNames: ['service'] as const,
+			buckets: durationBuckets,
+			registers,
+		}),
+		slotWaitSeconds: new Histogram({
+			name: 'gentianshift_slot_wait_seconds',
+			help: 'Time from submission to the first slot of the job.',
+			labelNames: ['service'] as const,
+			buckets: durationBuckets,
+			registers,
+		}),
+		taskSeconds: new Histogram({
+			name: 'gentianshift_task_seconds',
+			help: 'Time of one request to an executor.',
+			labelNames: ['service'] as const,
+			buckets: durationBuckets,
+			registers,
+		}),
+	};
+}
+
+/** What a host holds now. */
+function createStateMetrics(registry: Registry) {
+	const registers = [registry];
+	return {
+		queueTasks: new Gauge({
+			name: 'gentianshift_queue_tasks',
+			help: 'Tasks waiting for a slot at this host.',
+			registers,
+		}),
+		slotsFree: new Gauge({
+			name: 'gentianshift_slots_free',
+			help: 'Slots that this host keeps and nobody borrows, by target.',
+			labelNames: ['target'] as const,
+			registers,
+		}),
+		configRevision: new Gauge({
+			name: 'gentianshift_config_revision',
+			help: 'Highest configuration revision in force at this host.',
+			registers,
+		}),
+	};
+}
