Add the platform's client, resource store, claims of names, and a stand-in

Cause: hosts keep nothing; operators' resources and claimed names live in the platform's key-value service, whose replies can be lost after a write took effect.

Ruled out: plain deletes (a lost reply could never be settled); resending a change blindly (it could undo another operator's); trusting progress notices alone (etcd sends them minutes apart by default).

--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,12 @@
+export {type Change, type ChangeFailure} from './change.js';
+export * from './failure.js';
+export * from './gateway-schemas.js';
+export * from './host-list.js';
+export * from './key-value.js';
+export * from './name-claims.js';
+export * from './rate-limit.js';
+export * from './reader.js';
+export * from './resource-record.js';
+export * from './resource-store.js';
+export {type CallKind, type TransportOptions} from './transport.js';
+export {type WatchEvent} from './watch.js';
