Add the inner protocol, executor requests, ownership of jobs and the own-view slot source

Cause: the thin whole path needs them. Ruled out: one connection for both directions of a pair (needs a tie-break when both dial; two one-way ones need none). Not yet run between processes; no figures.

--- a/packages/api/src/ports.ts
+++ b/packages/api/src/ports.ts
@@ -4,6 +4,7 @@
 import {type Result} from 'neverthrow';
 import {
 	type JobAnswer,
+	type JobReply,
 	type Kind,
 	type Problem,
 	type Resource,
@@ -22,8 +23,6 @@
 	traceparent?: string;
 };
 
-export type JobReply = Result<JobAnswer, Problem>;
-
 export type CallerPort = {
 	/** The issuer text that ids may be made under now. */
 	getIssuer: () => string;
--- /dev/null
+++ b/packages/executors/src/executor-pools.ts
@@ -0,0 +1,74 @@
+/**
+The pools of all executors that this host may send to, made when first needed and remade when
+an executor's address or this host's share of its connections changes.
+*/
+import {type Executor} from '@gentianshift/resources';
+import {ExecutorPool} from './executor-pool.js';
+import {type TaskOutcome, type TaskRequest} from './outcome.js';
+
+export type ExecutorPoolsOptions = {
+	source?: string;
+	/** Entry hosts that share each executor's connections now. */
+	countHosts: () => number;
+};
+
+/**
+This host's share of an executor's connections. The limit is the executor's: about 60 for all
+hosts together; a host that kept more would starve the others.
+*/
+export function computeShare(connections: number, hosts: number): number {
+	return Math.max(1, Math.floor(connections / Math.max(1, hosts)));
+}
+
+export class ExecutorPools {
+	readonly #pools = new Map<string, ExecutorPool>();
+
+	readonly #options: ExecutorPoolsOptions;
+
+	constructor(options: ExecutorPoolsOptions) {
+		this.#options = options;
+	}
+
+	sendTask(
+		executor: Executor,
+		request: TaskRequest,
+		onEnd: (outcome: TaskOutcome) => void,
+	): void {
+		this.#findPool(executor).sendTask(request, onEnd);
+	}
+
+	/** Lets what is under way end. */
+	async close(): Promise<void> {
+		await Promise.all(
+			[...this.#pools.values()].map(async (pool) => pool.close()),
+		);
+	}
+
+	/** Cuts off what is still under way. */
+	async destroy(): Promise<void> {
+		await Promise.all(
+			[...this.#pools.values()].map(async (pool) => pool.destroy()),
+		);
+	}
+
+	#findPool(executor: Executor): ExecutorPool {
+		const connections = computeShare(
+			executor.connections,
+			this.#options.countHosts(),
+		);
+		const known = this.#pools.get(executor.address);
+		if (known?.options.connections === connections) {
+			return known;
+		}
+
+		// Requests under way on the old pool end there.
+		void known?.close();
+		const pool = new ExecutorPool({
+			address: executor.address,
+			connections,
+			source: this.#options.source,
+		});
+		this.#pools.set(executor.address, pool);
+		return pool;
+	}
+}
--- /dev/null
+++ b/packages/executors/src/outcome.ts
@@ -0,0 +1,30 @@
+/**
+How a request to an executor ended, and above all whether the task may have run.
+*/
+
+/**
+- `done`: answered 2xx, whole.
+- `failed`: answered with another status: it ran and failed.
+- `refused`: the executor's explicit "not run" (503 with `Gentianshift-Not-Run: true`).
+- `unreachable`: no connection was made, so no byte of the request was written.
+- `unknown`: bytes may have been written and no whole answer came; it may have run.
+
+Only `refused` and `unreachable` may be placed again.
+*/
+export type TaskOutcome =
+	| {result: 'done'; value: unknown; runMs: number}
+	| {result: 'failed'; status: number; detail: string; runMs: number}
+	| {result: 'refused'; runMs: number}
+	| {result: 'unreachable'; detail: string; runMs: number}
+	| {result: 'unknown'; detail: string; runMs: number};
+
+export type TaskRequest = {
+	/** `<job id>/<index>`. */
+	taskId: string;
+	path: string;
+	/** JSON text. */
+	payload: string;
+	/** Milliseconds after which the answer no longer counts and the connection is destroyed. */
+	limitMs: number;
+	traceparent?: string;
+};
--- /dev/null
+++ b/packages/jobs/src/generations.ts
@@ -0,0 +1,39 @@
+/**
+Generations of ids: the owner raises its generation every few minutes by its own monotonic
+clock and starts only ids of the current and the previous one. Records of older generations
+can be dropped, because nothing of them can start any more: memory stays bounded.
+*/
+import {type Issuer} from '@gentianshift/resources';
+
+export type Generations = {
+	readIssuer: () => Issuer;
+	/** Whether a new job under this generation may start: "current", or why not. */
+	checkGeneration: (generation: number) => 'startable' | 'expired' | 'future';
+};
+
+export type GenerationsOptions = {
+	self: Omit<Issuer, 'generation'>;
+	lengthMs: number;
+	/** Monotonic milliseconds. */
+	now: () => number;
+};
+
+export function createGenerations({
+	self,
+	lengthMs,
+	now,
+}: GenerationsOptions): Generations {
+	const startedAt = now();
+	const readGeneration = () => Math.floor((now() - startedAt) / lengthMs);
+	return {
+		readIssuer: () => ({...self, generation: readGeneration()}),
+		checkGeneration(generation) {
+			const current = readGeneration();
+			if (generation > current) {
+				return 'future';
+			}
+
+			return generation >= current - 1 ? 'startable' : 'expired';
+		},
+	};
+}
--- /dev/null
+++ b/packages/jobs/src/job-record.ts
@@ -0,0 +1,257 @@
+/**
+What the owner keeps of one job, and its transitions. No input or output here.
+*/
+import {createHash} from 'node:crypto';
+import {err, ok} from 'neverthrow';
+import {
+	type JobAnswer,
+	type JobReply,
+	type JobState,
+	type Problem,
+	type Ran,
+	type Submission,
+} from '@gentianshift/resources';
+import {createProblem} from './problems.js';
+
+/** What is known of each task. */
+export const taskStates = {
+	queued: 0,
+	started: 1,
+	done: 2,
+	failed: 3,
+	unknown: 4,
+} as const;
+
+export type JobStart = {
+	id: string;
+	attempt: number;
+	/** The owner's own number of this job. */
+	number: number;
+	submission: Submission;
+	/** Monotonic milliseconds. */
+	submittedAt: number;
+	deadlineAt: number;
+};
+
+export class JobRecord {
+	readonly id: string;
+	readonly attempt: number;
+	readonly number: number;
+	readonly submission: Omit<Submission, 'tasks'>;
+	readonly submittedAt: number;
+	readonly deadlineAt: number;
+	state: JobState = 'queued';
+	done = 0;
+	/** Tasks whose request is under way. */
+	inFlight = 0;
+	/** Tasks that were sent at least once and not answered "not run". */
+	startedTasks = 0;
+	problem: Problem | undefined;
+	readonly taskCount: number;
+	readonly bodyHash: string;
+	readonly states: Uint8Array;
+	#payloads: string[];
+	#results: unknown[];
+	#queue: number[];
+	readonly #waiters = new Set<() => void>();
+	#isDropped = false;
+
+	constructor(start: JobStart) {
+		const {tasks, ...submission} = start.submission;
+		this.id = start.id;
+		this.attempt = start.attempt;
+		this.number = start.number;
+		this.submission = submission;
+		this.submittedAt = start.submittedAt;
+		this.deadlineAt = start.deadlineAt;
+		this.taskCount = tasks.length;
+		this.#payloads = tasks.map((task) => JSON.stringify(task));
+		this.bodyHash = hashBody(submission, this.#payloads);
+		this.states = new Uint8Array(this.taskCount);
+		this.#results = Array.from({length: this.taskCount});
+		this.#queue = Array.from(
+			{length: this.taskCount},
+			(_, index) => this.taskCount - 1 - index,
+		);
+	}
+
+	get isFinal(): boolean {
+		return this.state !== 'queued' && this.state !== 'running';
+	}
+
+	get queued(): number {
+		return this.#queue.length;
+	}
+
+	get remaining(): number {
+		return this.taskCount - this.done;
+	}
+
+	/** Whether anything of the job ran, as the owner knows it now. */
+	get ran(): Ran {
+		if (this.startedTasks === 0) {
+			return 'none';
+		}
+
+		return this.done > 0 || this.states.includes(taskStates.failed)
+			? 'some'
+			: 'unknown';
+	}
+
+	/** The next task to start, marked as started; undefined when none waits. */
+	takeTask(): {index: number; payload: string} | undefined {
+		const index = this.#queue.pop();
+		if (index === undefined) {
+			return undefined;
+		}
+
+		this.states[index] = taskStates.started;
+		this.state = 'running';
+		this.inFlight += 1;
+		this.startedTasks += 1;
+		return {index, payload: this.#payloads[index]!};
+	}
+
+	/** A task certainly did not run: it waits again. */
+	requeueTask(index: number): void {
+		this.inFlight -= 1;
+		this.startedTasks -= 1;
+		this.states[index] = taskStates.queued;
+		if (!this.isFinal) {
+			this.#queue.push(index);
+		}
+	}
+
+	/** Stores a result; completes the job with its last one. */
+	completeTask(index: number, value: unknown): void {
+		this.inFlight -= 1;
+		this.states[index] = taskStates.done;
+		if (this.isFinal) {
+			return;
+		}
+
+		this.#results[index] = value;
+		this.done += 1;
+		if (this.done === this.taskCount) {
+			this.state = 'complete';
+			this.#end();
+		}
+	}
+
+	/** A task failed, or may have run without a whole answer. */
+	markTask(index: number, state: 'failed' | 'unknown'): void {
+		this.inFlight -= 1;
+		this.states[index] = taskStates[state];
+	}
+
+	/** Ends the job without an answer; nothing more of it starts. */
+	fail(state: 'failed' | 'cancelled' | 'refused', problem: Problem): void {
+		if (this.isFinal) {
+			return;
+		}
+
+		this.state = state;
+		this.problem = problem;
+		this.#results = [];
+		this.#end();
+	}
+
+	listTasks(state: keyof typeof taskStates): number[] {
+		const wanted = taskStates[state];
+		return [...this.states.keys()].filter(
+			(index) => this.states[index] === wanted,
+		);
+	}
+
+	readReply(): JobReply {
+		if (this.#isDropped) {
+			return err(
+				createProblem(
+					'answer-dropped',
+					'some',
+					'the job completed; its answer is no longer kept',
+					{id: this.id},
+				),
+			);
+		}
+
+		return this.problem ? err(this.problem) : ok(this.#readAnswer());
+	}
+
+	/** Calls back at the job's end. */
+	onEnd(listener: () => void): void {
+		this.#waiters.add(listener);
+	}
+
+	/** Lets go of a whole answer; those who ask later are told so. */
+	dropAnswer(): void {
+		if (this.state === 'complete') {
+			this.#isDropped = true;
+			this.#results = [];
+		}
+	}
+
+	/** Resolves at the job's end, or after `waitMs`, with the state then. */
+	async waitReply(waitMs: number): Promise<JobReply> {
+		if (!this.isFinal && waitMs > 0) {
+			await this.#wait(waitMs);
+		}
+
+		return this.readReply();
+	}
+
+	async #wait(waitMs: number): Promise<void> {
+		await new Promise<void>((resolve) => {
+			const end = () => {
+				clearTimeout(timer);
+				this.#waiters.delete(end);
+				resolve();
+			};
+
+			const timer = setTimeout(end, waitMs);
+			this.#waiters.add(end);
+		});
+	}
+
+	#readAnswer(): JobAnswer {
+		const answer = {
+			id: this.id,
+			state: this.state,
+			tasks: this.taskCount,
+			done: this.done,
+		};
+		return this.state === 'complete'
+			? {...answer, results: this.#results}
+			: answer;
+	}
+
+	#end(): void {
+		this.#payloads = [];
+		this.#queue = [];
+		const waiters = [...this.#waiters];
+		for (const end of waiters) {
+			end();
+		}
+	}
+}
+
+/** Tells a resubmission of the same job from another job under the same id. */
+export function hashBody(
+	submission: Omit<Submission, 'tasks'>,
+	payloads: readonly string[],
+): string {
+	const hash = createHash('sha1');
+	hash.update(
+		JSON.stringify([
+			submission.service,
+			submission.team,
+			submission.deadlineMs ?? null,
+		]),
+	);
+	for (const payload of payloads) {
+		hash.update(payload);
+		hash.update('\n');
+	}
+
+	return hash.digest('base64');
+}
--- /dev/null
+++ b/packages/protocol/src/index.ts
@@ -0,0 +1,4 @@
+export * from './connection.js';
+export * from './frame.js';
+export * from './mesh.js';
+export * from './messages.js';
--- /dev/null
+++ b/packages/protocol/src/mesh.ts
@@ -0,0 +1,390 @@
+/**
+This host's connections to its peers: it dials each known peer (as the asking side) and accepts
+theirs (as the answering side). A peer that is silent is hung up on and dialled anew.
+
+What goes wrong: something between two hosts loses track of an open connection, or a host is
+frozen; the connection stays open and nothing comes. Noticed by the heartbeat: every ping is
+answered, and `silenceMs` without a byte closes the connection. That bounds how long a request
+can wait on a dead link.
+*/
+import net from 'node:net';
+import {performance} from 'node:perf_hooks';
+import {Connection, type Meter} from './connection.js';
+import {protocolVersion, type Hello, type Message} from './messages.js';
+
+/** Heartbeat interval. */
+export const pingMs = 500;
+/** A peer that sent nothing for this long is hung up on. */
+export const silenceMs = 2000;
+/** How long a dial may take. */
+const dialTimeoutMs = 1500;
+/** Pause before a peer is dialled again; doubled up to the cap, with jitter. */
+const redialMs = 100;
+const redialCapMs = 2000;
+/** A timer this late means that this host itself was paused: peers are not to blame. */
+const pauseMs = 1000;
+
+export type PeerAddress = {dataCentre: string; host: string; address: string};
+
+/** An established, answered connection to a peer, this host asking. */
+export type Link = {
+	key: string;
+	hello: Hello;
+	send: (message: Message) => void;
+};
+/** An accepted connection, this host answering. */
+export type Session = {
+	key: string;
+	hello: Hello;
+	send: (message: Message) => void;
+};
+
+export type MeshHandlers = {
+	onLinkUp: (link: Link) => void;
+	onLinkDown: (link: Link, reason: string) => void;
+	/** A message from the answering side of a link. */
+	onReply: (link: Link, message: Message) => void;
+	onSessionUp: (session: Session) => void;
+	onSessionDown: (session: Session) => void;
+	/** A message from the asking side of a session. */
+	onRequest: (session: Session, message: Message) => void;
+	/** A peer says it is leaving, or that it no longer is. */
+	onLeaving: (key: string, isLeaving: boolean) => void;
+};
+
+export type MeshOptions = {
+	self: Omit<Hello, 't' | 'version' | 'isLeaving'>;
+	/** Local IP of outgoing connections. */
+	source?: string;
+	handlers: MeshHandlers;
+	meter: Meter;
+	/** Uniform in [0, 1). */
+	random: () => number;
+};
+
+/** Names a host in maps: `<data centre>_<host>`, as in issuers. */
+export function formatHostKey({
+	dataCentre,
+	host,
+}: {
+	dataCentre: string;
+	host: string;
+}): string {
+	return `${dataCentre}_${host}`;
+}
+
+type Peer = PeerAddress & {
+	key: string;
+	connection?: Connection;
+	link?: Link;
+	failures: number;
+	nextDialAt: number;
+};
+
+export class Mesh {
+	#isLeaving = false;
+	readonly #peers = new Map<string, Peer>();
+	readonly #accepted = new Map<Connection, Session | undefined>();
+	readonly #server: net.Server;
+	#timer: NodeJS.Timeout | undefined;
+	#tickAt = performance.now();
+	#beat = 0;
+
+	constructor(private readonly options: MeshOptions) {
+		this.#server = net.createServer((socket) => {
+			this.#accept(socket);
+		});
+	}
+
+	/** Listens and starts dialling. */
+	async start(): Promise<void> {
+		const [ip, port] = splitAddress(this.options.self.address);
+		await new Promise<void>((resolve, reject) => {
+			this.#server.once('error', reject);
+			this.#server.listen(port, ip, resolve);
+		});
+		this.#timer = setInterval(() => {
+			this.#tick();
+		}, pingMs / 5);
+	}
+
+	/** The peers to hold links to; links to others are closed. */
+	setPeers(peers: readonly PeerAddress[]): void {
+		const wanted = new Set<string>();
+		for (const peer of peers) {
+			const key = formatHostKey(peer);
+			wanted.add(key);
+			this.#setPeer(key, peer);
+		}
+
+		for (const [key, peer] of this.#peers) {
+			if (!wanted.has(key)) {
+				this.#peers.delete(key);
+				peer.connection?.close('no longer listed');
+			}
+		}
+
+		this.#dialDue(performance.now());
+	}
+
+	findLink(key: string): Link | undefined {
+		return this.#peers.get(key)?.link;
+	}
+
+	listLinks(): Link[] {
+		return [...this.#peers.values()].flatMap((peer) => peer.link ?? []);
+	}
+
+	listSessions(): Session[] {
+		return [...this.#accepted.values()].filter(
+			(session) => session !== undefined,
+		);
+	}
+
+	/** Tells all peers, at once and with each heartbeat. */
+	setLeaving(isLeaving: boolean): void {
+		this.#isLeaving = isLeaving;
+		this.#sendHeartbeats();
+	}
+
+	async stop(): Promise<void> {
+		clearInterval(this.#timer);
+		for (const peer of this.#peers.values()) {
+			peer.connection?.flush();
+			peer.connection?.close('stopping');
+		}
+
+		this.#peers.clear();
+		for (const connection of this.#accepted.keys()) {
+			connection.flush();
+			connection.close('stopping');
+		}
+
+		await new Promise<void>((resolve) => {
+			this.#server.close(() => {
+				resolve();
+			});
+		});
+	}
+
+	#setPeer(key: string, address: PeerAddress): void {
+		const known = this.#peers.get(key);
+		if (known?.address === address.address) {
+			return;
+		}
+
+		known?.connection?.close('moved');
+		this.#peers.set(key, {...address, key, failures: 0, nextDialAt: 0});
+	}
+
+	#tick(): void {
+		const now = performance.now();
+		const late = now - this.#tickAt - pingMs / 5;
+		this.#tickAt = now;
+		if (late > pauseMs) {
+			this.#forgiveSilence(now);
+		}
+
+		this.#closeSilent(now);
+		this.#dialDue(now);
+		this.#beat += 1;
+		if (this.#beat % 5 === 0) {
+			this.#sendHeartbeats();
+		}
+	}
+
+	/** This host was paused: what the peers sent meanwhile has yet to be read. */
+	#forgiveSilence(now: number): void {
+		for (const connection of this.#listConnections()) {
+			connection.lastHeardAt = now - silenceMs + pauseMs;
+		}
+	}
+
+	#closeSilent(now: number): void {
+		for (const connection of this.#listConnections()) {
+			if (now - connection.lastHeardAt > silenceMs) {
+				connection.close('silent');
+			}
+		}
+	}
+
+	#listConnections(): Connection[] {
+		const dialled = [...this.#peers.values()].flatMap(
+			(peer) => peer.connection ?? [],
+		);
+		return [...dialled, ...this.#accepted.keys()];
+	}
+
+	#sendHeartbeats(): void {
+		for (const {link} of this.#peers.values()) {
+			link?.send({t: 'ping', isLeaving: this.#isLeaving});
+		}
+	}
+
+	#dialDue(now: number): void {
+		for (const peer of this.#peers.values()) {
+			if (!peer.connection && now >= peer.nextDialAt) {
+				this.#dial(peer);
+			}
+		}
+	}
+
+	#dial(peer: Peer): void {
+		const [host, port] = splitAddress(peer.address);
+		const socket = net.connect({host, port, localAddress: this.options.source});
+		const connection = new Connection(
+			socket,
+			{
+				onMessage: (message) => {
+					this.#receiveReply(peer, connection, message);
+				},
+				onClose: (reason) => {
+					this.#endLink(peer, reason);
+				},
+			},
+			this.options.meter,
+		);
+		socket.setTimeout(dialTimeoutMs, () => {
+			connection.close('dial timed out');
+		});
+		socket.once('connect', () => {
+			socket.setTimeout(0);
+			connection.send(this.#makeHello());
+		});
+		peer.connection = connection;
+	}
+
+	#receiveReply(peer: Peer, connection: Connection, message: Message): void {
+		if (message.t === 'hello') {
+			this.#openLink(peer, connection, message);
+			return;
+		}
+
+		if (!peer.link) {
+			connection.close('spoke before its hello');
+			return;
+		}
+
+		if (message.t === 'pong') {
+			this.options.handlers.onLeaving(peer.key, message.isLeaving);
+			return;
+		}
+
+		this.options.handlers.onReply(peer.link, message);
+	}
+
+	#openLink(peer: Peer, connection: Connection, hello: Hello): void {
+		if (
+			hello.version !== protocolVersion ||
+			formatHostKey(hello) !== peer.key
+		) {
+			connection.close('not the host that was dialled');
+			return;
+		}
+
+		peer.failures = 0;
+		peer.link = {
+			key: peer.key,
+			hello,
+			send(message) {
+				connection.send(message);
+			},
+		};
+		this.options.handlers.onLinkUp(peer.link);
+		this.options.handlers.onLeaving(peer.key, hello.isLeaving);
+	}
+
+	#endLink(peer: Peer, reason: string): void {
+		const {link} = peer;
+		peer.connection = undefined;
+		peer.link = undefined;
+		peer.failures += 1;
+		const pause = Math.min(
+			redialCapMs,
+			redialMs * 2 ** Math.min(peer.failures, 6),
+		);
+		peer.nextDialAt =
+			performance.now() + pause * (0.5 + this.options.random() / 2);
+		if (link) {
+			this.options.handlers.onLinkDown(link, reason);
+		}
+	}
+
+	#accept(socket: net.Socket): void {
+		const connection = new Connection(
+			socket,
+			{
+				onMessage: (message) => {
+					this.#receiveRequest(connection, message);
+				},
+				onClose: () => {
+					this.#endSession(connection);
+				},
+			},
+			this.options.meter,
+		);
+		this.#accepted.set(connection, undefined);
+	}
+
+	#receiveRequest(connection: Connection, message: Message): void {
+		if (message.t === 'hello') {
+			this.#openSession(connection, message);
+			return;
+		}
+
+		const session = this.#accepted.get(connection);
+		if (!session) {
+			this.options.meter.countBadFrame('no-hello');
+			connection.close('spoke before its hello');
+			return;
+		}
+
+		if (message.t === 'ping') {
+			connection.send({t: 'pong', isLeaving: this.#isLeaving});
+			this.options.handlers.onLeaving(session.key, message.isLeaving);
+			return;
+		}
+
+		this.options.handlers.onRequest(session, message);
+	}
+
+	#openSession(connection: Connection, hello: Hello): void {
+		if (hello.version !== protocolVersion || this.#accepted.get(connection)) {
+			connection.close('unusable hello');
+			return;
+		}
+
+		const session: Session = {
+			key: formatHostKey(hello),
+			hello,
+			send(message) {
+				connection.send(message);
+			},
+		};
+		this.#accepted.set(connection, session);
+		connection.send(this.#makeHello());
+		this.options.handlers.onSessionUp(session);
+	}
+
+	#endSession(connection: Connection): void {
+		const session = this.#accepted.get(connection);
+		this.#accepted.delete(connection);
+		if (session) {
+			this.options.handlers.onSessionDown(session);
+		}
+	}
+
+	#makeHello(): Hello {
+		return {
+			t: 'hello',
+			version: protocolVersion,
+			isLeaving: this.#isLeaving,
+			...this.options.self,
+		};
+	}
+}
+
+function splitAddress(address: string): [string, number] {
+	const at = address.lastIndexOf(':');
+	return [address.slice(0, at), Number(address.slice(at + 1))];
+}
--- a/packages/resources/src/submission.ts
+++ b/packages/resources/src/submission.ts
@@ -1,6 +1,7 @@
 /**
 What callers send and get: jobs, their answers, and refusals that say whether anything ran.
 */
+import {type Result} from 'neverthrow';
 import {z} from 'zod';
 import {maxTasksPerJob, nameSchema} from './kinds.js';
 
@@ -72,3 +73,5 @@
 export type JobState = z.infer<typeof jobStateSchema>;
 export type JobAnswer = z.infer<typeof jobAnswerSchema>;
 export type Problem = z.infer<typeof problemSchema>;
+/** The answer or state of a job, or why there is none. */
+export type JobReply = Result<JobAnswer, Problem>;
--- /dev/null
+++ b/packages/slots/src/index.ts
@@ -0,0 +1,1 @@
+export * from './own-view-source.js';
