--- /dev/null
+++ b/packages/configuration/src/index.ts
@@ -0,0 +1,2 @@
+export * from './exchange.js';
+export * from './table.js';
