Add the view of hosts and the choice of role holders

Cause: the platform's list of hosts lags and has outages, while keepers and readers have to move within a second when a host dies, and nobody may hold a role that no live host hears of.

Change: rendezvous hashing over hosts that answer; a view that takes the platform's list, peers' lists and connection events with times passed in, and says whom to dial, who is live and who may hold a role.

Ruled out: counting a listed host as live (a dead one is listed for a while); passing on what peers say (hosts that quote each other would keep a dead one for ever).

--- /dev/null
+++ b/packages/membership/src/holders.test.ts
@@ -0,0 +1,32 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {loadHash, pickHolders} from './holders.js';
+
+const hash = await loadHash();
+const hosts = Array.from({length: 9}, (_, i) => `mieres_m${i}`);
+const roles = Array.from({length: 900}, (_, i) => `keeper/meals/${i}`);
+const pickOne = (keys: string[], role: string) =>
+	pickHolders(keys, role, 1, hash)[0]!;
+
+test('the order in which hosts are known does not matter', () => {
+	assert.deepEqual(
+		pickHolders(hosts, 'reader', 2, hash),
+		pickHolders(hosts.toReversed(), 'reader', 2, hash),
+	);
+});
+
+test('a host that goes takes only its own roles with it', () => {
+	// Roles that moved between hosts that stay would cost a new keeper's waiting time for nothing.
+	const rest = hosts.slice(1);
+	for (const role of roles) {
+		const before = pickOne(hosts, role);
+		assert.ok(before === hosts[0] || before === pickOne(rest, role));
+	}
+});
+
+test('roles spread over the hosts', () => {
+	for (const host of hosts) {
+		const held = roles.filter((role) => pickOne(hosts, role) === host);
+		assert.ok(held.length > 70 && held.length < 130, `${held.length}`);
+	}
+});
--- /dev/null
+++ b/packages/membership/src/host-view.test.ts
@@ -0,0 +1,115 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+	createHostView,
+	forgetMs,
+	reconnectGraceMs,
+	type KnownHost,
+} from './host-view.js';
+
+function buildHost(name: string, rest: Partial<KnownHost> = {}): KnownHost {
+	return {
+		name,
+		dataCentre: 'mieres',
+		role: 'entry',
+		address: `127.0.0.1:70${name.slice(1)}`,
+		state: 'live',
+		...rest,
+	};
+}
+
+const [h1, h2, h3] = [buildHost('h1'), buildHost('h2'), buildHost('h3')];
+const [key1, key2] = ['mieres_h1', 'mieres_h2'];
+const listNames = (hosts: KnownHost[]) =>
+	hosts.map(({name}) => name).toSorted();
+
+test('a host that is listed but was never reached is dialled and holds no role', () => {
+	// The list lags: a host that died a moment ago stands in it as live. A role given to it would
+	// have no holder, and tasks would wait for slots that nobody lends.
+	const view = createHostView(h1);
+	view.takePlatformList([h1, h2]);
+	assert.deepEqual(listNames(view.listPeers(0)), ['h2']);
+	assert.deepEqual(view.listEligible('mieres', 0), [key1]);
+});
+
+test('a host that answers is live although the list has lost it', () => {
+	const view = createHostView(h1);
+	view.markConnected(h2);
+	view.takePlatformList([h1]);
+	assert.deepEqual(view.listEligible('mieres', 0), [key1, key2]);
+	assert.deepEqual(listNames(view.listPeers(0)), ['h2']);
+});
+
+test('a blip keeps a host live for a moment; silence ends it at once', () => {
+	const view = createHostView(h1);
+	view.markConnected(h2);
+	view.markClosed(key2, 'closed', 1000);
+	assert.ok(view.isLive(key2, 1000 + reconnectGraceMs - 1));
+	assert.ok(!view.isLive(key2, 1000 + reconnectGraceMs));
+	view.markConnected(h2);
+	view.markClosed(key2, 'silent', 2000);
+	assert.ok(!view.isLive(key2, 2000));
+});
+
+for (const {teller, tell} of [
+	{
+		teller: 'the host itself',
+		tell(view: ReturnType<typeof createHostView>) {
+			view.markLeaving(key2, true);
+		},
+	},
+	{
+		teller: 'the platform',
+		tell(view: ReturnType<typeof createHostView>) {
+			view.takePlatformList([h1, {...h2, state: 'leaving'}]);
+		},
+	},
+]) {
+	test(`a host that is leaving, as ${teller} says, is live and holds no new role`, () => {
+		const view = createHostView(h1);
+		view.markConnected(h2);
+		tell(view);
+		assert.ok(view.isLive(key2, 0));
+		assert.deepEqual(view.listEligible('mieres', 0), [key1]);
+		assert.equal(
+			view.exportHosts().find(({name}) => name === 'h2')?.state,
+			'leaving',
+		);
+	});
+}
+
+test('a host that starts while the platform is down learns of the others from one peer', () => {
+	// Without the platform's list the new host knows nobody; the old ones still dial its address,
+	// and the first connection tells it of all the rest.
+	const [old, fresh] = [createHostView(h1), createHostView(h2)];
+	old.takePlatformList([h1, h2, h3]);
+	fresh.markConnected(h1);
+	fresh.takePeerList(old.exportHosts(), 0);
+	assert.deepEqual(listNames(fresh.listPeers(0)), ['h1', 'h3']);
+});
+
+test('what only peers have said is not passed on, and is forgotten', () => {
+	// Otherwise hosts that quote each other would keep a dead one for ever.
+	const view = createHostView(h1);
+	view.takePeerList([h3], 0);
+	assert.deepEqual(listNames(view.exportHosts()), ['h1']);
+	assert.deepEqual(view.listPeers(forgetMs + 1), []);
+});
+
+test('a working connection keeps its address against an old list', () => {
+	const view = createHostView(h1);
+	view.markConnected({...h2, address: '127.0.0.1:9999'});
+	view.takePlatformList([h1, h2]);
+	assert.equal(view.listPeers(0)[0]?.address, '127.0.0.1:9999');
+	view.markClosed(key2, 'closed', 0);
+	assert.equal(view.listPeers(0)[0]?.address, h2.address);
+});
+
+test('a worker that the platform says is leaving is known by its IP', () => {
+	const view = createHostView(h1);
+	view.takePlatformList([
+		buildHost('w1', {role: 'worker', address: '10.0.0.1', state: 'leaving'}),
+	]);
+	assert.ok(view.isWorkerLeaving('10.0.0.1:7000'));
+	assert.ok(!view.isWorkerLeaving('10.0.0.2:7000'));
+});
--- /dev/null
+++ b/packages/membership/src/host-view.ts
@@ -0,0 +1,257 @@
+/**
+The hosts as this one sees them: who is to be dialled, who is live, who is leaving. No sockets
+and no clock: connection events and times are passed in.
+
+What each source is worth:
+
+- A connection that answers is first-hand: its host is live, whatever any list says.
+- A closed connection may be a blip: its host stays live for `reconnectGraceMs`, so that roles
+  don't move there and back. One closed for silence has used up its time: not live at once.
+- The platform's list lags and has outages. It tells whom to dial and who is leaving; being listed
+  makes no host live, since one that died is listed for a while, and would hold roles unheard.
+- Peers' lists stand in for the platform's while it is down, or for a host that starts then. Only
+  what a peer knows itself is passed on (its connections and the platform's list as it read it),
+  so that a dead host is not kept alive by hosts that quote each other.
+- Leaving, said by the host itself or by the platform, ends new roles at once; what it holds it
+  gives back in its own time.
+*/
+import {z} from 'zod';
+import {nameSchema} from '@gentianshift/resources';
+
+/** A host as lists name it; an entry host's address is its inner one, `ip:port`. */
+export const knownHostSchema = z.object({
+	name: nameSchema,
+	dataCentre: nameSchema,
+	role: z.enum(['entry', 'worker']),
+	address: z.string().max(64),
+	state: z.enum(['live', 'leaving']),
+});
+
+export type KnownHost = z.infer<typeof knownHostSchema>;
+
+/** How a connection ended: `silent` when its peer was not heard of for the heartbeat's bound. */
+export type CloseCause = 'closed' | 'silent';
+
+export type HostView = {
+	/** The platform's list: replaces the one before. */
+	takePlatformList: (hosts: readonly KnownHost[]) => void;
+	/** What a peer knows itself. */
+	takePeerList: (hosts: readonly KnownHost[], now: number) => void;
+	/** A host has answered on a connection, dialled or accepted: first-hand word of its address. */
+	markConnected: (host: Omit<KnownHost, 'role' | 'state'>) => void;
+	markClosed: (key: string, cause: CloseCause, now: number) => void;
+	/** The host's own word. */
+	markLeaving: (key: string, isLeaving: boolean) => void;
+	/** Entry hosts to hold a connection to, all data centres, this host left out. */
+	listPeers: (now: number) => KnownHost[];
+	/** Keys of live entry hosts that may hold a role, sorted, this host included unless leaving. */
+	listEligible: (dataCentre: string, now: number) => string[];
+	isLive: (key: string, now: number) => boolean;
+	/** Whether the platform says that a worker is leaving, by the IP of one of its executors. */
+	isWorkerLeaving: (ip: string) => boolean;
+	/** What this host knows itself, for its peers. */
+	exportHosts: () => KnownHost[];
+};
+
+/** A blip's reconnection takes a dial of 100 to 200 ms and a hello. */
+export const reconnectGraceMs = 500;
+
+/**
+How long a host that only peers name, or that was connected once, is still dialled. Longer than
+a restart, so that hosts find each other again during an outage of the platform.
+*/
+export const forgetMs = 60_000;
+
+type Contact = {
+	host: KnownHost;
+	isConnected: boolean;
+	closed?: {cause: CloseCause; at: number};
+	isLeaving: boolean;
+};
+
+type Vouched = {host: KnownHost; at: number};
+
+/** Names a host in maps, as in job ids: `<data centre>_<host>`. */
+export function formatHostKey({
+	dataCentre,
+	name,
+}: Pick<KnownHost, 'dataCentre' | 'name'>): string {
+	return `${dataCentre}_${name}`;
+}
+
+export function createHostView(self: KnownHost): HostView {
+	return new Hosts(self);
+}
+
+class Hosts implements HostView {
+	readonly #self: KnownHost;
+	readonly #selfKey: string;
+	/** Entry hosts of the platform's last list. */
+	#listed = new Map<string, KnownHost>();
+	#leavingWorkers = new Set<string>();
+	readonly #vouched = new Map<string, Vouched>();
+	readonly #contacts = new Map<string, Contact>();
+	#isLeaving = false;
+
+	constructor(self: KnownHost) {
+		this.#self = self;
+		this.#selfKey = formatHostKey(self);
+	}
+
+	takePlatformList(hosts: readonly KnownHost[]): void {
+		this.#listed = new Map(
+			hosts
+				.filter(({role}) => role === 'entry')
+				.map((host) => [formatHostKey(host), host] as const),
+		);
+		this.#leavingWorkers = new Set(
+			hosts
+				.filter(({role, state}) => role === 'worker' && state === 'leaving')
+				.map(({address}) => takeIp(address)),
+		);
+	}
+
+	takePeerList(hosts: readonly KnownHost[], now: number): void {
+		for (const host of hosts) {
+			const key = formatHostKey(host);
+			if (host.role === 'entry' && key !== this.#selfKey) {
+				this.#vouched.set(key, {host, at: now});
+			}
+		}
+
+		this.#forgetOld(now);
+	}
+
+	markConnected(host: Omit<KnownHost, 'role' | 'state'>): void {
+		const key = formatHostKey(host);
+		this.#contacts.set(key, {
+			host: {...host, role: 'entry', state: 'live'},
+			isConnected: true,
+			isLeaving: this.#contacts.get(key)?.isLeaving ?? false,
+		});
+	}
+
+	markClosed(key: string, cause: CloseCause, now: number): void {
+		const contact = this.#contacts.get(key);
+		if (contact) {
+			contact.isConnected = false;
+			contact.closed = {cause, at: now};
+		}
+	}
+
+	markLeaving(key: string, isLeaving: boolean): void {
+		if (key === this.#selfKey) {
+			this.#isLeaving = isLeaving;
+			return;
+		}
+
+		const contact = this.#contacts.get(key);
+		if (contact) {
+			contact.isLeaving = isLeaving;
+		}
+	}
+
+	listPeers(now: number): KnownHost[] {
+		this.#forgetOld(now);
+		const peers = new Map<string, KnownHost>();
+		for (const [key, {host}] of this.#vouched) {
+			peers.set(key, host);
+		}
+
+		for (const [key, {host, isConnected}] of this.#contacts) {
+			if (isConnected || !peers.has(key)) {
+				peers.set(key, host);
+			}
+		}
+
+		// The platform's address goes first, but never against a connection that works.
+		for (const [key, host] of this.#listed) {
+			if (!this.#contacts.get(key)?.isConnected) {
+				peers.set(key, host);
+			}
+		}
+
+		peers.delete(this.#selfKey);
+		return [...peers.values()];
+	}
+
+	listEligible(dataCentre: string, now: number): string[] {
+		const eligible = [...this.#contacts]
+			.filter(([, {host}]) => host.dataCentre === dataCentre)
+			.map(([key]) => key)
+			.filter((key) => this.isLive(key, now) && !this.#isHostLeaving(key));
+		if (dataCentre === this.#self.dataCentre && !this.#isSelfLeaving()) {
+			eligible.push(this.#selfKey);
+		}
+
+		return eligible.toSorted();
+	}
+
+	isLive(key: string, now: number): boolean {
+		if (key === this.#selfKey) {
+			return true;
+		}
+
+		const contact = this.#contacts.get(key);
+		if (!contact || contact.isConnected) {
+			return contact !== undefined;
+		}
+
+		const {closed} = contact;
+		return closed?.cause === 'closed' && now - closed.at < reconnectGraceMs;
+	}
+
+	isWorkerLeaving(ip: string): boolean {
+		return this.#leavingWorkers.has(takeIp(ip));
+	}
+
+	exportHosts(): KnownHost[] {
+		const hosts = new Map(this.#listed);
+		for (const [key, {host, isConnected}] of this.#contacts) {
+			if (isConnected) {
+				hosts.set(key, host);
+			}
+		}
+
+		hosts.set(this.#selfKey, this.#self);
+		return [...hosts].map(([key, host]) => ({
+			...host,
+			state: this.#isHostLeaving(key) ? 'leaving' : 'live',
+		}));
+	}
+
+	#isSelfLeaving(): boolean {
+		return this.#isLeaving || this.#isListedLeaving(this.#selfKey);
+	}
+
+	#isHostLeaving(key: string): boolean {
+		if (key === this.#selfKey) {
+			return this.#isSelfLeaving();
+		}
+
+		const isOwnWord = this.#contacts.get(key)?.isLeaving ?? false;
+		return isOwnWord || this.#isListedLeaving(key);
+	}
+
+	#isListedLeaving(key: string): boolean {
+		return this.#listed.get(key)?.state === 'leaving';
+	}
+
+	#forgetOld(now: number): void {
+		for (const [key, {at}] of this.#vouched) {
+			if (now - at > forgetMs) {
+				this.#vouched.delete(key);
+			}
+		}
+
+		for (const [key, {closed, isConnected}] of this.#contacts) {
+			if (!isConnected && closed && now - closed.at > forgetMs) {
+				this.#contacts.delete(key);
+			}
+		}
+	}
+}
+
+function takeIp(address: string): string {
+	return address.split(':', 1)[0]!;
+}
--- /dev/null
+++ b/packages/membership/src/index.ts
@@ -0,0 +1,2 @@
+export * from './holders.js';
+export * from './host-view.js';
