--- a/packages/executors/src/executor-pool.ts
+++ b/packages/executors/src/executor-pool.ts
@@ -24,26 +24,25 @@
 export type ExecutorPoolOptions = {
 	/** `ip:port`. */
 	address: string;
-	/** This host's share of the connections that the executor takes. */
-	connections: number;
+	/** Connections that may stay open while idle. */
+	share: number;
+	/** Requests the executor runs at the same time. */
+	slots: number;
 	/** Local IP of outgoing connections. */
 	source?: string;
 };
 
 export class ExecutorPool {
-	readonly #pool: Pool;
+	/** Kept open between requests. */
+	readonly #kept: Pool | undefined;
+	/** Closed after each request: those beyond this host's share. */
+	readonly #extra: Pool;
 	#running = 0;
 
 	constructor(readonly options: ExecutorPoolOptions) {
-		this.#pool = new Pool(`http://${options.address}`, {
-			connections: options.connections,
-			pipelining: 1,
-			keepAliveTimeout: idleLimitMs,
-			keepAliveMaxTimeout: idleLimitMs,
-			headersTimeout: 0,
-			bodyTimeout: 0,
-			connect: createConnector(options.source),
-		});
+		this.#kept =
+			options.share > 0 ? createPool(options, options.share) : undefined;
+		this.#extra = createPool(options, options.slots);
 	}
 
 	/** Requests under way. */
@@ -58,7 +57,9 @@
 			this.#running -= 1;
 			onEnd(outcome);
 		});
-		this.#pool.dispatch(
+		const isKept =
+			this.#kept !== undefined && this.#running <= this.options.share;
+		(isKept ? this.#kept : this.#extra).dispatch(
 			{
 				path: request.path,
 				method: 'POST',
@@ -66,6 +67,7 @@
 				body: request.payload,
 				// Never sent again by the library, whatever happens to the connection.
 				idempotent: false,
+				reset: !isKept,
 			},
 			exchange,
 		);
@@ -73,15 +75,30 @@
 
 	/** Lets requests under way end, then closes the connections. */
 	async close(): Promise<void> {
-		await this.#pool.close();
+		await Promise.all([this.#kept?.close(), this.#extra.close()]);
 	}
 
 	/** Cuts everything off. */
 	async destroy(): Promise<void> {
-		await this.#pool.destroy();
+		await Promise.all([this.#kept?.destroy(), this.#extra.destroy()]);
 	}
 }
 
+function createPool(
+	{address, source}: ExecutorPoolOptions,
+	connections: number,
+): Pool {
+	return new Pool(`http://${address}`, {
+		connections,
+		pipelining: 1,
+		keepAliveTimeout: idleLimitMs,
+		keepAliveMaxTimeout: idleLimitMs,
+		headersTimeout: 0,
+		bodyTimeout: 0,
+		connect: createConnector(source),
+	});
+}
+
 function listHeaders(request: TaskRequest): Record<string, string> {
 	const list: Record<string, string> = {
 		'content-type': 'application/json',
--- a/packages/executors/src/executor-pools.ts
+++ b/packages/executors/src/executor-pools.ts
@@ -13,11 +13,17 @@
 };
 
 /**
-This host's share of an executor's connections. The limit is the executor's: about 60 for all
-hosts together; a host that kept more would starve the others.
+Connections that this host may keep open to an executor while idle. The limit is the executor's,
+about 60 for all hosts together, so the hosts share what its busy slots leave; a host that kept
+more would starve the others. With more hosts than that it is 0: every request then takes a
+connection of its own and closes it, and the lent slots bound how many there are.
 */
-export function computeShare(connections: number, hosts: number): number {
-	return Math.max(1, Math.floor(connections / Math.max(1, hosts)));
+export function computeShare(
+	{connections, slots}: Pick<Executor, 'connections' | 'slots'>,
+	hosts: number,
+): number {
+	const idle = Math.max(0, connections - slots);
+	return Math.min(slots, Math.floor(idle / Math.max(1, hosts)));
 }
 
 export class ExecutorPools {
@@ -52,12 +58,12 @@
 	}
 
 	#findPool(executor: Executor): ExecutorPool {
-		const connections = computeShare(
-			executor.connections,
-			this.#options.countHosts(),
-		);
+		const share = computeShare(executor, this.#options.countHosts());
 		const known = this.#pools.get(executor.address);
-		if (known?.options.connections === connections) {
+		if (
+			known?.options.share === share &&
+			known.options.slots === executor.slots
+		) {
 			return known;
 		}
 
@@ -65,7 +71,8 @@
 		void known?.close();
 		const pool = new ExecutorPool({
 			address: executor.address,
-			connections,
+			share,
+			slots: executor.slots,
 			source: this.#options.source,
 		});
 		this.#pools.set(executor.address, pool);
--- a/packages/jobs/src/owner.ts
+++ b/packages/jobs/src/owner.ts
@@ -325,6 +325,7 @@
 				record.submission.service,
 				service.taskMs,
 			),
+			hasStarted: record.startedTasks > 0,
 			deadlineAt: record.deadlineAt,
 			submittedAt: record.submittedAt,
 		});
@@ -396,7 +397,10 @@
 			!record.isFinal &&
 			record.queued > 0 &&
 			outcome.result === 'done' &&
-			slot.keep(slotOutcome, record.remaining)
+			slot.keep(slotOutcome, {
+				remaining: record.remaining,
+				queued: record.queued,
+			})
 		) {
 			if (slot.isUsable() && this.#startTask(record, slot)) {
 				return;
--- a/packages/jobs/src/slot-source.ts
+++ b/packages/jobs/src/slot-source.ts
@@ -14,7 +14,10 @@
 	*/
 	isUsable: () => boolean;
 	/** The task ended; true when the slot may be used at once for the job's next task. */
-	keep: (outcome: SlotOutcome, remaining: number) => boolean;
+	keep: (
+		outcome: SlotOutcome,
+		left: Pick<JobDemand, 'remaining' | 'queued'>,
+	) => boolean;
 	/** Gives the slot back. */
 	release: (outcome: SlotOutcome) => void;
 };
@@ -30,6 +33,8 @@
 	/** Tasks that wait for a slot. */
 	queued: number;
 	taskMs: number;
+	/** Something of the job was started: it can no longer be refused. */
+	hasStarted: boolean;
 	/** Monotonic milliseconds. */
 	deadlineAt: number;
 	submittedAt: number;
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -70,6 +70,12 @@
 	taskMs: duration,
 	deadlineInMs: duration,
 	waitedMs: duration,
+	/** Slots granted so far, as the owner knows. */
+	granted: count.optional(),
+	/** An earlier keeper let the job in: it isn't judged again. */
+	isAdmitted: z.boolean().optional(),
+	/** Slots that the job holds now from other keepers. */
+	heldElsewhere: count.optional(),
 });
 
 /** The job wants nothing more: it ended, failed or was cancelled. */
@@ -93,17 +99,18 @@
 	slots: z.array(slotSchema),
 });
 
-/** Slots given back, each with how its last task ended. */
+/** How the last task on a lent slot ended. */
+export const slotReportSchema = z.object({
+	slot: count,
+	result: z.enum(['done', 'failed', 'refused', 'unknown', 'unused']),
+	runMs: duration,
+});
+
+/** Slots given back. */
 export const releaseSchema = z.object({
 	t: z.literal('release'),
 	target: nameSchema,
-	slots: z.array(
-		z.object({
-			slot: count,
-			result: z.enum(['done', 'failed', 'refused', 'unknown', 'unused']),
-			runMs: duration,
-		}),
-	),
+	slots: z.array(slotReportSchema),
 });
 
 /** The keeper will not serve this job; nothing of it has been lent a slot. */
@@ -122,27 +129,45 @@
 	slots: z.array(count),
 });
 
-/** Client's request to extend its lease; `held` is all it holds of this keeper. */
+/** Client's request to extend its lease with this keeper. */
 export const leaseSchema = z.object({
 	t: z.literal('lease'),
 	target: nameSchema,
 	sequence: count,
-	held: z.array(slotSchema),
+	/** All it holds of this keeper's executors; told at first and after the keeper changed. */
+	held: z.array(slotSchema).optional(),
+	/** Tasks that ended on slots it kept. */
+	reports: z.array(slotReportSchema),
 });
 /** `leaving`: executors that must get nothing new. */
 export const leasedSchema = z.object({
 	t: z.literal('leased'),
 	target: nameSchema,
 	sequence: count,
+	/** Random, made when the keeper took the role: another one knows nothing of the client yet. */
+	term: count,
 	leaving: z.array(nameSchema),
 });
 
+/** A new keeper asks what is lent before it lends; answered by `held`. */
+export const askHeldSchema = z.object({
+	t: z.literal('ask-held'),
+	target: nameSchema,
+	dataCentre: nameSchema,
+});
+export const heldSchema = z.object({
+	t: z.literal('held'),
+	target: nameSchema,
+	dataCentre: nameSchema,
+	slots: z.array(slotSchema),
+});
+
 /** A keeper's client side asks a keeper of another data centre to lend to its owner at once, or not. */
 export const shiftSchema = z.object({
 	t: z.literal('shift'),
 	target: nameSchema,
-	/** `<data centre>_<host>` of the owner that the grants go to. */
-	owner: z.string(),
+	/** The owner that the grants go to: `<data centre>_<host>.<incarnation>`. */
+	owner: z.string().max(200),
 	demand: demandSchema,
 	count,
 });
@@ -150,16 +175,19 @@
 export const shiftedSchema = z.object({
 	t: z.literal('shifted'),
 	target: nameSchema,
-	owner: z.string(),
+	owner: z.string().max(200),
 	job: count,
 	count,
 	granted: count,
+	/** Slots the answering keeper has free after this. */
+	free: count,
 });
 
 /** A keeper's state, told to keepers of other data centres when it changes much. */
 export const keeperStateSchema = z.object({
 	t: z.literal('keeper-state'),
 	target: nameSchema,
+	dataCentre: nameSchema,
 	free: count,
 	slots: count,
 	queuedMs: duration,
@@ -198,6 +226,8 @@
 	recallSchema,
 	leaseSchema,
 	leasedSchema,
+	askHeldSchema,
+	heldSchema,
 	shiftSchema,
 	shiftedSchema,
 	keeperStateSchema,
--- /dev/null
+++ b/packages/slots/src/borrower.ts
@@ -0,0 +1,470 @@
+/**
+The borrowing side: tells keepers what this host's jobs want, and hands granted slots to the
+jobs' owner under a lease.
+*/
+import {type SlotOutcome} from '@gentianshift/decisions';
+import {
+	type JobDemand,
+	type SlotHandlers,
+	type SlotSource,
+	type UsableSlot,
+} from '@gentianshift/jobs';
+import {
+	type LentSlot,
+	type Message,
+	type MessageOf,
+} from '@gentianshift/protocol';
+import {type Executor} from '@gentianshift/resources';
+import {Lease} from './lease.js';
+import {leaseRenewMs, type SlotPorts} from './ports.js';
+
+/** A job's demand is told anew when its remaining work fell by this part: it ranks by it. */
+const tellFraction = 0.1;
+
+/** A slot that can't be used yet (lease or executor not known here) is given back after this, milliseconds. */
+const holdMs = 100;
+
+type BorrowingJob = {
+	demand: JobDemand;
+	home: string;
+	/** Slots granted since the demand was first told. */
+	granted: number;
+	isAdmitted: boolean;
+	toldRemaining: number;
+};
+
+type HeldSlot = LentSlot & {
+	target: string;
+	dataCentre: string;
+	isRecalled: boolean;
+};
+
+export class Borrower implements SlotSource {
+	readonly #ports: SlotPorts;
+	readonly #handlers: SlotHandlers;
+	readonly #jobs = new Map<number, BorrowingJob>();
+	readonly #held = new Map<number, HeldSlot>();
+	/** By target and data centre. */
+	readonly #leases = new Map<string, Lease>();
+	/** Granted, and not usable yet. */
+	readonly #pending = new Map<number, {slot: HeldSlot; until: number}>();
+	#releases = new Map<string, MessageOf<'release'>>();
+	readonly #reports = new Map<string, MessageOf<'lease'>['reports']>();
+	readonly #timer: NodeJS.Timeout;
+
+	constructor(ports: SlotPorts, handlers: SlotHandlers) {
+		this.#ports = ports;
+		this.#handlers = handlers;
+		this.#timer = setInterval(() => {
+			this.#renewLeases();
+		}, leaseRenewMs);
+	}
+
+	demandSlots(demand: JobDemand): void {
+		const known = this.#jobs.get(demand.job);
+		if (known) {
+			known.demand = demand;
+			this.#tellDemand(known);
+			return;
+		}
+
+		const job = {
+			demand,
+			home: this.#chooseHome(demand.target),
+			granted: 0,
+			isAdmitted: demand.hasStarted,
+			toldRemaining: demand.remaining,
+		};
+		this.#jobs.set(demand.job, job);
+		this.#openLeases(demand.target);
+		this.#tellDemand(job);
+	}
+
+	withdrawDemand(number: number): void {
+		const job = this.#jobs.get(number);
+		if (!job) {
+			return;
+		}
+
+		this.#jobs.delete(number);
+		const {target} = job.demand;
+		this.#sendToKeeper(target, job.home, {t: 'withdraw', target, job: number});
+	}
+
+	receiveGrant(keeper: string, message: MessageOf<'grant'>): void {
+		for (const lent of message.slots) {
+			this.#takeSlot(keeper, message.target, lent);
+		}
+	}
+
+	receiveRefuse(message: MessageOf<'refuse'>): void {
+		if (this.#jobs.delete(message.job)) {
+			this.#handlers.onRefusal(message.job, {
+				code: message.code,
+				retryAfterMs: message.retryAfterMs,
+			});
+		}
+	}
+
+	receiveRecall(message: MessageOf<'recall'>): void {
+		for (const number of message.slots) {
+			const slot = this.#held.get(number);
+			if (slot) {
+				slot.isRecalled = true;
+			}
+		}
+	}
+
+	receiveLeased(keeper: string, message: MessageOf<'leased'>): void {
+		for (const [key, lease] of this.#leases) {
+			const {target, dataCentre} = parseLeaseKey(key);
+			if (lease.keeper !== keeper || target !== message.target) {
+				continue;
+			}
+
+			if (!lease.extend(message.sequence, message.term, message.leaving)) {
+				this.#tellAgain(target, dataCentre, lease);
+				this.#renewLease(target, dataCentre, lease);
+			}
+		}
+
+		this.#usePending();
+	}
+
+	/** What this host holds of a target in a data centre, for its keeper. */
+	listHeld(target: string, dataCentre: string): LentSlot[] {
+		return [...this.#held.values()]
+			.filter(
+				(slot) => slot.target === target && slot.dataCentre === dataCentre,
+			)
+			.map(({executor, slot, job}) => ({executor, slot, job}));
+	}
+
+	/** Hosts or resources changed: keepers may be others now. */
+	refreshKeepers(): void {
+		for (const [key, lease] of this.#leases) {
+			const {target, dataCentre} = parseLeaseKey(key);
+			const keeper = this.#ports.findKeeper(target, dataCentre);
+			if (keeper !== lease.keeper) {
+				lease.changeKeeper(keeper);
+				this.#renewLease(target, dataCentre, lease);
+			}
+		}
+	}
+
+	/** The link to a host is up or down: what its keeper knew of this host is gone. */
+	resetKeeper(hostKey: string): void {
+		for (const lease of this.#leases.values()) {
+			if (lease.keeper === hostKey) {
+				lease.changeKeeper(undefined);
+			}
+		}
+
+		this.refreshKeepers();
+	}
+
+	stop(): void {
+		clearInterval(this.#timer);
+	}
+
+	/** Slots held now, for a planned stop to wait for. */
+	get heldSlots(): number {
+		return this.#held.size;
+	}
+
+	/** The own data centre where it serves the target, else the one with the most executors. */
+	#chooseHome(target: string): string {
+		const places = this.#ports.listDataCentres(target);
+		const {dataCentre} = this.#ports;
+		if (places.length === 0 || places.includes(dataCentre)) {
+			return dataCentre;
+		}
+
+		const count = (place: string) =>
+			this.#ports.listExecutors(target, place).length;
+		return [...places].toSorted((a, b) => count(b) - count(a))[0]!;
+	}
+
+	#openLeases(target: string): void {
+		for (const dataCentre of this.#ports.listDataCentres(target)) {
+			const key = formatLeaseKey(target, dataCentre);
+			const lease = this.#leases.get(key);
+			if (!lease) {
+				const opened = new Lease();
+				opened.changeKeeper(this.#ports.findKeeper(target, dataCentre));
+				this.#leases.set(key, opened);
+				this.#renewLease(target, dataCentre, opened);
+			} else if (!lease.isValid(this.#ports.now())) {
+				this.#renewLease(target, dataCentre, lease);
+			}
+		}
+	}
+
+	#tellDemand(job: BorrowingJob): void {
+		const {demand} = job;
+		const {target, queued, ...rest} = demand;
+		const now = this.#ports.now();
+		job.toldRemaining = demand.remaining;
+		this.#sendToKeeper(target, job.home, {
+			t: 'demand',
+			target,
+			job: rest.job,
+			service: rest.service,
+			team: rest.team,
+			remaining: rest.remaining,
+			asked: job.granted + Math.max(0, queued - this.#countPending(job)),
+			taskMs: rest.taskMs,
+			deadlineInMs: rest.deadlineAt - now,
+			waitedMs: now - rest.submittedAt,
+			granted: job.granted,
+			isAdmitted: job.isAdmitted,
+			heldElsewhere: this.#countHeldElsewhere(job),
+		});
+	}
+
+	#countPending({demand}: BorrowingJob): number {
+		let count = 0;
+		for (const {slot} of this.#pending.values()) {
+			count += Number(slot.job === demand.job);
+		}
+
+		return count;
+	}
+
+	#countHeldElsewhere({demand, home}: BorrowingJob): number {
+		let count = 0;
+		for (const slot of this.#held.values()) {
+			count += Number(slot.job === demand.job && slot.dataCentre !== home);
+		}
+
+		return count;
+	}
+
+	#retellDemands(target: string, dataCentre: string): void {
+		for (const job of this.#jobs.values()) {
+			if (
+				job.demand.target === target &&
+				job.home === dataCentre &&
+				job.demand.queued > 0
+			) {
+				this.#tellDemand(job);
+			}
+		}
+	}
+
+	#takeSlot(keeper: string, target: string, lent: LentSlot): void {
+		const executor = this.#ports.findActive(target, lent.executor);
+		const dataCentre = executor?.dataCentre ?? this.#findPlace(target, keeper);
+		const slot: HeldSlot = {...lent, target, dataCentre, isRecalled: false};
+		this.#held.set(lent.slot, slot);
+		const job = this.#jobs.get(lent.job);
+		if (job) {
+			job.granted += 1;
+			job.isAdmitted = true;
+		}
+
+		if (this.#isUsable(slot)) {
+			this.#handOver(slot, executor!);
+		} else {
+			this.#pending.set(slot.slot, {slot, until: this.#ports.now() + holdMs});
+			setTimeout(() => {
+				this.#usePending();
+			}, holdMs + 1);
+		}
+	}
+
+	#findPlace(target: string, keeper: string): string {
+		for (const [key, lease] of this.#leases) {
+			const place = parseLeaseKey(key);
+			if (place.target === target && lease.keeper === keeper) {
+				return place.dataCentre;
+			}
+		}
+
+		return this.#ports.dataCentre;
+	}
+
+	#usePending(): void {
+		const now = this.#ports.now();
+		for (const {slot, until} of this.#pending.values()) {
+			const executor = this.#ports.findActive(slot.target, slot.executor);
+			if (executor && this.#isUsable(slot)) {
+				this.#pending.delete(slot.slot);
+				this.#handOver(slot, executor);
+			} else if (now >= until) {
+				this.#pending.delete(slot.slot);
+				this.#release(slot, {result: 'unused', runMs: 0});
+				this.#askAgain(slot.job);
+			}
+		}
+	}
+
+	#handOver(slot: HeldSlot, executor: Executor): void {
+		this.#handlers.onSlot(slot.job, this.#createUsable(slot, executor));
+	}
+
+	#createUsable(slot: HeldSlot, executor: Executor): UsableSlot {
+		return {
+			executor,
+			isUsable: () => this.#isUsable(slot),
+			keep: (outcome, left) => this.#keep(slot, outcome, left),
+			release: (outcome) => {
+				this.#release(slot, outcome);
+			},
+		};
+	}
+
+	#isUsable(slot: HeldSlot): boolean {
+		const lease = this.#leases.get(
+			formatLeaseKey(slot.target, slot.dataCentre),
+		);
+		return (
+			lease !== undefined &&
+			lease.isValid(this.#ports.now()) &&
+			!lease.leaving.has(slot.executor) &&
+			this.#ports.findActive(slot.target, slot.executor) !== undefined
+		);
+	}
+
+	#keep(
+		slot: HeldSlot,
+		outcome: SlotOutcome,
+		left: {remaining: number; queued: number},
+	): boolean {
+		const job = this.#jobs.get(slot.job);
+		if (job) {
+			job.demand = {...job.demand, ...left};
+		}
+
+		if (slot.isRecalled) {
+			return false;
+		}
+
+		this.#report(slot, outcome);
+		if (job && left.remaining <= job.toldRemaining * (1 - tellFraction)) {
+			this.#tellDemand(job);
+		}
+
+		return true;
+	}
+
+	#report(slot: HeldSlot, outcome: SlotOutcome): void {
+		const key = formatLeaseKey(slot.target, slot.dataCentre);
+		const reports = this.#reports.get(key) ?? [];
+		reports.push({slot: slot.slot, ...outcome});
+		this.#reports.set(key, reports);
+	}
+
+	/** All releases of a loop turn to one keeper travel as one message. */
+	#release(slot: HeldSlot, outcome: SlotOutcome): void {
+		if (!this.#held.delete(slot.slot)) {
+			return;
+		}
+
+		if (outcome.result === 'unused') {
+			this.#ports.countWasted('unused-grant');
+		}
+
+		const key = formatLeaseKey(slot.target, slot.dataCentre);
+		const message = this.#releases.get(key) ?? {
+			t: 'release',
+			target: slot.target,
+			slots: [],
+		};
+		message.slots.push({slot: slot.slot, ...outcome});
+		this.#releases.set(key, message);
+		if (this.#releases.size === 1 && message.slots.length === 1) {
+			setImmediate(() => {
+				this.#flushReleases();
+			});
+		}
+	}
+
+	#flushReleases(): void {
+		const releases = this.#releases;
+		this.#releases = new Map();
+		for (const [key, message] of releases) {
+			const {target, dataCentre} = parseLeaseKey(key);
+			this.#sendToKeeper(target, dataCentre, message);
+		}
+	}
+
+	/** A slot of this job came to nothing: it wants another one. */
+	#askAgain(number: number): void {
+		const job = this.#jobs.get(number);
+		if (job) {
+			this.#tellDemand(job);
+		}
+	}
+
+	#renewLeases(): void {
+		this.refreshKeepers();
+		for (const [key, lease] of this.#leases) {
+			const {target, dataCentre} = parseLeaseKey(key);
+			if (!this.#isLeaseNeeded(target)) {
+				this.#leases.delete(key);
+				continue;
+			}
+
+			this.#renewLease(target, dataCentre, lease);
+		}
+	}
+
+	/**
+	A keeper that doesn't answer may not hold the role yet by its own view, and have dropped what
+	it was told: it is told again with each request until it answers.
+	*/
+	#tellAgain(target: string, dataCentre: string, lease: Lease): void {
+		lease.isTold = false;
+		this.#retellDemands(target, dataCentre);
+	}
+
+	#isLeaseNeeded(target: string): boolean {
+		for (const job of this.#jobs.values()) {
+			if (job.demand.target === target) {
+				return true;
+			}
+		}
+
+		for (const slot of this.#held.values()) {
+			if (slot.target === target) {
+				return true;
+			}
+		}
+
+		return false;
+	}
+
+	#renewLease(target: string, dataCentre: string, lease: Lease): void {
+		if (!lease.isValid(this.#ports.now())) {
+			this.#tellAgain(target, dataCentre, lease);
+		}
+
+		const key = formatLeaseKey(target, dataCentre);
+		const message: MessageOf<'lease'> = {
+			t: 'lease',
+			target,
+			sequence: lease.ask(this.#ports.now()),
+			held: lease.isTold ? undefined : this.listHeld(target, dataCentre),
+			reports: this.#reports.get(key) ?? [],
+		};
+		if (this.#sendToKeeper(target, dataCentre, message)) {
+			lease.isTold = true;
+			this.#reports.delete(key);
+		}
+	}
+
+	#sendToKeeper(target: string, dataCentre: string, message: Message): boolean {
+		const keeper = this.#ports.findKeeper(target, dataCentre);
+		return keeper !== undefined && this.#ports.sendToHost(keeper, message);
+	}
+}
+
+function formatLeaseKey(target: string, dataCentre: string): string {
+	return `${target}/${dataCentre}`;
+}
+
+function parseLeaseKey(key: string): {target: string; dataCentre: string} {
+	const [target, dataCentre] = key.split('/');
+	return {target: target!, dataCentre: dataCentre!};
+}
--- a/packages/slots/src/own-view-source.ts
+++ b/packages/slots/src/own-view-source.ts
@@ -103,8 +103,13 @@
 				return;
 			}
 
+			const before = countOutstanding(view.executor);
 			changeOutstanding(view.executor, 1);
 			handlers.onSlot(demand.job, createSlot(view.executor, demand.target));
+			if (countOutstanding(view.executor) === before) {
+				// The job could not use it.
+				return;
+			}
 		}
 	}
 
