Read settings and declarations from INI, with all findings at once

Cause: a host and its operators need checked INI files. The ini library forgets lines and lets a repeated key win silently. Ruled out: a parser of our own; a second schema beside the resources' (their defaults apply). Change: the library reads the values, a small locator finds lines, duplicates and stray lines; zod schemas of the sections give the types, and each issue becomes a finding with file, line, key, what was found and what is allowed.

--- /dev/null
+++ b/packages/settings/src/fields.ts
@@ -0,0 +1,160 @@
+/**
+Schemas of single values as they are written in INI: each turns text into its value and
+describes what is allowed, which findings repeat.
+*/
+import {isIPv4} from 'node:net';
+import {z} from 'zod';
+import {nameSchema} from '@gentianshift/resources';
+
+/** Milliseconds in each unit of a duration. */
+const durationUnits: Record<string, number> = {
+	ms: 1,
+	s: 1000,
+	m: 60_000,
+	h: 3_600_000,
+};
+
+/** Bytes in each unit of a size. */
+const sizeUnits: Record<string, number> = {
+	B: 1,
+	KiB: 1024,
+	MiB: 1024 ** 2,
+	GiB: 1024 ** 3,
+};
+
+const highestPort = 65_535;
+
+type Range = {min: number; max: number};
+
+/** A duration like `200ms`, `30s`, `5m` or `1h`, read as milliseconds. */
+export function defineDuration({min, max}: Range) {
+	return defineNumber(
+		(text) => readWithUnit(text, durationUnits),
+		{min, max},
+		`a duration from ${formatDuration(min)} to ${formatDuration(max)}, like 200ms, 30s or 5m`,
+	);
+}
+
+/** A size like `512KiB` or `16MiB`, read as bytes. */
+export function defineSize({min, max}: Range) {
+	return defineNumber(
+		(text) => readWithUnit(text, sizeUnits),
+		{min, max},
+		`a size from ${min}B to ${max / sizeUnits.MiB!}MiB, like 512KiB or 16MiB`,
+	);
+}
+
+/** A whole number without unit. */
+export function defineCount({min, max}: Range) {
+	return defineNumber(
+		(text) => (/^\d+$/v.test(text) ? Number(text) : Number.NaN),
+		{min, max},
+		`a whole number from ${min} to ${max}`,
+	);
+}
+
+/** A number that may have a fraction. */
+export function defineRatio({min, max}: Range) {
+	return defineNumber(
+		(text) => (/^\d+(?:\.\d+)?$/v.test(text) ? Number(text) : Number.NaN),
+		{min, max},
+		`a number from ${min} to ${max}`,
+	);
+}
+
+/** One of a few words. */
+export function defineWord<const Words extends readonly string[]>(
+	words: Words,
+) {
+	return z.enum(words).describe(`one of ${words.join(', ')}`);
+}
+
+/** `true` or `false`. */
+export function defineFlag() {
+	return z
+		.enum(['true', 'false'])
+		.transform((text) => text === 'true')
+		.describe('true or false');
+}
+
+export function defineName() {
+	return nameSchema.describe(
+		'a name of 1 to 63 of a-z, 0-9 and "-", not "-" first',
+	);
+}
+
+/** An IPv4 address and a port. */
+export function defineAddress() {
+	return z
+		.string()
+		.refine((text) => isAddress(text))
+		.describe(`IPV4:PORT with a port from 1 to ${highestPort}`);
+}
+
+/** Addresses separated by commas; none is allowed. */
+export function defineAddresses() {
+	return z
+		.string()
+		.transform((text) => splitList(text))
+		.refine((addresses) => addresses.every((address) => isAddress(address)))
+		.describe('IPV4:PORT, separated by commas');
+}
+
+export function defineIpAddress() {
+	return z
+		.string()
+		.refine((text) => isIPv4(text))
+		.describe('an IPv4 address');
+}
+
+export function defineUrl() {
+	return z
+		.url({protocol: /^https?$/v})
+		.describe('a URL that begins with http:// or https://');
+}
+
+/** Text held to a pattern. */
+export function definePattern(pattern: RegExp, allowed: string) {
+	return z.string().regex(pattern).describe(allowed);
+}
+
+/** Writes milliseconds in the largest unit that holds them whole: `90000` is `90s`. */
+export function formatDuration(ms: number): string {
+	const fitting = Object.entries(durationUnits)
+		.toReversed()
+		.find(([, size]) => ms >= size && ms % size === 0);
+	return fitting ? `${ms / fitting[1]}${fitting[0]}` : `${ms}ms`;
+}
+
+function defineNumber(
+	read: (text: string) => number,
+	{min, max}: Range,
+	allowed: string,
+) {
+	return z
+		.string()
+		.transform((text) => read(text))
+		.refine((value) => value >= min && value <= max)
+		.describe(allowed);
+}
+
+function readWithUnit(text: string, units: Record<string, number>): number {
+	const match = /^(\d{1,12})([A-Za-z]+)$/v.exec(text);
+	const unit = Object.hasOwn(units, match?.[2] ?? '')
+		? units[match![2]!]!
+		: Number.NaN;
+	return Number(match?.[1]) * unit;
+}
+
+function isAddress(text: string): boolean {
+	const match = /^([\d.]+):(\d{1,5})$/v.exec(text);
+	const port = Number(match?.[2]);
+	return isIPv4(match?.[1] ?? '') && port >= 1 && port <= highestPort;
+}
+
+function splitList(text: string): string[] {
+	return text
+		.split(',')
+		.map((part) => part.trim())
+		.filter((part) => part !== '');
+}
--- /dev/null
+++ b/packages/settings/src/index.ts
@@ -0,0 +1,2 @@
+export * from './declarations.js';
+export * from './host-settings.js';
