--- /dev/null
+++ b/packages/cli/src/commands/submit.ts
@@ -0,0 +1,72 @@
+/**
+`submit`: submits a job, shows its progress on a terminal and writes its whole answer.
+*/
+import {formatFindings, type JobAnswer} from '@gentianshift/resources';
+import {type ExitCode, exitCodes} from '../exit-codes.js';
+import {type HostOptions} from '../host-options.js';
+import {createJobId, submitJob} from '../jobs.js';
+import {writeJob} from '../report-job.js';
+import {reportFailure} from '../report.js';
+import {parseTasks} from '../tasks.js';
+import {type Terminal} from '../terminal.js';
+
+export type SubmitCommandOptions = HostOptions & {
+	service: string;
+	team: string;
+	/** File of NDJSON; "-" for standard input. */
+	tasks: string;
+	/** Milliseconds. */
+	deadline?: number;
+	id?: string;
+	attempt: number;
+};
+
+export async function submit(
+	terminal: Terminal,
+	options: SubmitCommandOptions,
+): Promise<ExitCode> {
+	const tasks = await readTasks(terminal, options.tasks);
+	if (tasks === undefined) {
+		return exitCodes.usage;
+	}
+
+	const made = options.id === undefined && (await createJobId(options.host));
+	if (made !== false && made.isErr()) {
+		return reportFailure(terminal, made.error);
+	}
+
+	const id = made === false ? options.id! : made.value;
+	terminal.writeError(`job ${id}`);
+	const {service, team, deadline: deadlineMs} = options;
+	const answer = await submitJob(options.host, {
+		id,
+		attempt: options.attempt,
+		submission: {service, team, deadlineMs, tasks},
+		onProgress(state) {
+			terminal.showProgress(formatProgress(state));
+		},
+	});
+	return writeJob(terminal, id, answer, options.output);
+}
+
+async function readTasks(
+	{readText, writeError}: Terminal,
+	file: string,
+): Promise<unknown[] | undefined> {
+	try {
+		const tasks = parseTasks(await readText(file), file);
+		if (tasks.isOk()) {
+			return tasks.value;
+		}
+
+		writeError(formatFindings(tasks.error));
+	} catch (error) {
+		writeError(`${file}: ${(error as Error).message}`);
+	}
+
+	return undefined;
+}
+
+function formatProgress({state, done, tasks}: JobAnswer): string {
+	return `${state}: ${done} of ${tasks} tasks done`;
+}
--- a/packages/settings/src/fields.ts
+++ b/packages/settings/src/fields.ts
@@ -5,14 +5,7 @@
 import {isIPv4} from 'node:net';
 import {z} from 'zod';
 import {nameSchema} from '@gentianshift/resources';
-
-/** Milliseconds in each unit of a duration. */
-const durationUnits: Record<string, number> = {
-	ms: 1,
-	s: 1000,
-	m: 60_000,
-	h: 3_600_000,
-};
+import {formatDuration, parseDuration, parseWithUnit} from './duration.js';
 
 /** Bytes in each unit of a size. */
 const sizeUnits: Record<string, number> = {
@@ -29,7 +22,7 @@
 /** A duration like `200ms`, `30s`, `5m` or `1h`, read as milliseconds. */
 export function defineDuration({min, max}: Range) {
 	return defineNumber(
-		(text) => readWithUnit(text, durationUnits),
+		(text) => parseDuration(text),
 		{min, max},
 		`a duration from ${formatDuration(min)} to ${formatDuration(max)}, like 200ms, 30s or 5m`,
 	);
@@ -38,7 +31,7 @@
 /** A size like `512KiB` or `16MiB`, read as bytes. */
 export function defineSize({min, max}: Range) {
 	return defineNumber(
-		(text) => readWithUnit(text, sizeUnits),
+		(text) => parseWithUnit(text, sizeUnits),
 		{min, max},
 		`a size from ${min}B to ${max / sizeUnits.MiB!}MiB, like 512KiB or 16MiB`,
 	);
@@ -118,14 +111,6 @@
 	return z.string().regex(pattern).describe(allowed);
 }
 
-/** Writes milliseconds in the largest unit that holds them whole: `90000` is `90s`. */
-export function formatDuration(ms: number): string {
-	const fitting = Object.entries(durationUnits)
-		.toReversed()
-		.find(([, size]) => ms >= size && ms % size === 0);
-	return fitting ? `${ms / fitting[1]}${fitting[0]}` : `${ms}ms`;
-}
-
 function defineNumber(
 	read: (text: string) => number,
 	{min, max}: Range,
@@ -138,14 +123,6 @@
 		.describe(allowed);
 }
 
-function readWithUnit(text: string, units: Record<string, number>): number {
-	const match = /^(\d{1,12})([A-Za-z]+)$/v.exec(text);
-	const unit = Object.hasOwn(units, match?.[2] ?? '')
-		? units[match![2]!]!
-		: Number.NaN;
-	return Number(match?.[1]) * unit;
-}
-
 function isAddress(text: string): boolean {
 	const match = /^([\d.]+):(\d{1,5})$/v.exec(text);
 	const port = Number(match?.[2]);
--- a/packages/settings/src/host-settings.ts
+++ b/packages/settings/src/host-settings.ts
@@ -168,6 +168,11 @@
 		: ok(Object.fromEntries(sections.value) as HostSettings);
 }
 
+/** Whether INI text is meant as a host's settings, rather than as declarations. */
+export function isHostSettings(text: string): boolean {
+	return parseIni(text, '').sections.some(({name}) => name === 'host');
+}
+
 function getSection(document: IniDocument, name: string) {
 	const found = document.sections.find((section) => section.name === name);
 	return found ?? {name, line: 0, entries: []};
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -1,2 +1,3 @@
 export * from './declarations.js';
+export {formatDuration, parseDuration} from './duration.js';
 export * from './host-settings.js';
