--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,1 +1,1 @@
-export type * from './lending.js';
+export * from './lending.js';
--- /dev/null
+++ b/packages/host/src/configuration.ts
@@ -0,0 +1,154 @@
+/**
+Keeps the resources in force on this host up to date: as a reader from the platform's store, as
+any host from its peers.
+
+What goes wrong: the store is down or cut off, or this host started during its outage. Peers
+notice by digests that they hold other revisions and bring each other up to the newest one that
+any of them has. A resource is never replaced by an older revision.
+*/
+import {
+	answerExchange,
+	buildDigest,
+	buildResourceMessages,
+	exchangeMessageSchema,
+	type ResourceTable,
+} from '@gentianshift/configuration';
+import {runReader, type ResourceStore} from '@gentianshift/platform';
+import {type Link, type Message} from '@gentianshift/protocol';
+import {type Resource} from '@gentianshift/resources';
+import {repeat, waitFor} from './timers.js';
+
+/** How often a host compares digests. */
+const digestEveryMs = 500;
+/** Peers that digests are compared with each time; chosen at random, so that news spreads to all. */
+const digestPeers = 2;
+/** How often a host looks whether it is a reader. */
+const roleEveryMs = 200;
+
+export type ConfigurationOptions = {
+	table: ResourceTable;
+	store: ResourceStore;
+	isReader: () => boolean;
+	listLinks: () => Link[];
+	random: () => number;
+	onReaderState: (state: string) => void;
+};
+
+export class Configuration {
+	readonly #options: ConfigurationOptions;
+	#isLoaded = false;
+	#isFromPeer = false;
+	#batch: Resource[] = [];
+
+	constructor(options: ConfigurationOptions) {
+		this.#options = options;
+		options.table.subscribe(resource => {
+			this.#isLoaded = true;
+			this.#pushOn(resource);
+		});
+	}
+
+	/** Whether this host has any configuration to go by. */
+	get isLoaded(): boolean {
+		return this.#isLoaded;
+	}
+
+	start(signal: AbortSignal): void {
+		const {random} = this.#options;
+		void repeat(
+			() => {
+				this.#compareDigests();
+			},
+			{everyMs: digestEveryMs, signal, random},
+		);
+		void this.#followRole(signal);
+	}
+
+	/** A peer's message; `send` answers it on the same connection. */
+	receive(message: Message, send: (message: Message) => void): void {
+		const parsed = exchangeMessageSchema.safeParse(message);
+		if (!parsed.success) {
+			return;
+		}
+
+		this.#isLoaded ||= message.t === 'config-digest' || message.t === 'config-resources';
+		this.#isFromPeer = true;
+		const answers = answerExchange(this.#options.table, parsed.data);
+		this.#isFromPeer = false;
+		for (const answer of answers) {
+			send(answer);
+		}
+	}
+
+	/** Reads the store while this host holds the reader's role. */
+	async #followRole(signal: AbortSignal): Promise<void> {
+		while (!signal.aborted) {
+			if (this.#options.isReader()) {
+				await this.#readWhileHolder(signal);
+			}
+
+			await waitFor(roleEveryMs, signal);
+		}
+	}
+
+	async #readWhileHolder(signal: AbortSignal): Promise<void> {
+		const {store, table, random, onReaderState, isReader} = this.#options;
+		const role = new AbortController();
+		const watchRole = repeat(
+			() => {
+				if (!isReader()) {
+					role.abort();
+				}
+			},
+			{everyMs: roleEveryMs, signal: AbortSignal.any([signal, role.signal]), random},
+		);
+		await runReader({
+			store,
+			table,
+			signal: AbortSignal.any([signal, role.signal]),
+			onState: state => {
+				this.#isLoaded ||= state.state === 'watching';
+				onReaderState(state.state);
+			},
+			random,
+			delay: waitFor,
+		});
+		role.abort();
+		await watchRole;
+	}
+
+	/** What came from the store or an operator goes to all peers at once, in one message a loop turn. */
+	#pushOn(resource: Resource): void {
+		if (this.#isFromPeer) {
+			return;
+		}
+
+		if (this.#batch.length === 0) {
+			setImmediate(() => {
+				const batch = this.#batch;
+				this.#batch = [];
+				this.#push(batch);
+			});
+		}
+
+		this.#batch.push(resource);
+	}
+
+	#push(resources: readonly Resource[]): void {
+		const messages = buildResourceMessages(resources);
+		for (const link of this.#options.listLinks()) {
+			for (const message of messages) {
+				link.send(message);
+			}
+		}
+	}
+
+	#compareDigests(): void {
+		const links = [...this.#options.listLinks()];
+		for (let i = 0; i < digestPeers && links.length > 0; i++) {
+			const at = Math.floor(this.#options.random() * links.length);
+			const [link] = links.splice(at, 1);
+			link!.send(buildDigest(this.#options.table));
+		}
+	}
+}
--- /dev/null
+++ b/packages/host/src/directory.ts
@@ -0,0 +1,218 @@
+/**
+The hosts around this one: the platform's list and peers' word made into a view, the mesh of
+connections kept to it, and the roles that follow from it.
+*/
+import {
+	createHostView,
+	pickHolders,
+	type CloseCause,
+	type Hash64,
+	type HostView,
+	type KnownHost,
+} from '@gentianshift/membership';
+import {type HostList} from '@gentianshift/platform';
+import {formatHostKey, type Link, type Mesh, type MessageOf, type Session} from '@gentianshift/protocol';
+import {readNow, type Identity} from './identity.js';
+import {repeat} from './timers.js';
+
+/** Hosts of a data centre that read the platform for the others: one may be dying unseen. */
+const readersPerDataCentre = 2;
+/** How often a reader reads the platform's list of hosts. */
+const listEveryMs = 1000;
+/** An unchanged list is passed on no more often than this. */
+const passOnEveryMs = 5000;
+/** A host that cannot reach its listed peers takes roles after this long all the same. */
+const settleLimitMs = 1500;
+
+export type DirectoryOptions = {
+	identity: Identity;
+	address: string;
+	seeds: readonly string[];
+	hostList: HostList;
+	hash: Hash64;
+	random: () => number;
+	/** The view changed: roles may have moved. */
+	onChange: () => void;
+};
+
+export class Directory {
+	readonly view: HostView;
+	readonly #options: DirectoryOptions;
+	#mesh: Mesh | undefined;
+	#listed: {hosts: KnownHost[]; at: number} | undefined;
+	readonly #startedAt = readNow();
+	#isSettled = false;
+	#isStopping = false;
+	#passedOn = '';
+	#passedOnAt = 0;
+
+	constructor(options: DirectoryOptions) {
+		this.#options = options;
+		const {identity, address} = options;
+		this.view = createHostView({
+			name: identity.host,
+			dataCentre: identity.dataCentre,
+			role: 'entry',
+			address,
+			state: 'live',
+		});
+		this.view.markLeaving(identity.key, true);
+	}
+
+	/** Connected to what it knows of, or long enough at it to go on with what it has. */
+	get isSettled(): boolean {
+		return this.#isSettled;
+	}
+
+	/** Starts to follow the platform's list, until the signal is aborted. */
+	start(mesh: Mesh, signal: AbortSignal): void {
+		this.#mesh = mesh;
+		mesh.setLeaving(true);
+		const {random} = this.#options;
+		void repeat(async () => this.#readList(), {everyMs: listEveryMs, signal, random});
+		void repeat(
+			() => {
+				this.#settle();
+				this.#update();
+			},
+			{everyMs: 100, signal, random},
+		);
+	}
+
+	/** From now on this host takes no role. */
+	startStopping(): void {
+		this.#isStopping = true;
+		this.view.markLeaving(this.#options.identity.key, true);
+		this.#mesh?.setLeaving(true);
+		this.#update();
+	}
+
+	/** The hosts that hold a role in a data centre, by this host's view. */
+	listHolders(role: string, dataCentre: string, count = 1): string[] {
+		return pickHolders(this.view.listEligible(dataCentre, readNow()), role, count, this.#options.hash);
+	}
+
+	isReader(): boolean {
+		const {key, dataCentre} = this.#options.identity;
+		return this.listHolders('reader', dataCentre, readersPerDataCentre).includes(key);
+	}
+
+	/** Live entry hosts, this one included. */
+	countLive(): number {
+		return 1 + (this.#mesh?.listLinks().length ?? 0);
+	}
+
+	markLinkUp(link: Link, address: string): void {
+		this.view.markConnected({name: link.hello.host, dataCentre: link.hello.dataCentre, address});
+		this.#tellHosts(link);
+		this.#update();
+	}
+
+	markLinkDown(link: Link, reason: string): void {
+		const cause: CloseCause = reason === 'silent' ? 'silent' : 'closed';
+		this.view.markClosed(link.key, cause, readNow());
+		this.#update();
+	}
+
+	/** A host that dials this one is worth dialling, when no list tells a better address. */
+	markSession(session: Session): void {
+		const {host: name, dataCentre, address} = session.hello;
+		const isKnown = this.view.listPeers(readNow()).some(peer => peerKey(peer) === session.key);
+		if (!isKnown) {
+			this.view.takePeerList([{name, dataCentre, role: 'entry', address, state: 'live'}], readNow());
+			this.#update();
+		}
+	}
+
+	markLeaving(key: string, isLeaving: boolean): void {
+		this.view.markLeaving(key, isLeaving);
+		this.#update();
+	}
+
+	/** What a peer of this data centre knows. */
+	receiveHosts(message: MessageOf<'hosts'>): void {
+		const now = readNow();
+		this.view.takePeerList(message.known, now);
+		const at = now - (message.listedAgeMs ?? Infinity);
+		if (message.listed && at > (this.#listed?.at ?? -Infinity)) {
+			this.#takeList(message.listed, at);
+		}
+
+		this.#update();
+	}
+
+	/** Readers read for all; a host that knows no list yet reads for itself. */
+	async #readList(): Promise<void> {
+		const isFirst = this.#listed === undefined;
+		if (!isFirst && !this.isReader()) {
+			return;
+		}
+
+		const hosts = await this.#options.hostList.fetchHosts();
+		if (hosts.isOk()) {
+			this.#takeList(hosts.value, readNow());
+			this.#update();
+			this.#passOn();
+		}
+	}
+
+	#takeList(hosts: KnownHost[], at: number): void {
+		this.#listed = {hosts, at};
+		this.view.takePlatformList(hosts);
+	}
+
+	#passOn(): void {
+		const text = JSON.stringify(this.#listed?.hosts);
+		const now = readNow();
+		if (text === this.#passedOn && now - this.#passedOnAt < passOnEveryMs) {
+			return;
+		}
+
+		this.#passedOn = text;
+		this.#passedOnAt = now;
+		for (const link of this.#mesh?.listLinks() ?? []) {
+			this.#tellHosts(link);
+		}
+	}
+
+	/** Addresses are told within a data centre only: between two they may differ by the side one is on. */
+	#tellHosts(link: Link): void {
+		if (link.hello.dataCentre !== this.#options.identity.dataCentre) {
+			return;
+		}
+
+		link.send({
+			t: 'hosts',
+			known: this.view.exportHosts(),
+			listed: this.#listed?.hosts,
+			listedAgeMs: this.#listed && readNow() - this.#listed.at,
+		});
+	}
+
+	#settle(): void {
+		if (this.#isSettled || this.#isStopping) {
+			return;
+		}
+
+		const waited = readNow() - this.#startedAt;
+		const peers = this.view.listPeers(readNow());
+		const isLinked = this.#listed !== undefined && peers.every(peer => this.#mesh?.findLink(peerKey(peer)));
+		if (isLinked || waited > settleLimitMs) {
+			this.#isSettled = true;
+			this.view.markLeaving(this.#options.identity.key, false);
+			this.#mesh?.setLeaving(false);
+		}
+	}
+
+	#update(): void {
+		const peers = this.view.listPeers(readNow());
+		this.#mesh?.setPeers([
+			...peers.map(({name, dataCentre, address}) => ({host: name, dataCentre, address})),
+		]);
+		this.#options.onChange();
+	}
+}
+
+function peerKey({name, dataCentre}: {name: string; dataCentre: string}): string {
+	return formatHostKey({dataCentre, host: name});
+}
--- a/packages/protocol/src/connection.ts
+++ b/packages/protocol/src/connection.ts
@@ -10,6 +10,9 @@
 /** Bytes waiting to be sent on one connection above which the peer counts as stuck. */
 const maxUnsentBytes = 128 * 1024 * 1024;
 
+/** How long an ended connection may take to close, milliseconds. */
+const endLimitMs = 1000;
+
 export type Meter = {
 	/** A frame went out or came in. */
 	countFrame: (
@@ -84,6 +87,15 @@
 		}
 	}
 
+	/** Sends what waits, then closes in order: the peer gets all of it. */
+	end(): void {
+		this.flush();
+		this.socket.end();
+		this.socket.setTimeout(endLimitMs, () => {
+			this.close('ended');
+		});
+	}
+
 	close(reason: string): void {
 		if (this.#closed) {
 			return;
--- a/packages/protocol/src/mesh.ts
+++ b/packages/protocol/src/mesh.ts
@@ -131,6 +131,11 @@
 		return this.#peers.get(key)?.link;
 	}
 
+	/** Where a peer is dialled. */
+	findAddress(key: string): string | undefined {
+		return this.#peers.get(key)?.address;
+	}
+
 	listLinks(): Link[] {
 		return [...this.#peers.values()].flatMap((peer) => peer.link ?? []);
 	}
@@ -147,19 +152,14 @@
 		this.#sendHeartbeats();
 	}
 
+	/** Sends what waits and closes in order. */
 	async stop(): Promise<void> {
 		clearInterval(this.#timer);
-		for (const peer of this.#peers.values()) {
-			peer.connection?.flush();
-			peer.connection?.close('stopping');
+		for (const connection of this.#listConnections()) {
+			connection.end();
 		}
 
 		this.#peers.clear();
-		for (const connection of this.#accepted.keys()) {
-			connection.flush();
-			connection.close('stopping');
-		}
-
 		await new Promise<void>((resolve) => {
 			this.#server.close(() => {
 				resolve();
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -193,16 +193,40 @@
 	queuedMs: duration,
 });
 
-/** Hosts as the sender knows them: for peers that cannot read the platform's list. */
+const knownHostSchema = z.object({
+	name: nameSchema,
+	dataCentre: nameSchema,
+	role: z.enum(['entry', 'worker']),
+	address: z.string().max(64),
+	state: z.enum(['live', 'leaving']),
+});
+
+/** What the sender knows of hosts, within one data centre: not every host reads the platform's list. */
 export const hostsSchema = z.object({
 	t: z.literal('hosts'),
-	hosts: z.array(
+	/** Hosts that the sender knows itself. */
+	known: z.array(knownHostSchema),
+	/** The platform's list as the sender last got it, and how old it is. */
+	listed: z.array(knownHostSchema).optional(),
+	listedAgeMs: duration.optional(),
+});
+
+/** A host's live state, for operators at other hosts. */
+export const hostStatusSchema = z.object({
+	t: z.literal('host-status'),
+	/** Highest revision of configuration in force there. */
+	revision: count,
+	isStopping: z.boolean(),
+	activeJobs: count,
+	queuedTasks: count,
+	keepers: z.array(
 		z.object({
-			name: nameSchema,
-			dataCentre: nameSchema,
-			role: z.enum(['entry', 'worker']),
-			address: z.string(),
-			state: z.enum(['live', 'leaving']),
+			target: nameSchema,
+			free: count,
+			slots: count,
+			queuedTasks: count,
+			/** Leaving executors that still have lent slots. */
+			leaving: count,
 		}),
 	),
 });
@@ -232,6 +256,7 @@
 	shiftedSchema,
 	keeperStateSchema,
 	hostsSchema,
+	hostStatusSchema,
 	configurationSchema,
 ]);
 
