Split the host's wiring into parts

Cause: one function of 300 lines. Change: a class with a method for each part, message routing, status board and slot ports in files of their own.

--- a/packages/host/src/configuration.ts
+++ b/packages/host/src/configuration.ts
@@ -42,7 +42,7 @@
 
 	constructor(options: ConfigurationOptions) {
 		this.#options = options;
-		options.table.subscribe(resource => {
+		options.table.subscribe((resource) => {
 			this.#isLoaded = true;
 			this.#pushOn(resource);
 		});
@@ -71,7 +71,8 @@
 			return;
 		}
 
-		this.#isLoaded ||= message.t === 'config-digest' || message.t === 'config-resources';
+		this.#isLoaded ||=
+			message.t === 'config-digest' || message.t === 'config-resources';
 		this.#isFromPeer = true;
 		const answers = answerExchange(this.#options.table, parsed.data);
 		this.#isFromPeer = false;
@@ -100,13 +101,17 @@
 					role.abort();
 				}
 			},
-			{everyMs: roleEveryMs, signal: AbortSignal.any([signal, role.signal]), random},
+			{
+				everyMs: roleEveryMs,
+				signal: AbortSignal.any([signal, role.signal]),
+				random,
+			},
 		);
 		await runReader({
 			store,
 			table,
 			signal: AbortSignal.any([signal, role.signal]),
-			onState: state => {
+			onState: (state) => {
 				this.#isLoaded ||= state.state === 'watching';
 				onReaderState(state.state);
 			},
--- a/packages/host/src/directory.ts
+++ b/packages/host/src/directory.ts
@@ -11,7 +11,13 @@
 	type KnownHost,
 } from '@gentianshift/membership';
 import {type HostList} from '@gentianshift/platform';
-import {formatHostKey, type Link, type Mesh, type MessageOf, type Session} from '@gentianshift/protocol';
+import {
+	formatHostKey,
+	type Link,
+	type Mesh,
+	type MessageOf,
+	type Session,
+} from '@gentianshift/protocol';
 import {readNow, type Identity} from './identity.js';
 import {repeat} from './timers.js';
 
@@ -27,7 +33,6 @@
 export type DirectoryOptions = {
 	identity: Identity;
 	address: string;
-	seeds: readonly string[];
 	hostList: HostList;
 	hash: Hash64;
 	random: () => number;
@@ -69,7 +74,11 @@
 		this.#mesh = mesh;
 		mesh.setLeaving(true);
 		const {random} = this.#options;
-		void repeat(async () => this.#readList(), {everyMs: listEveryMs, signal, random});
+		void repeat(async () => this.#readList(), {
+			everyMs: listEveryMs,
+			signal,
+			random,
+		});
 		void repeat(
 			() => {
 				this.#settle();
@@ -89,12 +98,21 @@
 
 	/** The hosts that hold a role in a data centre, by this host's view. */
 	listHolders(role: string, dataCentre: string, count = 1): string[] {
-		return pickHolders(this.view.listEligible(dataCentre, readNow()), role, count, this.#options.hash);
+		return pickHolders(
+			this.view.listEligible(dataCentre, readNow()),
+			role,
+			count,
+			this.#options.hash,
+		);
 	}
 
 	isReader(): boolean {
 		const {key, dataCentre} = this.#options.identity;
-		return this.listHolders('reader', dataCentre, readersPerDataCentre).includes(key);
+		return this.listHolders(
+			'reader',
+			dataCentre,
+			readersPerDataCentre,
+		).includes(key);
 	}
 
 	/** Live entry hosts, this one included. */
@@ -103,7 +121,11 @@
 	}
 
 	markLinkUp(link: Link, address: string): void {
-		this.view.markConnected({name: link.hello.host, dataCentre: link.hello.dataCentre, address});
+		this.view.markConnected({
+			name: link.hello.host,
+			dataCentre: link.hello.dataCentre,
+			address,
+		});
 		this.#tellHosts(link);
 		this.#update();
 	}
@@ -117,9 +139,14 @@
 	/** A host that dials this one is worth dialling, when no list tells a better address. */
 	markSession(session: Session): void {
 		const {host: name, dataCentre, address} = session.hello;
-		const isKnown = this.view.listPeers(readNow()).some(peer => peerKey(peer) === session.key);
+		const isKnown = this.view
+			.listPeers(readNow())
+			.some((peer) => peerKey(peer) === session.key);
 		if (!isKnown) {
-			this.view.takePeerList([{name, dataCentre, role: 'entry', address, state: 'live'}], readNow());
+			this.view.takePeerList(
+				[{name, dataCentre, role: 'entry', address, state: 'live'}],
+				readNow(),
+			);
 			this.#update();
 		}
 	}
@@ -196,7 +223,9 @@
 
 		const waited = readNow() - this.#startedAt;
 		const peers = this.view.listPeers(readNow());
-		const isLinked = this.#listed !== undefined && peers.every(peer => this.#mesh?.findLink(peerKey(peer)));
+		const isLinked =
+			this.#listed !== undefined &&
+			peers.every((peer) => this.#mesh?.findLink(peerKey(peer)));
 		if (isLinked || waited > settleLimitMs) {
 			this.#isSettled = true;
 			this.view.markLeaving(this.#options.identity.key, false);
@@ -207,12 +236,22 @@
 	#update(): void {
 		const peers = this.view.listPeers(readNow());
 		this.#mesh?.setPeers([
-			...peers.map(({name, dataCentre, address}) => ({host: name, dataCentre, address})),
+			...peers.map(({name, dataCentre, address}) => ({
+				host: name,
+				dataCentre,
+				address,
+			})),
 		]);
 		this.#options.onChange();
 	}
 }
 
-function peerKey({name, dataCentre}: {name: string; dataCentre: string}): string {
+function peerKey({
+	name,
+	dataCentre,
+}: {
+	name: string;
+	dataCentre: string;
+}): string {
 	return formatHostKey({dataCentre, host: name});
 }
--- a/packages/host/src/identity.ts
+++ b/packages/host/src/identity.ts
@@ -20,7 +20,13 @@
 export function createIdentity({host}: HostSettings): Identity {
 	const incarnation = randomBytes(8).toString('hex');
 	const key = formatHostKey({dataCentre: host.dataCentre, host: host.name});
-	return {dataCentre: host.dataCentre, host: host.name, incarnation, key, ownerId: `${key}.${incarnation}`};
+	return {
+		dataCentre: host.dataCentre,
+		host: host.name,
+		incarnation,
+		key,
+		ownerId: `${key}.${incarnation}`,
+	};
 }
 
 /** Monotonic milliseconds; goes on while the process is stopped by a signal. */
--- a/packages/host/src/names.ts
+++ b/packages/host/src/names.ts
@@ -3,18 +3,32 @@
 */
 import {randomBytes} from 'node:crypto';
 import {type ClaimState, type NamePort} from '@gentianshift/jobs';
-import {createNameClaims, createRateLimit, type KeyValue} from '@gentianshift/platform';
+import {
+	createNameClaims,
+	createRateLimit,
+	type KeyValue,
+} from '@gentianshift/platform';
 import {formatIssuer, parseIssuer, type Issuer} from '@gentianshift/resources';
 import {readNow} from './identity.js';
 
-export function createNamePort(keyValue: KeyValue, prefix: string, claimsPerSecond: number): NamePort {
+export function createNamePort(
+	keyValue: KeyValue,
+	prefix: string,
+	claimsPerSecond: number,
+): NamePort {
 	const claims = createNameClaims({
 		keyValue,
 		prefix,
 		now: readNow,
 		makeNonce: () => randomBytes(8).toString('hex'),
-		takeToken: createRateLimit({perSecond: claimsPerSecond, burst: claimsPerSecond, now: readNow}),
-		schedule: setImmediate,
+		takeToken: createRateLimit({
+			perSecond: claimsPerSecond,
+			burst: claimsPerSecond,
+			now: readNow,
+		}),
+		schedule(run) {
+			setImmediate(run);
+		},
 	});
 	return {
 		async claimName(uuid, holder) {
@@ -23,7 +37,9 @@
 				return {state: 'unavailable'};
 			}
 
-			return claim.value.outcome === 'claimed' ? {state: 'claimed'} : readHeld(claim.value.holder);
+			return claim.value.outcome === 'claimed'
+				? {state: 'claimed'}
+				: readHeld(claim.value.holder);
 		},
 		async readHolder(uuid) {
 			const entry = await keyValue.readKey(`${prefix}${uuid}`);
@@ -31,14 +47,18 @@
 				return 'unavailable';
 			}
 
-			return entry.value === undefined ? 'none' : parseHolder(entry.value.value);
+			return entry.value === undefined
+				? 'none'
+				: parseHolder(entry.value.value);
 		},
 	};
 }
 
 function readHeld(holder: string): ClaimState {
 	const issuer = parseIssuer(holder);
-	return issuer.isOk() ? {state: 'held', holder: issuer.value} : {state: 'unavailable'};
+	return issuer.isOk()
+		? {state: 'held', holder: issuer.value}
+		: {state: 'unavailable'};
 }
 
 function parseHolder(value: string): Issuer | 'unavailable' {
--- a/packages/host/src/operators.ts
+++ b/packages/host/src/operators.ts
@@ -11,15 +11,17 @@
 } from '@gentianshift/api';
 import {type ResourceTable} from '@gentianshift/configuration';
 import {type ChangeFailure, type ResourceStore} from '@gentianshift/platform';
-import {type MessageOf} from '@gentianshift/protocol';
-import {type Kind, type Resource, type ResourceKey} from '@gentianshift/resources';
+import {
+	type Kind,
+	type Resource,
+	type ResourceKey,
+} from '@gentianshift/resources';
+import {type HostStatus} from './status-board.js';
 import {waitFor} from './timers.js';
 
 /** How often a watch looks for changed status. */
 const statusEveryMs = 500;
 
-export type HostStatus = Omit<MessageOf<'host-status'>, 't'>;
-
 export type OperatorOptions = {
 	table: ResourceTable;
 	store: ResourceStore;
@@ -32,20 +34,26 @@
 
 export function createOperatorPort(options: OperatorOptions): OperatorPort {
 	const {table, store} = options;
-	const view = (resource: Resource): ResourceView => ({resource, status: describeStatus(resource, options)});
+	const view = (resource: Resource): ResourceView => ({
+		resource,
+		status: describeStatus(resource, options),
+	});
 	return {
-		listResources: kind => table.list(kind).map(resource => view(resource)),
+		listResources: (kind) => table.list(kind).map((resource) => view(resource)),
 		getResource(kind, name) {
 			const resource = table.get({kind, name});
 			return resource && view(resource);
 		},
-		changeResource: async request => changeResource(request, options),
+		changeResource: async (request) => changeResource(request, options),
 		async findChange(kind, name, changeId) {
-			return store.findChange({kind, name}, changeId).mapErr(failure =>
-				createChangeProblem('platform-down', 503, failure.message, {retryAfterMs: 2000}),
+			return store.findChange({kind, name}, changeId).mapErr((failure) =>
+				createChangeProblem('platform-down', 503, failure.message, {
+					retryAfterMs: 2000,
+				}),
 			);
 		},
-		watchResources: (kind, name, signal) => watchResources({kind, name, signal, view}, options),
+		watchResources: (kind, name, signal) =>
+			watchResources({kind, name, signal, view}, options),
 		listHosts: options.listHosts,
 	};
 }
@@ -55,7 +63,13 @@
 	{kind, name, spec, expectRevision, changeId}: ChangeRequest,
 	{table, store}: OperatorOptions,
 ): Promise<Result<Resource, ChangeProblem>> {
-	const changed = await store.changeResource({kind, name, spec, expectRevision, changeId});
+	const changed = await store.changeResource({
+		kind,
+		name,
+		spec,
+		expectRevision,
+		changeId,
+	});
 	if (changed.isErr()) {
 		return err(describeFailure(changed.error, changeId));
 	}
@@ -64,21 +78,32 @@
 	return ok(changed.value);
 }
 
-function describeFailure(failure: ChangeFailure, changeId: string): ChangeProblem {
+function describeFailure(
+	failure: ChangeFailure,
+	changeId: string,
+): ChangeProblem {
 	switch (failure.code) {
 		case 'conflict': {
 			const detail = `another change came first; revision ${failure.revision} is in force`;
-			return createChangeProblem('conflict', 409, detail, {revision: failure.revision});
+			return createChangeProblem('conflict', 409, detail, {
+				revision: failure.revision,
+			});
 		}
 
 		case 'unknown-outcome': {
-			const detail = 'the change may be in force or still come into force; ask about its change id';
-			return createChangeProblem('unknown-outcome', 504, detail, {changeId, retryAfterMs: 2000});
+			const detail =
+				'the change may be in force or still come into force; ask about its change id';
+			return createChangeProblem('unknown-outcome', 504, detail, {
+				changeId,
+				retryAfterMs: 2000,
+			});
 		}
 
 		case 'unavailable': {
 			const detail = "the platform's service is down; nothing was changed";
-			return createChangeProblem('platform-down', 503, detail, {retryAfterMs: failure.retryAfterMs});
+			return createChangeProblem('platform-down', 503, detail, {
+				retryAfterMs: failure.retryAfterMs,
+			});
 		}
 
 		case 'rejected': {
@@ -94,11 +119,22 @@
 	more: Partial<ChangeProblem> = {},
 ): ChangeProblem {
 	const title = 'The change was not accepted';
-	return {type: 'about:blank', title, status, detail, code, ran: 'none', ...more};
+	return {
+		type: 'about:blank',
+		title,
+		status,
+		detail,
+		code,
+		ran: 'none',
+		...more,
+	};
 }
 
 /** Revision in force at each host, and for targets the slots as their keepers see them. */
-function describeStatus({kind, name}: ResourceKey, {listStatus}: OperatorOptions): Record<string, unknown> {
+function describeStatus(
+	{kind, name}: ResourceKey,
+	{listStatus}: OperatorOptions,
+): Record<string, unknown> {
 	const hosts: Record<string, number> = {};
 	const keepers: Record<string, unknown> = {};
 	for (const [key, status] of listStatus()) {
@@ -124,11 +160,12 @@
 	{kind, name, signal, view}: Watch,
 	{table, stopping}: OperatorOptions,
 ): AsyncGenerator<ResourceEvent> {
-	const isWatched = (resource: Resource) => resource.kind === kind && (name === undefined || resource.name === name);
+	const isWatched = (resource: Resource) =>
+		resource.kind === kind && (name === undefined || resource.name === name);
 	const changed = new Map<string, Resource>();
 	const ended = AbortSignal.any([signal, stopping]);
 	let wake = new AbortController();
-	const unsubscribe = table.subscribe(resource => {
+	const unsubscribe = table.subscribe((resource) => {
 		if (isWatched(resource)) {
 			changed.set(resource.name, resource);
 			wake.abort();
@@ -144,7 +181,10 @@
 
 		while (!ended.aborted) {
 			yield* listSpecEvents(changed, view);
-			yield* listStatusEvents(table.list(kind).filter(resource => isWatched(resource)), {told, view});
+			yield* listStatusEvents(
+				table.list(kind).filter((resource) => isWatched(resource)),
+				{told, view},
+			);
 			wake = new AbortController();
 			if (changed.size === 0) {
 				await waitFor(statusEveryMs, AbortSignal.any([ended, wake.signal]));
@@ -166,13 +206,19 @@
 	const resources = [...changed.values()];
 	changed.clear();
 	for (const resource of resources) {
-		yield {type: resource.spec === null ? 'deleted' : 'spec', view: view(resource)};
+		yield {
+			type: resource.spec === null ? 'deleted' : 'spec',
+			view: view(resource),
+		};
 	}
 }
 
 function* listStatusEvents(
 	resources: readonly Resource[],
-	{told, view}: {told: Map<string, string>; view: (resource: Resource) => ResourceView},
+	{
+		told,
+		view,
+	}: {told: Map<string, string>; view: (resource: Resource) => ResourceView},
 ): Generator<ResourceEvent> {
 	for (const resource of resources) {
 		const now = view(resource);
--- a/packages/host/src/resource-lookup.ts
+++ b/packages/host/src/resource-lookup.ts
@@ -27,10 +27,18 @@
 export class ResourceLookup {
 	readonly #table: ResourceTable;
 	readonly #isWorkerLeaving: (address: string) => boolean;
-	readonly #specs: Specs = {services: new Map(), teams: new Map(), targets: new Map()};
+	readonly #specs: Specs = {
+		services: new Map(),
+		teams: new Map(),
+		targets: new Map(),
+	};
+
 	readonly #targets = new Map<string, TargetView>();
 
-	constructor(table: ResourceTable, isWorkerLeaving: (address: string) => boolean) {
+	constructor(
+		table: ResourceTable,
+		isWorkerLeaving: (address: string) => boolean,
+	) {
 		this.#table = table;
 		this.#isWorkerLeaving = isWorkerLeaving;
 		table.subscribe(({kind, name}) => {
@@ -52,7 +60,9 @@
 
 	/** Targets with executors in a data centre. */
 	listTargetsIn(dataCentre: string): string[] {
-		return this.listTargets().filter(target => this.listExecutors(target, dataCentre).length > 0);
+		return this.listTargets().filter(
+			(target) => this.listExecutors(target, dataCentre).length > 0,
+		);
 	}
 
 	listExecutors(target: string, dataCentre: string): readonly Executor[] {
@@ -62,12 +72,18 @@
 	/** Executors of a target in all data centres that take work. */
 	listActive(target: string): Executor[] {
 		const view = this.#targets.get(target);
-		return view ? [...view.byName.values()].filter(executor => !this.isLeaving(target, executor)) : [];
+		return view
+			? [...view.byName.values()].filter(
+					(executor) => !this.isLeaving(target, executor),
+				)
+			: [];
 	}
 
 	/** Data centres where a target has executors that take work. */
 	listDataCentres(target: string): string[] {
-		return [...new Set(this.listActive(target).map(({dataCentre}) => dataCentre))].toSorted();
+		return [
+			...new Set(this.listActive(target).map(({dataCentre}) => dataCentre)),
+		].toSorted();
 	}
 
 	findActive(target: string, name: string): Executor | undefined {
@@ -94,7 +110,10 @@
 		const part = this.#computePart(target, dataCentre);
 		const shares = new Map<string, TeamShare>();
 		for (const [name, {weight, quota}] of this.#specs.teams) {
-			shares.set(name, {weight, quota: quota === undefined ? undefined : Math.ceil(quota * part)});
+			shares.set(name, {
+				weight,
+				quota: quota === undefined ? undefined : Math.ceil(quota * part),
+			});
 		}
 
 		return shares;
@@ -103,7 +122,9 @@
 	#computePart(target: string, dataCentre: string): number {
 		const executors = this.listActive(target);
 		const all = sumSlots(executors);
-		const here = sumSlots(executors.filter(executor => executor.dataCentre === dataCentre));
+		const here = sumSlots(
+			executors.filter((executor) => executor.dataCentre === dataCentre),
+		);
 		return all === 0 ? 1 : here / all;
 	}
 
@@ -116,7 +137,11 @@
 			}
 
 			case 'teams': {
-				setSpec<TeamSpec>(this.#specs.teams, name, parseSpec(teamSpecSchema, spec));
+				setSpec<TeamSpec>(
+					this.#specs.teams,
+					name,
+					parseSpec(teamSpecSchema, spec),
+				);
 				break;
 			}
 
@@ -130,7 +155,11 @@
 	}
 }
 
-function setSpec<T>(map: Map<string, T>, name: string, spec: T | undefined): void {
+function setSpec<T>(
+	map: Map<string, T>,
+	name: string,
+	spec: T | undefined,
+): void {
 	if (spec === undefined) {
 		map.delete(name);
 	} else {
@@ -139,15 +168,20 @@
 }
 
 function parseSpec<T>(
-	schema: {safeParse: (value: unknown) => {success: true; data: T} | {success: false}},
+	schema: {
+		safeParse: (value: unknown) => {success: true; data: T} | {success: false};
+	},
 	spec: unknown,
 ): T | undefined {
-	const parsed = spec === undefined || spec === null ? undefined : schema.safeParse(spec);
+	const parsed =
+		spec === undefined || spec === null ? undefined : schema.safeParse(spec);
 	return parsed?.success ? parsed.data : undefined;
 }
 
 function viewTarget(spec: TargetSpec): TargetView {
-	const byName = new Map(spec.executors.map(executor => [executor.name, executor] as const));
+	const byName = new Map(
+		spec.executors.map((executor) => [executor.name, executor] as const),
+	);
 	const byDataCentre = new Map<string, Executor[]>();
 	for (const executor of spec.executors) {
 		const list = byDataCentre.get(executor.dataCentre) ?? [];
--- a/packages/host/src/start-host.ts
+++ b/packages/host/src/start-host.ts
@@ -3,36 +3,53 @@
 */
 import {randomBytes} from 'node:crypto';
 import {startApi} from '@gentianshift/api';
-import {createResourceTable} from '@gentianshift/configuration';
+import {
+	createResourceTable,
+	type ResourceTable,
+} from '@gentianshift/configuration';
 import {ExecutorPools} from '@gentianshift/executors';
-import {createGenerations, NameRegister, Owner, Router, type SlotHandlers, type SlotSource} from '@gentianshift/jobs';
-import {loadHash} from '@gentianshift/membership';
-import {createHostList, createKeyValue, createResourceStore} from '@gentianshift/platform';
-import {Mesh, type Message} from '@gentianshift/protocol';
+import {
+	createGenerations,
+	NameRegister,
+	Owner,
+	Router,
+	type SlotHandlers,
+	type SlotSource,
+} from '@gentianshift/jobs';
+import {loadHash, type Hash64} from '@gentianshift/membership';
+import {Mesh} from '@gentianshift/protocol';
 import {type Executor} from '@gentianshift/resources';
 import {type HostSettings} from '@gentianshift/settings';
 import {SlotExchange} from '@gentianshift/slots';
-import {createLogger, createMetrics, createTracer} from '@gentianshift/telemetry';
+import {
+	createLogger,
+	createMetrics,
+	createTracer,
+} from '@gentianshift/telemetry';
 import {Configuration} from './configuration.js';
 import {Directory} from './directory.js';
 import {createIdentity, readNow, readWallNow} from './identity.js';
 import {createJobEvents} from './job-events.js';
+import {createMeshHandlers, OwnerSessions} from './mesh-handlers.js';
 import {createMeter} from './meter.js';
 import {createNamePort} from './names.js';
-import {createOperatorPort, type HostStatus} from './operators.js';
+import {createOperatorPort} from './operators.js';
+import {createPlatform} from './platform.js';
 import {ResourceLookup} from './resource-lookup.js';
 import {RunEstimates} from './run-estimates.js';
+import {createSlotPorts} from './slot-ports.js';
+import {StatusBoard, type HostStatus} from './status-board.js';
 import {createTraces} from './traces.js';
 import {repeat, waitFor} from './timers.js';
 
-/** Limit on one call to the platform: it answers in milliseconds when it works. */
-const platformTimeoutMs = 1500;
 /** How often hosts tell each other their state. */
 const statusEveryMs = 1000;
-/** How long a stopping host stays readable as "not ready" before it refuses new work. */
+/** How long a stopping host is readable as "not ready" before it refuses new work. */
 const readinessMs = 300;
 /** How often a stopping host looks whether its jobs have ended. */
 const stopCheckMs = 20;
+/** Least time for the last answers to reach their callers. */
+const leastGraceMs = 1000;
 
 export type RunningHost = {
 	/** Ends in the planned way: jobs in flight finish, within the limit of the settings. */
@@ -43,210 +60,290 @@
 	/** Another source of slots than the keepers': for baselines. */
 	createSource?: (
 		handlers: SlotHandlers,
-		ports: {listExecutors: (target: string) => readonly Executor[]; random: () => number},
+		ports: {
+			listExecutors: (target: string) => readonly Executor[];
+			random: () => number;
+		},
 	) => SlotSource;
 };
 
-export async function startHost(settings: HostSettings, options: StartOptions = {}): Promise<RunningHost> {
-	const identity = createIdentity(settings);
-	const {dataCentre} = identity;
-	const random = Math.random;
-	const logger = createLogger({level: settings.log.level, host: identity.host, dataCentre});
-	const metrics = createMetrics();
-	const tracer = createTracer(createTraces(settings.traces), {
-		host: identity.host,
-		dataCentre,
-		onDrop(count) {
-			metrics.spansDropped.inc(count);
-		},
-	});
-	const onCall = (kind: string) => {
-		metrics.platformCalls.inc({kind});
-	};
+/**
+Starts a host; resolves when it listens.
 
-	const hash = await loadHash();
-	const {prefix} = settings.platform;
-	const keyValue = createKeyValue({url: settings.platform.keyValue, timeoutMs: platformTimeoutMs, onCall});
-	const hostList = createHostList({url: settings.platform.hostList, timeoutMs: platformTimeoutMs, onCall});
-	const store = createResourceStore({keyValue, prefix: `${prefix}resources/`, delay: waitFor});
-	const table = createResourceTable(hash);
-	const ended = new AbortController();
-	const stopping = new AbortController();
-	const statuses = new Map<string, HostStatus>();
+@example
+const host = await startHost(settings);
+process.once('SIGTERM', () => void host.stop());
+*/
+export async function startHost(
+	settings: HostSettings,
+	options: StartOptions = {},
+): Promise<RunningHost> {
+	const host = new Host(settings, {...options, hash: await loadHash()});
+	await host.start();
+	return host;
+}
 
-	const directory = new Directory({
-		identity,
-		address: settings.addresses.inner,
-		seeds: settings.peers.seeds,
-		hostList,
-		hash,
-		random,
-		onChange() {
-			slots.refresh();
-		},
-	});
-	const lookup = new ResourceLookup(table, address => directory.view.isWorkerLeaving(address));
-	const configuration = new Configuration({
-		table,
-		store,
-		isReader: () => directory.isReader(),
-		listLinks: () => mesh.listLinks(),
-		random,
-		onReaderState(state) {
-			logger.debug({state}, 'reader of the configuration');
-		},
-	});
-	table.subscribe(() => {
-		metrics.configRevision.set(table.digest().revision);
-		slots.refresh();
-	});
+class Host implements RunningHost {
+	readonly #settings: HostSettings;
+	readonly #identity;
+	readonly #random = Math.random;
+	readonly #logger;
+	readonly #metrics = createMetrics();
+	readonly #tracer;
+	readonly #platform;
+	readonly #table: ResourceTable;
+	readonly #directory: Directory;
+	readonly #lookup: ResourceLookup;
+	readonly #configuration: Configuration;
+	readonly #slots: SlotExchange;
+	readonly #statuses: StatusBoard;
+	readonly #mesh: Mesh;
+	readonly #pools: ExecutorPools;
+	readonly #owner: Owner;
+	readonly #router: Router;
+	/** Aborted when a planned stop begins. */
+	readonly #stopping = new AbortController();
+	/** Aborted when the last job has ended. */
+	readonly #ended = new AbortController();
+	#api: Awaited<ReturnType<typeof startApi>> | undefined;
 
-	const slots = new SlotExchange({
-		listTargets: () => (directory.isSettled ? lookup.listTargetsIn(dataCentre) : []),
-		ports: {
-			hostKey: identity.key,
-			ownerId: identity.ownerId,
+	constructor(settings: HostSettings, options: StartOptions & {hash: Hash64}) {
+		const {name: host, dataCentre} = settings.host;
+		this.#settings = settings;
+		this.#identity = createIdentity(settings);
+		this.#logger = createLogger({level: settings.log.level, host, dataCentre});
+		this.#tracer = createTracer(createTraces(settings.traces), {
+			host,
 			dataCentre,
-			now: readNow,
-			random,
-			sendToHost: (hostKey, message) => sendVia(mesh.findLink(hostKey), message),
-			sendToOwner: (ownerId, message) => sendVia(sessionsByOwner.get(ownerId), message),
-			findKeeper: (target, place) => directory.listHolders(`keeper/${target}`, place)[0],
-			listExecutors: (target, place) => lookup.listExecutors(target, place),
-			listDataCentres: target => lookup.listDataCentres(target),
-			findActive: (target, name) => lookup.findActive(target, name),
-			isLeaving: (target, executor) => lookup.isLeaving(target, executor),
-			listShares: target => lookup.listShares(target, dataCentre),
-			listPeers: () => mesh.listLinks().map(({key}) => key),
-			countWasted(reason, count = 1) {
-				metrics.wasted.inc({reason}, count);
+			onDrop: (count) => {
+				this.#metrics.spansDropped.inc(count);
 			},
-		},
-	});
+		});
+		this.#platform = createPlatform(settings.platform, (kind) => {
+			this.#metrics.platformCalls.inc({kind});
+		});
+		this.#table = createResourceTable(options.hash);
+		this.#directory = this.#createDirectory(options.hash);
+		this.#lookup = new ResourceLookup(this.#table, (address) =>
+			this.#directory.view.isWorkerLeaving(address),
+		);
+		this.#configuration = this.#createConfiguration();
+		const sessions = new OwnerSessions();
+		this.#slots = this.#createSlots(sessions);
+		this.#statuses = new StatusBoard(this.#identity.key, () =>
+			this.#readStatus(),
+		);
+		this.#mesh = this.#createMesh(sessions);
+		this.#pools = new ExecutorPools({
+			source: settings.addresses.source,
+			countHosts: () => this.#directory.countLive(),
+		});
+		const generations = createGenerations({
+			self: {dataCentre, host, incarnation: this.#identity.incarnation},
+			lengthMs: settings.generations.lengthMs,
+			now: readNow,
+		});
+		this.#owner = this.#createOwner(generations, options.createSource);
+		this.#router = this.#createRouter(generations);
+		this.#table.subscribe(() => {
+			this.#metrics.configRevision.set(this.#table.digest().revision);
+			this.#slots.refresh();
+		});
+	}
 
-	const sessionsByOwner = new Map<string, {send: (message: Message) => void}>();
-	const mesh = new Mesh({
-		self: {
-			dataCentre,
-			host: identity.host,
-			incarnation: identity.incarnation,
-			address: settings.addresses.inner,
-		},
-		source: settings.addresses.source,
-		random,
-		meter: createMeter(metrics),
-		handlers: {
-			onLinkUp(link) {
-				logger.info({peer: link.key}, 'link up');
-				directory.markLinkUp(link, mesh.findAddress(link.key)!);
-				slots.resetKeeper(link.key);
+	async start(): Promise<void> {
+		const {signal} = this.#ended;
+		await this.#mesh.start();
+		this.#directory.start(this.#mesh, signal);
+		this.#configuration.start(signal);
+		void repeat(
+			() => {
+				this.#tellStatus();
 			},
-			onLinkDown(link, reason) {
-				logger.warn({peer: link.key, reason}, 'link down');
-				statuses.delete(link.key);
-				router.dropLink(link.key);
-				directory.markLinkDown(link, reason);
-				slots.resetKeeper(link.key);
+			{everyMs: statusEveryMs, signal, random: this.#random},
+		);
+		this.#api = await this.#startApi();
+		this.#logger.info(this.#settings.addresses, 'serving');
+	}
+
+	async stop(): Promise<void> {
+		this.#logger.info('stopping');
+		const limitAt = readNow() + this.#settings.stop.limitMs;
+		this.#stopping.abort();
+		this.#directory.startStopping();
+		await waitFor(readinessMs);
+		this.#owner.startStopping();
+		while (this.#owner.activeJobs > 0 && readNow() < limitAt) {
+			await waitFor(stopCheckMs);
+		}
+
+		this.#owner.abandonJobs();
+		await this.#api?.stop({
+			graceMs: Math.max(leastGraceMs, limitAt - readNow()),
+		});
+		this.#ended.abort();
+		this.#slots.stop();
+		await this.#mesh.stop();
+		await this.#pools.destroy();
+		await Promise.all([this.#platform.close(), this.#tracer.shutdown()]);
+		this.#logger.info('stopped');
+	}
+
+	#createDirectory(hash: Hash64): Directory {
+		return new Directory({
+			identity: this.#identity,
+			address: this.#settings.addresses.inner,
+			hostList: this.#platform.hostList,
+			hash,
+			random: this.#random,
+			onChange: () => {
+				this.#slots.refresh();
 			},
-			onReply(link, message) {
-				if (message.t === 'answer') {
-					router.receiveAnswer(message);
-				} else if (message.t.startsWith('config-')) {
-					configuration.receive(message, answer => {
-						link.send(answer);
-					});
-				} else {
-					const {dataCentre: place, incarnation} = link.hello;
-					const sender = {ownerId: `${link.key}.${incarnation}`, hostKey: link.key, dataCentre: place};
-					slots.receiveReply(sender, message);
-				}
+		});
+	}
+
+	#createConfiguration(): Configuration {
+		return new Configuration({
+			table: this.#table,
+			store: this.#platform.store,
+			isReader: () => this.#directory.isReader(),
+			listLinks: () => this.#mesh.listLinks(),
+			random: this.#random,
+			onReaderState: (state) => {
+				this.#logger.debug({state}, 'reader of the configuration');
 			},
-			onSessionUp(session) {
-				sessionsByOwner.set(`${session.key}.${session.hello.incarnation}`, session);
-				directory.markSession(session);
+		});
+	}
+
+	#createSlots(sessions: OwnerSessions): SlotExchange {
+		const {dataCentre} = this.#identity;
+		return new SlotExchange({
+			listTargets: () =>
+				this.#directory.isSettled ? this.#lookup.listTargetsIn(dataCentre) : [],
+			ports: createSlotPorts({
+				identity: this.#identity,
+				random: this.#random,
+				getMesh: () => this.#mesh,
+				sessions,
+				directory: this.#directory,
+				lookup: this.#lookup,
+				metrics: this.#metrics,
+			}),
+		});
+	}
+
+	#createMesh(sessions: OwnerSessions): Mesh {
+		const {dataCentre, host, incarnation} = this.#identity;
+		const {inner, source} = this.#settings.addresses;
+		return new Mesh({
+			self: {dataCentre, host, incarnation, address: inner},
+			source,
+			random: this.#random,
+			meter: createMeter(this.#metrics),
+			handlers: createMeshHandlers({
+				configuration: this.#configuration,
+				directory: this.#directory,
+				findAddress: (key) => this.#mesh.findAddress(key) ?? '',
+				logger: this.#logger,
+				getRouter: () => this.#router,
+				sessions,
+				slots: this.#slots,
+				statuses: this.#statuses,
+			}),
+		});
+	}
+
+	#createOwner(
+		generations: ReturnType<typeof createGenerations>,
+		createSource: StartOptions['createSource'],
+	): Owner {
+		const estimates = new RunEstimates();
+		const listExecutors = (target: string) => this.#lookup.listActive(target);
+		return new Owner({
+			generations,
+			limits: this.#settings.limits,
+			now: readNow,
+			findService: (name) => this.#lookup.findService(name),
+			hasTeam: (name) => this.#lookup.hasTeam(name),
+			canServe: (target) => listExecutors(target).length > 0,
+			estimateTaskMs: (service, declaredMs) =>
+				estimates.estimateMs(service, declaredMs),
+			learnRunMs(service, runMs) {
+				estimates.learn(service, runMs);
 			},
-			onSessionDown(session) {
-				const ownerId = `${session.key}.${session.hello.incarnation}`;
-				if (sessionsByOwner.get(ownerId) === session) {
-					sessionsByOwner.delete(ownerId);
-					slots.dropOwner(ownerId, session.key);
-				}
+			sendTask: (executor, request, onEnd) => {
+				this.#pools.sendTask(executor, request, onEnd);
 			},
-			onRequest(session, message) {
-				if (message.t === 'forward') {
-					void router.serveForward(session, message);
-				} else if (message.t === 'hosts') {
-					directory.receiveHosts(message);
-				} else if (message.t === 'host-status') {
-					const {t, ...status} = message;
-					statuses.set(session.key, status);
-				} else if (message.t.startsWith('config-')) {
-					configuration.receive(message, answer => {
-						session.send(answer);
-					});
-				} else {
-					slots.receiveRequest(
-						{ownerId: `${session.key}.${session.hello.incarnation}`, hostKey: session.key},
-						message,
-					);
-				}
+			createSlotSource: (handlers) =>
+				createSource?.(handlers, {listExecutors, random: this.#random}) ??
+				this.#slots.createSource(handlers),
+			events: createJobEvents(this.#metrics, this.#tracer),
+		});
+	}
+
+	#createRouter(generations: ReturnType<typeof createGenerations>): Router {
+		const {platform, limits} = this.#settings;
+		const names = createNamePort(
+			this.#platform.keyValue,
+			`${platform.prefix}claims/`,
+			limits.claimsPerSecond,
+		);
+		return new Router({
+			generations,
+			owner: this.#owner,
+			names: new NameRegister({
+				port: names,
+				generations,
+				now: readNow,
+				wallNow: readWallNow,
+			}),
+			findService: (name) => this.#lookup.findService(name),
+			findLink: (key) => this.#mesh.findLink(key),
+			createRandom: () => randomBytes(8).toString('hex'),
+		});
+	}
+
+	async #startApi() {
+		const router = this.#router;
+		return startApi({
+			address: this.#settings.addresses.callers,
+			callers: {
+				getIssuer: () => router.getIssuer(),
+				submitJob: async (request) => router.submitJob(request),
+				queryJob: async (request) => router.queryJob(request),
+				cancelJob: async (request) => router.cancelJob(request),
+				watchJob: (request) => router.watchJob(request),
 			},
-			onLeaving(key, isLeaving) {
-				directory.markLeaving(key, isLeaving);
+			operators: createOperatorPort({
+				table: this.#table,
+				store: this.#platform.store,
+				listStatus: () => this.#statuses.listAll(),
+				listHosts: () => this.#directory.view.exportHosts(),
+				stopping: this.#stopping.signal,
+			}),
+			health: {
+				isReady: () => this.#isReady(),
+				renderMetrics: async () => this.#metrics.render(),
 			},
-		},
-	});
+			limits: {bodyBytes: this.#settings.limits.bodyBytes},
+		});
+	}
 
-	const generations = createGenerations({
-		self: {dataCentre, host: identity.host, incarnation: identity.incarnation},
-		lengthMs: settings.generations.lengthMs,
-		now: readNow,
-	});
-	const pools = new ExecutorPools({
-		source: settings.addresses.source,
-		countHosts: () => directory.countLive(),
-	});
-	const estimates = new RunEstimates();
-	const owner = new Owner({
-		generations,
-		limits: settings.limits,
-		now: readNow,
-		findService: name => lookup.findService(name),
-		hasTeam: name => lookup.hasTeam(name),
-		canServe: target => lookup.listActive(target).length > 0,
-		estimateTaskMs: (service, declaredMs) => estimates.estimateMs(service, declaredMs),
-		learnRunMs(service, runMs) {
-			estimates.learn(service, runMs);
-		},
-		sendTask(executor, request, onEnd) {
-			pools.sendTask(executor, request, onEnd);
-		},
-		createSlotSource: handlers =>
-			options.createSource?.(handlers, {listExecutors: target => lookup.listActive(target), random}) ??
-			slots.createSource(handlers),
-		events: createJobEvents(metrics, tracer),
-	});
-	const router = new Router({
-		generations,
-		owner,
-		names: new NameRegister({
-			port: createNamePort(keyValue, `${prefix}claims/`, settings.limits.claimsPerSecond),
-			generations,
-			now: readNow,
-			wallNow: readWallNow,
-		}),
-		findService: name => lookup.findService(name),
-		findLink: key => mesh.findLink(key),
-		createRandom: () => randomBytes(8).toString('hex'),
-	});
+	#isReady(): boolean {
+		return (
+			!this.#stopping.signal.aborted &&
+			this.#directory.isSettled &&
+			this.#configuration.isLoaded
+		);
+	}
 
-	function readStatus(): HostStatus {
+	#readStatus(): HostStatus {
 		return {
-			revision: table.digest().revision,
-			isStopping: stopping.signal.aborted,
-			activeJobs: owner.activeJobs,
-			queuedTasks: owner.queuedTasks,
-			keepers: slots.listKeepers().map(({target, state}) => ({
+			revision: this.#table.digest().revision,
+			isStopping: this.#stopping.signal.aborted,
+			activeJobs: this.#owner.activeJobs,
+			queuedTasks: this.#owner.queuedTasks,
+			keepers: this.#slots.listKeepers().map(({target, state}) => ({
 				target,
 				free: state.free,
 				slots: state.slots,
@@ -256,72 +353,11 @@
 		};
 	}
 
-	function tellStatus(): void {
-		const status = readStatus();
-		statuses.set(identity.key, status);
-		metrics.queueTasks.set(status.queuedTasks);
-		for (const {target, free} of status.keepers) {
-			metrics.slotsFree.set({target}, free);
+	#tellStatus(): void {
+		const {queuedTasks, keepers} = this.#statuses.tell(this.#mesh.listLinks());
+		this.#metrics.queueTasks.set(queuedTasks);
+		for (const {target, free} of keepers) {
+			this.#metrics.slotsFree.set({target}, free);
 		}
-
-		for (const link of mesh.listLinks()) {
-			link.send({t: 'host-status', ...status});
-		}
-	}
-
-	await mesh.start();
-	directory.start(mesh, ended.signal);
-	configuration.start(ended.signal);
-	void repeat(tellStatus, {everyMs: statusEveryMs, signal: ended.signal, random});
-	const api = await startApi({
-		address: settings.addresses.callers,
-		callers: {
-			getIssuer: () => router.getIssuer(),
-			submitJob: async request => router.submitJob(request),
-			queryJob: async request => router.queryJob(request),
-			cancelJob: async request => router.cancelJob(request),
-			watchJob: request => router.watchJob(request),
-		},
-		operators: createOperatorPort({
-			table,
-			store,
-			listStatus: () => statuses,
-			listHosts: () => directory.view.exportHosts(),
-			stopping: stopping.signal,
-		}),
-		health: {
-			isReady: () => !stopping.signal.aborted && directory.isSettled && configuration.isLoaded,
-			renderMetrics: async () => metrics.render(),
-		},
-		limits: {bodyBytes: settings.limits.bodyBytes},
-	});
-	logger.info({callers: settings.addresses.callers, inner: settings.addresses.inner}, 'serving');
-
-	async function stop(): Promise<void> {
-		logger.info('stopping');
-		const limitAt = readNow() + settings.stop.limitMs;
-		stopping.abort();
-		directory.startStopping();
-		await waitFor(readinessMs);
-		owner.startStopping();
-		while (owner.activeJobs > 0 && readNow() < limitAt) {
-			await waitFor(stopCheckMs);
-		}
-
-		owner.abandonJobs();
-		await api.stop({graceMs: Math.max(1000, limitAt - readNow())});
-		ended.abort();
-		slots.stop();
-		await mesh.stop();
-		await pools.destroy();
-		await Promise.all([keyValue.close(), hostList.close(), tracer.shutdown()]);
-		logger.info('stopped');
 	}
-
-	return {stop};
-}
-
-function sendVia(connection: {send: (message: Message) => void} | undefined, message: Message): boolean {
-	connection?.send(message);
-	return connection !== undefined;
 }
--- a/packages/host/src/timers.ts
+++ b/packages/host/src/timers.ts
@@ -8,7 +8,7 @@
 		return;
 	}
 
-	await new Promise<void>(resolve => {
+	await new Promise<void>((resolve) => {
 		const end = () => {
 			clearTimeout(timer);
 			signal?.removeEventListener('abort', end);
@@ -23,7 +23,11 @@
 /** Runs work again and again, with `everyMs` of jittered pause, until the signal is aborted. */
 export async function repeat(
 	work: () => Promise<void> | void,
-	{everyMs, signal, random}: {everyMs: number; signal: AbortSignal; random: () => number},
+	{
+		everyMs,
+		signal,
+		random,
+	}: {everyMs: number; signal: AbortSignal; random: () => number},
 ): Promise<void> {
 	while (!signal.aborted) {
 		await work();
--- a/packages/jobs/src/owner.fixture.ts
+++ b/packages/jobs/src/owner.fixture.ts
@@ -30,7 +30,11 @@
 	state: 'active',
 };
 
-export const done: TaskOutcome = {result: 'done', value: 'soup', runMs: 5};
+export const done = {
+	result: 'done',
+	value: 'soup',
+	runMs: 5,
+} as const satisfies TaskOutcome;
 
 export function buildOwner(spec: Partial<ServiceSpec> = {}) {
 	const clock = {now: 0};
--- a/xo.config.js
+++ b/xo.config.js
@@ -48,6 +48,11 @@
 			],
 			// An assertion stands where a schema, a pattern or a length check has just proved it.
 			'@typescript-eslint/no-unsafe-type-assertion': 'off',
+			// A default branch is how a switch over messages says "the others are not for me".
+			'@typescript-eslint/switch-exhaustiveness-check': [
+				'error',
+				{considerDefaultExhaustiveForUnions: true},
+			],
 			// JSON of outside systems holds null.
 			'unicorn/no-null': 'off',
 			'@typescript-eslint/no-restricted-types': 'off',
