--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -3,4 +3,7 @@
 export * from './executor-schemas.js';
 export * from './executor-starts.js';
 export * from './executor.js';
+export * from './platform-faults.js';
+export * from './platform-store.js';
+export * from './platform.js';
 export * from './relay.js';
