Add the chaos run, dispatch cost and messages by size of jobs

Ruled out: random faults without a schedule (a seed that shows a fault couldn't be kept). Change: a seeded schedule of kills, freezes, restarts, cuts, silence, platform faults, drains and bad executors, run against nine hosts under load and judged; one host against a bare undici pool.

--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -8,6 +8,8 @@
 import path from 'node:path';
 import process from 'node:process';
 import {Command} from 'commander';
+import {formatDispatchCost, measureDispatchCost} from './dispatch-cost.js';
+import {formatJobSizes, measureJobSizes} from './job-sizes.js';
 import {formatTable, type LabelledResult} from './report.js';
 import {runTrace, type Variant} from './run.js';
 import {createTrace, scenarios} from './scenarios.js';
@@ -19,6 +21,8 @@
 	json?: string;
 	traces: string;
 	generate?: boolean;
+	dispatchCost?: boolean;
+	jobSizes?: boolean;
 	own: boolean;
 };
 
@@ -44,12 +48,24 @@
 	.option('--json <file>', 'write all measures there')
 	.option('--traces <dir>', 'where the traces are', 'traces')
 	.option('--generate', 'write the traces anew from their seeds')
+	.option('--dispatch-cost', 'one host against a bare undici pool')
+	.option('--job-sizes', 'messages between hosts by size of the jobs')
 	.action(async (names: string[], options: Options) => {
 		if (options.generate) {
 			writeTraces(options.traces);
 			return;
 		}
 
+		if (options.dispatchCost) {
+			const cost = await measureDispatchCost();
+			process.stdout.write(`${formatDispatchCost(cost)}\n`);
+		}
+
+		if (options.jobSizes) {
+			const costs = await measureJobSizes();
+			process.stdout.write(`${formatJobSizes(costs)}\n`);
+		}
+
 		const chosen = names.includes('all') ? Object.keys(scenarios) : names;
 		await runScenarios(chosen, options);
 	});
--- a/packages/trials/src/declarations.ts
+++ b/packages/trials/src/declarations.ts
@@ -10,14 +10,19 @@
 /** Resources are to be in force within 3 s; a start-up in a busy machine gets more, milliseconds. */
 const inForceLimitMs = 15_000;
 
-/** Declares a resource at a host; throws when it is not accepted. */
+/** Declares a resource at a host; false when the host doesn't say that it is accepted. */
 export async function declare(
 	url: string,
 	kind: 'targets' | 'teams' | 'services',
 	name: string,
 	spec: unknown,
-): Promise<void> {
-	await putJson(`${url}/v1/${kind}/${name}`, {spec});
+): Promise<boolean> {
+	try {
+		await putJson(`${url}/v1/${kind}/${name}`, {spec});
+		return true;
+	} catch {
+		return false;
+	}
 }
 
 /** A target's spec, with some of its executors leaving. */
@@ -50,15 +55,15 @@
 	const {url} = hosts[0]!;
 	for (const target of Object.keys(layout.targets)) {
 		const spec = createTargetSpec(executors, target);
-		await declare(url, 'targets', target, spec);
+		await putJson(`${url}/v1/targets/${target}`, {spec});
 	}
 
 	for (const [name, spec] of Object.entries(layout.teams)) {
-		await declare(url, 'teams', name, spec);
+		await putJson(`${url}/v1/teams/${name}`, {spec});
 	}
 
 	for (const [name, spec] of Object.entries(layout.services)) {
-		await declare(url, 'services', name, spec);
+		await putJson(`${url}/v1/services/${name}`, {spec});
 	}
 
 	await Promise.all(hosts.map(async (host) => waitUntilInForce(host, layout)));
--- a/packages/trials/src/harness.ts
+++ b/packages/trials/src/harness.ts
@@ -13,7 +13,7 @@
 import os from 'node:os';
 import path from 'node:path';
 import {fetchIssuer, makeJobId} from './caller.js';
-import {createTargetSpec, declareAll} from './declarations.js';
+import {createTargetSpec, declare, declareAll} from './declarations.js';
 import {findProgram, startHosts} from './hosts.js';
 import {defaultLayout, placeHosts, type SystemLayout} from './layout.js';
 import {ProcessGroup} from './processes.js';
@@ -126,6 +126,7 @@
 		urls: hosts.hosts.map(({url}) => url),
 		platform,
 		executors: executors.places,
+		declare,
 		readStarts: executors.readStarts,
 		readStats: executors.readStats,
 		setMode: executors.setMode,
--- a/packages/trials/src/index.ts
+++ b/packages/trials/src/index.ts
@@ -1,4 +1,6 @@
 export * from './caller.js';
+export * from './chaos-run.js';
+export * from './chaos-schedule.js';
 export * from './declarations.js';
 export * from './harness.js';
 export * from './hosts.js';
--- a/packages/trials/src/judge.test.ts
+++ b/packages/trials/src/judge.test.ts
@@ -50,14 +50,19 @@
 test('finds each broken promise', () => {
 	const starts = [createStart('j/0'), createStart('j/0', 9, 'e2')];
 	assert.deepEqual(listCodes({starts, outcomes: []}), ['started-twice']);
-	assert.deepEqual(listCodes({starts: [], outcomes: [createOutcome([])]}), [
+	const both = [createStart('j/0'), createStart('j/1')];
+	assert.deepEqual(listCodes({starts: both, outcomes: [createOutcome([])]}), [
 		'not-whole',
 	]);
 	const swapped = createOutcome([
 		{value: 'b', task: 'j/1'},
 		{value: 'a', task: 'j/0'},
 	]);
-	assert.deepEqual(listCodes({starts: [], outcomes: [swapped]}), ['not-own']);
+	assert.deepEqual(listCodes({starts: both, outcomes: [swapped]}), ['not-own']);
+	assert.deepEqual(listCodes({starts: [], outcomes: [swapped]}), [
+		'no-start',
+		'not-own',
+	]);
 	const ran = {starts: [createStart('j/0')], outcomes: [createRefusal()]};
 	assert.deepEqual(listCodes(ran), ['ran-after-refusal']);
 	const drains = [{executor: 'e1', at: 0, boundMs: 100}];
--- a/packages/trials/src/judge.ts
+++ b/packages/trials/src/judge.ts
@@ -11,7 +11,10 @@
 		| 'not-whole'
 		| 'not-own'
 		| 'ran-after-refusal'
+		| 'no-start'
 		| 'late-start'
+		| 'no-answer'
+		| 'not-recovered'
 		| 'slots-exceeded'
 		| 'connections-exceeded';
 	message: string;
@@ -22,6 +25,8 @@
 	executor: string;
 	/** Unix milliseconds of the accepted change. */
 	at: number;
+	/** When it was declared active again; absent: never. */
+	until?: number;
 	/** Nothing new starts later than this after it, milliseconds. */
 	boundMs: number;
 };
@@ -66,7 +71,11 @@
 	}
 }
 
-function* checkWholeAnswers({outcomes}: Evidence): Generator<Violation> {
+function* checkWholeAnswers({
+	starts,
+	outcomes,
+}: Evidence): Generator<Violation> {
+	const started = new Set(starts.map(({task}) => task));
 	for (const outcome of outcomes) {
 		if (outcome.kind !== 'answer' || outcome.answer.state !== 'complete') {
 			continue;
@@ -81,6 +90,13 @@
 			};
 		}
 
+		const missing = submission.tasks.findIndex(
+			(_, i) => !started.has(`${id}/${i}`),
+		);
+		if (missing !== -1) {
+			yield {code: 'no-start', message: `${id}/${missing}: never started`};
+		}
+
 		const wrong = results.findIndex(
 			(result, i) => !isResultOf(result, submission.tasks[i], `${id}/${i}`),
 		);
@@ -127,9 +143,12 @@
 }
 
 function* checkDrains({starts, drains = []}: Evidence): Generator<Violation> {
-	for (const {executor, at, boundMs} of drains) {
+	for (const {executor, at, until = Infinity, boundMs} of drains) {
 		const late = starts.filter(
-			(start) => start.executor === executor && start.at > at + boundMs,
+			(start) =>
+				start.executor === executor &&
+				start.at > at + boundMs &&
+				start.at < until,
 		);
 		if (late.length > 0) {
 			const latest = Math.max(...late.map((start) => start.at));
--- a/packages/trials/src/processes.ts
+++ b/packages/trials/src/processes.ts
@@ -77,7 +77,7 @@
 }
 
 /** Waits for the first line of JSON, which says where the process listens. */
-export async function readListening(started: TrialProcess): Promise<unknown> {
+export async function readFirstJson(started: TrialProcess): Promise<unknown> {
 	const line = await waitFor(
 		() => {
 			const text = readFileSync(started.outputFile, 'utf8');
--- a/packages/trials/src/system.ts
+++ b/packages/trials/src/system.ts
@@ -18,7 +18,7 @@
 	type HostPlace,
 	type SystemLayout,
 } from './layout.js';
-import {readListening, type ProcessGroup} from './processes.js';
+import {readFirstJson, type ProcessGroup} from './processes.js';
 
 /** How the platform's stand-in misbehaves; absent data centre: towards all. */
 export type PlatformFault = {
@@ -62,7 +62,7 @@
 		dir,
 	});
 	const {urls, control} = platformListeningSchema.parse(
-		await readListening(started),
+		await readFirstJson(started),
 	);
 	return {
 		urls,
@@ -109,7 +109,7 @@
 		],
 		dir,
 	});
-	const listening = relayListeningSchema.parse(await readListening(started));
+	const listening = relayListeningSchema.parse(await readFirstJson(started));
 	const addresses = new Map(
 		listening.links.map(({name, address}) => [name, address]),
 	);
@@ -227,7 +227,7 @@
 		dir,
 	});
 	const listening = executorsListeningSchema.parse(
-		await readListening(started),
+		await readFirstJson(started),
 	);
 	return {...listening, control: `http://${listening.control}`};
 }
