--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -32,6 +32,8 @@
 		'tsx',
 		'--test',
 		'--test-concurrency=4',
+		// A test that hangs fails instead of holding up the run.
+		'--test-timeout=120000',
 		'--test-reporter=spec',
 		...files,
 	],
