Read CBOR without the native string reader

Cause: hosts closed each other's connections as 'malformed-frame: extractStrings is not a function' (56 times in a 6 s trial); the library loads a prebuilt module that is present but empty. Ruled out: our framing (7 tests pass at all piece sizes). Change: the library's entry without native code.

--- a/packages/protocol/src/frame.ts
+++ b/packages/protocol/src/frame.ts
@@ -2,7 +2,7 @@
 Frames on the wire between hosts: a 4-byte big-endian length, then one CBOR array of messages.
 */
 import {Buffer} from 'node:buffer';
-import {Decoder, Encoder} from 'cbor-x';
+import {Decoder, Encoder} from 'cbor-x/index-no-eval';
 import {err, ok, type Result} from 'neverthrow';
 
 /** Largest frame, bytes: a forwarded submission or answer at its limit, with room to spare. */
