--- /dev/null
+++ b/packages/host/src/index.ts
@@ -0,0 +1,1 @@
+export {startHost, type RunningHost, type StartOptions} from './start-host.js';
