Serve callers and operators over HTTP

Cause: the host needs routes for jobs, resources, watches and health over the ports that it passes in.

Ruled out: hono's own serve(), which hides the server's bounds and its errors; racing each wait against one stop promise, which keeps every reaction for ever.

Change: startApi with bounds against slow and broken clients, strict bodies, problems that claim 'none' only where no copy of the request can run, planned stop with a last word for what outlasts the grace. Views and change states look as the command line reads them.

--- /dev/null
+++ b/packages/api/src/body.ts
@@ -0,0 +1,134 @@
+/**
+Reads request bodies: bounded, as strict UTF-8, as JSON, against a schema.
+*/
+import {Buffer} from 'node:buffer';
+import {type IncomingMessage} from 'node:http';
+import {err, ok, Result, safeTry} from 'neverthrow';
+import {type z} from 'zod';
+import {toFindings, type Problem} from '@gentianshift/resources';
+import {createProblem, judgeRan} from './problems.js';
+
+const decoder = new TextDecoder('utf-8', {fatal: true});
+const decodeText = Result.fromThrowable((bytes: Uint8Array) =>
+	decoder.decode(bytes),
+);
+const parseText = Result.fromThrowable(
+	(text: string): unknown => JSON.parse(text) as unknown,
+	(error) => (error as SyntaxError).message,
+);
+
+export type BodyRequest = {
+	incoming: IncomingMessage;
+	/** Bytes. */
+	limit: number;
+	/** The job's id, if the request names one. */
+	id?: string;
+};
+
+/** Reads a body and checks it by a schema; all findings are in one problem. */
+export async function readJson<Schema extends z.ZodType>(
+	request: BodyRequest,
+	schema: Schema,
+): Promise<Result<z.infer<Schema>, Problem>> {
+	const {id} = request;
+	const ran = judgeRan(id);
+	return safeTry(async function* () {
+		const bytes = yield* await readBytes(request);
+		const text = yield* decodeText(bytes).mapErr(() =>
+			createProblem({
+				status: 400,
+				code: 'bad-utf8',
+				detail: 'the body is not UTF-8',
+				ran,
+				id,
+			}),
+		);
+		const value = yield* parseText(text).mapErr((message) =>
+			createProblem({
+				status: 400,
+				code: 'bad-json',
+				detail: `the body is not JSON: ${message}`,
+				ran,
+				id,
+			}),
+		);
+		const parsed = schema.safeParse(value);
+		if (parsed.success) {
+			return ok(parsed.data);
+		}
+
+		return err(
+			createProblem({
+				status: 400,
+				code: 'bad-body',
+				detail: `the body has ${parsed.error.issues.length} findings`,
+				ran,
+				id,
+				findings: toFindings(parsed.error),
+			}),
+		);
+	});
+}
+
+/**
+Collects the body. Past the limit it stops reading at once, so that a flood of bytes costs
+the host no more memory than one body of legal size.
+*/
+async function readBytes({
+	incoming,
+	limit,
+	id,
+}: BodyRequest): Promise<Result<Uint8Array, Problem>> {
+	const tooLarge = createProblem({
+		status: 413,
+		code: 'body-too-large',
+		detail: `the body is larger than ${limit} bytes`,
+		ran: 'unknown',
+		id,
+	});
+	if (Number(incoming.headers['content-length'] ?? 0) > limit) {
+		return err(tooLarge);
+	}
+
+	return new Promise((resolve) => {
+		const chunks: Uint8Array[] = [];
+		let length = 0;
+		const settle = (result: Result<Uint8Array, Problem>) => {
+			incoming.off('data', onData);
+			resolve(result);
+		};
+
+		const onData = (chunk: Uint8Array) => {
+			length += chunk.length;
+			if (length > limit) {
+				incoming.pause();
+				settle(err(tooLarge));
+				return;
+			}
+
+			chunks.push(chunk);
+		};
+
+		const onLost = () => {
+			settle(err(describeLost(id)));
+		};
+
+		incoming.on('data', onData);
+		incoming.once('end', () => {
+			settle(ok(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)));
+		});
+		incoming.once('error', onLost);
+		incoming.once('close', onLost);
+	});
+}
+
+/** Nobody reads this answer; the connection ended before the body did. */
+function describeLost(id: string | undefined): Problem {
+	return createProblem({
+		status: 400,
+		code: 'body-cut-off',
+		detail: 'the connection ended before the body did',
+		ran: 'unknown',
+		id,
+	});
+}
