--- a/packages/protocol/src/mesh.ts
+++ b/packages/protocol/src/mesh.ts
@@ -13,7 +13,7 @@
 import {protocolVersion, type Hello, type Message} from './messages.js';
 
 /** Heartbeat interval. */
-export const pingMs = 500;
+export const pingMs = 600;
 /** A peer that sent nothing for this long is hung up on. */
 export const silenceMs = 2000;
 /** How long a dial may take. */
@@ -48,6 +48,8 @@
 	onSessionDown: (session: Session) => void;
 	/** A message from the asking side of a session. */
 	onRequest: (session: Session, message: Message) => void;
+	/** The heartbeat: what is sent now travels in the same frames. */
+	onBeat: () => void;
 	/** A peer says it is leaving, or that it no longer is. */
 	onLeaving: (key: string, isLeaving: boolean) => void;
 };
@@ -149,7 +151,7 @@
 	/** Tells all peers, at once and with each heartbeat. */
 	setLeaving(isLeaving: boolean): void {
 		this.#isLeaving = isLeaving;
-		this.#sendHeartbeats();
+		this.#sendHeartbeats(Infinity);
 	}
 
 	/** Sends what waits and closes in order. */
@@ -189,7 +191,8 @@
 		this.#dialDue(now);
 		this.#beat += 1;
 		if (this.#beat % 5 === 0) {
-			this.#sendHeartbeats();
+			this.#sendHeartbeats(now - pingMs);
+			this.options.handlers.onBeat();
 		}
 	}
 
@@ -215,9 +218,12 @@
 		return [...dialled, ...this.#accepted.keys()];
 	}
 
-	#sendHeartbeats(): void {
-		for (const {link} of this.#peers.values()) {
-			link?.send({t: 'ping', isLeaving: this.#isLeaving});
+	/** A link on which something was heard within the interval needs no ping. */
+	#sendHeartbeats(quietSince: number): void {
+		for (const {link, connection} of this.#peers.values()) {
+			if (link && connection && connection.lastHeardAt <= quietSince) {
+				link.send({t: 'ping', isLeaving: this.#isLeaving});
+			}
 		}
 	}
 
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -92,10 +92,17 @@
 	job: count,
 });
 
+/**
+Whether work waits at the keeper. While it does, slots come back at once; else the borrower may
+gather what it gives back for some milliseconds, which saves most of these messages.
+*/
+const isHungry = z.boolean();
+
 /** Slots lent to the client; usable while its lease with this keeper runs. */
 export const grantSchema = z.object({
 	t: z.literal('grant'),
 	target: nameSchema,
+	isHungry,
 	slots: z.array(slotSchema),
 });
 
@@ -147,8 +154,12 @@
 	/** Random, made when the keeper took the role: another one knows nothing of the client yet. */
 	term: count,
 	leaving: z.array(nameSchema),
+	isHungry,
 });
 
+/** Work has begun to wait at the keeper. */
+export const hungerSchema = z.object({t: z.literal('hunger'), target: nameSchema});
+
 /** A new keeper asks what is lent before it lends; answered by `held`. */
 export const askHeldSchema = z.object({
 	t: z.literal('ask-held'),
@@ -250,6 +261,7 @@
 	recallSchema,
 	leaseSchema,
 	leasedSchema,
+	hungerSchema,
 	askHeldSchema,
 	heldSchema,
 	shiftSchema,
--- a/packages/slots/src/borrower.ts
+++ b/packages/slots/src/borrower.ts
@@ -24,6 +24,16 @@
 /** A slot that can't be used yet (lease or executor not known here) is given back after this, milliseconds. */
 const holdMs = 100;
 
+/**
+How long releases are gathered while nothing waits at the keeper, milliseconds. A job's last
+tasks end over hundreds of milliseconds, a message each else; a job that comes meanwhile finds
+these slots that much later, a twentieth of a task.
+*/
+const gatherMs = 10;
+
+/** Each so many requests a lease carries all that is held, so that a lost release is found. */
+const listEvery = 8;
+
 type BorrowingJob = {
 	demand: JobDemand;
 	home: string;
@@ -92,6 +102,7 @@
 	}
 
 	receiveGrant(keeper: string, message: MessageOf<'grant'>): void {
+		this.#noteHunger(keeper, message.target, message.isHungry);
 		for (const lent of message.slots) {
 			this.#takeSlot(keeper, message.target, lent);
 		}
@@ -115,7 +126,14 @@
 		}
 	}
 
+	/** Work has begun to wait at a keeper: what was gathered for it goes back now. */
+	receiveHunger(keeper: string, message: MessageOf<'hunger'>): void {
+		this.#noteHunger(keeper, message.target, true);
+		this.#flushReleases();
+	}
+
 	receiveLeased(keeper: string, message: MessageOf<'leased'>): void {
+		this.#noteHunger(keeper, message.target, message.isHungry);
 		for (const [key, lease] of this.#leases) {
 			const {target, dataCentre} = parseLeaseKey(key);
 			if (lease.keeper !== keeper || target !== message.target) {
@@ -140,6 +158,14 @@
 			.map(({executor, slot, job}) => ({executor, slot, job}));
 	}
 
+	#noteHunger(keeper: string, target: string, isHungry: boolean): void {
+		for (const [key, lease] of this.#leases) {
+			if (lease.keeper === keeper && parseLeaseKey(key).target === target) {
+				lease.isHungry = isHungry;
+			}
+		}
+	}
+
 	/** Hosts or resources changed: keepers may be others now. */
 	refreshKeepers(): void {
 		for (const [key, lease] of this.#leases) {
@@ -164,6 +190,7 @@
 	}
 
 	stop(): void {
+		clearTimeout(this.#flushTimer);
 		clearInterval(this.#timer);
 	}
 
@@ -373,14 +400,27 @@
 		};
 		message.slots.push({slot: slot.slot, ...outcome});
 		this.#releases.set(key, message);
-		if (this.#releases.size === 1 && message.slots.length === 1) {
+		this.#scheduleFlush(this.#leases.get(key)?.isHungry ?? true);
+	}
+
+	/** At once (with all of this loop turn) where work waits, else a little later, with more. */
+	#scheduleFlush(isHungry: boolean): void {
+		if (isHungry && !this.#isFlushing) {
+			this.#isFlushing = true;
 			setImmediate(() => {
 				this.#flushReleases();
 			});
 		}
+
+		this.#flushTimer ??= setTimeout(() => {
+			this.#flushReleases();
+		}, gatherMs);
 	}
 
 	#flushReleases(): void {
+		clearTimeout(this.#flushTimer);
+		this.#flushTimer = undefined;
+		this.#isFlushing = false;
 		const releases = this.#releases;
 		this.#releases = new Map();
 		for (const [key, message] of releases) {
@@ -441,11 +481,13 @@
 		}
 
 		const key = formatLeaseKey(target, dataCentre);
+		const sequence = lease.ask(this.#ports.now());
+		const isListed = !lease.isTold || sequence % listEvery === 0;
 		const message: MessageOf<'lease'> = {
 			t: 'lease',
 			target,
-			sequence: lease.ask(this.#ports.now()),
-			held: lease.isTold ? undefined : this.listHeld(target, dataCentre),
+			sequence,
+			held: isListed ? this.listHeld(target, dataCentre) : undefined,
 			reports: this.#reports.get(key) ?? [],
 		};
 		if (this.#sendToKeeper(target, dataCentre, message)) {
--- a/packages/slots/src/keeper.ts
+++ b/packages/slots/src/keeper.ts
@@ -34,6 +34,9 @@
 	#timerAt = Infinity;
 	#isScheduled = false;
 	#isStopped = false;
+	#isHungry = false;
+	/** Borrowers that were last told that nothing waits. */
+	readonly #sated = new Set<string>();
 	#toldFree = -1;
 	#toldAt = 0;
 
@@ -96,6 +99,7 @@
 			sequence: message.sequence,
 			term: this.#term,
 			leaving: this.#listLeaving(),
+			isHungry: this.#tellHunger(ownerId),
 		});
 	}
 
@@ -148,6 +152,7 @@
 
 	/** The owner's process is gone, or its connection: its slots are quarantined. */
 	dropOwner(ownerId: string, hostKey: string): void {
+		this.#sated.delete(ownerId);
 		this.#lender.dropOwner(ownerId, this.#ports.now());
 		if (this.#awaited.delete(hostKey) && this.#awaited.size === 0) {
 			this.#finishRecovery();
@@ -210,6 +215,7 @@
 		const now = this.#ports.now();
 		this.#lender.setRemoteFree(this.#countRemoteFree());
 		this.#carryOut(this.#lender.decide(now), now);
+		this.#updateHunger(now);
 		this.#tellState(now);
 		this.#setTimer(now);
 	}
@@ -252,7 +258,7 @@
 			job,
 		}));
 		if (
-			!this.#ports.sendToOwner(owner, {t: 'grant', target: this.target, slots})
+			!this.#ports.sendToOwner(owner, {t: 'grant', target: this.target, isHungry: this.#tellHunger(owner), slots})
 		) {
 			for (const {slot} of grants) {
 				this.#lender.release(
@@ -348,6 +354,29 @@
 		}
 	}
 
+	/** Borrowers that gather what they give back must stop as soon as work waits. */
+	#updateHunger(now: number): void {
+		this.#isHungry = this.#lender.readState(now).queuedTasks > 0;
+		if (!this.#isHungry) {
+			return;
+		}
+
+		for (const owner of this.#sated) {
+			this.#ports.sendToOwner(owner, {t: 'hunger', target: this.target});
+		}
+
+		this.#sated.clear();
+	}
+
+	/** Notes what a borrower is told with a message to it. */
+	#tellHunger(owner: string): boolean {
+		if (!this.#isHungry) {
+			this.#sated.add(owner);
+		}
+
+		return this.#isHungry;
+	}
+
 	#setTimer(now: number): void {
 		const next = Math.min(
 			this.#lender.nextDecisionAt(now) ?? Infinity,
--- a/packages/slots/src/lease.ts
+++ b/packages/slots/src/lease.ts
@@ -13,6 +13,8 @@
 	keeper: string | undefined;
 	/** Executors that the keeper says are leaving. */
 	leaving: ReadonlySet<string> = new Set();
+	/** Work waits at the keeper: slots go back at once. */
+	isHungry = true;
 	/** Whether this keeper has been told what this host holds. */
 	isTold = false;
 	#until = -Infinity;
@@ -24,6 +26,7 @@
 	changeKeeper(keeper: string | undefined): void {
 		this.keeper = keeper;
 		this.isTold = false;
+		this.isHungry = true;
 		this.#until = -Infinity;
 		this.#term = undefined;
 		this.#askedAt.clear();
--- a/packages/slots/src/slot-exchange.ts
+++ b/packages/slots/src/slot-exchange.ts
@@ -224,6 +224,11 @@
 			return true;
 		}
 
+		case 'hunger': {
+			borrower.receiveHunger(keeper, message);
+			return true;
+		}
+
 		case 'leased': {
 			borrower.receiveLeased(keeper, message);
 			return true;
