Add the keeper's decisions: admit, queue, place, lend, call back, shift

Cause: no decisions under load existed. Change: createLender with its parts (ranking, teams, admission, executor health, lent slots, recalls) and a replay fixture on a virtual clock. Not in yet: outcome tests under load; two of them ran for minutes (a loop to be found).

--- /dev/null
+++ b/packages/decisions/src/decide.ts
@@ -0,0 +1,174 @@
+/**
+The steps of one decision: let in or refuse, lend, call back, and name what is short.
+*/
+import {judgeAdmission, type AdmissionView} from './admission.js';
+import {noteProbe, type ExecutorState} from './executor-health.js';
+import {countWanted, type JobState, type LentSlot} from './job-state.js';
+import {type KeeperState} from './keeper-state.js';
+import {type Grant, type Refusal, type Shortage} from './lending.js';
+import {chooseRecalls, chooseUnwanted} from './recall.js';
+
+/** Waiting jobs are looked through for deadlines out of reach this often, milliseconds. */
+const sweepEveryMs = 50;
+
+/** Back-off told to a job refused because its time ran out while it waited, milliseconds. */
+const sweptRetryMs = 1000;
+
+/** Most shortages named in one decision: the rest follows when these are settled. */
+const mostShortages = 64;
+
+/** Judges the jobs that came since the last decision, best rank first. */
+export function judgeNewcomers(state: KeeperState, now: number): Refusal[] {
+	const refusals: Refusal[] = [];
+	const newcomers = state.jobs.takeNewcomers();
+	const capacity = newcomers.length === 0 ? 0 : state.capacity;
+	for (const job of newcomers) {
+		const refused = judgeAdmission(
+			job,
+			viewAdmission(state, job, {capacity, now}),
+		);
+		if (refused) {
+			refusals.push(refuse(state, job, refused));
+		} else {
+			state.jobs.admit(job);
+		}
+	}
+
+	return refusals;
+}
+
+function viewAdmission(
+	state: KeeperState,
+	job: JobState,
+	{capacity, now}: {capacity: number; now: number},
+): AdmissionView {
+	const {jobs, pool, slots, queueTasks} = state;
+	const {service} = job.demand;
+	return {
+		executors: pool.activeCount,
+		capacity,
+		inUse: slots.size,
+		waitingWorkMs: jobs.waitingWorkMs,
+		waitingTasks: jobs.waitingTasks,
+		queueTasks,
+		share: jobs.teams.computeShare(job.team, capacity),
+		taskMs: state.viewJob(job.demand, now).taskMs,
+		isLearned: state.isLearned(service, now),
+		now,
+	};
+}
+
+function refuse(
+	state: KeeperState,
+	job: JobState,
+	refused: Pick<Refusal, 'code' | 'retryAfterMs'>,
+): Refusal {
+	state.jobs.remove(job);
+	return {owner: job.owner, job: job.job, ...refused};
+}
+
+/**
+Refuses waiting jobs of which nothing has started and whose deadline is out of reach by now.
+For a capacity that fell after they were let in: they'd take slots only to fail.
+*/
+export function sweepHopeless(state: KeeperState, now: number): Refusal[] {
+	if (now - state.sweptAt < sweepEveryMs) {
+		return [];
+	}
+
+	state.sweptAt = now;
+	const hopeless = [...state.jobs.listWaiting()].filter((job) =>
+		isHopeless(state, job, now),
+	);
+	return hopeless.map((job) =>
+		refuse(state, job, {code: 'deadline', retryAfterMs: sweptRetryMs}),
+	);
+}
+
+function isHopeless(state: KeeperState, job: JobState, now: number): boolean {
+	const hasStarted = job.granted > 0 || job.shifting > 0;
+	const taskMs = state.isLearned(job.demand.service, now)
+		? state.viewJob(job.demand, now).taskMs
+		: 0;
+	return !hasStarted && now + taskMs > job.deadlineAt;
+}
+
+/** Lends free slots, one at a time, each to the job that ranks best at that moment. */
+export function grantSlots(state: KeeperState, now: number): Grant[] {
+	const grants: Grant[] = [];
+	const capacity = Math.max(1, state.pool.capacity);
+	for (;;) {
+		const job = state.jobs.teams.pickNext(capacity);
+		const executor = job && state.pool.pick(now);
+		if (!executor) {
+			return grants;
+		}
+
+		grants.push(lendSlot(state, job, executor, now));
+		job.granted += 1;
+		state.jobs.relist(job);
+	}
+}
+
+export function lendSlot(
+	state: KeeperState,
+	job: JobState,
+	executor: ExecutorState,
+	now: number,
+): Grant {
+	if (executor.isShutOut) {
+		noteProbe(executor, now);
+	}
+
+	const {owner, job: jobNumber, team} = job;
+	const {slot} = state.slots.lend({
+		owner,
+		jobNumber,
+		lentAt: now,
+		job,
+		team,
+		service: job.demand.service,
+		executor,
+	});
+	return {owner, job: jobNumber, executor: executor.name, slot};
+}
+
+/** Calls back slots of executors that get nothing more, and slots that better work waits for. */
+export function recallSlots(state: KeeperState, now: number): LentSlot[] {
+	const {jobs, slots, pool} = state;
+	const markRecalled = (lent: LentSlot): void => {
+		slots.markRecalled(lent);
+	};
+
+	const unwanted = chooseUnwanted(slots.listAll(), now);
+	for (const lent of unwanted) {
+		markRecalled(lent);
+	}
+
+	const wanted = chooseRecalls({
+		teams: jobs.teams.listActive(),
+		slots: slots.listAll(),
+		perWeight: pool.capacity / jobs.teams.sumWeights(),
+		outstanding: slots.recalled,
+		markRecalled,
+	});
+	return [...unwanted, ...wanted];
+}
+
+/** Names the waiting jobs that other data centres may serve, best rank first. */
+export function listShortages(state: KeeperState): Shortage[] {
+	const shortages: Shortage[] = [];
+	for (const job of state.jobs.listWaiting()) {
+		if (shortages.length === mostShortages) {
+			break;
+		}
+
+		if (job.team.inUse >= job.team.quota) {
+			continue;
+		}
+
+		shortages.push({owner: job.owner, job: job.job, count: countWanted(job)});
+	}
+
+	return shortages;
+}
--- /dev/null
+++ b/packages/decisions/src/job-table.ts
@@ -0,0 +1,199 @@
+/**
+The jobs a keeper knows: those just come, those waiting for slots (listed by team and rank) and
+those that have all they asked for.
+*/
+import {countWanted, type JobState} from './job-state.js';
+import {type Demand} from './lending.js';
+import {ageingFactor} from './rank.js';
+import {TeamTable} from './team-table.js';
+
+/** What an update needs to know of the keeper's state. */
+export type JobView = {now: number; taskMs: number; slots: number};
+
+export class JobTable {
+	readonly teams = new TeamTable();
+	waitingWorkMs = 0;
+	waitingTasks = 0;
+	readonly #jobs = new Map<string, JobState>();
+	readonly #byOwner = new Map<string, Set<JobState>>();
+	#newcomers = new Set<JobState>();
+	#sequence = 0;
+
+	lookUp(owner: string, job: number): JobState | undefined {
+		return this.#jobs.get(formatJobKey(owner, job));
+	}
+
+	get size(): number {
+		return this.#jobs.size;
+	}
+
+	/** Enters a demand, or brings it up to date: the newest counts, as messages come in order. */
+	update(demand: Demand, view: JobView): JobState {
+		const {owner, job: number} = demand;
+		const job = this.lookUp(owner, number) ?? this.#enter(demand, view.now);
+		this.#unlist(job);
+		job.isForeign = false;
+		job.demand = demand;
+		job.deadlineAt = view.now + demand.deadlineInMs;
+		this.rank(job, view);
+		if (job.isAdmitted) {
+			this.relist(job);
+		}
+
+		return job;
+	}
+
+	/** Enters a job of another data centre: it holds slots here and is never queued. */
+	enterForeign(demand: Demand, view: JobView): JobState {
+		const present = this.lookUp(demand.owner, demand.job);
+		if (present) {
+			return present;
+		}
+
+		const job = this.#enter({...demand, asked: 0}, view.now);
+		job.isForeign = true;
+		job.isAdmitted = true;
+		this.#newcomers.delete(job);
+		this.rank(job, view);
+		return job;
+	}
+
+	/** Takes the jobs that came since the last time, in the order of their rank. */
+	takeNewcomers(): JobState[] {
+		const newcomers = [...this.#newcomers].toSorted(
+			(a, b) => a.order - b.order || a.sequence - b.sequence,
+		);
+		this.#newcomers = new Set();
+		return newcomers;
+	}
+
+	get newcomerCount(): number {
+		return this.#newcomers.size;
+	}
+
+	admit(job: JobState): void {
+		job.isAdmitted = true;
+		this.relist(job);
+	}
+
+	/** Lists the job if it wants slots, takes it from the list if not. */
+	relist(job: JobState): void {
+		const isWaiting = countWanted(job) > 0;
+		if (isWaiting === job.isListed) {
+			return;
+		}
+
+		if (!isWaiting) {
+			this.#unlist(job);
+			return;
+		}
+
+		job.isListed = true;
+		job.team.waiting.insert(job);
+		this.#count(job, 1);
+	}
+
+	/** Removes an ended job: a search in its team's sorted list, whatever else waits. */
+	remove(job: JobState): void {
+		if (!this.#jobs.delete(formatJobKey(job.owner, job.job))) {
+			return;
+		}
+
+		this.#unlist(job);
+		this.#newcomers.delete(job);
+		job.team.jobs -= 1;
+		const owned = this.#byOwner.get(job.owner);
+		owned?.delete(job);
+		if (owned?.size === 0) {
+			this.#byOwner.delete(job.owner);
+		}
+	}
+
+	listOwned(owner: string): JobState[] {
+		return [...(this.#byOwner.get(owner) ?? [])];
+	}
+
+	*listWaiting(): Generator<JobState> {
+		for (const {waiting} of this.teams.listActive()) {
+			yield* waiting.items;
+		}
+	}
+
+	/** Ranks all waiting jobs anew: what their order was worked out from has changed. */
+	rerank(viewOf: (demand: Demand) => JobView): void {
+		for (const job of this.listWaiting()) {
+			this.#unlist(job);
+			this.rank(job, viewOf(job.demand));
+			this.relist(job);
+		}
+	}
+
+	/** Slots that jobs of here hold from other keepers. */
+	countHeldElsewhere(): number {
+		let held = 0;
+		for (const {demand} of this.#jobs.values()) {
+			held += demand.heldElsewhere ?? 0;
+		}
+
+		return held;
+	}
+
+	/** Works out the job's place in the order; it must not be listed. */
+	rank(job: JobState, {taskMs, slots}: JobView): void {
+		job.workMs = job.demand.remaining * taskMs;
+		const overtakenMs = (ageingFactor * job.workMs) / Math.max(1, slots);
+		job.order = job.since + overtakenMs;
+	}
+
+	#enter(demand: Demand, now: number): JobState {
+		this.#sequence += 1;
+		const job: JobState = {
+			owner: demand.owner,
+			job: demand.job,
+			sequence: this.#sequence,
+			order: 0,
+			team: this.teams.open(demand.team),
+			demand,
+			since: now - demand.waitedMs,
+			deadlineAt: now + demand.deadlineInMs,
+			isAdmitted: demand.isAdmitted ?? false,
+			isListed: false,
+			workMs: 0,
+			isForeign: false,
+			granted: demand.granted ?? 0,
+			shifting: 0,
+			shiftingUntil: 0,
+			held: new Map(),
+		};
+		job.team.jobs += 1;
+		this.#jobs.set(formatJobKey(job.owner, job.job), job);
+		const owned = this.#byOwner.get(job.owner) ?? new Set();
+		owned.add(job);
+		this.#byOwner.set(job.owner, owned);
+		if (!job.isAdmitted) {
+			this.#newcomers.add(job);
+		}
+
+		return job;
+	}
+
+	#unlist(job: JobState): void {
+		if (!job.isListed) {
+			return;
+		}
+
+		job.isListed = false;
+		job.team.waiting.remove(job);
+		this.#count(job, -1);
+	}
+
+	#count(job: JobState, sign: 1 | -1): void {
+		job.team.waitingWorkMs += sign * job.workMs;
+		this.waitingWorkMs += sign * job.workMs;
+		this.waitingTasks += sign * job.demand.remaining;
+	}
+}
+
+function formatJobKey(owner: string, job: number): string {
+	return `${owner}#${job}`;
+}
--- a/packages/decisions/src/lending.ts
+++ b/packages/decisions/src/lending.ts
@@ -13,7 +13,11 @@
 	team: string;
 	/** Tasks not yet done, those running included. */
 	remaining: number;
-	/** Slots asked for so far, counted up from the job's start; what was granted is subtracted. */
+	/**
+	Slots asked for so far: those granted since the job's start, as the owner knows, and one for
+	each task that has no slot now. What was granted is subtracted, so that grants under way are
+	not asked for twice.
+	*/
 	asked: number;
 	/** What one task is thought to take (learned by the owner, else declared). */
 	taskMs: number;
@@ -21,6 +25,12 @@
 	deadlineInMs: number;
 	/** Time the job has waited already. */
 	waitedMs: number;
+	/** Slots granted so far, as the owner knows: read by a keeper that meets the job first. */
+	granted?: number;
+	/** An earlier keeper let the job in: it isn't judged again. */
+	isAdmitted?: boolean;
+	/** Slots that the job holds now from other keepers. */
+	heldElsewhere?: number;
 };
 
 export type LentExecutor = {name: string; slots: number; isLeaving: boolean};
@@ -58,3 +68,30 @@
 	recalls: Recall[];
 	shortages: Shortage[];
 };
+
+/** A slot lent by an earlier keeper, as its borrower tells the new one. */
+export type HeldSlot = {executor: string; slot: number; job: number};
+
+export type LenderOptions = {
+	/** First slot number; a new keeper of the same executors takes another range. */
+	firstSlot?: number;
+	/** Most tasks that may wait. */
+	queueTasks?: number;
+	/** How long a borrower may go on after its last heartbeat, milliseconds. */
+	leaseMs?: number;
+};
+
+/** Figures for other keepers, owners and operators. */
+export type LenderState = {
+	/** Slots that may be lent now. */
+	free: number;
+	/** Slots that may be lent when all are free. */
+	slots: number;
+	queuedTasks: number;
+	/** Milliseconds of one slot. */
+	queuedWorkMs: number;
+	/** Rank of the best waiting job (`rankJob`); undefined when none waits. */
+	bestRank: number | undefined;
+	/** Leaving executors that still have lent slots. */
+	leaving: number;
+};
--- /dev/null
+++ b/packages/decisions/src/replay.fixture.ts
@@ -0,0 +1,397 @@
+/**
+A small event loop on a virtual clock: owners, keepers and executors of a few data centres, with
+delays between them. Only what the decisions need to be judged by their outcome for callers.
+*/
+import {createLender, type Lender} from './lender.js';
+import {type Grant, type SlotOutcome, type TeamShare} from './lending.js';
+import {chooseReuse, rankJob} from './rank.js';
+import {RankedList} from './ranked-list.js';
+
+export type JobPlan = {
+	at: number;
+	team: string;
+	/** Index of the data centre whose host takes the job. */
+	dataCentre: number;
+	deadlineMs: number;
+	declaredMs: number;
+	/** True run time of each task on an ordinary executor. */
+	runMs: number[];
+	cancelAt?: number;
+};
+
+export type ExecutorPlan = {
+	name: string;
+	dataCentre: number;
+	slots: number;
+	/** How a task ends that takes this long elsewhere. */
+	run?: (runMs: number) => SlotOutcome;
+};
+
+export type JobRecord = {
+	plan: JobPlan;
+	state: 'open' | 'done' | 'failed' | 'refused' | 'cancelled' | 'late';
+	endedAt: number;
+	workDone: number;
+};
+
+export type ReplayPlan = {
+	jobs: JobPlan[];
+	executors: ExecutorPlan[];
+	dataCentres?: number;
+	teams?: Map<string, TeamShare>;
+	/** One way, milliseconds, inside a data centre and between two. */
+	nearMs?: number;
+	farMs?: number;
+};
+
+export type ReplayReport = {
+	jobs: JobRecord[];
+	unusedGrants: number;
+	starts: number;
+	recalls: number;
+	endedAt: number;
+};
+
+type Slot = Grant & {keeper: number; isRecalled: boolean};
+type Job = JobRecord & {
+	number: number;
+	next: number;
+	done: number;
+	granted: number;
+	elsewhere: number;
+	slots: Set<Slot>;
+};
+type Event = {order: number; sequence: number; run: () => void};
+
+/** Times at which keepers tell one another what is free, milliseconds apart. */
+const stateEveryMs = 5;
+
+function sum(numbers: number[]): number {
+	let total = 0;
+	for (const number of numbers) {
+		total += number;
+	}
+
+	return total;
+}
+
+export class Replay {
+	now = 0;
+	readonly report: ReplayReport;
+	readonly #events = new RankedList<Event>();
+	#sequence = 0;
+	readonly #plan: ReplayPlan;
+	readonly #keepers: Lender[] = [];
+	readonly #isDeciding: boolean[] = [];
+	readonly #wakeAt: number[] = [];
+	readonly #free: number[] = [];
+	readonly #jobs: Job[];
+	readonly #slots = new Map<string, Slot>();
+	readonly #busy = new Map<string, number>();
+
+	constructor(plan: ReplayPlan) {
+		this.#plan = plan;
+		this.#jobs = plan.jobs.map((job, number) => ({
+			plan: job,
+			state: 'open',
+			endedAt: 0,
+			workDone: 0,
+			number,
+			next: 0,
+			done: 0,
+			granted: 0,
+			elsewhere: 0,
+			slots: new Set<Slot>(),
+		}));
+		this.report = {
+			jobs: this.#jobs,
+			unusedGrants: 0,
+			starts: 0,
+			recalls: 0,
+			endedAt: 0,
+		};
+		for (let place = 0; place < (plan.dataCentres ?? 1); place += 1) {
+			const keeper = createLender();
+			keeper.setExecutors(
+				plan.executors
+					.filter(({dataCentre}) => dataCentre === place)
+					.map(({name, slots}) => ({name, slots, isLeaving: false})),
+				0,
+			);
+			keeper.setTeams(plan.teams ?? new Map());
+			this.#keepers.push(keeper);
+		}
+	}
+
+	run(): ReplayReport {
+		for (const job of this.#jobs) {
+			this.#at(job.plan.at, () => {
+				this.#submit(job);
+			});
+		}
+
+		this.#exchangeStates();
+		for (
+			let event = this.#events.items.shift();
+			event;
+			event = this.#events.items.shift()
+		) {
+			this.now = event.order;
+			event.run();
+		}
+
+		this.report.endedAt = this.now;
+		return this.report;
+	}
+
+	#at(time: number, run: () => void): void {
+		this.#sequence += 1;
+		this.#events.insert({order: time, sequence: this.#sequence, run});
+	}
+
+	#delay(from: number, to: number): number {
+		return from === to ? (this.#plan.nearMs ?? 0.3) : (this.#plan.farMs ?? 1);
+	}
+
+	#submit(job: Job): void {
+		this.#tell(job);
+		this.#at(job.plan.at + job.plan.deadlineMs, () => {
+			this.#end(job, 'late');
+		});
+		if (job.plan.cancelAt !== undefined) {
+			this.#at(job.plan.cancelAt, () => {
+				this.#end(job, 'cancelled');
+			});
+		}
+	}
+
+	#describe(job: Job) {
+		const {plan, number, done, granted, next, elsewhere} = job;
+		return {
+			owner: `host-${plan.dataCentre}`,
+			job: number,
+			service: 'meals',
+			team: plan.team,
+			remaining: plan.runMs.length - done,
+			asked: granted + plan.runMs.length - next,
+			taskMs: plan.declaredMs,
+			deadlineInMs: plan.at + plan.deadlineMs - this.now,
+			waitedMs: this.now - plan.at,
+			heldElsewhere: elsewhere,
+		};
+	}
+
+	/** Tells the job's keeper what it needs. */
+	#tell(job: Job): void {
+		const keeper = job.plan.dataCentre;
+		const demand = this.#describe(job);
+		this.#send(keeper, keeper, (lender) => {
+			lender.demand(demand, this.now);
+		});
+	}
+
+	#send(from: number, keeper: number, act: (lender: Lender) => void): void {
+		this.#at(this.now + this.#delay(from, keeper), () => {
+			act(this.#keepers[keeper]!);
+			this.#wake(keeper);
+		});
+	}
+
+	#wake(keeper: number): void {
+		if (!this.#isDeciding[keeper]) {
+			this.#isDeciding[keeper] = true;
+			this.#at(this.now, () => {
+				this.#isDeciding[keeper] = false;
+				this.#decide(keeper);
+			});
+		}
+	}
+
+	#decide(keeper: number): void {
+		const lender = this.#keepers[keeper]!;
+		const {grants, refusals, recalls, shortages} = lender.decide(this.now);
+		this.#deliver(keeper, grants);
+		for (const refusal of refusals) {
+			this.#at(this.now + this.#delay(keeper, keeper), () => {
+				this.#end(this.#jobs[refusal.job]!, 'refused');
+			});
+		}
+
+		for (const slot of recalls.flatMap((recall) => recall.slots)) {
+			this.report.recalls += 1;
+			const lent = this.#slots.get(`${keeper}/${slot}`);
+			this.#at(this.now + this.#delay(keeper, keeper), () => {
+				if (lent) {
+					lent.isRecalled = true;
+				}
+			});
+		}
+
+		for (const shortage of shortages) {
+			this.#shift(keeper, this.#jobs[shortage.job]!, shortage.count);
+		}
+
+		this.#wakeLater(keeper, lender.nextDecisionAt(this.now));
+	}
+
+	#wakeLater(keeper: number, next: number | undefined): void {
+		const planned = this.#wakeAt[keeper] ?? 0;
+		if (next === undefined || (planned > this.now && planned <= next)) {
+			return;
+		}
+
+		const time = Math.max(next, this.now + 1);
+		this.#wakeAt[keeper] = time;
+		this.#at(time, () => {
+			this.#wake(keeper);
+		});
+	}
+
+	#deliver(keeper: number, grants: Grant[]): void {
+		for (const grant of grants) {
+			const job = this.#jobs[grant.job]!;
+			const slot = {...grant, keeper, isRecalled: false};
+			this.#slots.set(`${keeper}/${grant.slot}`, slot);
+			this.#at(this.now + this.#delay(keeper, job.plan.dataCentre), () => {
+				this.#take(job, slot);
+			});
+		}
+	}
+
+	#shift(from: number, job: Job, wanted: number): void {
+		const others = this.#free.map((free, place) => (place === from ? 0 : free));
+		const to = others.indexOf(Math.max(...others));
+		const asked = Math.min(wanted, this.#free[to] ?? 0);
+		if (to === from || asked < 1) {
+			return;
+		}
+
+		this.#free[to]! -= asked;
+		const demand = this.#describe(job);
+		this.#keepers[from]!.startShift(demand.owner, job.number, asked, this.now);
+		this.#send(from, to, (lender) => {
+			const grants = lender.shiftIn(demand, asked, this.now);
+			this.#deliver(to, grants);
+			this.#send(to, from, (home) => {
+				home.settleShift(demand.owner, job.number, {
+					asked,
+					granted: grants.length,
+				});
+			});
+		});
+	}
+
+	#exchangeStates(): void {
+		for (const [place, keeper] of this.#keepers.entries()) {
+			this.#free[place] = keeper.readState(this.now).free;
+		}
+
+		for (const [place, keeper] of this.#keepers.entries()) {
+			const others = this.#free.filter((_, index) => index !== place);
+			keeper.setRemoteFree(sum(others));
+		}
+
+		if (this.#jobs.some(({state}) => state === 'open')) {
+			this.#at(this.now + stateEveryMs, () => {
+				this.#exchangeStates();
+			});
+		}
+	}
+
+	#take(job: Job, slot: Slot): void {
+		job.granted += 1;
+		job.elsewhere += Number(slot.keeper !== job.plan.dataCentre);
+		job.slots.add(slot);
+		if (job.state !== 'open' || job.next === job.plan.runMs.length) {
+			this.report.unusedGrants += 1;
+			this.#giveBack(job, slot, {result: 'unused', runMs: 0});
+			return;
+		}
+
+		this.#start(job, slot);
+	}
+
+	#start(job: Job, slot: Slot): void {
+		const runMs = job.plan.runMs[job.next]!;
+		job.next += 1;
+		this.report.starts += 1;
+		const executor = this.#plan.executors.find(
+			({name}) => name === slot.executor,
+		)!;
+		const busy = (this.#busy.get(slot.executor) ?? 0) + 1;
+		this.#busy.set(slot.executor, busy);
+		if (busy > executor.slots) {
+			throw new Error(
+				`${slot.executor} got ${busy} tasks for ${executor.slots} slots`,
+			);
+		}
+
+		const outcome = executor.run?.(runMs) ?? {result: 'done', runMs};
+		const wayMs = 2 * this.#delay(job.plan.dataCentre, slot.keeper);
+		this.#at(this.now + outcome.runMs + wayMs, () => {
+			this.#busy.set(slot.executor, this.#busy.get(slot.executor)! - 1);
+			this.#finish(job, slot, {outcome, runMs});
+		});
+	}
+
+	#finish(
+		job: Job,
+		slot: Slot,
+		{outcome, runMs}: {outcome: SlotOutcome; runMs: number},
+	): void {
+		if (outcome.result === 'done') {
+			job.done += 1;
+			job.workDone += runMs;
+		} else {
+			this.#end(job, 'failed');
+		}
+
+		if (job.done === job.plan.runMs.length) {
+			this.#end(job, 'done');
+		}
+
+		const isLeft = job.state === 'open' && job.next < job.plan.runMs.length;
+		if (!isLeft || slot.isRecalled || !this.#keepsSlot(job, slot)) {
+			this.#giveBack(job, slot, outcome);
+		} else {
+			this.#send(job.plan.dataCentre, slot.keeper, (lender) => {
+				lender.report(slot.slot, outcome, this.now);
+			});
+			this.#start(job, slot);
+		}
+
+		if (job.state === 'open') {
+			this.#tell(job);
+		}
+	}
+
+	#keepsSlot(job: Job, slot: Slot): boolean {
+		const {remaining, taskMs, waitedMs} = this.#describe(job);
+		const state = this.#keepers[slot.keeper]!.readState(this.now);
+		return chooseReuse(
+			rankJob({remaining, taskMs, waitedMs}, state.slots),
+			state.bestRank,
+		);
+	}
+
+	#giveBack(job: Job, slot: Slot, outcome: SlotOutcome): void {
+		job.slots.delete(slot);
+		job.elsewhere -= Number(slot.keeper !== job.plan.dataCentre);
+		this.#send(job.plan.dataCentre, slot.keeper, (lender) => {
+			lender.release(slot.slot, outcome, this.now);
+		});
+	}
+
+	#end(job: Job, state: JobRecord['state']): void {
+		if (job.state !== 'open') {
+			return;
+		}
+
+		job.state = state;
+		job.endedAt = this.now;
+		const keeper = job.plan.dataCentre;
+		this.#send(keeper, keeper, (lender) => {
+			lender.withdraw(`host-${keeper}`, job.number);
+		});
+	}
+}
