--- a/packages/host/src/mesh-handlers.ts
+++ b/packages/host/src/mesh-handlers.ts
@@ -41,6 +41,8 @@
 export type MeshParts = {
 	configuration: Configuration;
 	directory: Directory;
+	/** The heartbeat: what is told then costs no frame of its own. */
+	onBeat: () => void;
 	/** Where a peer is dialled. */
 	findAddress: (key: string) => string;
 	logger: Logger;
@@ -54,6 +56,7 @@
 export function createMeshHandlers({
 	configuration,
 	directory,
+	onBeat,
 	findAddress,
 	logger,
 	getRouter,
@@ -62,6 +65,7 @@
 	statuses,
 }: MeshParts): MeshHandlers {
 	return {
+		onBeat,
 		onLinkUp(link) {
 			logger.info({peer: link.key}, 'link up');
 			directory.markLinkUp(link, findAddress(link.key));
--- a/packages/host/src/start-host.ts
+++ b/packages/host/src/start-host.ts
@@ -40,10 +40,10 @@
 import {createSlotPorts} from './slot-ports.js';
 import {StatusBoard, type HostStatus} from './status-board.js';
 import {createTraces} from './traces.js';
-import {repeat, waitFor} from './timers.js';
+import {waitFor} from './timers.js';
 
-/** How often hosts tell each other their state. */
-const statusEveryMs = 1000;
+/** Heartbeats after which hosts tell each other their state. */
+const statusEveryBeats = 2;
 /** How long a stopping host is readable as "not ready" before it refuses new work. */
 const readinessMs = 300;
 /** How often a stopping host looks whether its jobs have ended. */
@@ -105,6 +105,7 @@
 	readonly #stopping = new AbortController();
 	/** Aborted when the last job has ended. */
 	readonly #ended = new AbortController();
+	#beats = 0;
 	#api: Awaited<ReturnType<typeof startApi>> | undefined;
 
 	constructor(settings: HostSettings, options: StartOptions & {hash: Hash64}) {
@@ -156,12 +157,6 @@
 		await this.#mesh.start();
 		this.#directory.start(this.#mesh, signal);
 		this.#configuration.start(signal);
-		void repeat(
-			() => {
-				this.#tellStatus();
-			},
-			{everyMs: statusEveryMs, signal, random: this.#random},
-		);
 		this.#api = await this.#startApi();
 		this.#logger.info(this.#settings.addresses, 'serving');
 	}
@@ -243,6 +238,9 @@
 			handlers: createMeshHandlers({
 				configuration: this.#configuration,
 				directory: this.#directory,
+				onBeat: () => {
+					this.#beat();
+				},
 				findAddress: (key) => this.#mesh.findAddress(key) ?? '',
 				logger: this.#logger,
 				getRouter: () => this.#router,
@@ -353,6 +351,14 @@
 		};
 	}
 
+	#beat(): void {
+		this.#beats += 1;
+		this.#configuration.compareDigests();
+		if (this.#beats % statusEveryBeats === 0) {
+			this.#tellStatus();
+		}
+	}
+
 	#tellStatus(): void {
 		const {queuedTasks, keepers} = this.#statuses.tell(this.#mesh.listLinks());
 		this.#metrics.queueTasks.set(queuedTasks);
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -158,7 +158,10 @@
 });
 
 /** Work has begun to wait at the keeper. */
-export const hungerSchema = z.object({t: z.literal('hunger'), target: nameSchema});
+export const hungerSchema = z.object({
+	t: z.literal('hunger'),
+	target: nameSchema,
+});
 
 /** A new keeper asks what is lent before it lends; answered by `held`. */
 export const askHeldSchema = z.object({
--- a/packages/slots/src/keeper.ts
+++ b/packages/slots/src/keeper.ts
@@ -258,7 +258,12 @@
 			job,
 		}));
 		if (
-			!this.#ports.sendToOwner(owner, {t: 'grant', target: this.target, isHungry: this.#tellHunger(owner), slots})
+			!this.#ports.sendToOwner(owner, {
+				t: 'grant',
+				target: this.target,
+				isHungry: this.#tellHunger(owner),
+				slots,
+			})
 		) {
 			for (const {slot} of grants) {
 				this.#lender.release(
