Add fixtures of the trials' tests and workers of the platform's list

Cause: tests of leaving targets need workers that the platform lists as leaving. Ruled out: all executors at one IP (a worker could not leave alone).

--- a/packages/trials/src/harness.ts
+++ b/packages/trials/src/harness.ts
@@ -82,6 +82,7 @@
 		startExecutorProcesses(start),
 	]);
 	const leaving = new Set<string>();
+	const leavingWorkers = new Set<string>();
 	await platform.setViews(relays.views);
 	await publishHosts();
 	const hosts = await startHosts(places, {
@@ -95,15 +96,22 @@
 	await declareAll(hosts.hosts, layout, executors.places);
 
 	async function publishHosts(): Promise<void> {
-		await platform.setHosts(
-			places.map(({name, dataCentre, ip, innerPort}) => ({
-				name,
-				dataCentre,
-				role: 'entry',
-				address: `${ip}:${innerPort}`,
-				state: leaving.has(name) ? 'leaving' : 'live',
-			})),
-		);
+		const hostEntries = places.map(({name, dataCentre, ip, innerPort}) => ({
+			name,
+			dataCentre,
+			role: 'entry',
+			address: `${ip}:${innerPort}`,
+			state: leaving.has(name) ? 'leaving' : 'live',
+		}));
+		const workers = new Map(executors.places.map((one) => [one.ip, one]));
+		const workerEntries = [...workers.values()].map(({ip, dataCentre}) => ({
+			name: `worker-${ip.replaceAll('.', '-')}`,
+			dataCentre,
+			role: 'worker',
+			address: ip,
+			state: leavingWorkers.has(ip) ? 'leaving' : 'live',
+		}));
+		await platform.setHosts([...hostEntries, ...workerEntries]);
 	}
 
 	async function applyBetween(
@@ -148,6 +156,16 @@
 
 			await publishHosts();
 		},
+		/** What the platform's list says of a worker, by its IP. */
+		async listWorker(ip: string, state: 'live' | 'leaving'): Promise<void> {
+			if (state === 'leaving') {
+				leavingWorkers.add(ip);
+			} else {
+				leavingWorkers.delete(ip);
+			}
+
+			await publishHosts();
+		},
 		/** A fault between two data centres: hosts with each other and with executors. */
 		applyBetween,
 		/** A fault between one data centre on one side, all others and the platform on the other. */
--- a/packages/trials/src/index.ts
+++ b/packages/trials/src/index.ts
@@ -2,6 +2,7 @@
 export * from './chaos-run.js';
 export * from './chaos-schedule.js';
 export * from './declarations.js';
+export * from './fixtures.js';
 export * from './harness.js';
 export * from './hosts.js';
 export * from './judge.js';
--- a/packages/trials/src/layout.ts
+++ b/packages/trials/src/layout.ts
@@ -1,7 +1,8 @@
 /**
 Where the hosts, executors and links of a trial are: names, IPs and ports.
 
-Data centre k (from 1) has the IPs 127.0.k.n: its hosts n = 1, 2, ..., its executors n = 200.
+Data centre k (from 1) has the IPs 127.0.k.n: its hosts n = 1, 2, ..., its workers n = 200, 201, ...
+A worker has one executor of each target.
 A host's source IP is its own, so that executors tell data centres apart by it.
 */
 import {type Executor, type ServiceSpec} from '@gentianshift/resources';
@@ -53,6 +54,9 @@
 	teams: {cooks: {}, brokers: {}},
 };
 
+/** Last number of the IP of a data centre's first worker. */
+const firstWorker = 200;
+
 /** IPs of a data centre begin with it. */
 export function getIpPrefix(layout: SystemLayout, dataCentre: string): string {
 	return `127.0.${layout.dataCentres.indexOf(dataCentre) + 1}.`;
@@ -82,7 +86,7 @@
 				name: `${target}-${dataCentre}-${i + 1}`,
 				target,
 				dataCentre,
-				ip: `${getIpPrefix(layout, dataCentre)}200`,
+				ip: `${getIpPrefix(layout, dataCentre)}${firstWorker + i}`,
 				slots: one.slots,
 				connections: one.connections,
 			})),
