--- a/packages/host/src/run-estimates.ts
+++ b/packages/host/src/run-estimates.ts
@@ -2,32 +2,20 @@
 What one task of a service takes, learned from those that ended: declared run times are often
 far off, so they count only until enough has been seen.
 */
-
-/** Weight of the newest task in the running mean. */
-const newestWeight = 0.05;
-/** Tasks after which the declared time counts for nothing. */
-const enoughTasks = 20;
-
-type Estimate = {meanMs: number; count: number};
+import {estimateRunMs, type RunEstimate} from '@gentianshift/decisions';
+import {readNow} from './identity.js';
 
 export class RunEstimates {
-	readonly #estimates = new Map<string, Estimate>();
+	readonly #estimates = new Map<string, RunEstimate>();
 
 	estimateMs(service: string, declaredMs: number): number {
-		const estimate = this.#estimates.get(service);
-		if (!estimate) {
-			return declaredMs;
-		}
-
-		const trust = Math.min(1, estimate.count / enoughTasks);
-		return estimate.meanMs * trust + declaredMs * (1 - trust);
+		return this.#estimates.get(service)?.meanMs ?? declaredMs;
 	}
 
-	learn(service: string, runMs: number): void {
-		const estimate = this.#estimates.get(service) ?? {meanMs: runMs, count: 0};
-		const weight = Math.max(newestWeight, 1 / (estimate.count + 1));
-		estimate.meanMs += (runMs - estimate.meanMs) * weight;
-		estimate.count += 1;
+	/** `declaredMs` is the prior of the first time. */
+	learn(service: string, runMs: number, declaredMs: number): void {
+		const estimate = this.#estimates.get(service) ?? estimateRunMs(declaredMs);
 		this.#estimates.set(service, estimate);
+		estimate.note(runMs, readNow());
 	}
 }
--- a/packages/host/src/start-host.ts
+++ b/packages/host/src/start-host.ts
@@ -266,8 +266,9 @@
 			canServe: (target) => listExecutors(target).length > 0,
 			estimateTaskMs: (service, declaredMs) =>
 				estimates.estimateMs(service, declaredMs),
-			learnRunMs(service, runMs) {
-				estimates.learn(service, runMs);
+			learnRunMs: (service, runMs) => {
+				const declaredMs = this.#lookup.findService(service)?.taskMs ?? runMs;
+				estimates.learn(service, runMs, declaredMs);
 			},
 			sendTask: (executor, request, onEnd) => {
 				this.#pools.sendTask(executor, request, onEnd);
--- a/packages/slots/src/borrower.ts
+++ b/packages/slots/src/borrower.ts
@@ -61,6 +61,8 @@
 	#releases = new Map<string, MessageOf<'release'>>();
 	readonly #reports = new Map<string, MessageOf<'lease'>['reports']>();
 	readonly #timer: NodeJS.Timeout;
+	#isFlushing = false;
+	#flushTimer: NodeJS.Timeout | undefined;
 
 	constructor(ports: SlotPorts, handlers: SlotHandlers) {
 		this.#ports = ports;
@@ -158,14 +160,6 @@
 			.map(({executor, slot, job}) => ({executor, slot, job}));
 	}
 
-	#noteHunger(keeper: string, target: string, isHungry: boolean): void {
-		for (const [key, lease] of this.#leases) {
-			if (lease.keeper === keeper && parseLeaseKey(key).target === target) {
-				lease.isHungry = isHungry;
-			}
-		}
-	}
-
 	/** Hosts or resources changed: keepers may be others now. */
 	refreshKeepers(): void {
 		for (const [key, lease] of this.#leases) {
@@ -199,6 +193,14 @@
 		return this.#held.size;
 	}
 
+	#noteHunger(keeper: string, target: string, isHungry: boolean): void {
+		for (const [key, lease] of this.#leases) {
+			if (lease.keeper === keeper && parseLeaseKey(key).target === target) {
+				lease.isHungry = isHungry;
+			}
+		}
+	}
+
 	/** The own data centre where it serves the target, else the one with the most executors. */
 	#chooseHome(target: string): string {
 		const places = this.#ports.listDataCentres(target);
