--- a/packages/host/src/configuration.ts
+++ b/packages/host/src/configuration.ts
@@ -18,8 +18,6 @@
 import {type Resource} from '@gentianshift/resources';
 import {repeat, waitFor} from './timers.js';
 
-/** How often a host compares digests. */
-const digestEveryMs = 500;
 /** Peers that digests are compared with each time; chosen at random, so that news spreads to all. */
 const digestPeers = 2;
 /** How often a host looks whether it is a reader. */
@@ -54,13 +52,6 @@
 	}
 
 	start(signal: AbortSignal): void {
-		const {random} = this.#options;
-		void repeat(
-			() => {
-				this.#compareDigests();
-			},
-			{everyMs: digestEveryMs, signal, random},
-		);
 		void this.#followRole(signal);
 	}
 
@@ -148,7 +139,8 @@
 		}
 	}
 
-	#compareDigests(): void {
+	/** Called with each heartbeat: a peer that holds other revisions is found within a few. */
+	compareDigests(): void {
 		const links = [...this.#options.listLinks()];
 		for (let i = 0; i < digestPeers && links.length > 0; i++) {
 			const at = Math.floor(this.#options.random() * links.length);
