Add the typed client for callers

Cause: a caller who places a lost order again under a new id buys twice, and one that takes 'unknown' for 'not run' does so too.

Ruled out: one long request up to the deadline, which a silent connection holds for ever; waits of five seconds, each on a request of its own, notice.

--- /dev/null
+++ b/packages/client/src/index.ts
@@ -0,0 +1,2 @@
+export * from './client.js';
+export type * from './options.js';
