--- a/packages/host/src/configuration.ts
+++ b/packages/host/src/configuration.ts
@@ -72,6 +72,16 @@
 		}
 	}
 
+	/** Called with each heartbeat: a peer that holds other revisions is found within a few. */
+	compareDigests(): void {
+		const links = [...this.#options.listLinks()];
+		for (let i = 0; i < digestPeers && links.length > 0; i++) {
+			const at = Math.floor(this.#options.random() * links.length);
+			const [link] = links.splice(at, 1);
+			link!.send(buildDigest(this.#options.table));
+		}
+	}
+
 	/** Reads the store while this host holds the reader's role. */
 	async #followRole(signal: AbortSignal): Promise<void> {
 		while (!signal.aborted) {
@@ -138,14 +148,4 @@
 			}
 		}
 	}
-
-	/** Called with each heartbeat: a peer that holds other revisions is found within a few. */
-	compareDigests(): void {
-		const links = [...this.#options.listLinks()];
-		for (let i = 0; i < digestPeers && links.length > 0; i++) {
-			const at = Math.floor(this.#options.random() * links.length);
-			const [link] = links.splice(at, 1);
-			link!.send(buildDigest(this.#options.table));
-		}
-	}
 }
