--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -34,7 +34,7 @@
 	.argument('[scenarios...]', `of ${Object.keys(scenarios).join(', ')}, or all`)
 	.option(
 		'--policy <name>',
-		'also this version with GENTIANSHIFT_POLICY=NAME',
+		'also each host on its own: random or two-choices',
 		appendValue,
 		[],
 	)
@@ -90,6 +90,7 @@
 		}),
 		...policy.map((name) => ({
 			label: name,
+			program: [path.resolve('dist/baseline-host.cjs')],
 			env: {GENTIANSHIFT_POLICY: name},
 		})),
 	];
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -18,16 +18,22 @@
 const fuse = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
 
 mkdirSync('dist', {recursive: true});
-await build({
-	entryPoints: ['packages/cli/src/main.ts'],
-	bundle: true,
-	platform: 'node',
-	target: 'node20',
-	format: 'cjs',
-	outfile: 'dist/gentianshift.cjs',
-	external: ['dtrace-provider', 'cbor-extract', 'mv'],
-	logLevel: 'warning',
-});
+async function bundle(entry, outfile) {
+	await build({
+		entryPoints: [entry],
+		bundle: true,
+		platform: 'node',
+		target: 'node20',
+		format: 'cjs',
+		outfile,
+		external: ['dtrace-provider', 'cbor-extract', 'mv'],
+		logLevel: 'warning',
+	});
+}
+
+await bundle('packages/cli/src/main.ts', 'dist/gentianshift.cjs');
+// For the load tool only: no part of the product.
+await bundle('packages/bench/src/baseline-host.ts', 'dist/baseline-host.cjs');
 const sea = {
 	main: 'dist/gentianshift.cjs',
 	output: 'dist/gentianshift.blob',
