--- a/packages/client/src/client.ts
+++ b/packages/client/src/client.ts
@@ -106,6 +106,7 @@
 	}
 
 	async function run<Output>({
+		id: ownId,
 		service,
 		tasks,
 		deadlineMs,
@@ -114,7 +115,10 @@
 		onProgress,
 	}: SubmitOptions<Output>): Promise<Result<WholeAnswer<Output>, Problem>> {
 		return safeTry(async function* () {
-			const {host, id} = yield* await makeId(signal);
+			const {host, id} =
+				ownId === undefined
+					? yield* await makeId(signal)
+					: {host: list.listInOrder()[0]!, id: ownId};
 			const job = new JobRun({
 				hosts: list,
 				id,
--- a/packages/client/src/index.ts
+++ b/packages/client/src/index.ts
@@ -1,2 +1,3 @@
 export * from './client.js';
+export * from './name.js';
 export type * from './options.js';
--- a/packages/client/src/options.ts
+++ b/packages/client/src/options.ts
@@ -23,6 +23,11 @@
 
 export type SubmitOptions<Output = unknown> = {
 	service: string;
+	/**
+	An id or a name (see `makeName`) of the caller's own, kept to submit the same job again after
+	the caller itself was restarted; one is made where absent. It must not stand for another job.
+	*/
+	id?: string;
 	/** Payloads, posted to executors as JSON. */
 	tasks: unknown[];
 	/** Milliseconds from now; the service's own where absent. */
