Read once more before refusing a change, and count calls by source IP

Cause: a pooled connection to the platform that had gone silent made the first read of a change time out, and the change was refused as "unavailable" although new connections worked. Found by the test of a silent watch once the stand-in could silence only the open connections: the change that should have reached the watch was refused, and the test waited for it without end.

Ruled out: the watch itself (it was reopened after its bound on silence).

--- a/packages/membership/src/host-view.ts
+++ b/packages/membership/src/host-view.ts
@@ -4,7 +4,9 @@
 
 What each source is worth:
 
-- A connection that answers is first-hand: its host is live, whatever any list says.
+- A connection that this host dialled and that answers is first-hand: its host is live, whatever
+  any list says. One that a peer dialled says where the peer is (a peer's list of one), not that
+  it can be reached.
 - A closed connection may be a blip: its host stays live for `reconnectGraceMs`, so that roles
   don't move there and back. One closed for silence has used up its time: not live at once.
 - The platform's list lags and has outages. It tells whom to dial and who is leaving; being listed
@@ -35,9 +37,9 @@
 export type HostView = {
 	/** The platform's list: replaces the one before. */
 	takePlatformList: (hosts: readonly KnownHost[]) => void;
-	/** What a peer knows itself. */
+	/** What a peer knows itself: its list, or its own hello on a connection that it dialled. */
 	takePeerList: (hosts: readonly KnownHost[], now: number) => void;
-	/** A host has answered on a connection, dialled or accepted: first-hand word of its address. */
+	/** A host has answered on a connection that this host dialled; `address` as dialled. */
 	markConnected: (host: Omit<KnownHost, 'role' | 'state'>) => void;
 	markClosed: (key: string, cause: CloseCause, now: number) => void;
 	/** The host's own word. */
--- a/packages/platform/src/change.ts
+++ b/packages/platform/src/change.ts
@@ -52,6 +52,9 @@
 /** Wait before the second round, milliseconds; doubled each time: about 0.75 s in all. */
 const firstWaitMs = 50;
 
+/** Failed reads before a change of which nothing was sent is refused. */
+const readsBeforeRefusal = 2;
+
 /** What one round came to; undefined: another round is needed. */
 type RoundOutcome = Result<Resource, ChangeFailure> | undefined;
 
@@ -84,6 +87,7 @@
 	/** What the compare-and-swap whose outcome is not known was based on. */
 	#unsettledBase: StoredRecord | undefined;
 	#lastSeen: StoredRecord | undefined;
+	#failedReads = 0;
 
 	readonly #options: ChangerOptions;
 	readonly #change: Change;
@@ -111,9 +115,14 @@
 		return {code: 'conflict', revision: getVisibleRevision(this.#lastSeen)};
 	}
 
-	/** Before anything was sent, a store that can't be read is a plain refusal. */
+	/**
+	Before anything was sent, a store that can't be read is a plain refusal. The first failure may
+	be a pooled connection that has gone silent while new ones work; the second read takes another.
+	*/
 	#handleUnread(): RoundOutcome {
-		return this.#unsettledBase
+		this.#failedReads++;
+		return this.#unsettledBase !== undefined ||
+			this.#failedReads < readsBeforeRefusal
 			? undefined
 			: err({code: 'unavailable', retryAfterMs: platformRetryMs});
 	}
--- a/packages/platform/src/transport.ts
+++ b/packages/platform/src/transport.ts
@@ -19,6 +19,8 @@
 	url: string;
 	/** Limit on one call, from its start to its whole answer. */
 	timeoutMs: number;
+	/** Local IP of the connections: the service counts calls by it. */
+	source?: string;
 	onCall?: (kind: CallKind) => void;
 };
 
@@ -59,6 +61,7 @@
 export function createTransport({
 	url,
 	timeoutMs,
+	source,
 	onCall,
 }: TransportOptions): Transport {
 	const agent = new Agent({
@@ -66,7 +69,7 @@
 		pipelining: 1,
 		keepAliveTimeout: idleConnectionMs,
 		keepAliveMaxTimeout: idleConnectionMs,
-		connect: {timeout: timeoutMs * connectShare},
+		connect: {timeout: timeoutMs * connectShare, localAddress: source},
 	});
 
 	async function fetchJson<T>(
--- a/packages/standins/src/platform-faults.ts
+++ b/packages/standins/src/platform-faults.ts
@@ -13,6 +13,8 @@
 	'drop-reply',
 	/** Connections stay open; requests and watches get nothing more. */
 	'silent',
+	/** Like `silent`, for the connections that are open now only; new ones work. */
+	'silent-open',
 ]);
 
 export const faultSchema = z.object({
