--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -92,10 +92,17 @@
 	job: count,
 });
 
+/**
+Whether work waits at the keeper. While it does, slots come back at once; else the borrower may
+gather what it gives back for some milliseconds, which saves most of these messages.
+*/
+const isHungry = z.boolean();
+
 /** Slots lent to the client; usable while its lease with this keeper runs. */
 export const grantSchema = z.object({
 	t: z.literal('grant'),
 	target: nameSchema,
+	isHungry,
 	slots: z.array(slotSchema),
 });
 
@@ -147,6 +154,13 @@
 	/** Random, made when the keeper took the role: another one knows nothing of the client yet. */
 	term: count,
 	leaving: z.array(nameSchema),
+	isHungry,
+});
+
+/** Work has begun to wait at the keeper. */
+export const hungerSchema = z.object({
+	t: z.literal('hunger'),
+	target: nameSchema,
 });
 
 /** A new keeper asks what is lent before it lends; answered by `held`. */
@@ -193,16 +207,40 @@
 	queuedMs: duration,
 });
 
-/** Hosts as the sender knows them: for peers that cannot read the platform's list. */
+const knownHostSchema = z.object({
+	name: nameSchema,
+	dataCentre: nameSchema,
+	role: z.enum(['entry', 'worker']),
+	address: z.string().max(64),
+	state: z.enum(['live', 'leaving']),
+});
+
+/** What the sender knows of hosts, within one data centre: not every host reads the platform's list. */
 export const hostsSchema = z.object({
 	t: z.literal('hosts'),
-	hosts: z.array(
+	/** Hosts that the sender knows itself. */
+	known: z.array(knownHostSchema),
+	/** The platform's list as the sender last got it, and how old it is. */
+	listed: z.array(knownHostSchema).optional(),
+	listedAgeMs: duration.optional(),
+});
+
+/** A host's live state, for operators at other hosts. */
+export const hostStatusSchema = z.object({
+	t: z.literal('host-status'),
+	/** Highest revision of configuration in force there. */
+	revision: count,
+	isStopping: z.boolean(),
+	activeJobs: count,
+	queuedTasks: count,
+	keepers: z.array(
 		z.object({
-			name: nameSchema,
-			dataCentre: nameSchema,
-			role: z.enum(['entry', 'worker']),
-			address: z.string(),
-			state: z.enum(['live', 'leaving']),
+			target: nameSchema,
+			free: count,
+			slots: count,
+			queuedTasks: count,
+			/** Leaving executors that still have lent slots. */
+			leaving: count,
 		}),
 	),
 });
@@ -226,12 +264,14 @@
 	recallSchema,
 	leaseSchema,
 	leasedSchema,
+	hungerSchema,
 	askHeldSchema,
 	heldSchema,
 	shiftSchema,
 	shiftedSchema,
 	keeperStateSchema,
 	hostsSchema,
+	hostStatusSchema,
 	configurationSchema,
 ]);
 
