--- a/packages/platform/src/name-claims.test.ts
+++ b/packages/platform/src/name-claims.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {buildPlatform} from './fixtures.js';
+import {buildPlatform} from './platform.fixture.js';
 import {createNameClaims} from './name-claims.js';
 
 async function buildClaims() {
--- a/packages/platform/src/reader.test.ts
+++ b/packages/platform/src/reader.test.ts
@@ -2,7 +2,12 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {test} from 'node:test';
 import {type Resource} from '@gentianshift/resources';
-import {buildChange, buildPlatform, encode, unwrap} from './fixtures.js';
+import {
+	buildChange,
+	buildPlatform,
+	encode,
+	unwrap,
+} from './platform.fixture.js';
 import {runReader, type ReaderState} from './reader.js';
 import {type ResourceStore} from './resource-store.js';
 
--- a/packages/platform/src/resource-store.test.ts
+++ b/packages/platform/src/resource-store.test.ts
@@ -1,6 +1,11 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {buildChange, buildPlatform, encode, unwrap} from './fixtures.js';
+import {
+	buildChange,
+	buildPlatform,
+	encode,
+	unwrap,
+} from './platform.fixture.js';
 
 const key = {kind: 'teams', name: 'kitchen'} as const;
 
--- a/packages/platform/src/transport.ts
+++ b/packages/platform/src/transport.ts
@@ -48,7 +48,7 @@
 An idle connection may have gone silent: something between the ends has lost track of it, the
 next call on it would wait out its whole limit. So one idle for this long is not reused.
 */
-const idleConnectionMs = 1000;
+const idleConnectionMs = 500;
 
 /** One host's connections to the platform: a bound, so that a burst of calls can't flood it. */
 const maxConnections = 16;
--- a/packages/trials/src/system.ts
+++ b/packages/trials/src/system.ts
@@ -1,6 +1,7 @@
 /**
 The stand-ins of a trial as processes: platform, relays between data centres, executors.
 */
+import {Buffer} from 'node:buffer';
 import {request} from 'undici';
 import {
 	executorsListeningSchema,
@@ -23,10 +24,13 @@
 /** How the platform's stand-in misbehaves; absent data centre: towards all. */
 export type PlatformFault = {
 	dataCentre?: string;
-	mode: 'ok' | 'down' | 'slow' | 'drop-reply' | 'silent';
+	mode: 'ok' | 'down' | 'slow' | 'drop-reply' | 'silent' | 'silent-open';
 	ms?: number;
 };
 
+/** Of the hosts' resources in the platform's store. */
+const resourcePrefix = 'trial/resources/';
+
 export type PlacedExecutor = ExecutorPlace & {address: string};
 
 const platformListeningSchema = z.object({
@@ -81,6 +85,27 @@
 			});
 			await response.body.dump();
 		},
+		/** Writes a resource's record past all hosts; returns its revision. */
+		async putResource(key: string, record: unknown): Promise<number> {
+			const encode = (text: string) => Buffer.from(text).toString('base64');
+			const response = await request(`${Object.values(urls)[0]!}/v3/kv/txn`, {
+				method: 'POST',
+				body: JSON.stringify({
+					success: [
+						{
+							request_put: {
+								key: encode(`${resourcePrefix}${key}`),
+								value: encode(JSON.stringify(record)),
+							},
+						},
+					],
+				}),
+			});
+			const {header} = (await response.body.json()) as {
+				header: {revision: string};
+			};
+			return Number(header.revision);
+		},
 		async readCalls(): Promise<unknown> {
 			const response = await request(`${control}/control/calls`);
 			return response.body.json();
