--- a/packages/platform/src/transport.ts
+++ b/packages/platform/src/transport.ts
@@ -19,6 +19,8 @@
 	url: string;
 	/** Limit on one call, from its start to its whole answer. */
 	timeoutMs: number;
+	/** Local IP of the connections: the service counts calls by it. */
+	source?: string;
 	onCall?: (kind: CallKind) => void;
 };
 
@@ -46,7 +48,7 @@
 An idle connection may have gone silent: something between the ends has lost track of it, the
 next call on it would wait out its whole limit. So one idle for this long is not reused.
 */
-const idleConnectionMs = 1000;
+const idleConnectionMs = 500;
 
 /** One host's connections to the platform: a bound, so that a burst of calls can't flood it. */
 const maxConnections = 16;
@@ -59,6 +61,7 @@
 export function createTransport({
 	url,
 	timeoutMs,
+	source,
 	onCall,
 }: TransportOptions): Transport {
 	const agent = new Agent({
@@ -66,7 +69,7 @@
 		pipelining: 1,
 		keepAliveTimeout: idleConnectionMs,
 		keepAliveMaxTimeout: idleConnectionMs,
-		connect: {timeout: timeoutMs * connectShare},
+		connect: {timeout: timeoutMs * connectShare, localAddress: source},
 	});
 
 	async function fetchJson<T>(
