Run the trials one file at a time

Cause: trials share the processors; four at once would judge each other's pauses. Change: unit tests four at a time, then trials one at a time.

--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -25,18 +25,33 @@
 	process.exit(1);
 }
 
-const run = spawnSync(
-	process.execPath,
-	[
+function runTests(list, concurrency) {
+	if (list.length === 0) {
+		return 0;
+	}
+
+	const args = [
 		'--import',
 		'tsx',
 		'--test',
-		'--test-concurrency=4',
+		`--test-concurrency=${concurrency}`,
 		// A test that hangs fails instead of holding up the run.
 		'--test-timeout=120000',
 		'--test-reporter=spec',
-		...files,
-	],
-	{stdio: 'inherit'},
+	];
+	return (
+		spawnSync(process.execPath, [...args, ...list], {stdio: 'inherit'})
+			.status ?? 1
+	);
+}
+
+const isTrial = (file) => file.includes(`${path.sep}trials${path.sep}`);
+const unitStatus = runTests(
+	files.filter((file) => !isTrial(file)),
+	4,
+);
+const trialStatus = runTests(
+	files.filter((file) => isTrial(file)),
+	1,
 );
-process.exit(run.status ?? 1);
+process.exit(unitStatus === 0 ? trialStatus : unitStatus);
