Find executors declared twice at one address, and tell why a watch was refused

Cause: one process declared as two executors would be lent twice its slots; a watch that got an error answer printed it as a malformed event. Change: the shared address is a finding at its line; the watch tells status and body.

--- a/packages/cli/src/commands/watch.ts
+++ b/packages/cli/src/commands/watch.ts
@@ -39,7 +39,7 @@
 		}
 
 		hosts = [...hosts.slice(1), hosts[0]!];
-		await pause(signal);
+		await waitForPause(signal);
 	}
 
 	return exitCodes.ok;
@@ -79,7 +79,7 @@
 	return `${title} ${cells.map(([key, cell]) => `${key.toLowerCase()}=${cell}`).join(' ')}`;
 }
 
-async function pause(signal: AbortSignal): Promise<void> {
+async function waitForPause(signal: AbortSignal): Promise<void> {
 	const span = longestPauseMs - shortestPauseMs;
 	const ms = shortestPauseMs + Math.random() * span;
 	try {
--- a/packages/cli/src/host-options.ts
+++ b/packages/cli/src/host-options.ts
@@ -16,7 +16,7 @@
 				'base URL of an entry host or balancer; repeat it, and they are tried in order',
 			)
 				.env('GENTIANSHIFT_HOSTS')
-				.argParser(collectHosts)
+				.argParser(parseHosts)
 				.makeOptionMandatory(),
 		)
 		.addOption(
@@ -46,7 +46,7 @@
 	return ms;
 }
 
-function collectHosts(text: string, earlier: string[] = []): string[] {
+function parseHosts(text: string, earlier: string[] = []): string[] {
 	const hosts = text.split(',').filter((part) => part !== '');
 	for (const host of hosts) {
 		if (!URL.canParse(host)) {
--- a/packages/cli/src/http.ts
+++ b/packages/cli/src/http.ts
@@ -69,7 +69,11 @@
 
 	const {host, statusCode, body} = opened.value;
 	if (statusCode !== 200) {
-		yield ok(parseBody(await body.text()));
+		const text = await body.text();
+		yield err({
+			code: 'lost',
+			message: `${host}: status ${statusCode}: ${text.slice(0, 200)}`,
+		});
 		return;
 	}
 
--- a/packages/cli/src/jobs.ts
+++ b/packages/cli/src/jobs.ts
@@ -93,7 +93,7 @@
 	let wasLost = false;
 	let lost = 0;
 	for (;;) {
-		const order = rotate(hosts, lost);
+		const order = listFrom(hosts, lost);
 		const timeoutMs = waitMs + graceMs;
 		const answer = readAnswer(
 			await sendRequest(order, {...request, timeoutMs}),
@@ -132,7 +132,7 @@
 	return state !== 'queued' && state !== 'running';
 }
 
-function rotate<T>(items: readonly T[], by: number): T[] {
+function listFrom<T>(items: readonly T[], by: number): T[] {
 	const start = by % items.length;
 	return [...items.slice(start), ...items.slice(0, start)];
 }
--- a/packages/settings/src/declarations.ts
+++ b/packages/settings/src/declarations.ts
@@ -71,9 +71,11 @@
 	}
 
 	for (const executor of found.executors) {
-		foldExecutor(found, executor);
+		addToTarget(found, executor);
 	}
 
+	found.findings.push(...findSharedAddresses(found.executors));
+
 	return found.findings.length > 0
 		? err(found.findings)
 		: ok(found.declarations);
@@ -179,7 +181,7 @@
 	found.declarations.push({kind, name, spec, place} as Declaration);
 }
 
-function foldExecutor(found: Found, {target, executor, place}: FoundExecutor) {
+function addToTarget(found: Found, {target, executor, place}: FoundExecutor) {
 	const key = formatKey({kind: 'targets', name: target});
 	const holder = found.declarations.find(
 		(declaration) => formatKey(declaration) === key,
@@ -198,3 +200,26 @@
 		});
 	}
 }
+
+/**
+One process declared twice would be lent twice its slots. Its operator would see it refuse
+tasks that it has no room for.
+*/
+function findSharedAddresses(executors: readonly FoundExecutor[]): Finding[] {
+	const firsts = new Map<string, Place>();
+	return executors.flatMap(({executor: {address}, place}) => {
+		const first = firsts.get(address);
+		if (first === undefined) {
+			firsts.set(address, place);
+			return [];
+		}
+
+		return [
+			{
+				code: 'duplicate-address',
+				place: {...place, path: [...place.path, 'address']},
+				message: `found ${address} again (first in ${first.file}:${first.line}); allowed: one executor an address`,
+			},
+		];
+	});
+}
--- a/packages/settings/src/ini-document.ts
+++ b/packages/settings/src/ini-document.ts
@@ -29,16 +29,16 @@
 
 /** Reads INI text; what is wrong with its form comes back as findings of the document. */
 export function parseIni(text: string, file: string): IniDocument {
-	const document = locateSections(text, file);
+	const document = readSections(text, file);
 	const values = parse(text) as Record<string, unknown>;
 	for (const section of document.sections) {
-		fillValues(section, values[section.name]);
+		setValues(section, values[section.name]);
 	}
 
 	return document;
 }
 
-function fillValues(section: IniSection, values: unknown): void {
+function setValues(section: IniSection, values: unknown): void {
 	for (const entry of section.entries) {
 		entry.value = formatValue(
 			(values as Record<string, IniValue> | undefined)?.[entry.key],
@@ -50,18 +50,18 @@
 	return value === undefined ? '' : String(value);
 }
 
-function locateSections(text: string, file: string): IniDocument {
+function readSections(text: string, file: string): IniDocument {
 	const document: IniDocument = {file, sections: [], findings: []};
 	for (const [index, content] of text.split(/\r?\n/v).entries()) {
 		if (!commentPattern.test(content)) {
-			locateLine(document, content, index + 1);
+			readLine(document, content, index + 1);
 		}
 	}
 
 	return document;
 }
 
-function locateLine(document: IniDocument, content: string, line: number) {
+function readLine(document: IniDocument, content: string, line: number) {
 	const section = sectionPattern.exec(content)?.[1];
 	if (section !== undefined) {
 		addSection(document, section.trim(), line);
