--- a/packages/cli/src/commands/submit.ts
+++ b/packages/cli/src/commands/submit.ts
@@ -1,11 +1,11 @@
 /**
 `submit`: submits a job, shows its progress on a terminal and writes its whole answer.
 */
-import {formatFindings, type JobAnswer} from '@gentianshift/resources';
+import {formatFindings} from '@gentianshift/resources';
 import {type ExitCode, exitCodes} from '../exit-codes.js';
 import {type HostOptions} from '../host-options.js';
 import {createJobId, submitJob} from '../jobs.js';
-import {writeJob} from '../report-job.js';
+import {formatState, writeJob} from '../report-job.js';
 import {reportFailure} from '../report.js';
 import {parseTasks} from '../tasks.js';
 import {type Terminal} from '../terminal.js';
@@ -38,15 +38,19 @@
 	const id = made === false ? options.id! : made.value;
 	terminal.writeError(`job ${id}`);
 	const {service, team, deadline: deadlineMs} = options;
+	const begin = performance.now();
 	const answer = await submitJob(options.host, {
 		id,
 		attempt: options.attempt,
 		submission: {service, team, deadlineMs, tasks},
 		onProgress(state) {
-			terminal.showProgress(formatProgress(state));
+			terminal.showProgress(formatState(state));
 		},
 	});
-	return writeJob(terminal, id, answer, options.output);
+	const tookMs = Math.round(performance.now() - begin);
+	const code = writeJob(terminal, id, answer, options.output);
+	terminal.writeError(`answered after ${tookMs} ms`);
+	return code;
 }
 
 async function readTasks(
@@ -66,7 +70,3 @@
 
 	return undefined;
 }
-
-function formatProgress({state, done, tasks}: JobAnswer): string {
-	return `${state}: ${done} of ${tasks} tasks done`;
-}
--- a/packages/cli/src/report-job.ts
+++ b/packages/cli/src/report-job.ts
@@ -48,14 +48,18 @@
 ): void {
 	if (output === 'json') {
 		writeOut(JSON.stringify(answer));
-		return;
+	} else {
+		for (const result of answer.results ?? []) {
+			writeOut(JSON.stringify(result));
+		}
 	}
 
-	for (const result of answer.results ?? []) {
-		writeOut(JSON.stringify(result));
-	}
+	writeError(formatState(answer));
+}
 
-	writeError(`${answer.state}: ${answer.done} of ${answer.tasks} tasks done`);
+/** A job's state and how far it is, in one line. */
+export function formatState({state, done, tasks}: JobAnswer): string {
+	return `${state}: ${done} of ${tasks} tasks done`;
 }
 
 function writeFailure(
--- a/scripts/demo.mjs
+++ b/scripts/demo.mjs
@@ -8,7 +8,13 @@
 */
 import {spawn} from 'node:child_process';
 import {once} from 'node:events';
-import {readdirSync, readFileSync} from 'node:fs';
+import {
+	createWriteStream,
+	mkdirSync,
+	openSync,
+	readdirSync,
+	readFileSync,
+} from 'node:fs';
 import process from 'node:process';
 import {createInterface} from 'node:readline';
 import {setTimeout as delay} from 'node:timers/promises';
@@ -23,6 +29,7 @@
 	{name: 'tineo-1', dataCentre: 'tineo', port: 17_003, inner: 17_013},
 ];
 const urls = hosts.map(({port}) => `http://127.0.0.1:${port}`);
+const logDirectory = 'results/demo';
 const taskCount = 300;
 const taskMs = 100;
 
@@ -35,7 +42,8 @@
 const children = [];
 
 function startChild(name, command, args) {
-	const child = spawn(command, args, {stdio: ['ignore', 'pipe', 'inherit']});
+	const log = openSync(`${logDirectory}/${name}.log`, 'w');
+	const child = spawn(command, args, {stdio: ['ignore', 'pipe', log]});
 	children.push({name, child});
 	child.once('error', (error) => {
 		say(`${name}: ${error.message}`);
@@ -101,11 +109,9 @@
 
 async function startHosts() {
 	for (const {name, dataCentre} of hosts) {
-		startChild(name, program, [
-			'serve',
-			'--settings',
-			`examples/hosts/${dataCentre}.ini`,
-		]).stdout.pipe(process.stdout);
+		const settings = `examples/hosts/${dataCentre}.ini`;
+		const host = startChild(name, program, ['serve', '--settings', settings]);
+		host.stdout.pipe(createWriteStream(`${logDirectory}/${name}.jsonl`));
 	}
 
 	await Promise.all(urls.map(async (url) => waitForOk(`${url}/readyz`)));
@@ -174,9 +180,7 @@
 		JSON.stringify({ms: taskMs, value: `menu ${i + 1}`}),
 	);
 	const job = ['--service', 'meals', '--team', 'cooks', '--output', 'json'];
-	const begin = performance.now();
 	const text = await runProgram(['submit', ...job], {input: tasks.join('\n')});
-	const tookMs = Math.round(performance.now() - begin);
 	const answer = JSON.parse(text);
 	const isWhole = answer.results?.every(
 		({value}, i) => value === `menu ${i + 1}`,
@@ -187,7 +191,7 @@
 
 	const idealMs = Math.ceil(taskCount / 240) * taskMs;
 	say(
-		`${answer.state}: ${answer.results.length} results, in task order; ${tookMs} ms with the start of the command line (the tasks alone on 240 slots: ${idealMs} ms)`,
+		`${answer.state}: ${answer.results.length} results, in task order (the tasks alone on 240 slots: ${idealMs} ms)`,
 	);
 	return answer.id;
 }
@@ -216,7 +220,7 @@
 		}
 	}
 
-	say('stopped everything');
+	say(`stopped everything; the logs are in ${logDirectory}`);
 }
 
 function killAll() {
@@ -235,6 +239,7 @@
 	process.exit(1);
 }, limitMs).unref();
 
+mkdirSync(logDirectory, {recursive: true});
 try {
 	await startPlatform();
 	await startExecutors();
