Let jobs in by what their team can count on, and see them through

Change: a job that comes may not push a waiting one past its deadline as long as that one could make it; a job whose deadline nears goes first; a team counts on its share or what it had of late, not on what other teams left free at that moment; the slowest task counts for wide jobs.

--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -4,6 +4,7 @@
 export * from './job-mix.js';
 export * from './job-sizes.js';
 export * from './measures.js';
+export * from './policies-clairvoyant.js';
 export * from './replay.js';
 export * from './report.js';
 export * from './run.js';
--- a/packages/decisions/src/admission.ts
+++ b/packages/decisions/src/admission.ts
@@ -18,10 +18,12 @@
 	waitingTasks: number;
 	/** Most tasks that may wait. */
 	queueTasks: number;
-	/** The team's part of the capacity, slots. */
+	/** Slots that the team can count on. */
 	share: number;
 	/** Learned run time of a task of the service, milliseconds. */
 	taskMs: number;
+	/** Learned 99th percentile of it. */
+	p99Ms: number;
 	/** False while the run time is only declared, or no task has ended for a while. */
 	isLearned: boolean;
 	now: number;
@@ -37,6 +39,9 @@
 */
 const waitingMargin = 1.4;
 
+/** The slowest of this many tasks takes about the 99th percentile. */
+const tasksToP99 = 100;
+
 /** Bounds of "come back later", milliseconds: not at once, and not after all has drained. */
 const leastRetryMs = 200;
 const longestRetryMs = 30_000;
@@ -80,29 +85,31 @@
 function estimateLateness(job: JobState, doubted: Doubted): number {
 	const {view, doubt} = doubted;
 	const workMs = job.demand.remaining * view.taskMs;
-	const waitMs = estimateWait(job.team, doubted, {
-		teamMs: sumWorkAhead(job) + workMs,
-		newMs: workMs,
-	});
-	const runMs = doubt * view.taskMs;
-	return waitingMargin * waitMs + runMs - (job.deadlineAt - view.now);
+	const aheadMs = sumWorkAhead(job);
+	const waitMs = estimateWait(job.team, doubted, aheadMs + workMs);
+	const tailMs = estimateTail(job, doubted);
+	return waitingMargin * waitMs + tailMs - (job.deadlineAt - view.now);
 }
 
-/**
-Time until work of the team has gone through: by the team's share, or sooner if all that waits,
-of all teams and with the new job, is done sooner.
-*/
+/** Time until work of the team has gone through by the slots that it can count on. */
 function estimateWait(
-	team: TeamState,
+	{inUse}: TeamState,
 	{view, doubt}: Doubted,
-	{teamMs, newMs}: {teamMs: number; newMs: number},
+	teamMs: number,
 ): number {
-	const halfTask = view.taskMs / 2;
-	const allMs = view.waitingWorkMs + newMs + view.inUse * halfTask;
-	const byAll = allMs / Math.max(1, view.capacity);
-	const share = Math.max(1, Math.min(view.share, team.quota));
-	const byTeam = (teamMs + team.inUse * halfTask) / share;
-	return doubt * Math.min(byAll, byTeam);
+	const runningMs = (inUse * view.taskMs) / 2;
+	return (doubt * (teamMs + runningMs)) / view.share;
+}
+
+/**
+How long the last task of a job takes: of many tasks the slowest counts. While nothing waits the
+mean is taken, so that a job isn't turned away from free slots for what may go wrong.
+*/
+function estimateTail(job: JobState, {view, doubt}: Doubted): number {
+	const isIdle = view.waitingWorkMs === 0;
+	const slowest = Math.log(job.demand.remaining) / Math.log(tasksToP99);
+	const part = isIdle ? 0 : Math.min(1, slowest);
+	return doubt * (view.taskMs + part * (view.p99Ms - view.taskMs));
 }
 
 function sumWorkAhead(job: JobState): number {
@@ -125,13 +132,11 @@
 	for (let i = job.team.waiting.findPlace(job); i < items.length; i += 1) {
 		const overtaken = items[i]!;
 		teamMs += overtaken.workMs;
-		const timeLeft = overtaken.deadlineAt - view.now - doubt * view.taskMs;
-		const before = estimateWait(job.team, doubted, {teamMs, newMs: 0});
-		const after = estimateWait(job.team, doubted, {
-			teamMs: teamMs + newMs,
-			newMs,
-		});
-		if (after > timeLeft && before <= timeLeft) {
+		const tailMs = estimateTail(overtaken, doubted);
+		const timeLeft = overtaken.deadlineAt - view.now - tailMs;
+		const alone = estimateWait(job.team, doubted, overtaken.workMs);
+		const after = estimateWait(job.team, doubted, teamMs + newMs);
+		if (after > timeLeft && alone <= timeLeft) {
 			return after - timeLeft;
 		}
 	}
--- a/packages/decisions/src/decide.ts
+++ b/packages/decisions/src/decide.ts
@@ -11,6 +11,9 @@
 /** Waiting jobs are looked through for deadlines out of reach this often, milliseconds. */
 const sweepEveryMs = 50;
 
+/** A job is put forward when it has this many times the time left that it needs alone. */
+const urgentMargin = 3;
+
 /** Back-off told to a job refused because its time ran out while it waited, milliseconds. */
 const sweptRetryMs = 1000;
 
@@ -51,8 +54,9 @@
 		waitingWorkMs: jobs.waitingWorkMs,
 		waitingTasks: jobs.waitingTasks,
 		queueTasks,
-		share: jobs.teams.computeShare(job.team, capacity),
+		share: jobs.teams.estimateShare(job.team, capacity, pool.countFree(now)),
 		taskMs: state.viewJob(job.demand, now).taskMs,
+		p99Ms: state.estimates.get(service)?.p99Ms ?? job.demand.taskMs,
 		isLearned: state.isLearned(service, now),
 		now,
 	};
@@ -77,6 +81,8 @@
 	}
 
 	state.sweptAt = now;
+	state.jobs.teams.sampleUse();
+	hastenUrgent(state, now);
 	const hopeless = [...state.jobs.listWaiting()].filter((job) =>
 		isHopeless(state, job, now),
 	);
@@ -85,6 +91,29 @@
 	);
 }
 
+/**
+Puts jobs forward that will miss their deadline unless they get most of the slots from now on.
+For saturation: by least remaining work alone, a long job would be let in, lose its slots to
+each shorter one that comes, and fail at its deadline with half of its tasks done for nothing.
+*/
+function hastenUrgent(state: KeeperState, now: number): void {
+	const {jobs, pool} = state;
+	const capacity = Math.max(1, pool.capacity);
+	const free = pool.countFree(now);
+	const urgent = [...jobs.listWaiting()].filter((job) => {
+		const tailMs = state.estimates.get(job.demand.service)?.p99Ms ?? 0;
+		const share = jobs.teams.estimateShare(job.team, capacity, free);
+		const aloneMs = (urgentMargin * job.workMs) / share;
+		const isPossible = now + job.workMs / capacity < job.deadlineAt;
+		return (
+			!job.isUrgent && isPossible && now + aloneMs + tailMs > job.deadlineAt
+		);
+	});
+	for (const job of urgent) {
+		jobs.hasten(job);
+	}
+}
+
 function isHopeless(state: KeeperState, job: JobState, now: number): boolean {
 	const hasStarted = job.granted > 0 || job.shifting > 0;
 	const taskMs = state.isLearned(job.demand.service, now)
--- a/packages/decisions/src/executor-health.ts
+++ b/packages/decisions/src/executor-health.ts
@@ -35,8 +35,8 @@
 const rememberedSamples = 40;
 
 /** First wait before a shut-out executor is tried with one task, and the longest, milliseconds. */
-const firstProbeMs = 500;
-const longestProbeMs = 16_000;
+const firstProbeMs = 1000;
+const longestProbeMs = 32_000;
 
 /** Good probes in a row that open a shut-out executor again. */
 const probesToOpen = 2;
--- a/packages/decisions/src/job-state.ts
+++ b/packages/decisions/src/job-state.ts
@@ -17,6 +17,8 @@
 	readonly since: number;
 	deadlineAt: number;
 	isAdmitted: boolean;
+	/** Its deadline is near: it goes before all that isn't. */
+	isUrgent: boolean;
 	isListed: boolean;
 	/** What is left, milliseconds of one slot; in the team's sum while listed. */
 	workMs: number;
--- a/packages/decisions/src/job-table.ts
+++ b/packages/decisions/src/job-table.ts
@@ -7,6 +7,9 @@
 import {ageingFactor} from './rank.js';
 import {TeamTable} from './team-table.js';
 
+/** Moves urgent jobs before all others in the order: longer than any job waits, milliseconds. */
+const urgentLeadMs = 1e12;
+
 /** What an update needs to know of the keeper's state. */
 export type JobView = {now: number; taskMs: number; slots: number};
 
@@ -142,7 +145,17 @@
 	rank(job: JobState, {taskMs, slots}: JobView): void {
 		job.workMs = job.demand.remaining * taskMs;
 		const overtakenMs = (ageingFactor * job.workMs) / Math.max(1, slots);
-		job.order = job.since + overtakenMs;
+		job.order = job.isUrgent
+			? job.deadlineAt - urgentLeadMs
+			: job.since + overtakenMs;
+	}
+
+	/** Puts a waiting job before all that aren't urgent, the nearest deadline first. */
+	hasten(job: JobState): void {
+		this.#unlist(job);
+		job.isUrgent = true;
+		job.order = job.deadlineAt - urgentLeadMs;
+		this.relist(job);
 	}
 
 	#enter(demand: Demand, now: number): JobState {
@@ -157,6 +170,7 @@
 			since: now - demand.waitedMs,
 			deadlineAt: now + demand.deadlineInMs,
 			isAdmitted: demand.isAdmitted ?? false,
+			isUrgent: false,
 			isListed: false,
 			workMs: 0,
 			isForeign: false,
--- a/packages/decisions/src/recall.ts
+++ b/packages/decisions/src/recall.ts
@@ -121,6 +121,10 @@
 		return isWaitingBelow;
 	}
 
+	if (waiting.isUrgent !== holder.isUrgent) {
+		return waiting.isUrgent;
+	}
+
 	return (
 		waiting.order < holder.order &&
 		waiting.workMs * recallFactor < holder.workMs
--- a/packages/decisions/src/replay.fixture.ts
+++ b/packages/decisions/src/replay.fixture.ts
@@ -32,6 +32,8 @@
 	state: 'open' | 'done' | 'failed' | 'refused' | 'cancelled' | 'late';
 	endedAt: number;
 	workDone: number;
+	/** Of it, done before the last arrival. */
+	workInTime: number;
 };
 
 export type ReplayPlan = {
@@ -81,6 +83,7 @@
 	readonly #events = new RankedList<Event>();
 	#sequence = 0;
 	readonly #plan: ReplayPlan;
+	readonly #lastAt: number;
 	readonly #keepers: Lender[] = [];
 	readonly #isDeciding: boolean[] = [];
 	readonly #wakeAt: number[] = [];
@@ -91,11 +94,13 @@
 
 	constructor(plan: ReplayPlan) {
 		this.#plan = plan;
+		this.#lastAt = Math.max(...plan.jobs.map(({at}) => at));
 		this.#jobs = plan.jobs.map((job, number) => ({
 			plan: job,
 			state: 'open',
 			endedAt: 0,
 			workDone: 0,
+			workInTime: 0,
 			number,
 			next: 0,
 			done: 0,
@@ -342,6 +347,7 @@
 		if (outcome.result === 'done') {
 			job.done += 1;
 			job.workDone += runMs;
+			job.workInTime += this.now <= this.#lastAt ? runMs : 0;
 		} else {
 			this.#end(job, 'failed');
 		}
--- a/packages/decisions/src/team-table.ts
+++ b/packages/decisions/src/team-table.ts
@@ -13,12 +13,17 @@
 	jobs: number;
 	/** Slots lent to the team's jobs. */
 	inUse: number;
+	/** Of late: what the team gets when it asks for more than its share. */
+	usualSlots: number;
 	/** Admitted jobs that want more slots. */
 	readonly waiting: RankedList<JobState>;
 	/** Work of the waiting jobs, milliseconds of one slot. */
 	waitingWorkMs: number;
 };
 
+/** Weight of the newest sample of slots in use: at one each 50 ms half a second's worth counts. */
+const sampleWeight = 0.1;
+
 const defaultShare: TeamShare = {weight: 1};
 
 export class TeamTable {
@@ -44,6 +49,7 @@
 			...this.#readShare(name),
 			jobs: 0,
 			inUse: 0,
+			usualSlots: 0,
 			waiting: new RankedList(),
 			waitingWorkMs: 0,
 		};
@@ -78,10 +84,26 @@
 		return weights;
 	}
 
-	/** A team's part of the capacity: its weight over the weights of the teams with work. */
-	computeShare(team: TeamState, capacity: number): number {
+	/**
+	Slots that a team can count on: its weight over the weights of the teams with work, or what it
+	has had of late, with what is free, if that is more. What other teams leave unused isn't
+	counted by what waits: those that ask for less than their share go on asking.
+	*/
+	estimateShare(team: TeamState, capacity: number, free: number): number {
 		const newWeight = isActive(team) ? 0 : team.weight;
-		return (capacity * team.weight) / (this.sumWeights() + newWeight);
+		const weights = this.sumWeights() + newWeight;
+		const fair = (capacity * team.weight) / weights;
+		return Math.max(
+			1,
+			Math.min(team.quota, Math.max(fair, team.usualSlots + free)),
+		);
+	}
+
+	/** Takes a sample of the slots in use; at even times. */
+	sampleUse(): void {
+		for (const team of this.#teams.values()) {
+			team.usualSlots += sampleWeight * (team.inUse - team.usualSlots);
+		}
 	}
 
 	/**
