--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -10,6 +10,7 @@
 import {Command} from 'commander';
 import {formatDispatchCost, measureDispatchCost} from './dispatch-cost.js';
 import {formatJobSizes, measureJobSizes} from './job-sizes.js';
+import {measureClairvoyant} from './policies-clairvoyant.js';
 import {formatTable, type LabelledResult} from './report.js';
 import {runTrace, type Variant} from './run.js';
 import {createTrace, scenarios} from './scenarios.js';
@@ -110,7 +111,13 @@
 		}
 
 		const results = await runVariants(trace.value, listVariants(options));
-		process.stdout.write(`${formatTable(trace.value, results)}\n`);
+		const limit = {
+			label: 'clairvoyant',
+			measures: measureClairvoyant(trace.value),
+			violations: [],
+		};
+		const columns = [...results, limit];
+		process.stdout.write(`${formatTable(trace.value, columns)}\n`);
 		report[name] = results;
 		if (options.json !== undefined) {
 			saveReport(options.json, report);
--- a/packages/bench/src/policies-clairvoyant.test.ts
+++ b/packages/bench/src/policies-clairvoyant.test.ts
@@ -5,8 +5,8 @@
 test('the least work goes first when a slot comes free', () => {
 	const [long, short] = replayClairvoyant(
 		[
-			{atMs: 0, runMs: [100, 100, 100]},
-			{atMs: 50, runMs: [10]},
+			{at: 0, tasks: [100, 100, 100]},
+			{at: 50, tasks: [10]},
 		],
 		1,
 	);
@@ -15,6 +15,6 @@
 });
 
 test('a job alone has a ratio of one', () => {
-	const [job] = replayClairvoyant([{atMs: 5, runMs: [30, 80, 20]}], 8);
+	const [job] = replayClairvoyant([{at: 5, tasks: [30, 80, 20]}], 8);
 	assert.equal(job!.ratio, 1);
 });
--- a/packages/bench/src/policies-clairvoyant.ts
+++ b/packages/bench/src/policies-clairvoyant.ts
@@ -3,14 +3,10 @@
 asks nobody and waits for no message. Replayed offline on the trace of a run.
 */
 import {RankedList} from '@gentianshift/decisions';
+import {computeIdealMs} from './measures.js';
+import {countSlots, type Trace, type TraceJob} from './trace.js';
 
-/** A job of a trace, with what only a clairvoyant knows. */
-export type TraceJob = {
-	/** Arrival, milliseconds from the trace's start. */
-	atMs: number;
-	/** True run time of each task, milliseconds. */
-	runMs: readonly number[];
-};
+export type ClairvoyantInput = Pick<TraceJob, 'at' | 'tasks'>;
 
 export type ClairvoyantJob = {
 	atMs: number;
@@ -37,10 +33,10 @@
 Returns the jobs in the trace's order.
 
 @example
-replayClairvoyant([{atMs: 0, runMs: [100, 100]}], 1)[0].endedAtMs; // 200
+replayClairvoyant([{at: 0, tasks: [100, 100]}], 1)[0].endedAtMs; // 200
 */
 export function replayClairvoyant(
-	trace: readonly TraceJob[],
+	trace: readonly ClairvoyantInput[],
 	slots: number,
 ): ClairvoyantJob[] {
 	const waiting = new RankedList<Running>();
@@ -98,15 +94,10 @@
 	}));
 }
 
-/** What a job would take alone: its longest task, or its work over all slots if that is more. */
-export function computeIdealMs(
-	runMs: readonly number[],
-	slots: number,
-): number {
-	return Math.max(...runMs, sumWork(runMs) / slots);
-}
-
-function prepareJob({atMs, runMs}: TraceJob, sequence: number): Running {
+function prepareJob(
+	{at: atMs, tasks: runMs}: ClairvoyantInput,
+	sequence: number,
+): Running {
 	return {
 		order: sumWork(runMs),
 		sequence,
@@ -125,3 +116,28 @@
 
 	return workMs;
 }
+
+/**
+The limit's response ratios on a trace, for the column beside the measured ones. Jobs that can
+never run are left out, cancelled ones run to their end: a limit for traces without them.
+*/
+export function measureClairvoyant({
+	header,
+	jobs,
+}: Trace): Record<string, number> {
+	const runnable = jobs.filter(({service}) => {
+		const target = header.services[service]?.target ?? '';
+		return header.targets[target] === 'full';
+	});
+	const ratios = replayClairvoyant(runnable, countSlots(header))
+		.map(({ratio}) => ratio)
+		.toSorted((a, b) => a - b);
+	const findRatio = (part: number): number =>
+		ratios[Math.min(ratios.length - 1, Math.floor(ratios.length * part))] ?? 0;
+	return {
+		jobs: ratios.length,
+		'ratio.p50': findRatio(0.5),
+		'ratio.p99': findRatio(0.99),
+		'ratio.p999': findRatio(0.999),
+	};
+}
