--- a/packages/standins/src/platform-faults.ts
+++ b/packages/standins/src/platform-faults.ts
@@ -15,6 +15,8 @@
 	'silent',
 	/** Like `silent`, for the connections that are open now only; new ones work. */
 	'silent-open',
+	/** Watches get each event `ms` late. */
+	'late-events',
 ]);
 
 export const faultSchema = z.object({
--- a/packages/standins/src/platform-gateway.ts
+++ b/packages/standins/src/platform-gateway.ts
@@ -126,6 +126,14 @@
 		this.#reply(res, kind, () => this.#answer(path, body));
 	}
 
+	#runLate(run: () => void): void {
+		if (this.#fault.mode === 'late-events') {
+			setTimeout(run, this.#fault.ms).unref();
+		} else {
+			run();
+		}
+	}
+
 	#reply(res: ServerResponse, kind: string, answer: () => unknown): void {
 		try {
 			const text = JSON.stringify(answer());
@@ -208,7 +216,10 @@
 		const writeEvents = (events: StoreEvent[]) => {
 			const seen = events.filter(({kv}) => isInRange(kv.key, range));
 			if (seen.length > 0) {
-				write({events: seen.map((event) => formatEvent(event))});
+				const result = {events: seen.map((event) => formatEvent(event))};
+				this.#runLate(() => {
+					write(result);
+				});
 			}
 		};
 
--- a/packages/trials/src/configuration.test.ts
+++ b/packages/trials/src/configuration.test.ts
@@ -113,6 +113,20 @@
 		assert.equal(refused.status, 503, JSON.stringify(refused));
 	});
 
+	test('watch events that come late, after newer revisions, change nothing', async (t) => {
+		// The store's watches lag while operators go on changing: peers have passed on the newest
+		// revision when a reader still gets the older ones. Taken over, a host would go back.
+		t.after(async () => system.platform.setFault({mode: 'ok'}));
+		await system.platform.setFault({mode: 'late-events', ms: 700});
+		for (let i = 0; i < 10; i++) {
+			await changeEverywhere('cooks', {at: i % 3});
+			await delay(200);
+		}
+
+		await delay(1000);
+		assert.deepEqual(recorder.reverts, []);
+	});
+
 	test('a data centre cut off misses changes, a delete and a compaction, and catches up', async (t) => {
 		// While it is cut off it goes on with what it has. Once joined it must take what it missed:
 		// by then the watch's revisions are compacted, and a plain copy of its old team must not
--- a/packages/trials/src/system.ts
+++ b/packages/trials/src/system.ts
@@ -6,6 +6,7 @@
 import {
 	executorsListeningSchema,
 	type ExecutorStats,
+	type FaultMode,
 	type LinkChange,
 	type ModeChange,
 	type RelayFault,
@@ -24,7 +25,7 @@
 /** How the platform's stand-in misbehaves; absent data centre: towards all. */
 export type PlatformFault = {
 	dataCentre?: string;
-	mode: 'ok' | 'down' | 'slow' | 'drop-reply' | 'silent' | 'silent-open';
+	mode: FaultMode;
 	ms?: number;
 };
 
