Connect to executors from the host's source IP

Cause: undici calls the connector with localAddress null, which took the place of the one the connector was built with; so executors saw every host at 127.0.0.1, and cuts, delays and silence between hosts and executors did nothing. Ruled out: the stand-in and the settings. Change: the connector hands the source on.

--- a/packages/executors/src/connect-error.ts
+++ b/packages/executors/src/connect-error.ts
@@ -23,7 +23,8 @@
 		keepAlive: true,
 	});
 	return (options, callback) => {
-		connect(options, (...result) => {
+		// The client hands over a `localAddress` of null, which would take the place of the connector's.
+		connect({...options, localAddress: source}, (...result) => {
 			if (result[0]) {
 				marked.add(result[0]);
 			}
