--- a/packages/trials/src/graceful-stop.test.ts
+++ b/packages/trials/src/graceful-stop.test.ts
@@ -8,12 +8,14 @@
 import {
 	closeCallers,
 	fetchIssuer,
+	type JobOutcome,
 	makeJobId,
 	runJob,
 	submitOnce,
 } from './caller.js';
 import {startSystem, type SystemOptions} from './harness.js';
 import {checkPromises} from './judge.js';
+import {startLoad} from './steady-load.js';
 
 after(closeCallers);
 
@@ -84,3 +86,56 @@
 	assert.deepEqual(checkPromises({starts, outcomes: [outcome]}), []);
 	assert.ok(starts.every(({task}) => !task.startsWith(id)));
 });
+
+// A balancer sends a stopping host one more job before it sees that the host isn't ready. Taken in
+// and then left without slots, the job would fail at the end of the stop for no reason.
+test('a job taken in at the beginning of a stop is answered whole', async (context) => {
+	const system = await openSystem(context);
+	const {name, url} = system.hosts[0]!;
+	const ids = [await system.makeId(), await system.makeId()] as const;
+	const tasks = [{ms: 300, value: 'menu'}];
+	const first = runJob([url], ids[0], {...job, tasks: [{ms: 1000}]});
+	await delay(100);
+	const stopped = system.terminate(name);
+	await delay(100);
+	const second = await runJob([url], ids[1], {...job, tasks});
+	assert.equal(second.kind, 'answer', JSON.stringify(second));
+	assert.ok(second.tookMs < 2000, `took ${second.tookMs} ms`);
+	assert.equal(await stopped, 0);
+	const outcomes = [await first, second];
+	const starts = await system.readStarts();
+	assert.deepEqual(checkPromises({starts, outcomes}), []);
+});
+
+// A new version goes out: all nine hosts are replaced one after another at the busiest time.
+// Callers reach a ready host through the balancer, and must notice nothing.
+test('a rolling restart of nine hosts under load cuts off no request', async (context) => {
+	const system = await openSystem(context, {hostsPerDataCentre: 3});
+	const load = startLoad(system.hosts, {
+		submission: {...job, tasks: [{ms: 60}, {ms: 60}, {ms: 60}]},
+		callers: 12,
+		pauseMs: 20,
+	});
+	await delay(500);
+	for (const {name} of system.hosts) {
+		assert.equal(await system.terminate(name), 0);
+		await system.restart(name);
+	}
+
+	await delay(500);
+	const {outcomes, cutOff} = await load.stop();
+	assert.deepEqual(cutOff, []);
+	const bad = outcomes.filter((outcome) => !isTruthful(outcome));
+	assert.deepEqual(bad, []);
+	const done = outcomes.filter(({kind}) => kind === 'answer');
+	assert.ok(done.length > 100, `${done.length} jobs done`);
+	const starts = await system.readStarts();
+	assert.deepEqual(checkPromises({starts, outcomes}), []);
+});
+
+/** Complete, or refused by a stopping host with nothing run. */
+function isTruthful(outcome: JobOutcome): boolean {
+	return outcome.kind === 'problem'
+		? outcome.problem.ran === 'none' && outcome.problem.code === 'stopping'
+		: outcome.kind === 'answer' && outcome.answer.state === 'complete';
+}
