Serve jobs whose home has no keeper, and find grants that were lost

Change: a home has a keeper, and jobs move when it has none; a keeper goes by the owner's count of grants after a second; waiting demands are told again each second. The queued count that goes with a repeated demand leaves out what has started.

--- a/packages/decisions/src/decide.ts
+++ b/packages/decisions/src/decide.ts
@@ -135,6 +135,7 @@
 
 		grants.push(lendSlot(state, job, executor, now));
 		job.granted += 1;
+		job.grantedAt = now;
 		state.jobs.relist(job);
 	}
 }
--- a/packages/decisions/src/job-state.ts
+++ b/packages/decisions/src/job-state.ts
@@ -26,6 +26,8 @@
 	isForeign: boolean;
 	/** Slots granted since the job's start, by this keeper or, as told, by others. */
 	granted: number;
+	/** When `granted` last rose, on the keeper's clock. */
+	grantedAt: number;
 	/** Slots asked for elsewhere, until the answer or `shiftingUntil`. */
 	shifting: number;
 	shiftingUntil: number;
--- a/packages/decisions/src/job-table.ts
+++ b/packages/decisions/src/job-table.ts
@@ -10,6 +10,9 @@
 /** Moves urgent jobs before all others in the order: longer than any job waits, milliseconds. */
 const urgentLeadMs = 1e12;
 
+/** A grant is known to its owner within milliseconds; this many times a link's delay is plenty. */
+const grantLostMs = 1000;
+
 /** What an update needs to know of the keeper's state. */
 export type JobView = {now: number; taskMs: number; slots: number};
 
@@ -35,6 +38,7 @@
 		const {owner, job: number} = demand;
 		const job = this.lookUp(owner, number) ?? this.#enter(demand, view.now);
 		this.#unlist(job);
+		settleGranted(job, demand, view.now);
 		job.isForeign = false;
 		job.demand = demand;
 		job.deadlineAt = view.now + demand.deadlineInMs;
@@ -175,6 +179,7 @@
 			workMs: 0,
 			isForeign: false,
 			granted: demand.granted ?? 0,
+			grantedAt: now,
 			shifting: 0,
 			shiftingUntil: 0,
 			held: new Map(),
@@ -208,6 +213,24 @@
 	}
 }
 
+/**
+Goes by the owner's count of granted slots where this keeper's can't be right. A grant can be
+lost: its link breaks just then, or another data centre's does. Counted here for ever, the job
+would wait for slots that never come, until its deadline. So a grant that the owner still doesn't
+know of after `grantLostMs` is taken for lost; one that comes later all the same is given back.
+*/
+function settleGranted(job: JobState, {granted}: Demand, now: number): void {
+	if (granted === undefined) {
+		return;
+	}
+
+	const isLost = granted < job.granted && now - job.grantedAt > grantLostMs;
+	const isMissed = granted > job.granted && job.isForeign;
+	if (isLost || isMissed) {
+		job.granted = granted;
+	}
+}
+
 function formatJobKey(owner: string, job: number): string {
 	return `${owner}#${job}`;
 }
--- a/packages/decisions/src/lender.test.ts
+++ b/packages/decisions/src/lender.test.ts
@@ -143,7 +143,7 @@
 	assert.deepEqual(shortages, [{owner: 'mieres_m1.a', job: 1, count: 2}]);
 	lender.startShift('mieres_m1.a', 1, 2, 0);
 	assert.deepEqual(lender.decide(1).shortages, []);
-	lender.settleShift('mieres_m1.a', 1, {asked: 2, granted: 1});
+	lender.settleShift('mieres_m1.a', 1, {asked: 2, granted: 1, now: 0});
 	assert.equal(lender.decide(3).shortages[0]!.count, 1);
 });
 
@@ -175,3 +175,17 @@
 	assert.equal(lender.readState(10).queuedTasks, 0);
 	assert.equal(lender.readState(10).free, 1);
 });
+
+test('slots granted over a link that broke just then are granted again', () => {
+	// Another data centre's keeper lends to an owner whose connection breaks at that moment. The
+	// home keeper hears "granted", the owner never does; its job waits for slots until it fails.
+	const lender = makeLender();
+	const demand = makeDemand({granted: 0});
+	lender.demand(demand, 0);
+	lender.startShift(demand.owner, demand.job, 1, 0);
+	lender.settleShift(demand.owner, demand.job, {asked: 1, granted: 1, now: 5});
+	lender.demand(demand, 500);
+	assert.equal(lender.decide(500).grants.length, 0);
+	lender.demand(demand, 1100);
+	assert.equal(lender.decide(1100).grants.length, 1);
+});
--- a/packages/decisions/src/lender.ts
+++ b/packages/decisions/src/lender.ts
@@ -201,12 +201,13 @@
 	settleShift(
 		owner: string,
 		job: number,
-		{asked, granted}: {asked: number; granted: number},
+		{asked, granted, now}: {asked: number; granted: number; now: number},
 	): void {
 		const state = this.#state.jobs.lookUp(owner, job);
 		if (state) {
 			state.shifting = Math.max(0, state.shifting - asked);
 			state.granted += granted;
+			state.grantedAt = now;
 			this.#state.jobs.relist(state);
 		}
 	}
--- a/packages/decisions/src/replay.fixture.ts
+++ b/packages/decisions/src/replay.fixture.ts
@@ -281,6 +281,7 @@
 				home.settleShift(demand.owner, job.number, {
 					asked,
 					granted: grants.length,
+					now: this.now,
 				});
 			});
 		});
--- a/packages/slots/src/borrower.ts
+++ b/packages/slots/src/borrower.ts
@@ -34,6 +34,9 @@
 /** Each so many requests a lease carries all that is held, so that a lost release is found. */
 const listEvery = 8;
 
+/** How often a waiting job's demand is told although nothing changed, milliseconds. */
+const repeatMs = 1000;
+
 type BorrowingJob = {
 	demand: JobDemand;
 	home: string;
@@ -41,6 +44,7 @@
 	granted: number;
 	isAdmitted: boolean;
 	toldRemaining: number;
+	toldAt: number;
 };
 
 type HeldSlot = LentSlot & {
@@ -86,6 +90,7 @@
 			granted: 0,
 			isAdmitted: demand.hasStarted,
 			toldRemaining: demand.remaining,
+			toldAt: 0,
 		};
 		this.#jobs.set(demand.job, job);
 		this.#openLeases(demand.target);
@@ -170,6 +175,8 @@
 				this.#renewLease(target, dataCentre, lease);
 			}
 		}
+
+		this.#moveHomeless();
 	}
 
 	/** The link to a host is up or down: what its keeper knew of this host is gone. */
@@ -201,9 +208,14 @@
 		}
 	}
 
-	/** The own data centre where it serves the target, else the one with the most executors. */
+	/**
+	The own data centre where it serves the target, else the one with the most executors. One
+	without a live keeper serves nobody: its only host may be stopping, or have died.
+	*/
 	#chooseHome(target: string): string {
-		const places = this.#ports.listDataCentres(target);
+		const places = this.#ports
+			.listDataCentres(target)
+			.filter((place) => this.#ports.findKeeper(target, place) !== undefined);
 		const {dataCentre} = this.#ports;
 		if (places.length === 0 || places.includes(dataCentre)) {
 			return dataCentre;
@@ -214,6 +226,23 @@
 		return [...places].toSorted((a, b) => count(b) - count(a))[0]!;
 	}
 
+	/** Jobs whose home has no keeper any more wait at another data centre's. */
+	#moveHomeless(): void {
+		for (const job of this.#jobs.values()) {
+			const {target} = job.demand;
+			if (this.#ports.findKeeper(target, job.home) !== undefined) {
+				continue;
+			}
+
+			const home = this.#chooseHome(target);
+			if (home !== job.home) {
+				job.home = home;
+				this.#openLeases(target);
+				this.#tellDemand(job);
+			}
+		}
+	}
+
 	#openLeases(target: string): void {
 		for (const dataCentre of this.#ports.listDataCentres(target)) {
 			const key = formatLeaseKey(target, dataCentre);
@@ -234,6 +263,7 @@
 		const {target, queued, ...rest} = demand;
 		const now = this.#ports.now();
 		job.toldRemaining = demand.remaining;
+		job.toldAt = now;
 		this.#sendToKeeper(target, job.home, {
 			t: 'demand',
 			target,
@@ -330,6 +360,10 @@
 
 	#handOver(slot: HeldSlot, executor: Executor): void {
 		this.#handlers.onSlot(slot.job, this.#createUsable(slot, executor));
+		const job = this.#jobs.get(slot.job);
+		if (job && this.#held.has(slot.slot)) {
+			job.demand = {...job.demand, queued: job.demand.queued - 1};
+		}
 	}
 
 	#createUsable(slot: HeldSlot, executor: Executor): UsableSlot {
@@ -362,7 +396,12 @@
 	): boolean {
 		const job = this.#jobs.get(slot.job);
 		if (job) {
-			job.demand = {...job.demand, ...left};
+			// One of those queued starts on this slot right away, if it is kept.
+			job.demand = {
+				...job.demand,
+				...left,
+				queued: left.queued - Number(!slot.isRecalled),
+			};
 		}
 
 		if (slot.isRecalled) {
@@ -450,6 +489,18 @@
 
 			this.#renewLease(target, dataCentre, lease);
 		}
+
+		this.#repeatDemands();
+	}
+
+	/** A waiting job's demand is told now and then, so that a lost grant is found. */
+	#repeatDemands(): void {
+		const now = this.#ports.now();
+		for (const job of this.#jobs.values()) {
+			if (job.demand.queued > 0 && now - job.toldAt > repeatMs) {
+				this.#tellDemand(job);
+			}
+		}
 	}
 
 	/**
--- a/packages/slots/src/keeper.ts
+++ b/packages/slots/src/keeper.ts
@@ -128,6 +128,7 @@
 		this.#lender.settleShift(message.owner, message.job, {
 			asked: message.count,
 			granted: message.granted,
+			now: this.#ports.now(),
 		});
 		this.#schedule();
 	}
