Prove over processes that an outcome nobody can know is said to be unknown

Cause: the trial of a lost reply covered only a store that can be read afterwards; a store that goes away right after the commit was covered by a unit test alone.

Change: the platform stand-in's dropped reply can turn into another fault; a trial makes the change, gets 504 with the change id, and finds it in force by that id once the store is back.

--- a/packages/platform/src/resource-store.test.ts
+++ b/packages/platform/src/resource-store.test.ts
@@ -84,10 +84,7 @@
 	// the operator is told just that, with the id to ask about.
 	const {platform, store, stop} = await buildPlatform();
 	t.after(stop);
-	platform.setFault({mode: 'drop-reply', ms: 0});
-	platform.store.subscribe(() => {
-		platform.setFault({mode: 'down', ms: 0});
-	});
+	platform.setFault({mode: 'drop-reply', ms: 0, next: 'down'});
 	const lost = await store.changeResource(buildChange('a'));
 	assert.deepEqual(lost._unsafeUnwrapErr(), {
 		code: 'unknown-outcome',
--- a/packages/standins/src/platform-faults.ts
+++ b/packages/standins/src/platform-faults.ts
@@ -23,8 +23,10 @@
 	/** Absent: all data centres. */
 	dataCentre: z.string().optional(),
 	mode: faultModeSchema,
-	/** Delay of `slow`, milliseconds. */
+	/** Delay of `slow` and `late-events`, milliseconds. */
 	ms: z.number().int().min(0).default(0),
+	/** What `drop-reply` turns into at that data centre after the first reply dropped. */
+	next: faultModeSchema.optional(),
 });
 
 /** For each data centre, addresses by which its hosts reach the listed ones, as through a relay. */
--- a/packages/standins/src/platform-gateway.ts
+++ b/packages/standins/src/platform-gateway.ts
@@ -126,6 +126,13 @@
 		this.#reply(res, kind, () => this.#answer(path, body));
 	}
 
+	#dropReply(res: ServerResponse): void {
+		res.destroy();
+		if (this.#fault.next !== undefined) {
+			this.setFault({mode: this.#fault.next, ms: 0});
+		}
+	}
+
 	#runLate(run: () => void): void {
 		if (this.#fault.mode === 'late-events') {
 			setTimeout(run, this.#fault.ms).unref();
@@ -138,7 +145,7 @@
 		try {
 			const text = JSON.stringify(answer());
 			if (this.#fault.mode === 'drop-reply' && isWrite(kind)) {
-				res.destroy();
+				this.#dropReply(res);
 				return;
 			}
 
--- a/packages/trials/src/configuration.test.ts
+++ b/packages/trials/src/configuration.test.ts
@@ -103,6 +103,18 @@
 		assert.deepEqual(answer.missing, []);
 	});
 
+	test('when the platform goes away after the commit, the outcome is unknown until asked later', async (t) => {
+		// The change took effect, its reply is lost, and the store can't be read: no host can know.
+		t.after(async () => system.platform.setFault({mode: 'ok'}));
+		await system.platform.setFault({mode: 'drop-reply', next: 'down'});
+		const url = system.urls[0]!;
+		const change = await putTeam(url, 'unsure', 2, {changeId: 'unsure-1'});
+		assert.equal(change.status, 504, JSON.stringify(change));
+		assert.equal(change.changeId, 'unsure-1');
+		await system.platform.setFault({mode: 'ok'});
+		assert.equal(await findChange(url, 'unsure', 'unsure-1'), 'in-force');
+	});
+
 	test('a data centre that has lost the platform alone learns changes from its peers', async (t) => {
 		// The connections to the platform are open and silent, so nothing fails at once.
 		t.after(async () => system.platform.setFault({mode: 'ok'}));
--- a/packages/trials/src/system.ts
+++ b/packages/trials/src/system.ts
@@ -27,6 +27,8 @@
 	dataCentre?: string;
 	mode: FaultMode;
 	ms?: number;
+	/** What `drop-reply` turns into after the first reply dropped. */
+	next?: FaultMode;
 };
 
 /** Of the hosts' resources in the platform's store. */
