Run the trials against a named build, to see a test fail first

Cause: tests that pass at once prove little; they have to be seen failing on a broken program. Ruled out: editing the product for it in this tree. Change: GENTIANSHIFT_TRIAL_PROGRAM names the bundle that the trials' hosts run.

--- a/packages/trials/src/hosts.ts
+++ b/packages/trials/src/hosts.ts
@@ -4,6 +4,7 @@
 import {existsSync} from 'node:fs';
 import {writeFile} from 'node:fs/promises';
 import path from 'node:path';
+import process from 'node:process';
 import {request} from 'undici';
 import {formatHostSettings, type HostPlace} from './layout.js';
 import {
@@ -39,8 +40,16 @@
 
 const bundle = path.join(workspaceRoot, 'dist/gentianshift.cjs');
 
-/** The built bundle where there is one, else the sources. */
+/**
+The build that GENTIANSHIFT_TRIAL_PROGRAM names (an older or a broken one, to see a test fail), else
+the built bundle where there is one, else the sources.
+*/
 export function findProgram(): string[] {
+	const named = process.env.GENTIANSHIFT_TRIAL_PROGRAM;
+	if (named !== undefined) {
+		return [path.resolve(named)];
+	}
+
 	return existsSync(bundle)
 		? [bundle]
 		: ['--import', 'tsx', 'packages/cli/src/main.ts'];
@@ -107,11 +116,12 @@
 	};
 }
 
-async function waitUntilReady({name, url, process}: SystemHost): Promise<void> {
+async function waitUntilReady(host: SystemHost): Promise<void> {
+	const {name, url, process: running} = host;
 	await waitFor(
 		async () => {
-			if (hasEnded(process.child)) {
-				throw new Error(`host ${name} ended; see ${process.outputFile}`);
+			if (hasEnded(running.child)) {
+				throw new Error(`host ${name} ended; see ${running.outputFile}`);
 			}
 
 			return probeUrl(`${url}/readyz`);
