--- a/packages/client/src/client.test.ts
+++ b/packages/client/src/client.test.ts
@@ -9,6 +9,7 @@
 import {text} from 'node:stream/consumers';
 import {test, type TestContext} from 'node:test';
 import {z} from 'zod';
+import {orderDishes} from './example.js';
 import {createClient, type ClientOptions} from './index.js';
 
 const issuer = 'mieres_m1.0123456789abcdef.3';
@@ -247,3 +248,10 @@
 
 	assert.deepEqual(states, ['complete']);
 });
+
+test('the example orders its dishes', async (t) => {
+	const {addresses} = await startHosts(t, 1, () =>
+		complete([{value: 'fabada'}, {value: 'cachopo'}]),
+	);
+	assert.equal(await orderDishes(addresses), 'ready: fabada, cachopo');
+});
--- a/packages/trials/src/at-most-once-names.test.ts
+++ b/packages/trials/src/at-most-once-names.test.ts
@@ -27,7 +27,9 @@
 	await system.end();
 	await closeCallers();
 });
+// A test that fails midway leaves the next one a sound system.
 afterEach(async () => {
+	system.thaw(system.hosts[0]!.name);
 	await system.platform.setFault({mode: 'ok'});
 });
 
--- a/packages/trials/src/at-most-once.test.ts
+++ b/packages/trials/src/at-most-once.test.ts
@@ -3,7 +3,7 @@
 own log of starts judges that no task of a job starts twice.
 */
 import assert from 'node:assert/strict';
-import {after, test} from 'node:test';
+import {after, afterEach, test} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
 import {closeCallers, queryOnce, runJob, submitOnce} from './caller.js';
 import {assertComplete, assertPromises, createSubmission} from './fixtures.js';
@@ -25,6 +25,11 @@
 	await system.end();
 	await closeCallers();
 });
+// A test that fails midway leaves the next one a sound system.
+afterEach(async () => {
+	system.thaw(owner.name);
+	await system.isolate(owner.dataCentre, 'heal');
+});
 
 // A caller, its library and a balancer all retry: one submission reaches every host at once. A user
 // would notice an order placed as often as there are hosts.
