Give the client's functions names that begin with listed verbs

Cause: docs/NAMES.md lists five functions of the client that came before it.

Ruled out: adding their verbs, since listed ones fit.

--- a/packages/client/src/client.test.ts
+++ b/packages/client/src/client.test.ts
@@ -9,7 +9,7 @@
 import {text} from 'node:stream/consumers';
 import {test, type TestContext} from 'node:test';
 import {z} from 'zod';
-import {orderDishes} from './example.js';
+import {submitDishes} from './example.js';
 import {createClient, type ClientOptions} from './index.js';
 
 const issuer = 'mieres_m1.0123456789abcdef.3';
@@ -253,5 +253,5 @@
 	const {addresses} = await startHosts(t, 1, () =>
 		complete([{value: 'fabada'}, {value: 'cachopo'}]),
 	);
-	assert.equal(await orderDishes(addresses), 'ready: fabada, cachopo');
+	assert.equal(await submitDishes(addresses), 'ready: fabada, cachopo');
 });
--- a/packages/client/src/client.ts
+++ b/packages/client/src/client.ts
@@ -70,7 +70,7 @@
 				return ok({host, id: `${issuer.value}.${random()}`});
 			}
 
-			list.suspect(host);
+			list.markSuspect(host);
 			failures.push(`${host}: ${issuer.error.message}`);
 		}
 
@@ -97,7 +97,7 @@
 				return answer.value.reply;
 			}
 
-			list.suspect(host);
+			list.markSuspect(host);
 		}
 
 		return err(
--- a/packages/client/src/example.ts
+++ b/packages/client/src/example.ts
@@ -13,7 +13,7 @@
 const dishSchema = z.object({value: z.string()});
 
 /** Orders the day's dishes and tells in a line what became of them. */
-export async function orderDishes(hosts: string[]): Promise<string> {
+export async function submitDishes(hosts: string[]): Promise<string> {
 	const client = createClient({hosts, team: 'cooks', retries: 2});
 	const answer = await client.submit({
 		service: 'meals',
@@ -32,5 +32,5 @@
 
 const [, script, ...hosts] = process.argv;
 if (script && import.meta.url === pathToFileURL(script).href) {
-	process.stdout.write(`${await orderDishes(hosts)}\n`);
+	process.stdout.write(`${await submitDishes(hosts)}\n`);
 }
--- a/packages/client/src/host-list.ts
+++ b/packages/client/src/host-list.ts
@@ -1,7 +1,7 @@
 /**
 The hosts a client may send to, and the issuers they gave.
 */
-import {shuffleInPlace} from './shuffle.js';
+import {drawOrder} from './draw-order.js';
 
 /** A host that did not answer is asked last for this long, milliseconds. */
 const suspectMs = 5000;
@@ -29,7 +29,7 @@
 	/** All hosts in random order, so that load spreads; those that were silent come last. */
 	listInOrder(): string[] {
 		const now = performance.now();
-		const hosts = shuffleInPlace([...this.#hosts.keys()]);
+		const hosts = drawOrder(this.#hosts.keys());
 		const isSuspect = (host: string) =>
 			this.#hosts.get(host)!.suspectUntil > now;
 		return [
@@ -38,7 +38,7 @@
 		];
 	}
 
-	suspect(host: string): void {
+	markSuspect(host: string): void {
 		const state = this.#hosts.get(host)!;
 		state.suspectUntil = performance.now() + suspectMs;
 		state.issuer = undefined;
--- a/packages/client/src/job-run.ts
+++ b/packages/client/src/job-run.ts
@@ -68,7 +68,7 @@
 	async run(): Promise<Result<JobAnswer, Problem>> {
 		let elsewhere: Problem | undefined;
 		const asked = new Set<string>();
-		while (!this.#options.signal?.aborted && this.#leftMs() > 0) {
+		while (!this.#options.signal?.aborted && this.#getLeftMs() > 0) {
 			const host = await this.#chooseHost();
 			const reply = await this.#ask(host);
 			if (reply === undefined) {
@@ -115,12 +115,12 @@
 		const mayComeBack =
 			ran === 'none' &&
 			this.#attempt <= this.#options.retries &&
-			retryAfterMs < this.#leftMs();
+			retryAfterMs < this.#getLeftMs();
 		if (!mayComeBack) {
 			return reply;
 		}
 
-		await this.#pause(retryAfterMs * (1 + comeBackJitter * Math.random()));
+		await this.#wait(retryAfterMs * (1 + comeBackJitter * Math.random()));
 		this.#attempt++;
 		this.#isKnown = false;
 		return undefined;
@@ -131,7 +131,7 @@
 		const {id, body, onProgress, silenceMs, signal, dispatcher, hosts} =
 			this.#options;
 		const wait = onProgress ? progressWaitMs : this.#options.waitMs;
-		const waitMs = Math.max(0, Math.floor(Math.min(wait, this.#leftMs())));
+		const waitMs = Math.max(0, Math.floor(Math.min(wait, this.#getLeftMs())));
 		const answer = await askHost({
 			host,
 			method: this.#isKnown ? 'GET' : 'PUT',
@@ -143,7 +143,7 @@
 			signal,
 		});
 		if (answer.isErr()) {
-			hosts.suspect(host);
+			hosts.markSuspect(host);
 			this.#isKnown = false;
 			return undefined;
 		}
@@ -158,7 +158,7 @@
 
 	async #chooseHost(): Promise<string> {
 		if (this.#round.length === 0) {
-			await this.#pause(pauseMs);
+			await this.#wait(pauseMs);
 			this.#round = this.#options.hosts.listInOrder();
 		}
 
@@ -170,11 +170,11 @@
 		return hosts.every((host) => asked.has(host));
 	}
 
-	#leftMs(): number {
+	#getLeftMs(): number {
 		return this.#deadline - performance.now();
 	}
 
-	async #pause(ms: number): Promise<void> {
+	async #wait(ms: number): Promise<void> {
 		const {signal} = this.#options;
 		const wait = sleep(ms, undefined, {signal});
 		await wait.catch(() => undefined);
--- a/packages/client/src/watch.ts
+++ b/packages/client/src/watch.ts
@@ -83,7 +83,7 @@
 		}
 	} catch {
 		// A broken watch goes on elsewhere; nothing is lost but time.
-		hosts.suspect(host);
+		hosts.markSuspect(host);
 	}
 }
 
