--- a/packages/cli/src/commands/job.ts
+++ b/packages/cli/src/commands/job.ts
@@ -3,7 +3,7 @@
 */
 import {type ExitCode} from '../exit-codes.js';
 import {type HostOptions} from '../host-options.js';
-import {cancelJob, queryJob} from '../jobs.js';
+import {createJobClient} from '../jobs.js';
 import {writeCancelled, writeJob} from '../report-job.js';
 import {type Terminal} from '../terminal.js';
 
@@ -12,7 +12,7 @@
 	id: string,
 	{host, output, wait}: HostOptions & {wait?: number},
 ): Promise<ExitCode> {
-	const answer = await queryJob(host, id, wait ?? 0);
+	const answer = await createJobClient(host).query(id, wait);
 	return writeJob(terminal, id, answer, output);
 }
 
@@ -21,5 +21,6 @@
 	id: string,
 	{host, output}: HostOptions,
 ): Promise<ExitCode> {
-	return writeCancelled(terminal, id, await cancelJob(host, id), output);
+	const answer = await createJobClient(host).cancel(id);
+	return writeCancelled(terminal, id, answer, output);
 }
--- a/packages/cli/src/commands/submit.ts
+++ b/packages/cli/src/commands/submit.ts
@@ -4,7 +4,7 @@
 import {formatFindings} from '@gentianshift/resources';
 import {type ExitCode, exitCodes} from '../exit-codes.js';
 import {type HostOptions} from '../host-options.js';
-import {createJobId, submitJob} from '../jobs.js';
+import {createJobClient, createJobId} from '../jobs.js';
 import {formatState, writeJob} from '../report-job.js';
 import {reportFailure} from '../report.js';
 import {parseTasks} from '../tasks.js';
@@ -18,7 +18,8 @@
 	/** Milliseconds. */
 	deadline?: number;
 	id?: string;
-	attempt: number;
+	/** Times to come back after a refusal that says when. */
+	retries: number;
 };
 
 export async function submit(
@@ -37,12 +38,14 @@
 
 	const id = made === false ? options.id! : made.value;
 	terminal.writeError(`job ${id}`);
-	const {service, team, deadline: deadlineMs} = options;
+	const {service, team, retries, deadline: deadlineMs} = options;
+	const client = createJobClient(options.host, {team, retries});
 	const begin = performance.now();
-	const answer = await submitJob(options.host, {
+	const answer = await client.submit({
 		id,
-		attempt: options.attempt,
-		submission: {service, team, deadlineMs, tasks},
+		service,
+		tasks,
+		deadlineMs,
 		onProgress(state) {
 			terminal.showProgress(formatState(state));
 		},
--- a/packages/cli/src/commands/watch.ts
+++ b/packages/cli/src/commands/watch.ts
@@ -7,7 +7,8 @@
 import {type HostOptions} from '../host-options.js';
 import {streamLines} from '../http.js';
 import {type Event, eventSchema} from '../replies.js';
-import {formatStatus, makeRow} from '../table.js';
+import {formatStatus} from '../status.js';
+import {makeRow} from '../table.js';
 import {type Terminal} from '../terminal.js';
 
 /** Between one watch that ended and the next, so that a fleet of watchers is no herd. */
@@ -72,7 +73,7 @@
 	const {name, spec} = view.resource;
 	const title = `${time} ${type} ${kind}/${name}`;
 	if (type === 'status' || spec === null) {
-		return `${title} ${formatStatus(view.status)}`;
+		return `${title} ${formatStatus(view.resource.revision, view.status)}`;
 	}
 
 	const cells = Object.entries(makeRow(kind, view)).slice(1);
--- a/packages/cli/src/operator.test.ts
+++ b/packages/cli/src/operator.test.ts
@@ -10,6 +10,7 @@
 	runRecorded,
 	startFakeHost,
 } from './fixtures.js';
+import {formatStatus} from './status.js';
 
 type Stored = Omit<Resource, 'spec'> & {
 	spec: {state?: string; executors?: Array<{state: string}>; target?: string};
@@ -227,3 +228,18 @@
 	const {resource} = JSON.parse(view.out) as {resource: Stored};
 	assert.equal(resource.spec.target, 'kitchens');
 });
+
+test('a status is told in a few words', () => {
+	const status = {
+		revisions: {m1: 7, t1: 6},
+		keepers: {
+			m1: {slots: 80, free: 78, queuedTasks: 2},
+			t1: {slots: 80, free: 0, queuedTasks: 1},
+		},
+	};
+	assert.equal(
+		formatStatus(7, status),
+		'in force at 1/2 hosts, slots 78/160 free, 3 tasks queued',
+	);
+	assert.equal(formatStatus(7, undefined), '-');
+});
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -172,10 +172,10 @@
 		)
 		.option('--id <id>', 'id of an earlier submission, or a UUIDv7')
 		.option(
-			'--attempt <number>',
-			'raise it to come back under an id that was refused',
-			parseAttempt,
-			1,
+			'--retries <number>',
+			'times to come back after a refusal that says when',
+			parseCount,
+			0,
 		)
 		.action(async (options: SubmitCommandOptions) => {
 			finish(await submit(terminal, options));
@@ -199,11 +199,10 @@
 		});
 }
 
-function parseAttempt(text: string): number {
-	const attempt = Number(text);
-	if (!Number.isSafeInteger(attempt) || attempt < 1) {
-		throw new InvalidArgumentError('allowed: a whole number from 1');
+function parseCount(text: string): number {
+	if (!/^\d{1,4}$/v.test(text)) {
+		throw new InvalidArgumentError('allowed: a whole number from 0 to 9999');
 	}
 
-	return attempt;
+	return Number(text);
 }
--- a/packages/cli/src/report-job.ts
+++ b/packages/cli/src/report-job.ts
@@ -84,6 +84,11 @@
 		return failure.code === 'lost' ? exitCodes.unknown : exitCodes.unreachable;
 	}
 
+	// The client's own word: no host could be connected to.
+	if (failure.code === 'unreachable') {
+		return exitCodes.unreachable;
+	}
+
 	switch (failure.ran) {
 		case 'none': {
 			return exitCodes.refused;
--- a/packages/cli/src/table.ts
+++ b/packages/cli/src/table.ts
@@ -3,6 +3,7 @@
 */
 import {type Kind, type SpecOf} from '@gentianshift/resources';
 import {type View} from './replies.js';
+import {formatStatus} from './status.js';
 
 type Row = Record<string, string>;
 
@@ -34,7 +35,7 @@
 		NAME: resource.name,
 		REVISION: String(resource.revision),
 		...describeSpec(kind, resource.spec),
-		STATUS: formatStatus(status),
+		STATUS: formatStatus(resource.revision, status),
 	};
 }
 
@@ -65,13 +66,3 @@
 		}
 	}
 }
-
-/** The plain values of a status, like `queued=3 busy=12`; JSON output has the rest. */
-export function formatStatus(status: Record<string, unknown> = {}): string {
-	const plain = Object.entries(status).filter(
-		([, value]) => typeof value !== 'object',
-	);
-	return plain.length === 0
-		? '-'
-		: plain.map(([key, value]) => `${key}=${String(value)}`).join(' ');
-}
--- a/scripts/demo.mjs
+++ b/scripts/demo.mjs
@@ -173,6 +173,7 @@
 		urls.map(async (url) => waitForOk(`${url}/v1/services/meals`)),
 	);
 	process.stdout.write(await runProgram(['get', 'services']));
+	process.stdout.write(await runProgram(['get', 'targets']));
 }
 
 async function submitMeals() {
@@ -203,6 +204,14 @@
 	say(`asked at another host: ${state}, ${results.length} results`);
 }
 
+/** The answer's results go to standard output, one a line. */
+async function submitTwoTasks() {
+	const tasks = ['{"ms": 50, "value": "soup"}', '{"ms": 50, "value": "stew"}'];
+	const job = ['--service', 'meals', '--team', 'cooks'];
+	const input = tasks.join('\n');
+	process.stdout.write(await runProgram(['submit', ...job], {input}));
+}
+
 /** Hosts stop gracefully; their exit code 0 is part of the demo. */
 async function stopAll() {
 	for (const {name, child} of children.toReversed()) {
@@ -245,6 +254,7 @@
 	await startExecutors();
 	await startHosts();
 	await declareExamples();
+	await submitTwoTasks();
 	await askElsewhere(await submitMeals());
 	await stopAll();
 } catch (error) {
