--- a/packages/host/src/configuration.ts
+++ b/packages/host/src/configuration.ts
@@ -27,6 +27,7 @@
 	table: ResourceTable;
 	store: ResourceStore;
 	isReader: () => boolean;
+	dataCentre: string;
 	listLinks: () => Link[];
 	random: () => number;
 	onReaderState: (state: string) => void;
@@ -62,10 +63,13 @@
 			return;
 		}
 
+		const {data} = parsed;
+		// A peer that holds the same has nothing to tell: this host knows what there is to know.
 		this.#isLoaded ||=
-			message.t === 'config-digest' || message.t === 'config-resources';
+			data.t === 'config-digest' &&
+			data.hash === this.#options.table.digest().hash;
 		this.#isFromPeer = true;
-		const answers = answerExchange(this.#options.table, parsed.data);
+		const answers = answerExchange(this.#options.table, data);
 		this.#isFromPeer = false;
 		for (const answer of answers) {
 			send(answer);
@@ -123,7 +127,10 @@
 		await watchRole;
 	}
 
-	/** What came from the store or an operator goes to all peers at once, in one message a loop turn. */
+	/**
+	What came from the store or an operator goes to the data centre's peers at once, in one message
+	a loop turn. Other data centres have readers of their own; a cut-off one hears by digests.
+	*/
 	#pushOn(resource: Resource): void {
 		if (this.#isFromPeer) {
 			return;
@@ -142,7 +149,11 @@
 
 	#push(resources: readonly Resource[]): void {
 		const messages = buildResourceMessages(resources);
-		for (const link of this.#options.listLinks()) {
+		const {listLinks, dataCentre} = this.#options;
+		const near = listLinks().filter(
+			({hello}) => hello.dataCentre === dataCentre,
+		);
+		for (const link of near) {
 			for (const message of messages) {
 				link.send(message);
 			}
--- a/packages/host/src/meter.ts
+++ b/packages/host/src/meter.ts
@@ -7,9 +7,14 @@
 
 export function createMeter(metrics: Metrics): Meter {
 	return {
-		countFrame(direction, messages, bytes) {
+		countFrame(direction, messages) {
 			metrics.messages.inc({direction, kind: chooseKind(messages)});
-			metrics.bytes.inc({direction, link: 'hosts'}, bytes);
+		},
+		countBytesIn(bytes) {
+			metrics.bytes.inc({direction: 'in', link: 'hosts'}, bytes);
+		},
+		countBytesOut(bytes) {
+			metrics.bytes.inc({direction: 'out', link: 'hosts'}, bytes);
 		},
 		countBadFrame() {
 			metrics.badFrames.inc();
--- a/packages/host/src/names.ts
+++ b/packages/host/src/names.ts
@@ -34,7 +34,7 @@
 		async claimName(uuid, holder) {
 			const claim = await claims.claimName(uuid, formatIssuer(holder));
 			if (claim.isErr()) {
-				return {state: 'unavailable'};
+				return {state: 'unavailable', retryAfterMs: claim.error.retryAfterMs};
 			}
 
 			return claim.value.outcome === 'claimed'
--- a/packages/host/src/platform.ts
+++ b/packages/host/src/platform.ts
@@ -25,14 +25,14 @@
 /** `onCall` counts each call by its kind: the service is small, and every call is paid for. */
 export function createPlatform(
 	{
-		keyValue: keyValueUrl,
-		hostList: hostListUrl,
-		prefix,
-	}: HostSettings['platform'],
+		platform: {keyValue: keyValueUrl, hostList: hostListUrl, prefix},
+		addresses: {source},
+	}: HostSettings,
 	onCall: (kind: string) => void,
 ): Platform {
-	const keyValue = createKeyValue({url: keyValueUrl, timeoutMs, onCall});
-	const hostList = createHostList({url: hostListUrl, timeoutMs, onCall});
+	const common = {timeoutMs, source, onCall};
+	const keyValue = createKeyValue({url: keyValueUrl, ...common});
+	const hostList = createHostList({url: hostListUrl, ...common});
 	const store = createResourceStore({
 		keyValue,
 		prefix: `${prefix}resources/`,
--- a/packages/host/src/start-host.ts
+++ b/packages/host/src/start-host.ts
@@ -120,7 +120,7 @@
 				this.#metrics.spansDropped.inc(count);
 			},
 		});
-		this.#platform = createPlatform(settings.platform, (kind) => {
+		this.#platform = createPlatform(settings, (kind) => {
 			this.#metrics.platformCalls.inc({kind});
 		});
 		this.#table = createResourceTable(options.hash);
@@ -202,6 +202,7 @@
 			table: this.#table,
 			store: this.#platform.store,
 			isReader: () => this.#directory.isReader(),
+			dataCentre: this.#identity.dataCentre,
 			listLinks: () => this.#mesh.listLinks(),
 			random: this.#random,
 			onReaderState: (state) => {
--- a/packages/jobs/src/name-register.ts
+++ b/packages/jobs/src/name-register.ts
@@ -123,7 +123,9 @@
 			this.#options.now() - askedAt > claimLimitMs
 		) {
 			this.#rememberUnsettled(id.uuid, attempt);
-			return err(createPlatformDown(id));
+			const retryAfterMs =
+				claim.state === 'unavailable' ? claim.retryAfterMs : undefined;
+			return err(createPlatformDown(id, retryAfterMs));
 		}
 
 		if (claim.state === 'claimed') {
@@ -162,14 +164,17 @@
 	}
 }
 
-function createPlatformDown(id: NamedId): Problem {
+function createPlatformDown(
+	id: NamedId,
+	retryAfterMs = platformRetryMs,
+): Problem {
 	return createProblem(
 		'platform-down',
 		'unknown',
 		'the name could not be claimed; it may have run before',
 		{
 			id: id.uuid,
-			retryAfterMs: platformRetryMs,
+			retryAfterMs,
 		},
 	);
 }
--- a/packages/protocol/src/connection.ts
+++ b/packages/protocol/src/connection.ts
@@ -18,8 +18,10 @@
 	countFrame: (
 		direction: 'in' | 'out',
 		messages: ReadonlyArray<{t: string}>,
-		bytes: number,
 	) => void;
+	countBytesOut: (bytes: number) => void;
+	/** Bytes came in, of whole frames or parts of them. */
+	countBytesIn: (bytes: number) => void;
 	countBadFrame: (reason: string) => void;
 };
 
@@ -80,7 +82,8 @@
 		const messages = this.#batch;
 		this.#batch = [];
 		const frame = encodeFrame(messages);
-		this.meter.countFrame('out', messages, frame.length);
+		this.meter.countFrame('out', messages);
+		this.meter.countBytesOut(frame.length);
 		this.socket.write(frame);
 		if (this.socket.writableLength > maxUnsentBytes) {
 			this.close('the peer takes nothing');
@@ -107,6 +110,7 @@
 	}
 
 	#receive(chunk: Buffer): void {
+		this.meter.countBytesIn(chunk.length);
 		const frames = this.#reader.readFrames(chunk);
 		if (frames.isErr()) {
 			this.#refuse(frames.error.code);
@@ -120,7 +124,7 @@
 				return;
 			}
 
-			this.meter.countFrame('in', messages, 0);
+			this.meter.countFrame('in', messages);
 			for (const message of messages) {
 				if (this.#closed) {
 					return;
