--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -17,6 +17,24 @@
 
 const fuse = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
 
+/** What libraries try to load and do without: the binary can load built-in modules only. */
+const absent = String.raw`^(?:cbor-extract|dtrace-provider|mv|node:sqlite|source-map-support)$`;
+const leaveOut = {
+	name: 'leave-out',
+	setup(steps) {
+		// esbuild reads patterns by Go's syntax and takes no flags of JavaScript's.
+		// eslint-disable-next-line require-unicode-regexp
+		const filter = new RegExp(absent);
+		steps.onResolve({filter}, ({path}) => ({
+			path,
+			namespace: 'left-out',
+		}));
+		steps.onLoad({filter, namespace: 'left-out'}, ({path}) => ({
+			contents: `throw new Error('${path} is left out of the binary');`,
+		}));
+	},
+};
+
 mkdirSync('dist', {recursive: true});
 async function bundle(entry, outfile) {
 	await build({
@@ -26,7 +44,7 @@
 		target: 'node20',
 		format: 'cjs',
 		outfile,
-		external: ['dtrace-provider', 'cbor-extract', 'mv'],
+		plugins: [leaveOut],
 		logLevel: 'warning',
 	});
 }
