--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -115,6 +115,7 @@
 			label: 'clairvoyant',
 			measures: measureClairvoyant(trace.value),
 			violations: [],
+			told: {},
 		};
 		const columns = [...results, limit];
 		process.stdout.write(`${formatTable(trace.value, columns)}\n`);
--- a/packages/bench/src/report.ts
+++ b/packages/bench/src/report.ts
@@ -64,6 +64,9 @@
 		formatRow('promises broken', [
 			...results.map(({violations}) => String(violations.length)),
 		]),
+		...results.map(
+			({label, told}) => `told by ${label}: ${JSON.stringify(told)}`,
+		),
 		'',
 	].join('\n');
 }
--- a/packages/bench/src/run.ts
+++ b/packages/bench/src/run.ts
@@ -5,6 +5,7 @@
 import os from 'node:os';
 import {
 	checkPromises,
+	countTold,
 	makeJobId,
 	fetchIssuer,
 	runJob,
@@ -31,7 +32,12 @@
 	env?: Record<string, string>;
 };
 
-export type RunResult = {measures: Measures; violations: Violation[]};
+export type RunResult = {
+	measures: Measures;
+	violations: Violation[];
+	/** Jobs by what their callers were told in the end. */
+	told: Record<string, number>;
+};
 
 /** The brief: 7 to 9 entry hosts. */
 const hostsPerDataCentre = 3;
@@ -109,7 +115,7 @@
 		stats,
 		connections: connectionsEach,
 	});
-	return {measures, violations};
+	return {measures, violations, told: countTold(outcomes)};
 }
 
 async function countRefused(system: RunningSystem): Promise<number> {
--- a/packages/trials/src/chaos-run.ts
+++ b/packages/trials/src/chaos-run.ts
@@ -97,7 +97,10 @@
 	}
 }
 
-function countTold(outcomes: readonly JobOutcome[]): Record<string, number> {
+/** Counts jobs by what their callers were told in the end. */
+export function countTold(
+	outcomes: readonly JobOutcome[],
+): Record<string, number> {
 	const counts: Record<string, number> = {};
 	for (const outcome of outcomes) {
 		const told = describeTold(outcome);
--- a/packages/trials/src/chaos-schedule.ts
+++ b/packages/trials/src/chaos-schedule.ts
@@ -55,6 +55,8 @@
 const gapMs = {least: 300, most: 2000};
 /** Shorter than a lease, or longer than every timeout between hosts, milliseconds. */
 const lengthMs = {least: 400, most: 6000};
+/** A planned stop waits for the jobs in flight; the host is left alone for that, milliseconds. */
+const plannedStopMs = 10_000;
 /** At least this part of the hosts is left alone, so that there is someone to ask. */
 const sparedShare = 0.5;
 
@@ -103,7 +105,8 @@
 			case 'kill':
 			case 'freeze':
 			case 'restart': {
-				const host = drawHost(at, at + forMs + gapMs.most);
+				const stopMs = kind === 'restart' ? plannedStopMs : 0;
+				const host = drawHost(at, at + forMs + gapMs.most + stopMs);
 				return host === undefined ? undefined : {at, forMs, kind, host};
 			}
 
--- a/packages/trials/src/hosts.ts
+++ b/packages/trials/src/hosts.ts
@@ -1,7 +1,7 @@
 /**
 The entry hosts of a trial as processes, and the signals that a trial sends them.
 */
-import {existsSync} from 'node:fs';
+import {existsSync, readFileSync} from 'node:fs';
 import {writeFile} from 'node:fs/promises';
 import path from 'node:path';
 import process from 'node:process';
@@ -38,6 +38,9 @@
 /** A host that isn't ready by then has a fault, milliseconds. */
 const readyLimitMs = 20_000;
 
+/** The end of a host's output says why it ended, characters. */
+const tailLength = 600;
+
 const bundle = path.join(workspaceRoot, 'dist/gentianshift.cjs');
 
 /**
@@ -121,7 +124,8 @@
 	await waitFor(
 		async () => {
 			if (hasEnded(running.child)) {
-				throw new Error(`host ${name} ended; see ${running.outputFile}`);
+				const output = readFileSync(running.outputFile, 'utf8');
+				throw new Error(`host ${name} ended: ${output.slice(-tailLength)}`);
 			}
 
 			return probeUrl(`${url}/readyz`);
