Bound the memory of bodies that are read at once

Cause: each body has a limit, all together had none: 5,000 connections with 16 MB each would be 80 GB, and the host would die with all its jobs.

Ruled out: fewer connections, which would lock out callers with usual bodies; one budget for all bodies, which some slow senders could hold for 30 s.

--- a/packages/api/src/body.ts
+++ b/packages/api/src/body.ts
@@ -6,6 +6,7 @@
 import {err, ok, Result, safeTry} from 'neverthrow';
 import {type z} from 'zod';
 import {toFindings, type Problem} from '@gentianshift/resources';
+import {type BodyBudget, type BodyLease} from './body-budget.js';
 import {createProblem, judgeRan} from './problems.js';
 
 const decoder = new TextDecoder('utf-8', {fatal: true});
@@ -23,17 +24,34 @@
 	limit: number;
 	/** The job's id, if the request names one. */
 	id?: string;
+	budget: BodyBudget;
 };
 
+/** When to come back once the memory for bodies is taken: a body's usual time, milliseconds. */
+const noMemoryRetryMs = 1000;
+
 /** Reads a body and checks it by a schema; all findings are in one problem. */
 export async function readJson<Schema extends z.ZodType>(
 	request: BodyRequest,
 	schema: Schema,
+): Promise<Result<z.infer<Schema>, Problem>> {
+	const lease = request.budget.openLease();
+	try {
+		return await parseBody(request, lease, schema);
+	} finally {
+		lease.release();
+	}
+}
+
+async function parseBody<Schema extends z.ZodType>(
+	request: BodyRequest,
+	lease: BodyLease,
+	schema: Schema,
 ): Promise<Result<z.infer<Schema>, Problem>> {
 	const {id} = request;
 	const ran = judgeRan(id);
 	return safeTry(async function* () {
-		const bytes = yield* await readBytes(request);
+		const bytes = yield* await readBytes(request, lease);
 		const text = yield* decodeText(bytes).mapErr(() =>
 			createProblem({
 				status: 400,
@@ -74,11 +92,10 @@
 Collects the body. Past the limit it stops reading at once, so that a flood of bytes costs
 the host no more memory than one body of legal size.
 */
-async function readBytes({
-	incoming,
-	limit,
-	id,
-}: BodyRequest): Promise<Result<Uint8Array, Problem>> {
+async function readBytes(
+	{incoming, limit, id}: BodyRequest,
+	lease: BodyLease,
+): Promise<Result<Uint8Array, Problem>> {
 	const tooLarge = createProblem({
 		status: 413,
 		code: 'body-too-large',
@@ -106,6 +123,12 @@
 				return;
 			}
 
+			if (!lease.extend(length)) {
+				incoming.pause();
+				settle(err(describeNoMemory(id)));
+				return;
+			}
+
 			chunks.push(chunk);
 		};
 
@@ -122,6 +145,18 @@
 	});
 }
 
+/** Another host, or this one a little later, may take a copy: what ran is not known here. */
+function describeNoMemory(id: string | undefined): Problem {
+	return createProblem({
+		status: 503,
+		code: 'bodies-too-large',
+		detail: 'the host has no memory left for large bodies now',
+		ran: 'unknown',
+		id,
+		retryAfterMs: noMemoryRetryMs,
+	});
+}
+
 /** Nobody reads this answer; the connection ended before the body did. */
 function describeLost(id: string | undefined): Problem {
 	return createProblem({
--- a/packages/api/src/caller-routes.ts
+++ b/packages/api/src/caller-routes.ts
@@ -10,6 +10,7 @@
 } from '@gentianshift/resources';
 import {err} from 'neverthrow';
 import {readJson} from './body.js';
+import {type BodyBudget} from './body-budget.js';
 import {type InFlight} from './in-flight.js';
 import {createLineStream} from './lines.js';
 import {readJobParameters, type JobParameters} from './parameters.js';
@@ -24,13 +25,21 @@
 	callers: CallerPort;
 	replies: Replies;
 	bodyBytes: number;
+	bodyBudget: BodyBudget;
 	waits: InFlight;
 	jobStreams: InFlight;
 };
 
 export function addCallerRoutes(
 	app: Hono<Bindings>,
-	{callers, replies, bodyBytes, waits, jobStreams}: CallerRouteOptions,
+	{
+		callers,
+		replies,
+		bodyBytes,
+		bodyBudget,
+		waits,
+		jobStreams,
+	}: CallerRouteOptions,
 ): void {
 	const {sendJson, sendProblem, sendJobReply, sendLines} = replies;
 
@@ -50,7 +59,7 @@
 		const {id} = parameters.value;
 		const {incoming} = c.env;
 		const body = await readJson(
-			{incoming, limit: bodyBytes, id},
+			{incoming, limit: bodyBytes, id, budget: bodyBudget},
 			submissionSchema,
 		);
 		if (body.isErr()) {
--- a/packages/api/src/operator-routes.ts
+++ b/packages/api/src/operator-routes.ts
@@ -14,6 +14,7 @@
 } from '@gentianshift/resources';
 import {err, ok, type Result} from 'neverthrow';
 import {readJson} from './body.js';
+import {type BodyBudget} from './body-budget.js';
 import {type Bindings} from './caller-routes.js';
 import {type InFlight} from './in-flight.js';
 import {createLineStream} from './lines.js';
@@ -42,6 +43,7 @@
 export type OperatorRouteOptions = {
 	operators: OperatorPort;
 	replies: Replies;
+	bodyBudget: BodyBudget;
 	resourceStreams: InFlight;
 };
 
@@ -51,7 +53,7 @@
 
 export function addOperatorRoutes(
 	app: Hono<Bindings>,
-	{operators, replies, resourceStreams}: OperatorRouteOptions,
+	{operators, replies, bodyBudget, resourceStreams}: OperatorRouteOptions,
 ): void {
 	const {sendJson, sendProblem, sendLines} = replies;
 
@@ -112,7 +114,7 @@
 		}
 
 		const body = await readJson(
-			{incoming: c.env.incoming, limit: maxSpecBytes},
+			{incoming: c.env.incoming, limit: maxSpecBytes, budget: bodyBudget},
 			changeSchemas[key.value.kind] as z.ZodType<Change>,
 		);
 		if (body.isErr()) {
--- a/packages/api/src/replies.ts
+++ b/packages/api/src/replies.ts
@@ -51,7 +51,7 @@
 		}
 
 		// The rest of a body that isn't wanted is not waited for.
-		if (problem.status === 413) {
+		if (problem.status === 413 || problem.code === 'bodies-too-large') {
 			built.connection = 'close';
 		}
 
--- a/packages/api/src/server.ts
+++ b/packages/api/src/server.ts
@@ -9,6 +9,7 @@
 import {getRequestListener} from '@hono/node-server';
 import {headers, type Problem} from '@gentianshift/resources';
 import {createApp} from './app.js';
+import {createBodyBudget} from './body-budget.js';
 import {InFlight} from './in-flight.js';
 import {type CallerPort, type HealthPort, type OperatorPort} from './ports.js';
 import {createProblem} from './problems.js';
@@ -71,6 +72,7 @@
 		...options,
 		replies,
 		bodyBytes: options.limits.bodyBytes,
+		bodyBudget: createBodyBudget(options.limits.bodyBytes),
 		waits,
 		jobStreams: streams.jobs,
 		resourceStreams: streams.resources,
--- a/packages/client/src/job-run.ts
+++ b/packages/client/src/job-run.ts
@@ -28,10 +28,15 @@
 /** Milliseconds of one wait while someone looks at the progress. */
 const progressWaitMs = 500;
 /**
-Codes with which a host says that it could not ask the owner: another host may reach it.
+Codes with which a host says that it could not ask the owner: another host may reach it, or has
+the memory to read the body.
 Asking there is safe, as the id and the attempt stay the same.
 */
-const elsewhereCodes = new Set(['owner-unreachable', 'stopping']);
+const elsewhereCodes = new Set([
+	'owner-unreachable',
+	'stopping',
+	'bodies-too-large',
+]);
 
 export type JobRunOptions = {
 	hosts: HostList;
