--- a/packages/decisions/src/job-table.ts
+++ b/packages/decisions/src/job-table.ts
@@ -10,6 +10,9 @@
 /** Moves urgent jobs before all others in the order: longer than any job waits, milliseconds. */
 const urgentLeadMs = 1e12;
 
+/** A grant is known to its owner within milliseconds; this many times a link's delay is plenty. */
+const grantLostMs = 1000;
+
 /** What an update needs to know of the keeper's state. */
 export type JobView = {now: number; taskMs: number; slots: number};
 
@@ -17,6 +20,8 @@
 	readonly teams = new TeamTable();
 	waitingWorkMs = 0;
 	waitingTasks = 0;
+	/** Slots that jobs of here hold from other keepers. */
+	heldElsewhere = 0;
 	readonly #jobs = new Map<string, JobState>();
 	readonly #byOwner = new Map<string, Set<JobState>>();
 	#newcomers = new Set<JobState>();
@@ -35,7 +40,9 @@
 		const {owner, job: number} = demand;
 		const job = this.lookUp(owner, number) ?? this.#enter(demand, view.now);
 		this.#unlist(job);
+		settleGranted(job, demand, view.now);
 		job.isForeign = false;
+		this.heldElsewhere += countElsewhere(demand) - countElsewhere(job.demand);
 		job.demand = demand;
 		job.deadlineAt = view.now + demand.deadlineInMs;
 		this.rank(job, view);
@@ -104,6 +111,7 @@
 
 		this.#unlist(job);
 		this.#newcomers.delete(job);
+		this.heldElsewhere -= countElsewhere(job.demand);
 		job.team.jobs -= 1;
 		const owned = this.#byOwner.get(job.owner);
 		owned?.delete(job);
@@ -131,16 +139,6 @@
 		}
 	}
 
-	/** Slots that jobs of here hold from other keepers. */
-	countHeldElsewhere(): number {
-		let held = 0;
-		for (const {demand} of this.#jobs.values()) {
-			held += demand.heldElsewhere ?? 0;
-		}
-
-		return held;
-	}
-
 	/** Works out the job's place in the order; it must not be listed. */
 	rank(job: JobState, {taskMs, slots}: JobView): void {
 		job.workMs = job.demand.remaining * taskMs;
@@ -175,11 +173,13 @@
 			workMs: 0,
 			isForeign: false,
 			granted: demand.granted ?? 0,
+			grantedAt: now,
 			shifting: 0,
 			shiftingUntil: 0,
 			held: new Map(),
 		};
 		job.team.jobs += 1;
+		this.heldElsewhere += countElsewhere(demand);
 		this.#jobs.set(formatJobKey(job.owner, job.job), job);
 		const owned = this.#byOwner.get(job.owner) ?? new Set();
 		owned.add(job);
@@ -208,6 +208,28 @@
 	}
 }
 
+/**
+Goes by the owner's count of granted slots where this keeper's can't be right. A grant can be
+lost: its link breaks just then, or another data centre's does. Counted here for ever, the job
+would wait for slots that never come, until its deadline. So a grant that the owner still doesn't
+know of after `grantLostMs` is taken for lost; one that comes later all the same is given back.
+*/
+function settleGranted(job: JobState, {granted}: Demand, now: number): void {
+	if (granted === undefined) {
+		return;
+	}
+
+	const isLost = granted < job.granted && now - job.grantedAt > grantLostMs;
+	const isMissed = granted > job.granted && job.isForeign;
+	if (isLost || isMissed) {
+		job.granted = granted;
+	}
+}
+
+function countElsewhere({heldElsewhere}: Demand): number {
+	return heldElsewhere ?? 0;
+}
+
 function formatJobKey(owner: string, job: number): string {
 	return `${owner}#${job}`;
 }
--- a/packages/decisions/src/lender.ts
+++ b/packages/decisions/src/lender.ts
@@ -57,6 +57,7 @@
 	setExecutors(executors: readonly LentExecutor[], now: number): void {
 		this.#state.pool.set(executors);
 		this.#state.pool.judge(now, true);
+		this.#state.hasNews = true;
 	}
 
 	setTeams(shares: ReadonlyMap<string, TeamShare>): void {
@@ -201,12 +202,13 @@
 	settleShift(
 		owner: string,
 		job: number,
-		{asked, granted}: {asked: number; granted: number},
+		{asked, granted, now}: {asked: number; granted: number; now: number},
 	): void {
 		const state = this.#state.jobs.lookUp(owner, job);
 		if (state) {
 			state.shifting = Math.max(0, state.shifting - asked);
 			state.granted += granted;
+			state.grantedAt = now;
 			this.#state.jobs.relist(state);
 		}
 	}
@@ -220,6 +222,7 @@
 		}
 
 		state.rerankIfChanged(now);
+		state.jobs.teams.refresh();
 		const refusals = [
 			...judgeNewcomers(state, now),
 			...sweepHopeless(state, now),
@@ -227,7 +230,6 @@
 		const grants = grantSlots(state, now);
 		const recalls = groupRecalls(recallSlots(state, now));
 		const shortages = listShortages(state);
-		state.jobs.teams.dropIdle();
 		return {grants, refusals, recalls, shortages};
 	}
 
