--- a/packages/jobs/src/name-register.ts
+++ b/packages/jobs/src/name-register.ts
@@ -27,7 +27,10 @@
 
 /** What the platform's service said. */
 export type ClaimState =
-	{state: 'claimed'} | {state: 'held'; holder: Issuer} | {state: 'unavailable'};
+	| {state: 'claimed'}
+	| {state: 'held'; holder: Issuer}
+	/** Whether it was claimed can't be known, or this host claims no more names now. */
+	| {state: 'unavailable'; retryAfterMs?: number};
 
 export type NamePort = {
 	/** Creates the claim unless there is one. */
