--- a/packages/decisions/src/recall.ts
+++ b/packages/decisions/src/recall.ts
@@ -136,7 +136,7 @@
 	perWeight: number,
 	margin: number,
 ): boolean {
-	return team.usualSlots < perWeight * team.weight + margin;
+	return team.inUse < perWeight * team.weight + margin;
 }
 
 /**
--- a/packages/decisions/src/team-table.ts
+++ b/packages/decisions/src/team-table.ts
@@ -22,7 +22,7 @@
 };
 
 /** Weight of the newest sample of slots in use: at one each 50 ms half a second's worth counts. */
-const sampleWeight = 0.01;
+const sampleWeight = 0.1;
 
 const defaultShare: TeamShare = {weight: 1};
 
@@ -128,7 +128,7 @@
 				continue;
 			}
 
-			const isBelowShare = team.usualSlots < perWeight * team.weight;
+			const isBelowShare = team.inUse < perWeight * team.weight;
 			const isBetter =
 				best === undefined ||
 				(isBelowShare === isBestBelowShare
