--- a/packages/bench/src/slopes-processes.ts
+++ b/packages/bench/src/slopes-processes.ts
@@ -35,7 +35,7 @@
 				spent,
 				'gentianshift_bytes_total',
 				'direction="out"',
-				'link="host"',
+				'link="hosts"',
 			) /
 			measureSeconds /
 			hosts,
