--- a/packages/decisions/src/executor-pool.ts
+++ b/packages/decisions/src/executor-pool.ts
@@ -3,12 +3,11 @@
 */
 import {
 	createExecutorState,
-	hasFreeSlot,
 	judgeExecutors,
-	pickExecutor,
 	type ExecutorState,
 } from './executor-health.js';
 import {type LentExecutor} from './lending.js';
+import {hasFreeSlot, pickExecutor} from './placement.js';
 
 /** Executors are judged again at most this often, milliseconds, unless a task failed. */
 const judgeEveryMs = 10;
