Make the copies of a job that was given up on meet free, quick slots

Cause: with refusals not kept (a breakage put in), the test 'given up on or cancelled while it waited' still passed: the blocking job had taught the hosts 3.5 s a task, so its copies were refused for their deadline anyway.

Ruled out: the record of refusals being what held them.

Change: the blocking job is of another service; a fresh job of the same kind must complete, and each copy must be refused as it was told.

Conclusion: fails with refusals not kept and with cancellations not kept, passes without either.

--- a/packages/trials/src/true-refusals.test.ts
+++ b/packages/trials/src/true-refusals.test.ts
@@ -36,6 +36,7 @@
 	services: {
 		meals: {target: 'kitchens', path: '/run'},
 		quotes: {target: 'desks', path: '/run'},
+		ledgers: {target: 'desks', path: '/run'},
 		pair: {target: 'kitchens', path: '/run', maxTasks: 2},
 		narrow: {target: 'kitchens', path: '/run', queueTasks: 2},
 		closed: {target: 'closed', path: '/run'},
@@ -149,7 +150,7 @@
 	const blocking = runJob(
 		[owner.url],
 		await system.makeId(owner.name),
-		createSubmission(24, 3500, {service: 'quotes', deadlineMs}),
+		createSubmission(24, 3500, {service: 'ledgers', deadlineMs}),
 	);
 	await delay(500);
 	const id = await system.makeId(owner.name);
@@ -162,12 +163,19 @@
 	assert.equal(describeOutcome(givenUp), 'deadline, ran: none');
 	assert.equal(cancelled.kind === 'problem' && cancelled.problem.ran, 'none');
 	assertComplete([await blocking]);
-	const copies = [
-		...(await submitEverywhere(system.urls, id, short)),
-		...(await submitEverywhere(system.urls, cancelledId, short)),
-	];
-	await assertPromises(system, [givenUp, ...copies]);
-	assert.deepEqual(await readJobStarts(system, cancelledId), []);
+	const fresh = await system.makeId(owner.name);
+	assertComplete([await runJob([owner.url], fresh, short)]);
+	const copies = await submitEverywhere(system.urls, id, short);
+	const late = await submitEverywhere(system.urls, cancelledId, short);
+	for (const copy of copies) {
+		assertRefused(copy, 'deadline');
+	}
+
+	for (const copy of late) {
+		assertRefused(copy, 'cancelled');
+	}
+
+	await assertPromises(system, [givenUp, ...copies, ...late]);
 });
 
 async function sendRaw(
