--- a/packages/jobs/src/name-register.ts
+++ b/packages/jobs/src/name-register.ts
@@ -27,7 +27,10 @@
 
 /** What the platform's service said. */
 export type ClaimState =
-	{state: 'claimed'} | {state: 'held'; holder: Issuer} | {state: 'unavailable'};
+	| {state: 'claimed'}
+	| {state: 'held'; holder: Issuer}
+	/** Whether it was claimed can't be known, or this host claims no more names now. */
+	| {state: 'unavailable'; retryAfterMs?: number};
 
 export type NamePort = {
 	/** Creates the claim unless there is one. */
@@ -123,7 +126,9 @@
 			this.#options.now() - askedAt > claimLimitMs
 		) {
 			this.#rememberUnsettled(id.uuid, attempt);
-			return err(createPlatformDown(id));
+			const retryAfterMs =
+				claim.state === 'unavailable' ? claim.retryAfterMs : undefined;
+			return err(createPlatformDown(id, retryAfterMs));
 		}
 
 		if (claim.state === 'claimed') {
@@ -162,14 +167,17 @@
 	}
 }
 
-function createPlatformDown(id: NamedId): Problem {
+function createPlatformDown(
+	id: NamedId,
+	retryAfterMs = platformRetryMs,
+): Problem {
 	return createProblem(
 		'platform-down',
 		'unknown',
 		'the name could not be claimed; it may have run before',
 		{
 			id: id.uuid,
-			retryAfterMs: platformRetryMs,
+			retryAfterMs,
 		},
 	);
 }
