Share an executor's connections by the worst case, not by all slots at once

With one host, or slots near the connections, the share came out as 0, so each request dialled anew. Change: the share counts the worst case, one host with all slots busy and the others idle; tests of the bound.

--- a/packages/bench/src/fit-line.ts
+++ b/packages/bench/src/compute-line.ts
@@ -15,9 +15,9 @@
 Fits a line to at least three points of different x.
 
 @example
-fitLine([{x: 1, y: 3}, {x: 2, y: 5}, {x: 3, y: 7}]); // {intercept: 1, slope: 2, slopeError: 0}
+computeLine([{x: 1, y: 3}, {x: 2, y: 5}, {x: 3, y: 7}]); // {intercept: 1, slope: 2, slopeError: 0}
 */
-export function fitLine(points: readonly Point[]): Line {
+export function computeLine(points: readonly Point[]): Line {
 	const meanX = findMean(points.map(({x}) => x));
 	const meanY = findMean(points.map(({y}) => y));
 	const spread = sum(points.map(({x}) => (x - meanX) ** 2));
--- a/packages/bench/src/slope-series.ts
+++ b/packages/bench/src/slope-series.ts
@@ -2,7 +2,7 @@
 One quantity measured while one size is varied at least fourfold, all else held.
 */
 import process from 'node:process';
-import {fitLine, type Line, type Point} from './fit-line.js';
+import {computeLine, type Line, type Point} from './compute-line.js';
 
 export type Series = {
 	/** What is measured, with its unit. */
@@ -53,7 +53,7 @@
 }
 
 export function formatSeries(series: Series): string {
-	const line = fitLine(series.points);
+	const line = computeLine(series.points);
 	const sizes = series.points.map(({x}) => x);
 	const range = `${Math.min(...sizes)}..${Math.max(...sizes)}`;
 	return `${series.name} by ${series.by} (${range}): ${formatLine(line)}`;
--- a/packages/bench/src/slopes-lender.ts
+++ b/packages/bench/src/slopes-lender.ts
@@ -50,7 +50,7 @@
 	}
 
 	/** One task ends, its slot comes back, the next one is lent. */
-	step(): void {
+	runStep(): void {
 		this.#now += taskMs / (this.#size.executors * slotsEach);
 		const grant = this.#lent.shift();
 		if (grant) {
@@ -103,7 +103,7 @@
 function measureStep(size: Partial<Size>): number {
 	const lender = new BusyLender({...usual, ...size});
 	return measureCpu(steps, () => {
-		lender.step();
+		lender.runStep();
 	});
 }
 
--- /dev/null
+++ b/packages/executors/src/executor-pools.test.ts
@@ -0,0 +1,22 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {computeShare} from './executor-pools.js';
+
+for (const [hosts, connections, slots, share] of [
+	[1, 60, 60, 60],
+	[1, 60, 8, 8],
+	[9, 60, 8, 6],
+	[9, 60, 60, 0],
+	[100, 60, 8, 0],
+] as const) {
+	test(`${hosts} hosts keep ${share} of ${connections} connections for ${slots} slots`, () => {
+		assert.equal(computeShare({connections, slots}, hosts), share);
+	});
+}
+
+test('one host with all slots in use and the others idle stay within the limit', () => {
+	for (let hosts = 1; hosts < 70; hosts++) {
+		const share = computeShare({connections: 60, slots: 8}, hosts);
+		assert.ok((hosts - 1) * share + 8 <= 60, `${hosts} hosts, ${share} each`);
+	}
+});
--- a/packages/executors/src/executor-pools.ts
+++ b/packages/executors/src/executor-pools.ts
@@ -14,16 +14,21 @@
 
 /**
 Connections that this host may keep open to an executor while idle. The limit is the executor's,
-about 60 for all hosts together, so the hosts share what its busy slots leave; a host that kept
-more would starve the others. With more hosts than that it is 0: every request then takes a
-connection of its own and closes it, and the lent slots bound how many there are.
+about 60 for all hosts together. At worst one host has all of its slots in use while each other
+one keeps its share open: (hosts - 1) * share + slots is at most the limit. A host that kept more
+would starve the others. With very many hosts it is 0: every request then takes a connection of
+its own and closes it, and the lent slots bound how many there are.
 */
 export function computeShare(
 	{connections, slots}: Pick<Executor, 'connections' | 'slots'>,
 	hosts: number,
 ): number {
+	if (hosts <= 1) {
+		return Math.min(slots, connections);
+	}
+
 	const idle = Math.max(0, connections - slots);
-	return Math.min(slots, Math.floor(idle / Math.max(1, hosts)));
+	return Math.min(slots, Math.floor(idle / (hosts - 1)));
 }
 
 export class ExecutorPools {
