Greet the seeds of the settings while no other host is known

Cause: [peers] seeds was read and checked but did nothing, so a host that started during an outage at an address that nobody knew found nobody. Change: it greets each seed; the host there learns name and address from the hello and dials back. Tests of the mesh: greeting, and a silent peer. Ruled out: dialling a seed as a peer (a peer is known by its name).

--- a/packages/host/src/directory.ts
+++ b/packages/host/src/directory.ts
@@ -36,6 +36,8 @@
 export type DirectoryOptions = {
 	identity: Identity;
 	address: string;
+	/** Inner addresses greeted while no other host is known. */
+	seeds: readonly string[];
 	hostList: HostList;
 	hash: Hash64;
 	random: () => number;
@@ -188,6 +190,10 @@
 			return;
 		}
 
+		if (this.view.listPeers(readNow()).length === 0) {
+			this.#greetSeeds();
+		}
+
 		const hosts = await this.#options.hostList.fetchHosts();
 		if (hosts.isOk()) {
 			this.#takeList(hosts.value, readNow());
@@ -196,6 +202,15 @@
 		}
 	}
 
+	/** For a host that starts while the platform is down, at an address that nobody knows yet. */
+	#greetSeeds(): void {
+		for (const seed of this.#options.seeds) {
+			if (seed !== this.#options.address) {
+				this.#mesh?.greet(seed);
+			}
+		}
+	}
+
 	#takeList(hosts: KnownHost[], at: number): void {
 		this.#listed = {hosts, at};
 		this.view.takePlatformList(hosts);
--- a/packages/host/src/start-host.ts
+++ b/packages/host/src/start-host.ts
@@ -188,6 +188,7 @@
 		return new Directory({
 			identity: this.#identity,
 			address: this.#settings.addresses.inner,
+			seeds: this.#settings.peers.seeds,
 			hostList: this.#platform.hostList,
 			hash,
 			random: this.#random,
--- /dev/null
+++ b/packages/protocol/src/mesh.test.ts
@@ -0,0 +1,106 @@
+import assert from 'node:assert/strict';
+import net, {type AddressInfo} from 'node:net';
+import {after, test, type TestContext} from 'node:test';
+import {Mesh, type MeshHandlers} from './mesh.js';
+
+const incarnation = '0123456789abcdef';
+
+async function findFreeAddress(): Promise<string> {
+	const server = net.createServer();
+	await new Promise<void>((resolve) => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const {port} = server.address() as AddressInfo;
+	await new Promise((resolve) => {
+		server.close(resolve);
+	});
+	return `127.0.0.1:${port}`;
+}
+
+function doNothing(): void {
+	// Not of interest to this test.
+}
+
+/** A started mesh that ends with the test. */
+async function startMesh(
+	context: TestContext,
+	host: string,
+	handlers: Partial<MeshHandlers>,
+): Promise<{mesh: Mesh; address: string}> {
+	const address = await findFreeAddress();
+	const mesh = new Mesh({
+		self: {dataCentre: 'mieres', host, incarnation, address},
+		random: () => 0.5,
+		meter: {
+			countFrame: doNothing,
+			countBytesIn: doNothing,
+			countBytesOut: doNothing,
+			countBadFrame: doNothing,
+		},
+		handlers: {
+			onLinkUp: doNothing,
+			onLinkDown: doNothing,
+			onReply: doNothing,
+			onSessionUp: doNothing,
+			onSessionDown: doNothing,
+			onRequest: doNothing,
+			onBeat: doNothing,
+			onLeaving: doNothing,
+			...handlers,
+		},
+	});
+	await mesh.start();
+	context.after(async () => mesh.stop());
+	return {mesh, address};
+}
+
+test('a host that greets a bare address becomes known there by name', async (context) => {
+	// A host starts while the platform is down, so that no list names it. Without the greeting it
+	// and the others would never meet, and its callers would be refused.
+	const met = new Promise<string>((resolve) => {
+		void startMesh(context, 'm1', {
+			onSessionUp({key, hello}) {
+				resolve(`${key} at ${hello.address}`);
+			},
+		}).then(async ({address}) => {
+			const newcomer = await startMesh(context, 'm2', {});
+			newcomer.mesh.greet(address);
+			expected = `mieres_m2 at ${newcomer.address}`;
+		});
+	});
+	let expected = '';
+	assert.equal(await met, expected);
+});
+
+test('a peer that says nothing any more is hung up on and dialled anew', async (context) => {
+	// Something between two hosts forgets their connection: it stays open and nothing comes. A
+	// caller whose request was forwarded over it would wait for ever.
+	const sockets: net.Socket[] = [];
+	const silent = net.createServer((socket) => {
+		sockets.push(socket);
+	});
+	after(() => {
+		for (const socket of sockets) {
+			socket.destroy();
+		}
+
+		silent.close();
+	});
+	await new Promise<void>((resolve) => {
+		silent.listen(0, '127.0.0.1', resolve);
+	});
+	const {port} = silent.address() as AddressInfo;
+	const {mesh} = await startMesh(context, 'm1', {});
+	const dialledTwice = new Promise<void>((resolve) => {
+		silent.on('connection', () => {
+			if (sockets.length === 2) {
+				resolve();
+			}
+		});
+	});
+	mesh.setPeers([
+		{dataCentre: 'mieres', host: 'm2', address: `127.0.0.1:${port}`},
+	]);
+	await dialledTwice;
+	assert.equal(mesh.findLink('mieres_m2'), undefined);
+});
--- a/packages/protocol/src/mesh.ts
+++ b/packages/protocol/src/mesh.ts
@@ -148,6 +148,33 @@
 		);
 	}
 
+	/**
+	Makes this host known at an address of which no name is known: the host there learns this one's
+	name and address from the hello, dials back, and is dialled in turn.
+	*/
+	greet(address: string): void {
+		const [host, port] = splitAddress(address);
+		const socket = net.connect({host, port, localAddress: this.options.source});
+		const connection = new Connection(
+			socket,
+			{
+				onMessage() {
+					// The answer comes over the connection that is dialled back.
+				},
+				onClose() {
+					clearTimeout(timer);
+				},
+			},
+			this.options.meter,
+		);
+		const timer = setTimeout(() => {
+			connection.close('greeted');
+		}, dialTimeoutMs);
+		socket.once('connect', () => {
+			connection.send(this.#makeHello());
+		});
+	}
+
 	/** Tells all peers, at once and with each heartbeat. */
 	setLeaving(isLeaving: boolean): void {
 		this.#isLeaving = isLeaving;
