Split the borrower and the owner into smaller parts

Change: the leases by place, the gathered releases and the checks on a submission in files of their own; a new job's demand is no longer told twice when its lease is opened.

--- a/packages/host/src/directory.ts
+++ b/packages/host/src/directory.ts
@@ -191,7 +191,7 @@
 		}
 
 		if (this.view.listPeers(readNow()).length === 0) {
-			this.#greetSeeds();
+			this.#sendGreetings();
 		}
 
 		const hosts = await this.#options.hostList.fetchHosts();
@@ -203,10 +203,10 @@
 	}
 
 	/** For a host that starts while the platform is down, at an address that nobody knows yet. */
-	#greetSeeds(): void {
+	#sendGreetings(): void {
 		for (const seed of this.#options.seeds) {
 			if (seed !== this.#options.address) {
-				this.#mesh?.greet(seed);
+				this.#mesh?.sendGreeting(seed);
 			}
 		}
 	}
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -1,3 +1,4 @@
+export * from './admission.js';
 export * from './forwards.js';
 export * from './generations.js';
 export * from './job-record.js';
--- a/packages/jobs/src/owner.ts
+++ b/packages/jobs/src/owner.ts
@@ -16,6 +16,12 @@
 	type ServiceSpec,
 	type Submission,
 } from '@gentianshift/resources';
+import {
+	judgeGeneration,
+	judgeSubmission,
+	type AdmissionView,
+	type OwnerLimits,
+} from './admission.js';
 import {type Generations} from './generations.js';
 import {JobRecord} from './job-record.js';
 import {JobTable} from './job-table.js';
@@ -27,16 +33,6 @@
 	type UsableSlot,
 } from './slot-source.js';
 
-/** Limits of this host, against floods that it could not keep in memory. */
-export type OwnerLimits = {
-	/** Jobs not yet ended. */
-	jobs: number;
-	/** Tasks waiting for slots, all services together. */
-	queueTasks: number;
-	/** Ended jobs kept for those who ask again. */
-	records: number;
-};
-
 /** What the owner tells of its doings, for metrics and spans. */
 export type OwnerEvents = {
 	onTaskStart: (
@@ -78,7 +74,7 @@
 	traceparent?: string;
 };
 
-/** Refused work comes back after this at the soonest, milliseconds. */
+/** Work that got no slot before its deadline comes back after this at the soonest, milliseconds. */
 const leastRetryMs = 200;
 
 export class Owner {
@@ -129,11 +125,16 @@
 		}
 
 		const record = this.#createRecord(request);
-		const problem = this.#checkGeneration(request) ?? this.#admit(record);
-		if (problem?.code === 'id-expired' || problem?.code === 'malformed-id') {
-			return problem;
+		const {generations} = this.#options;
+		const unusable = judgeGeneration(
+			request.id,
+			generations.checkGeneration(request.generation),
+		);
+		if (unusable) {
+			return unusable;
 		}
 
+		const problem = judgeSubmission(record, this.#viewAdmission(record));
 		this.#table.add(record, request.generation);
 		if (problem) {
 			record.fail('refused', problem);
@@ -213,82 +214,19 @@
 		});
 	}
 
-	/**
-	An id of an expired generation may have run, its record dropped since: "unknown", never "none".
-	*/
-	#checkGeneration(request: OwnedSubmission): Problem | undefined {
-		const state = this.#options.generations.checkGeneration(request.generation);
-		if (state === 'startable') {
-			return undefined;
-		}
-
-		return state === 'expired'
-			? createProblem(
-					'id-expired',
-					'unknown',
-					'an id is good for two generations; take a new one',
-					{id: request.id},
-				)
-			: createProblem(
-					'malformed-id',
-					'unknown',
-					'this host has not issued such an id',
-					{id: request.id},
-				);
-	}
-
-	/** The checks that need no keeper. All say "none": the record is new, nothing of it was sent. */
-	#admit(record: JobRecord): Problem | undefined {
-		const {service: name, team} = record.submission;
-		const service = this.#options.findService(name);
-		const refuse = (code: ProblemCode, detail: string, retryAfterMs?: number) =>
-			createProblem(code, 'none', detail, {id: record.id, retryAfterMs});
-		if (!service) {
-			return refuse('unknown-service', `no service "${name}" is declared`);
-		}
-
-		if (!this.#options.hasTeam(team)) {
-			return refuse('unknown-team', `no team "${team}" is declared`);
-		}
-
-		if (record.taskCount > service.maxTasks) {
-			return refuse(
-				'too-many-tasks',
-				`${record.taskCount} tasks; the service takes ${service.maxTasks}`,
-			);
-		}
-
-		if (!this.#options.canServe(service.target)) {
-			return refuse(
-				'impossible',
-				`target "${service.target}" has no executor that takes work`,
-			);
-		}
-
-		if (this.#isStopping) {
-			return refuse(
-				'stopping',
-				'this host is stopping; another one takes the job',
-				leastRetryMs,
-			);
-		}
-
-		return this.#isFull(record, service)
-			? refuse(
-					'overloaded',
-					'this host keeps all the work it may',
-					leastRetryMs * 5,
-				)
-			: undefined;
-	}
-
-	#isFull(record: JobRecord, service: ServiceSpec): boolean {
-		const {limits} = this.#options;
-		const queued = this.#table.queuedTasks + record.taskCount;
-		return (
-			this.#table.activeJobs >= limits.jobs ||
-			queued > Math.min(limits.queueTasks, service.queueTasks)
-		);
+	/** What this host knows of its room for the job, for the checks that need no keeper. */
+	#viewAdmission({submission}: JobRecord): AdmissionView {
+		const {findService, hasTeam, canServe, limits} = this.#options;
+		const service = findService(submission.service);
+		return {
+			service,
+			hasTeam: hasTeam(submission.team),
+			canServe: service !== undefined && canServe(service.target),
+			isStopping: this.#isStopping,
+			limits,
+			activeJobs: this.#table.activeJobs,
+			queuedTasks: this.#table.queuedTasks,
+		};
 	}
 
 	#setDeadline(record: JobRecord): void {
--- a/packages/protocol/src/mesh.test.ts
+++ b/packages/protocol/src/mesh.test.ts
@@ -64,7 +64,7 @@
 			},
 		}).then(async ({address}) => {
 			const newcomer = await startMesh(context, 'm2', {});
-			newcomer.mesh.greet(address);
+			newcomer.mesh.sendGreeting(address);
 			expected = `mieres_m2 at ${newcomer.address}`;
 		});
 	});
--- a/packages/protocol/src/mesh.ts
+++ b/packages/protocol/src/mesh.ts
@@ -152,7 +152,7 @@
 	Makes this host known at an address of which no name is known: the host there learns this one's
 	name and address from the hello, dials back, and is dialled in turn.
 	*/
-	greet(address: string): void {
+	sendGreeting(address: string): void {
 		const [host, port] = splitAddress(address);
 		const socket = net.connect({host, port, localAddress: this.options.source});
 		const connection = new Connection(
--- a/packages/slots/src/borrower.ts
+++ b/packages/slots/src/borrower.ts
@@ -15,8 +15,10 @@
 	type MessageOf,
 } from '@gentianshift/protocol';
 import {type Executor} from '@gentianshift/resources';
-import {Lease} from './lease.js';
+import {type Lease} from './lease.js';
+import {formatPlace, LeaseBook, type Place} from './lease-book.js';
 import {leaseRenewMs, type SlotPorts} from './ports.js';
+import {Releases} from './releases.js';
 
 /** A job's demand is told anew when its remaining work fell by this part: it ranks by it. */
 const tellFraction = 0.1;
@@ -24,13 +26,6 @@
 /** A slot that can't be used yet (lease or executor not known here) is given back after this, milliseconds. */
 const holdMs = 100;
 
-/**
-How long releases are gathered while nothing waits at the keeper, milliseconds. A job's last
-tasks end over hundreds of milliseconds, a message each else; a job that comes meanwhile finds
-these slots that much later, a twentieth of a task.
-*/
-const gatherMs = 10;
-
 /** Each so many requests a lease carries all that is held, so that a lost release is found. */
 const listEvery = 8;
 
@@ -47,30 +42,27 @@
 	toldAt: number;
 };
 
-type HeldSlot = LentSlot & {
-	target: string;
-	dataCentre: string;
-	isRecalled: boolean;
-};
+type HeldSlot = LentSlot & Place & {isRecalled: boolean};
 
 export class Borrower implements SlotSource {
 	readonly #ports: SlotPorts;
 	readonly #handlers: SlotHandlers;
 	readonly #jobs = new Map<number, BorrowingJob>();
 	readonly #held = new Map<number, HeldSlot>();
-	/** By target and data centre. */
-	readonly #leases = new Map<string, Lease>();
+	readonly #leases = new LeaseBook();
+	readonly #releases: Releases;
 	/** Granted, and not usable yet. */
 	readonly #pending = new Map<number, {slot: HeldSlot; until: number}>();
-	#releases = new Map<string, MessageOf<'release'>>();
+	/** Tasks that ended on slots kept, by place: they go with the next lease. */
 	readonly #reports = new Map<string, MessageOf<'lease'>['reports']>();
 	readonly #timer: NodeJS.Timeout;
-	#isFlushing = false;
-	#flushTimer: NodeJS.Timeout | undefined;
 
 	constructor(ports: SlotPorts, handlers: SlotHandlers) {
 		this.#ports = ports;
 		this.#handlers = handlers;
+		this.#releases = new Releases((place, message) => {
+			this.#sendToKeeper(place, message);
+		});
 		this.#timer = setInterval(() => {
 			this.#renewLeases();
 		}, leaseRenewMs);
@@ -92,8 +84,8 @@
 			toldRemaining: demand.remaining,
 			toldAt: 0,
 		};
-		this.#jobs.set(demand.job, job);
 		this.#openLeases(demand.target);
+		this.#jobs.set(demand.job, job);
 		this.#tellDemand(job);
 	}
 
@@ -105,7 +97,10 @@
 
 		this.#jobs.delete(number);
 		const {target} = job.demand;
-		this.#sendToKeeper(target, job.home, {t: 'withdraw', target, job: number});
+		this.#sendToKeeper(
+			{target, dataCentre: job.home},
+			{t: 'withdraw', target, job: number},
+		);
 	}
 
 	receiveGrant(keeper: string, message: MessageOf<'grant'>): void {
@@ -136,20 +131,19 @@
 	/** Work has begun to wait at a keeper: what was gathered for it goes back now. */
 	receiveHunger(keeper: string, message: MessageOf<'hunger'>): void {
 		this.#noteHunger(keeper, message.target, true);
-		this.#flushReleases();
+		this.#releases.flush();
 	}
 
 	receiveLeased(keeper: string, message: MessageOf<'leased'>): void {
 		this.#noteHunger(keeper, message.target, message.isHungry);
-		for (const [key, lease] of this.#leases) {
-			const {target, dataCentre} = parseLeaseKey(key);
-			if (lease.keeper !== keeper || target !== message.target) {
-				continue;
-			}
-
-			if (!lease.extend(message.sequence, message.term, message.leaving)) {
-				this.#tellAgain(target, dataCentre, lease);
-				this.#renewLease(target, dataCentre, lease);
+		const {sequence, term, leaving} = message;
+		for (const {lease, ...place} of this.#leases.listWith(
+			keeper,
+			message.target,
+		)) {
+			if (!lease.extend(sequence, term, leaving)) {
+				this.#tellAgain(place, lease);
+				this.#renewLease(place, lease);
 			}
 		}
 
@@ -157,7 +151,7 @@
 	}
 
 	/** What this host holds of a target in a data centre, for its keeper. */
-	listHeld(target: string, dataCentre: string): LentSlot[] {
+	listHeld({target, dataCentre}: Place): LentSlot[] {
 		return [...this.#held.values()]
 			.filter(
 				(slot) => slot.target === target && slot.dataCentre === dataCentre,
@@ -167,12 +161,11 @@
 
 	/** Hosts or resources changed: keepers may be others now. */
 	refreshKeepers(): void {
-		for (const [key, lease] of this.#leases) {
-			const {target, dataCentre} = parseLeaseKey(key);
-			const keeper = this.#ports.findKeeper(target, dataCentre);
+		for (const {lease, ...place} of this.#leases.list()) {
+			const keeper = this.#ports.findKeeper(place.target, place.dataCentre);
 			if (keeper !== lease.keeper) {
 				lease.changeKeeper(keeper);
-				this.#renewLease(target, dataCentre, lease);
+				this.#renewLease(place, lease);
 			}
 		}
 
@@ -181,7 +174,7 @@
 
 	/** The link to a host is up or down: what its keeper knew of this host is gone. */
 	resetKeeper(hostKey: string): void {
-		for (const lease of this.#leases.values()) {
+		for (const {lease} of this.#leases.list()) {
 			if (lease.keeper === hostKey) {
 				lease.changeKeeper(undefined);
 			}
@@ -191,20 +184,13 @@
 	}
 
 	stop(): void {
-		clearTimeout(this.#flushTimer);
+		this.#releases.stop();
 		clearInterval(this.#timer);
 	}
 
-	/** Slots held now, for a planned stop to wait for. */
-	get heldSlots(): number {
-		return this.#held.size;
-	}
-
 	#noteHunger(keeper: string, target: string, isHungry: boolean): void {
-		for (const [key, lease] of this.#leases) {
-			if (lease.keeper === keeper && parseLeaseKey(key).target === target) {
-				lease.isHungry = isHungry;
-			}
+		for (const {lease} of this.#leases.listWith(keeper, target)) {
+			lease.isHungry = isHungry;
 		}
 	}
 
@@ -245,15 +231,11 @@
 
 	#openLeases(target: string): void {
 		for (const dataCentre of this.#ports.listDataCentres(target)) {
-			const key = formatLeaseKey(target, dataCentre);
-			const lease = this.#leases.get(key);
-			if (!lease) {
-				const opened = new Lease();
-				opened.changeKeeper(this.#ports.findKeeper(target, dataCentre));
-				this.#leases.set(key, opened);
-				this.#renewLease(target, dataCentre, opened);
-			} else if (!lease.isValid(this.#ports.now())) {
-				this.#renewLease(target, dataCentre, lease);
+			const place = {target, dataCentre};
+			const keeper = this.#ports.findKeeper(target, dataCentre);
+			const lease = this.#leases.get(place) ?? this.#leases.open(place, keeper);
+			if (!lease.isValid(this.#ports.now())) {
+				this.#renewLease(place, lease);
 			}
 		}
 	}
@@ -264,7 +246,8 @@
 		const now = this.#ports.now();
 		job.toldRemaining = demand.remaining;
 		job.toldAt = now;
-		this.#sendToKeeper(target, job.home, {
+		const place = {target, dataCentre: job.home};
+		this.#sendToKeeper(place, {
 			t: 'demand',
 			target,
 			job: rest.job,
@@ -299,7 +282,7 @@
 		return count;
 	}
 
-	#retellDemands(target: string, dataCentre: string): void {
+	#retellDemands({target, dataCentre}: Place): void {
 		for (const job of this.#jobs.values()) {
 			if (
 				job.demand.target === target &&
@@ -333,14 +316,8 @@
 	}
 
 	#findPlace(target: string, keeper: string): string {
-		for (const [key, lease] of this.#leases) {
-			const place = parseLeaseKey(key);
-			if (place.target === target && lease.keeper === keeper) {
-				return place.dataCentre;
-			}
-		}
-
-		return this.#ports.dataCentre;
+		const [entry] = this.#leases.listWith(keeper, target);
+		return entry?.dataCentre ?? this.#ports.dataCentre;
 	}
 
 	#usePending(): void {
@@ -378,9 +355,7 @@
 	}
 
 	#isUsable(slot: HeldSlot): boolean {
-		const lease = this.#leases.get(
-			formatLeaseKey(slot.target, slot.dataCentre),
-		);
+		const lease = this.#leases.get(slot);
 		return (
 			lease !== undefined &&
 			lease.isValid(this.#ports.now()) &&
@@ -417,13 +392,12 @@
 	}
 
 	#report(slot: HeldSlot, outcome: SlotOutcome): void {
-		const key = formatLeaseKey(slot.target, slot.dataCentre);
+		const key = formatPlace(slot);
 		const reports = this.#reports.get(key) ?? [];
 		reports.push({slot: slot.slot, ...outcome});
 		this.#reports.set(key, reports);
 	}
 
-	/** All releases of a loop turn to one keeper travel as one message. */
 	#release(slot: HeldSlot, outcome: SlotOutcome): void {
 		if (!this.#held.delete(slot.slot)) {
 			return;
@@ -433,41 +407,8 @@
 			this.#ports.countWasted('unused-grant');
 		}
 
-		const key = formatLeaseKey(slot.target, slot.dataCentre);
-		const message = this.#releases.get(key) ?? {
-			t: 'release',
-			target: slot.target,
-			slots: [],
-		};
-		message.slots.push({slot: slot.slot, ...outcome});
-		this.#releases.set(key, message);
-		this.#scheduleFlush(this.#leases.get(key)?.isHungry ?? true);
-	}
-
-	/** At once (with all of this loop turn) where work waits, else a little later, with more. */
-	#scheduleFlush(isHungry: boolean): void {
-		if (isHungry && !this.#isFlushing) {
-			this.#isFlushing = true;
-			setImmediate(() => {
-				this.#flushReleases();
-			});
-		}
-
-		this.#flushTimer ??= setTimeout(() => {
-			this.#flushReleases();
-		}, gatherMs);
-	}
-
-	#flushReleases(): void {
-		clearTimeout(this.#flushTimer);
-		this.#flushTimer = undefined;
-		this.#isFlushing = false;
-		const releases = this.#releases;
-		this.#releases = new Map();
-		for (const [key, message] of releases) {
-			const {target, dataCentre} = parseLeaseKey(key);
-			this.#sendToKeeper(target, dataCentre, message);
-		}
+		const isHungry = this.#leases.get(slot)?.isHungry ?? true;
+		this.#releases.add(slot, {slot: slot.slot, isHungry}, outcome);
 	}
 
 	/** A slot of this job came to nothing: it wants another one. */
@@ -480,14 +421,12 @@
 
 	#renewLeases(): void {
 		this.refreshKeepers();
-		for (const [key, lease] of this.#leases) {
-			const {target, dataCentre} = parseLeaseKey(key);
-			if (!this.#isLeaseNeeded(target)) {
-				this.#leases.delete(key);
-				continue;
+		for (const {lease, ...place} of this.#leases.list()) {
+			if (this.#isLeaseNeeded(place.target)) {
+				this.#renewLease(place, lease);
+			} else {
+				this.#leases.delete(place);
 			}
-
-			this.#renewLease(target, dataCentre, lease);
 		}
 
 		this.#repeatDemands();
@@ -507,9 +446,9 @@
 	A keeper that doesn't answer may not hold the role yet by its own view, and have dropped what
 	it was told: it is told again with each request until it answers.
 	*/
-	#tellAgain(target: string, dataCentre: string, lease: Lease): void {
+	#tellAgain(place: Place, lease: Lease): void {
 		lease.isTold = false;
-		this.#retellDemands(target, dataCentre);
+		this.#retellDemands(place);
 	}
 
 	#isLeaseNeeded(target: string): boolean {
@@ -528,38 +467,29 @@
 		return false;
 	}
 
-	#renewLease(target: string, dataCentre: string, lease: Lease): void {
+	#renewLease(place: Place, lease: Lease): void {
 		if (!lease.isValid(this.#ports.now())) {
-			this.#tellAgain(target, dataCentre, lease);
+			this.#tellAgain(place, lease);
 		}
 
-		const key = formatLeaseKey(target, dataCentre);
+		const key = formatPlace(place);
 		const sequence = lease.ask(this.#ports.now());
 		const isListed = !lease.isTold || sequence % listEvery === 0;
 		const message: MessageOf<'lease'> = {
 			t: 'lease',
-			target,
+			target: place.target,
 			sequence,
-			held: isListed ? this.listHeld(target, dataCentre) : undefined,
+			held: isListed ? this.listHeld(place) : undefined,
 			reports: this.#reports.get(key) ?? [],
 		};
-		if (this.#sendToKeeper(target, dataCentre, message)) {
+		if (this.#sendToKeeper(place, message)) {
 			lease.isTold = true;
 			this.#reports.delete(key);
 		}
 	}
 
-	#sendToKeeper(target: string, dataCentre: string, message: Message): boolean {
+	#sendToKeeper({target, dataCentre}: Place, message: Message): boolean {
 		const keeper = this.#ports.findKeeper(target, dataCentre);
 		return keeper !== undefined && this.#ports.sendToHost(keeper, message);
 	}
 }
-
-function formatLeaseKey(target: string, dataCentre: string): string {
-	return `${target}/${dataCentre}`;
-}
-
-function parseLeaseKey(key: string): {target: string; dataCentre: string} {
-	const [target, dataCentre] = key.split('/');
-	return {target: target!, dataCentre: dataCentre!};
-}
--- a/packages/slots/src/slot-exchange.ts
+++ b/packages/slots/src/slot-exchange.ts
@@ -146,7 +146,7 @@
 	}
 
 	#answerHeld(ownerId: string, target: string, dataCentre: string): void {
-		const slots = this.#borrower?.listHeld(target, dataCentre) ?? [];
+		const slots = this.#borrower?.listHeld({target, dataCentre}) ?? [];
 		this.#ports.sendToOwner(ownerId, {t: 'held', target, dataCentre, slots});
 	}
 
