Keep a slot in use until its task has ended, also past the job's deadline

Change: the request is ended at the task limit, not at the job's deadline, which the executor is told as before; a planned stop lets such tasks end within its limit. A unit test, failing first.

--- a/packages/executors/src/executor-pool.ts
+++ b/packages/executors/src/executor-pool.ts
@@ -103,7 +103,7 @@
 	const list: Record<string, string> = {
 		'content-type': 'application/json',
 		[headers.task]: request.taskId,
-		[headers.deadline]: String(Math.ceil(request.limitMs)),
+		[headers.deadline]: String(Math.ceil(request.deadlineMs)),
 	};
 	if (request.traceparent !== undefined) {
 		list.traceparent = request.traceparent;
--- a/packages/executors/src/outcome.ts
+++ b/packages/executors/src/outcome.ts
@@ -24,7 +24,9 @@
 	path: string;
 	/** JSON text. */
 	payload: string;
-	/** Milliseconds after which the answer no longer counts and the connection is destroyed. */
+	/** Milliseconds after which the task counts as lost and its connection is destroyed. */
 	limitMs: number;
+	/** Milliseconds until the answer is of no use to the caller any more; told to the executor. */
+	deadlineMs: number;
 	traceparent?: string;
 };
--- a/packages/host/src/start-host.ts
+++ b/packages/host/src/start-host.ts
@@ -179,11 +179,23 @@
 		this.#ended.abort();
 		this.#slots.stop();
 		await this.#mesh.stop();
-		await this.#pools.destroy();
+		// Tasks of jobs that have been answered may still run: they are let end, within the limit.
+		await this.#endTasks(limitAt);
 		await Promise.all([this.#platform.close(), this.#tracer.shutdown()]);
 		this.#logger.info('stopped');
 	}
 
+	/** Lets tasks end until the limit, then cuts off those that run on. */
+	async #endTasks(limitAt: number): Promise<void> {
+		const closed = new AbortController();
+		const closing = this.#pools.close().then(() => {
+			closed.abort();
+		});
+		await waitFor(Math.max(0, limitAt - readNow()), closed.signal);
+		await this.#pools.destroy();
+		await closing;
+	}
+
 	#createDirectory(hash: Hash64): Directory {
 		return new Directory({
 			identity: this.#identity,
--- a/packages/jobs/src/owner.test.ts
+++ b/packages/jobs/src/owner.test.ts
@@ -169,3 +169,20 @@
 	assert.equal(record.state, 'complete');
 	assert.equal(owner.activeJobs, 0);
 });
+
+test('a task that outlives its job keeps its slot until it ends', () => {
+	// The job is answered at its deadline, but the executor cooks on. A slot given back at once
+	// would be lent again, and the executor asked for more than its slots; it refuses the next one.
+	const {submit, grant, sent, released, clock, owner} = buildOwner({
+		taskLimitMs: 30_000,
+	});
+	const record = submit({tasks: ['a']});
+	clock.now = 59_000;
+	grant(record);
+	const {limitMs, deadlineMs} = sent[0]!.request;
+	assert.deepEqual([limitMs, deadlineMs], [30_000, 1000]);
+	owner.abandonJobs();
+	assert.deepEqual(released, []);
+	sent[0]!.end(done);
+	assert.deepEqual(released, ['done']);
+});
--- a/packages/jobs/src/owner.ts
+++ b/packages/jobs/src/owner.ts
@@ -309,7 +309,9 @@
 			taskId: `${record.id}/${task.index}`,
 			path: service.path,
 			payload: task.payload,
-			limitMs: Math.min(service.taskLimitMs, leftMs),
+			// Past the job's deadline the executor may run on: the slot is in use until it answers.
+			limitMs: service.taskLimitMs,
+			deadlineMs: Math.min(service.taskLimitMs, leftMs),
 			traceparent: span.traceparent,
 		};
 		this.#options.sendTask(slot.executor, request, (outcome) => {
