Read a refused body to its end for a second, so that the answer arrives

Cause: one run of bad-input failed with EPIPE: a host closed the connection right after its 413, under the client's writing, and the reset could take the answer with it. Ruled out: the test (it writes a body and reads the answer, as callers do). Change: what comes past the limit, or past the memory for bodies, is thrown away until the body ends, for at most a second.

--- a/packages/api/src/body.ts
+++ b/packages/api/src/body.ts
@@ -89,62 +89,85 @@
 }
 
 /**
-Collects the body. Past the limit it stops reading at once, so that a flood of bytes costs
-the host no more memory than one body of legal size.
+How long the rest of a body that is refused is still read and thrown away, milliseconds. Closed
+at once, the connection would be reset under the client's writing, and the answer lost with it.
+*/
+const drainMs = 1000;
+
+/**
+Collects the body. Past a limit it keeps nothing, so that a flood of bytes costs the host no
+more memory than one body of legal size.
 */
 async function readBytes(
 	{incoming, limit, id}: BodyRequest,
 	lease: BodyLease,
 ): Promise<Result<Uint8Array, Problem>> {
-	const tooLarge = createProblem({
-		status: 413,
-		code: 'body-too-large',
-		detail: `the body is larger than ${limit} bytes`,
-		ran: 'unknown',
-		id,
-	});
-	if (Number(incoming.headers['content-length'] ?? 0) > limit) {
-		return err(tooLarge);
-	}
-
 	return new Promise((resolve) => {
-		const chunks: Uint8Array[] = [];
+		let chunks: Uint8Array[] = [];
 		let length = 0;
+		let refusal: Problem | undefined;
+		let drainTimer: NodeJS.Timeout | undefined;
 		const settle = (result: Result<Uint8Array, Problem>) => {
+			clearTimeout(drainTimer);
 			incoming.off('data', onData);
 			resolve(result);
 		};
 
+		const refuse = (problem: Problem) => {
+			refusal = problem;
+			chunks = [];
+			drainTimer = setTimeout(() => {
+				incoming.pause();
+				settle(err(problem));
+			}, drainMs);
+		};
+
 		const onData = (chunk: Uint8Array) => {
 			length += chunk.length;
-			if (length > limit) {
-				incoming.pause();
-				settle(err(tooLarge));
+			if (refusal) {
 				return;
 			}
 
-			if (!lease.extend(length)) {
-				incoming.pause();
-				settle(err(describeNoMemory(id)));
-				return;
+			if (length > limit) {
+				refuse(describeTooLarge(limit, id));
+			} else if (lease.extend(length)) {
+				chunks.push(chunk);
+			} else {
+				refuse(describeNoMemory(id));
 			}
-
-			chunks.push(chunk);
 		};
 
 		const onLost = () => {
-			settle(err(describeLost(id)));
+			settle(err(refusal ?? describeLost(id)));
 		};
 
+		if (Number(incoming.headers['content-length'] ?? 0) > limit) {
+			refuse(describeTooLarge(limit, id));
+		}
+
 		incoming.on('data', onData);
 		incoming.once('end', () => {
-			settle(ok(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)));
+			settle(refusal ? err(refusal) : ok(joinChunks(chunks)));
 		});
 		incoming.once('error', onLost);
 		incoming.once('close', onLost);
 	});
 }
 
+function joinChunks(chunks: readonly Uint8Array[]): Uint8Array {
+	return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
+}
+
+function describeTooLarge(limit: number, id: string | undefined): Problem {
+	return createProblem({
+		status: 413,
+		code: 'body-too-large',
+		detail: `the body is larger than ${limit} bytes`,
+		ran: 'unknown',
+		id,
+	});
+}
+
 /** Another host, or this one a little later, may take a copy: what ran is not known here. */
 function describeNoMemory(id: string | undefined): Problem {
 	return createProblem({
