Tell free slots again after they were lent to another data centre

A keeper that asks elsewhere counts down what it was told; the other one took the same number of free slots later for no news and never told it. Change: what a shift's answer says counts as told. A test of the keeper, failing first.

--- a/packages/slots/src/keeper.ts
+++ b/packages/slots/src/keeper.ts
@@ -109,6 +109,9 @@
 		const demand = toDemand(message.owner, message.demand);
 		const grants = this.#lender.shiftIn(demand, message.count, now);
 		this.#sendGrants(message.owner, grants);
+		const {free} = this.#lender.readState(now);
+		// The asker goes on from this figure; what comes back must be news to it.
+		this.#toldFree = free;
 		this.#ports.sendToOwner(senderId, {
 			t: 'shifted',
 			target: this.target,
@@ -116,7 +119,7 @@
 			job: message.demand.job,
 			count: message.count,
 			granted: grants.length,
-			free: this.#lender.readState(now).free,
+			free,
 		});
 		if (grants.length < message.count) {
 			this.#ports.countWasted('shift-empty');
