Tell news of free slots that came too soon after the last

Cause: 'free again' within 5 ms of the last word waited for the keeper's next decision, up to 250 ms. Ruled out: sending each change (messages). Change: it is told when the 5 ms are over.

--- a/packages/slots/src/keeper.ts
+++ b/packages/slots/src/keeper.ts
@@ -39,6 +39,8 @@
 	readonly #sated = new Set<string>();
 	#toldFree = -1;
 	#toldAt = 0;
+	/** News that came too soon after what was told last is told then. */
+	#stateDueAt = Infinity;
 
 	constructor(target: string, ports: SlotPorts) {
 		this.target = target;
@@ -340,6 +342,8 @@
 			Math.abs(free - this.#toldFree) > slots / 8;
 		const isDue =
 			now - this.#toldAt > (isNews ? stateEveryMs : leaseTermMs / 4);
+		this.#stateDueAt =
+			isNews && !isDue ? this.#toldAt + stateEveryMs : Infinity;
 		if (!isDue || free === this.#toldFree) {
 			return;
 		}
@@ -390,6 +394,7 @@
 		const next = Math.min(
 			this.#lender.nextDecisionAt(now) ?? Infinity,
 			now + leaseTermMs / 4,
+			this.#stateDueAt,
 		);
 		if (next >= this.#timerAt && this.#timerAt > now) {
 			return;
