--- a/packages/host/src/start-host.ts
+++ b/packages/host/src/start-host.ts
@@ -18,7 +18,7 @@
 } from '@gentianshift/jobs';
 import {loadHash, type Hash64} from '@gentianshift/membership';
 import {Mesh} from '@gentianshift/protocol';
-import {type Executor} from '@gentianshift/resources';
+import {StartError, type Executor} from '@gentianshift/resources';
 import {type HostSettings} from '@gentianshift/settings';
 import {SlotExchange} from '@gentianshift/slots';
 import {
@@ -79,7 +79,15 @@
 	options: StartOptions = {},
 ): Promise<RunningHost> {
 	const host = new Host(settings, {...options, hash: await loadHash()});
-	await host.start();
+	try {
+		await host.start();
+	} catch (error) {
+		const {callers, inner} = settings.addresses;
+		throw new StartError(`cannot serve at ${callers} and ${inner}`, {
+			cause: error,
+		});
+	}
+
 	return host;
 }
 
--- a/packages/resources/src/index.ts
+++ b/packages/resources/src/index.ts
@@ -1,3 +1,4 @@
+export * from './errors.js';
 export * from './finding.js';
 export * from './job-id.js';
 export * from './kinds.js';
