--- a/packages/host/src/start-host.ts
+++ b/packages/host/src/start-host.ts
@@ -83,9 +83,11 @@
 		await host.start();
 	} catch (error) {
 		const {callers, inner} = settings.addresses;
-		throw new StartError(`cannot serve at ${callers} and ${inner}`, {
-			cause: error,
-		});
+		const startError: Error = new StartError(
+			`cannot serve at ${callers} and ${inner}`,
+			{cause: error},
+		);
+		throw startError;
 	}
 
 	return host;
