Give the caller's request and the forward spans of their own

Ruled out: spans in the HTTP layer, which a forwarded request doesn't pass at the owner. Not measured: their cost.

--- a/packages/host/src/start-host.ts
+++ b/packages/host/src/start-host.ts
@@ -322,6 +322,15 @@
 			}),
 			findService: (name) => this.#lookup.findService(name),
 			findLink: (key) => this.#mesh.findLink(key),
+			startSpan: (name, traceparent) => {
+				const span = this.#tracer.startSpan(name, {traceparent});
+				return {
+					traceparent: span.traceparent,
+					end(error) {
+						span.end({error});
+					},
+				};
+			},
 			createRandom: () => randomBytes(8).toString('hex'),
 		});
 	}
--- a/packages/jobs/src/router.ts
+++ b/packages/jobs/src/router.ts
@@ -22,12 +22,21 @@
 import {type Owner} from './owner.js';
 import {createProblem} from './problems.js';
 
+/** One hop of a request, for its trace. */
+export type HopSpan = {
+	/** To send on. */
+	traceparent: string;
+	end: (error?: string) => void;
+};
+
 export type RouterOptions = {
 	generations: Generations;
 	owner: Owner;
 	names: NameRegister;
 	findService: (name: string) => ServiceSpec | undefined;
 	findLink: (hostKey: string) => Link | undefined;
+	/** A span under the caller's trace context, or a new trace. */
+	startSpan: (name: string, traceparent?: string) => HopSpan;
 	/** 16 hexadecimal digits from a cryptographic source. */
 	createRandom: () => string;
 };
@@ -73,7 +82,15 @@
 			return err(parsed.error);
 		}
 
-		return this.#submit(parsed.value, {...request, id: id.value});
+		const span = this.#options.startSpan('caller request', request.traceparent);
+		const {traceparent} = span;
+		const reply = await this.#submit(parsed.value, {
+			...request,
+			id: id.value,
+			traceparent,
+		});
+		endSpan(span, reply);
+		return reply;
 	}
 
 	async queryJob(request: {
@@ -290,7 +307,17 @@
 			);
 		}
 
-		return this.#forwards.sendForward(link, forward);
+		const span = this.#options.startSpan(
+			'forward to the owner',
+			forward.traceparent,
+		);
+		const {traceparent} = span;
+		const reply = await this.#forwards.sendForward(link, {
+			...forward,
+			traceparent,
+		});
+		endSpan(span, reply);
+		return reply;
 	}
 
 	#isSelf(issuer: Issuer): boolean {
@@ -324,3 +351,7 @@
 		return undefined;
 	}
 }
+
+function endSpan(span: HopSpan, reply: JobReply): void {
+	span.end(reply.isErr() ? reply.error.code : undefined);
+}
