--- a/packages/host/src/directory.ts
+++ b/packages/host/src/directory.ts
@@ -2,6 +2,7 @@
 The hosts around this one: the platform's list and peers' word made into a view, the mesh of
 connections kept to it, and the roles that follow from it.
 */
+import {type ResultAsync} from 'neverthrow';
 import {
 	createHostView,
 	pickHolders,
@@ -10,7 +11,6 @@
 	type HostView,
 	type KnownHost,
 } from '@gentianshift/membership';
-import {type HostList} from '@gentianshift/platform';
 import {
 	formatHostKey,
 	type Link,
@@ -38,7 +38,7 @@
 	address: string;
 	/** Inner addresses greeted while no other host is known. */
 	seeds: readonly string[];
-	hostList: HostList;
+	hostList: {fetchHosts: () => ResultAsync<KnownHost[], unknown>};
 	hash: Hash64;
 	random: () => number;
 	/** The view changed: roles may have moved. */
--- a/packages/host/src/identity.ts
+++ b/packages/host/src/identity.ts
@@ -17,7 +17,7 @@
 	ownerId: string;
 };
 
-export function createIdentity({host}: HostSettings): Identity {
+export function createIdentity({host}: Pick<HostSettings, 'host'>): Identity {
 	const incarnation = randomBytes(8).toString('hex');
 	const key = formatHostKey({dataCentre: host.dataCentre, host: host.name});
 	return {
--- /dev/null
+++ b/packages/host/src/scheduling/host-presence.ts
@@ -0,0 +1,128 @@
+/**
+This host's entry in the store, under a lease that it renews, and the list of all hosts' entries.
+
+What goes wrong: the lease lapses while the store is away or this host is paused, or the store
+drops the key and no call shows it. Then hosts that start later do not find this one. Noticed by
+the renewal that says the lease has ended, or by a list without this host; either way the entry is
+written anew.
+*/
+import {ResultAsync, err, ok, okAsync, type Result} from 'neverthrow';
+import {knownHostSchema, type KnownHost} from '@gentianshift/membership';
+import {
+	type CoordinationStore,
+	type StoreFailure,
+} from '@gentianshift/scheduling';
+import {repeat} from '../timers.js';
+
+const prefix = 'gentianshift/hosts/';
+/** A host that is gone is dialled no longer than this and its last renewals. */
+const leaseTtlMs = 5000;
+/** Three renewals may fail before the lease lapses. */
+const renewEveryMs = 1200;
+
+export type HostPresence = {
+	/** The lease that keys of this host are written under; undefined: none now. */
+	getLeaseId: () => number | undefined;
+	fetchHosts: () => ResultAsync<KnownHost[], StoreFailure>;
+	start: (signal: AbortSignal) => void;
+	/** Takes the entry back at a planned stop. */
+	end: () => Promise<void>;
+};
+
+export function createHostPresence({
+	self,
+	store,
+	random,
+	log,
+}: {
+	self: KnownHost;
+	store: CoordinationStore;
+	random: () => number;
+	log: (message: string, fields: Record<string, unknown>) => void;
+}): HostPresence {
+	const key = `${prefix}${self.name}`;
+	let leaseId: number | undefined;
+	let isEnded = false;
+
+	function enter(): ResultAsync<void, StoreFailure> {
+		return store
+			.createLease(leaseTtlMs)
+			.andThen((lease) =>
+				store
+					.commit({
+						write: [{key, value: JSON.stringify(self), leaseId: lease.leaseId}],
+					})
+					.andTee(() => {
+						leaseId = lease.leaseId;
+						log('host entered in the store', {leaseId});
+					}),
+			)
+			.map(() => undefined);
+	}
+
+	async function renew(): Promise<void> {
+		if (isEnded) {
+			return;
+		}
+
+		const result = await (leaseId === undefined
+			? enter()
+			: store.renewLease(leaseId));
+		if (result.isErr()) {
+			log('lease of this host is not renewed', {
+				code: result.error.code,
+				reason: result.error.message,
+			});
+			if (result.error.code === 'no-lease') {
+				leaseId = undefined;
+				await enter();
+			}
+		}
+	}
+
+	return {
+		getLeaseId: () => leaseId,
+		fetchHosts: () =>
+			store.readPrefix(prefix, {mayBeStale: true}).andThen(({items}) => {
+				const hosts = items.flatMap(({value}) => parseHost(value) ?? []);
+				const isMissing =
+					leaseId !== undefined &&
+					!isEnded &&
+					hosts.every(({name}) => name !== self.name);
+				return isMissing ? enterAgain(hosts) : okAsync(hosts);
+			}),
+		start(signal) {
+			void repeat(renew, {everyMs: renewEveryMs, signal, random});
+		},
+		async end() {
+			isEnded = true;
+			if (leaseId !== undefined) {
+				await store.endLease(leaseId);
+			}
+		},
+	};
+
+	/** The list may be older than the entry: writing it again does no harm. */
+	function enterAgain(
+		hosts: KnownHost[],
+	): ResultAsync<KnownHost[], StoreFailure> {
+		log('entry of this host is missing from the store', {leaseId});
+		return new ResultAsync(writeAgain(hosts));
+	}
+
+	async function writeAgain(
+		hosts: KnownHost[],
+	): Promise<Result<KnownHost[], StoreFailure>> {
+		const written = await enter();
+		return written.isOk() ? ok(hosts) : err(written.error);
+	}
+}
+
+/** Undefined: not written by this version of the program. */
+function parseHost(text: string): KnownHost | undefined {
+	try {
+		return knownHostSchema.safeParse(JSON.parse(text)).data;
+	} catch {
+		return undefined;
+	}
+}
--- /dev/null
+++ b/packages/host/src/scheduling/index.ts
@@ -0,0 +1,6 @@
+export {
+	startSchedulingHost,
+	type SchedulingHost,
+	type SchedulingHostOptions,
+} from './start-scheduling-host.js';
+export type * from './surroundings.js';
--- /dev/null
+++ b/packages/host/src/scheduling/scheduling-handlers.ts
@@ -0,0 +1,165 @@
+/**
+Hands each message between scheduling hosts to the part it is for.
+*/
+import {
+	type Ends,
+	type Message,
+	type MeshHandlers,
+	type Session,
+} from '@gentianshift/protocol';
+import {
+	type Entry,
+	type EntryJobs,
+	type GroupDirectory,
+} from '@gentianshift/scheduling';
+import {type Directory} from '../directory.js';
+import {type GroupHolding} from './group-holding.js';
+import {type QueueTables} from './queue-tables.js';
+
+/** The entry on the scheduler's own host. */
+export type LocalEntry = Entry;
+
+export type SchedulingParts = {
+	directory: Directory;
+	entry: EntryJobs;
+	groups: GroupDirectory;
+	holding: GroupHolding;
+	tables: QueueTables;
+	/** Where a peer is dialled. */
+	findAddress: (key: string) => string;
+	now: () => number;
+	log: (message: string, fields: Record<string, unknown>) => void;
+};
+
+export function createSchedulingHandlers({
+	directory,
+	entry,
+	groups,
+	holding,
+	tables,
+	findAddress,
+	now,
+	log,
+}: SchedulingParts): MeshHandlers {
+	return {
+		onBeat() {
+			// Nothing is told with the heartbeat: holders tell their state more often.
+		},
+		onLinkUp(link) {
+			log('link up', {peer: link.key});
+			directory.markLinkUp(link, findAddress(link.key));
+			entry.sendAgain(link.key);
+			tables.tell((message) => {
+				link.send(message);
+			});
+		},
+		onLinkDown(link, reason) {
+			log('link down', {peer: link.key, reason});
+			directory.markLinkDown(link, reason);
+		},
+		onReply(link, message) {
+			if (message.t === 'ends') {
+				entry.receiveEnds(link.key, message);
+			} else if (message.t === 'queue-table') {
+				tables.receive(message, (answer) => {
+					link.send(answer);
+				});
+			}
+		},
+		onSessionUp(session) {
+			directory.markSession(session);
+		},
+		onSessionDown(session) {
+			groups.markDoubtful(session.key, now());
+		},
+		onRequest: receiveRequest,
+		onLeaving(key, isLeaving) {
+			directory.markLeaving(key, isLeaving);
+		},
+	};
+
+	function receiveRequest(session: Session, message: Message): void {
+		switch (message.t) {
+			case 'part':
+			case 'drop':
+			case 'keep': {
+				receiveWork(session, message);
+				break;
+			}
+
+			case 'group-state': {
+				if (groups.update(session.key, message, now())) {
+					log('group has another holder', {
+						group: message.group,
+						token: message.token,
+						holder: session.key,
+					});
+					entry.handOver(message.group);
+				}
+
+				break;
+			}
+
+			case 'cancel-job': {
+				entry.cancel(message.job);
+				break;
+			}
+
+			case 'queue-table': {
+				tables.receive(message, (answer) => {
+					session.send(answer);
+				});
+				break;
+			}
+
+			case 'hosts': {
+				directory.receiveHosts(message);
+				break;
+			}
+
+			default:
+		}
+	}
+
+	function receiveWork(
+		session: Session,
+		message: Extract<Message, {t: 'part' | 'drop' | 'keep'}>,
+	): void {
+		const {scheduler} = holding;
+		const from: Entry = {
+			key: `${session.key}.${session.hello.incarnation}`,
+			send(ends) {
+				session.send(ends);
+			},
+		};
+		if (!scheduler) {
+			if (message.t === 'part') {
+				session.send(makeReleased(message.job, message.tasks));
+			}
+
+			return;
+		}
+
+		if (message.t === 'part') {
+			scheduler.receivePart(from, message);
+		} else if (message.t === 'keep') {
+			scheduler.keepEntry(from, message.at);
+		} else {
+			scheduler.dropJob(from, message.job);
+		}
+	}
+}
+
+/** This host does not hold the group: nothing of the part runs here. */
+function makeReleased(
+	job: string,
+	tasks: ReadonlyArray<readonly [number, number]>,
+): Ends {
+	return {
+		t: 'ends',
+		job,
+		isStarted: false,
+		ends: tasks.map(([index]) => ({index, outcome: 'returned', attempt: 0})),
+		reason: 'released',
+	};
+}
--- /dev/null
+++ b/packages/host/src/scheduling/scheduling-metrics.ts
@@ -0,0 +1,77 @@
+/**
+What a scheduling host counts: jobs by outcome, calls to executors, and its state when it is asked.
+*/
+import {
+	type EntryJob,
+	type ExecutorControl,
+	type JobAnswer,
+} from '@gentianshift/scheduling';
+import {type Metrics} from '@gentianshift/telemetry';
+
+const msPerSecond = 1000;
+
+/** Counts an answered job by its outcome and its time. */
+export function recordAnswer(
+	metrics: Metrics,
+	{request: {queue}}: EntryJob,
+	answer: JobAnswer,
+	tookMs: number,
+): void {
+	metrics.jobs.inc({outcome: answer.type});
+	if (answer.type === 'refused' || answer.type === 'given-up') {
+		metrics.refusals.inc({code: answer.reason});
+	} else {
+		metrics.jobSeconds.observe({service: queue.service}, tookMs / msPerSecond);
+	}
+}
+
+/** Counts calls to executors by what came of them. */
+export function wrapControl(
+	control: ExecutorControl,
+	metrics: Metrics,
+): ExecutorControl {
+	const count = (kind: string) => ({
+		ok() {
+			metrics.executorCalls.inc({kind, outcome: 'ok'});
+		},
+		failed({code}: {code: string}) {
+			metrics.executorCalls.inc({kind, outcome: code});
+		},
+	});
+	const start = count('start');
+	const stop = count('stop');
+	const renew = count('renew');
+	return {
+		startTask: (executor, request) =>
+			control.startTask(executor, request).andTee(start.ok).orTee(start.failed),
+		stopTask: (executor, request) =>
+			control.stopTask(executor, request).andTee(stop.ok).orTee(stop.failed),
+		renewLease: (executor, request) =>
+			control
+				.renewLease(executor, request)
+				.andTee(renew.ok)
+				.orTee(renew.failed),
+		forgetExecutor(executor) {
+			control.forgetExecutor(executor);
+		},
+	};
+}
+
+/** The host's state as gauges, set when the metrics are read. */
+export type HostGauges = {
+	openExecutors: number;
+	allExecutors: number;
+	token: number;
+	backlogCoreMs: number;
+	storeAgeMs: number;
+	jobs: number;
+};
+
+export function setGauges(metrics: Metrics, gauges: HostGauges): void {
+	metrics.executors.set({state: 'open'}, gauges.openExecutors);
+	metrics.executors.set({state: 'all'}, gauges.allExecutors);
+	metrics.groupToken.set(gauges.token);
+	metrics.groupBacklog.set(gauges.backlogCoreMs / msPerSecond);
+	metrics.storeAgeSeconds.set(gauges.storeAgeMs / msPerSecond);
+	metrics.entryJobs.set(gauges.jobs);
+}
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -9,6 +9,7 @@
 	nameSchema,
 	problemSchema,
 } from '@gentianshift/resources';
+import {schedulingMessageSchemas} from './scheduling-messages.js';
 
 export const protocolVersion = 1;
 
@@ -273,6 +274,7 @@
 	hostsSchema,
 	hostStatusSchema,
 	configurationSchema,
+	...schedulingMessageSchemas,
 ]);
 
 export type Message = z.infer<typeof messageSchema>;
--- /dev/null
+++ b/packages/protocol/src/scheduling-messages.ts
@@ -0,0 +1,141 @@
+/**
+Messages between entries, which hold callers' jobs, and the schedulers of executor groups.
+An entry asks over the connection that it dialled; the scheduler answers on that connection.
+A scheduler tells its state to every host over the connections that it dialled itself.
+*/
+import {nameSchema} from '@gentianshift/resources';
+import {z} from 'zod';
+
+const count = z.number().int().min(0);
+const duration = z.number();
+const jobId = z.string().max(64);
+
+/**
+The sender's steady clock when it sent this. What goes wrong: a message waits in a connection
+through a cut and arrives seconds late as if it were new. The receiver notices by comparing with
+the least difference of the two clocks seen so far.
+*/
+const sentAt = z.number();
+
+/** What one task needs of an executor while it runs. */
+export const taskDemandSchema = z.object({
+	/** Thousandths of a core. */
+	cpu: count,
+	memoryMb: count,
+	accelerators: count,
+});
+
+/** A task that the entry asks for: its index in the job and the number of its next attempt. */
+export const wantedTaskSchema = z.tuple([count, z.number().int().min(1)]);
+
+/**
+Some or all tasks of a job, handed to one scheduler. Sent again after a broken connection or a
+change of the group's holder: tasks that are known already stay as they are.
+*/
+export const partSchema = z.object({
+	t: z.literal('part'),
+	job: jobId,
+	at: sentAt,
+	queue: z.string(),
+	service: z.string(),
+	/** 0 goes first. */
+	priority: count,
+	/** Failed runs after which a task counts as failed. */
+	maxAttempts: z.number().int().min(1),
+	spec: z.string(),
+	demand: taskDemandSchema,
+	/** Run time of one task, as estimated by the entry. */
+	estimateMs: duration,
+	/** Until the job's latency objective; negative when it has passed. */
+	dueInMs: duration,
+	/** Until the caller no longer waits. */
+	timeLeftMs: duration,
+	/** Tasks of the whole job that are not done: its place in the queue follows from it. */
+	remaining: count,
+	tasks: z.array(wantedTaskSchema),
+	/** Tasks of it may run under an earlier holder of the group. */
+	isMoved: z.boolean(),
+});
+
+/** The entry no longer wants the job: it ended, its caller left, or its time is up. */
+export const dropSchema = z.object({t: z.literal('drop'), job: jobId});
+
+/** The entry still waits for all that it handed to this scheduler. */
+export const keepSchema = z.object({t: z.literal('keep'), at: sentAt});
+
+/**
+How a task ended at a scheduler: `done`, `failed` (its attempts are used up), `returned` (not
+running here, and will not: the entry places it anew or gives the job up).
+*/
+export const taskEndSchema = z.object({
+	index: count,
+	outcome: z.enum(['done', 'failed', 'returned']),
+	/** The last attempt that was started here; 0: none. */
+	attempt: count,
+	/** Run time on the executor, where it was seen. */
+	runMs: duration.optional(),
+});
+
+export const endsSchema = z.object({
+	t: z.literal('ends'),
+	job: jobId,
+	/** The first task of the job has been started here. */
+	isStarted: z.boolean(),
+	ends: z.array(taskEndSchema),
+	/** Why tasks were returned. */
+	reason: z
+		.enum(['hopeless', 'elsewhere', 'released', 'unknown-service'])
+		.optional(),
+});
+
+/** A holder's state, told to all hosts: who schedules the group, and its room. */
+export const groupStateSchema = z.object({
+	t: z.literal('group-state'),
+	/** The group's data centre. */
+	group: nameSchema,
+	/** Rises with each holder. */
+	token: count,
+	/** Every executor has been asked what runs there: parts are started. */
+	isReady: z.boolean(),
+	/** The holder has given the group up: another takes it. */
+	isReleased: z.boolean(),
+	/** Since the holder last heard of the store. */
+	storeAgeMs: duration,
+	/** Free thousandths of a core of each executor that takes tasks. */
+	free: z.array(count),
+	/** Thousandths of a core in all. */
+	capacity: count,
+	/** Waiting work by priority, thousandths of a core times milliseconds. */
+	backlog: z.array(z.number()),
+});
+
+/** A caller cancelled a job at a host that does not hold it. */
+export const cancelJobSchema = z.object({
+	t: z.literal('cancel-job'),
+	job: jobId,
+});
+
+/** The newest configuration that the sender knows, as text of the platform. */
+export const queueTableSchema = z.object({
+	t: z.literal('queue-table'),
+	version: count,
+	/** Absent: only the version is told; a peer that lacks it asks. */
+	text: z.string().optional(),
+	isAsked: z.boolean().optional(),
+});
+
+export const schedulingMessageSchemas = [
+	partSchema,
+	dropSchema,
+	keepSchema,
+	endsSchema,
+	groupStateSchema,
+	cancelJobSchema,
+	queueTableSchema,
+] as const;
+
+export type TaskDemand = z.infer<typeof taskDemandSchema>;
+export type Part = z.infer<typeof partSchema>;
+export type Ends = z.infer<typeof endsSchema>;
+export type TaskEnd = z.infer<typeof taskEndSchema>;
+export type GroupState = z.infer<typeof groupStateSchema>;
--- /dev/null
+++ b/packages/scheduling/src/entry-job.ts
@@ -0,0 +1,87 @@
+/**
+A caller's job at the host that took it, the entry.
+*/
+import {type TaskDemand} from '@gentianshift/protocol';
+import {type Queue} from './queue-table.js';
+
+export type JobRequest = {
+	/** Chosen by the caller; the same job may come again at any host. */
+	id: string;
+	queue: Queue;
+	/** Handed to the executors as it is. */
+	spec: string;
+	/** Tasks. */
+	count: number;
+	demand: TaskDemand;
+	/** Run time of a task by the caller's word. */
+	declaredMs: number;
+	/** How long the caller waits from now. */
+	timeLeftMs: number;
+};
+
+/**
+- `refused`: no task has run, nor will.
+- `given-up`: some may have run; nothing more will.
+*/
+export type JobAnswer =
+	| {type: 'completed'}
+	| {type: 'failed'; task: number}
+	| {type: 'refused'; reason: string; retryAfterMs: number}
+	| {type: 'given-up'; reason: string; retryAfterMs: number}
+	| {type: 'cancelled'};
+
+export type EntryTask = {
+	index: number;
+	/** The group it was handed to; undefined: nowhere now. */
+	group?: string;
+	isDone: boolean;
+	nextAttempt: number;
+};
+
+export type EntryJob = {
+	request: JobRequest;
+	tasks: EntryTask[];
+	estimateMs: number;
+	arrivedAt: number;
+	/** When the latency objective passes. */
+	dueAt: number;
+	/** Ending later is of no use to the caller. */
+	uselessAt: number;
+	/** When the caller no longer waits. */
+	endsAt: number;
+	/** A scheduler has started a task of it. */
+	isStarted: boolean;
+	waiters: Array<(answer: JobAnswer) => void>;
+};
+
+/** After three times its objective an answer is of no use to its caller. */
+const uselessFactor = 3;
+
+export function createEntryJob(
+	request: JobRequest,
+	estimateMs: number,
+	now: number,
+): EntryJob {
+	const {queue, count, timeLeftMs} = request;
+	const objectiveMs = queue.slackFactor * estimateMs + queue.allowanceMs;
+	return {
+		request,
+		estimateMs,
+		arrivedAt: now,
+		dueAt: now + objectiveMs,
+		uselessAt: now + Math.min(timeLeftMs, uselessFactor * objectiveMs),
+		endsAt: now + timeLeftMs,
+		isStarted: false,
+		tasks: Array.from({length: count}, (_, index) => ({
+			index,
+			isDone: false,
+			nextAttempt: 1,
+		})),
+		waiters: [],
+	};
+}
+
+/** The tasks that a group has and that have not ended. */
+export function listTasksAt(job: EntryJob, group: string): EntryTask[] {
+	return job.tasks.filter((task) => !task.isDone && task.group === group);
+}
--- /dev/null
+++ b/packages/scheduling/src/entry-jobs.ts
@@ -0,0 +1,376 @@
+/**
+The jobs that callers brought to this host: handed to schedulers task by task, followed until
+all tasks are done, and answered at once when they are or when they can't be.
+
+The entry is the one that knows a job. A scheduler that dies, or loses its group, takes nothing
+with it that the entry could not hand to the next one.
+*/
+import {type Ends, type Part, type TaskEnd} from '@gentianshift/protocol';
+import {
+	createEntryJob,
+	listTasksAt,
+	type EntryJob,
+	type EntryTask,
+	type JobAnswer,
+	type JobRequest,
+} from './entry-job.js';
+import {isSilent, type GroupDirectory} from './group-directory.js';
+import {type RunTimes} from './run-times.js';
+import {placeJob} from './place-job.js';
+import {clockSlackMs, keepEveryMs, orphanLimitMs} from './timing.js';
+
+/** Attempts that a lost scheduler may have used up beyond those that the entry heard of. */
+const lostAttempts = 16;
+/** Least time after which a refused caller is asked to come again: a queue's state has changed by then. */
+const leastRetryMs = 1000;
+/** Longest; a wait that can't be told is no reason to keep a caller away for long. */
+const mostRetryMs = 10_000;
+
+export type EntryPorts = {
+	/** This host's data centre. */
+	home: string;
+	now: () => number;
+	groups: GroupDirectory;
+	runTimes: RunTimes;
+	/** Hands a message to a group's holder; false: there is no connection to it. */
+	send: (
+		holder: string,
+		message: Part | {t: 'drop'; job: string} | {t: 'keep'; at: number},
+	) => boolean;
+	log: (message: string, fields: Record<string, unknown>) => void;
+	onAnswer: (job: EntryJob, answer: JobAnswer, tookMs: number) => void;
+};
+
+export class EntryJobs {
+	readonly #ports: EntryPorts;
+	readonly #jobs = new Map<string, EntryJob>();
+	/** When each holder was last told that this entry waits. */
+	readonly #keptAt = new Map<string, number>();
+
+	constructor(ports: EntryPorts) {
+		this.#ports = ports;
+	}
+
+	get size(): number {
+		return this.#jobs.size;
+	}
+
+	has(id: string): boolean {
+		return this.#jobs.has(id);
+	}
+
+	/** Jobs of a queue of which no task has been started. */
+	countPending(queue: string): number {
+		let count = 0;
+		for (const {request, isStarted} of this.#jobs.values()) {
+			count += Number(request.queue.name === queue && !isStarted);
+		}
+
+		return count;
+	}
+
+	/** Takes a job; `onAnswer` is called once. A job that is here already is joined. */
+	submit(request: JobRequest, onAnswer: (answer: JobAnswer) => void): void {
+		const known = this.#jobs.get(request.id);
+		if (known) {
+			known.waiters.push(onAnswer);
+			return;
+		}
+
+		const {queue, declaredMs} = request;
+		const estimateMs = this.#ports.runTimes.estimate(queue.name, declaredMs);
+		const job = createEntryJob(request, estimateMs, this.#ports.now());
+		job.waiters.push(onAnswer);
+		this.#jobs.set(request.id, job);
+		this.#placeTasks(job, job.tasks);
+	}
+
+	/** The caller has left, or cancelled: nothing more is started. */
+	cancel(id: string): boolean {
+		const job = this.#jobs.get(id);
+		if (job) {
+			this.#answer(job, {type: 'cancelled'});
+		}
+
+		return job !== undefined;
+	}
+
+	receiveEnds(holder: string, message: Ends): void {
+		const job = this.#jobs.get(message.job);
+		// A host that has just given its group up: the tasks may run, and wait for the next holder.
+		if (!job || message.reason === 'released') {
+			return;
+		}
+
+		job.isStarted ||= message.isStarted;
+		const returned: EntryTask[] = [];
+		for (const end of message.ends) {
+			this.#receiveEnd(job, end, holder, returned);
+		}
+
+		if (!this.#jobs.has(message.job)) {
+			return;
+		}
+
+		if (job.tasks.every(({isDone}) => isDone)) {
+			this.#answer(job, {type: 'completed'});
+		} else if (returned.length > 0) {
+			this.#placeReturned(job, returned, message.reason);
+		}
+	}
+
+	/** A group has another holder: it is told what this entry has there. */
+	handOver(group: string): void {
+		for (const job of this.#jobs.values()) {
+			const tasks = listTasksAt(job, group);
+			if (tasks.length > 0) {
+				this.#sendPart(job, group, tasks, true);
+			}
+		}
+	}
+
+	/** A connection to a holder is back: what was sent meanwhile is sent again. */
+	sendAgain(holder: string): void {
+		for (const {state, holder: current} of this.#ports.groups.list()) {
+			if (current === holder) {
+				this.handOver(state.group);
+			}
+		}
+	}
+
+	/** What time alone brings about; to be called each 50 ms or so. */
+	update(): void {
+		const now = this.#ports.now();
+		this.#sendKeeps(now);
+		for (const job of this.#jobs.values()) {
+			if (now >= job.endsAt) {
+				this.#giveUp(job, 'no answer in the time that the caller waits');
+			} else {
+				this.#moveLost(job, now);
+			}
+		}
+	}
+
+	#receiveEnd(
+		job: EntryJob,
+		end: TaskEnd,
+		holder: string,
+		returned: EntryTask[],
+	): void {
+		const task = job.tasks[end.index];
+		const isFromHolder =
+			task?.group !== undefined &&
+			this.#ports.groups.findGroup(task.group)?.holder === holder;
+		if (!task || task.isDone || (end.outcome !== 'done' && !isFromHolder)) {
+			return;
+		}
+
+		task.nextAttempt = Math.max(task.nextAttempt, end.attempt + 1);
+		switch (end.outcome) {
+			case 'done': {
+				task.isDone = true;
+				if (end.runMs !== undefined) {
+					this.#ports.runTimes.learn(job.request.queue.name, end.runMs);
+				}
+
+				break;
+			}
+
+			case 'failed': {
+				this.#answer(job, {type: 'failed', task: end.index});
+				break;
+			}
+
+			case 'returned': {
+				task.group = undefined;
+				returned.push(task);
+				break;
+			}
+		}
+	}
+
+	/** A scheduler gave tasks back: they are tried elsewhere, while that is of use. */
+	#placeReturned(
+		job: EntryJob,
+		tasks: EntryTask[],
+		reason: Ends['reason'],
+	): void {
+		if (reason === 'hopeless') {
+			this.#giveUp(job, 'its tasks can no longer end in time');
+			return;
+		}
+
+		this.#placeTasks(job, tasks);
+	}
+
+	#placeTasks(job: EntryJob, tasks: EntryTask[]): void {
+		const ports = this.#ports;
+		const now = ports.now();
+		const {queue, demand} = job.request;
+		const spread = placeJob(ports.groups.listRooms(now), {
+			count: tasks.length,
+			cpu: demand.cpu,
+			priority: queue.priority,
+			estimateMs: job.estimateMs,
+			home: ports.home,
+			limitMs: job.uselessAt - now,
+		});
+		if (spread.type === 'refused') {
+			ports.log('no group can serve the tasks in time', {
+				job: job.request.id,
+				tasks: tasks.length,
+				estimateMs: job.estimateMs,
+				waitMs: spread.waitMs,
+			});
+			this.#giveUp(job, 'no room in time', spread.retryAfterMs);
+			return;
+		}
+
+		let next = 0;
+		for (const [group, share] of spread.shares) {
+			const part = tasks.slice(next, next + share);
+			next += share;
+			this.#handTo(job, group, part);
+		}
+	}
+
+	#handTo(job: EntryJob, group: string, tasks: EntryTask[]): void {
+		if (tasks.length === 0) {
+			return;
+		}
+
+		for (const task of tasks) {
+			task.group = group;
+		}
+
+		this.#ports.groups.take(group, job.request.demand.cpu, tasks.length);
+		this.#sendPart(job, group, tasks, false);
+	}
+
+	#sendPart(
+		job: EntryJob,
+		group: string,
+		tasks: EntryTask[],
+		isMoved: boolean,
+	): void {
+		const known = this.#ports.groups.findGroup(group);
+		if (!known) {
+			return;
+		}
+
+		const now = this.#ports.now();
+		const {queue, id, spec, demand} = job.request;
+		this.#keptAt.set(known.holder, now);
+		this.#ports.send(known.holder, {
+			t: 'part',
+			job: id,
+			at: now,
+			queue: queue.name,
+			service: queue.service,
+			priority: queue.priority,
+			maxAttempts: queue.maxAttempts,
+			spec,
+			demand,
+			estimateMs: job.estimateMs,
+			dueInMs: job.dueAt - now,
+			timeLeftMs: (job.isStarted ? job.endsAt : job.uselessAt) - now,
+			remaining: job.tasks.filter(({isDone}) => !isDone).length,
+			tasks: tasks.map(({index, nextAttempt}) => [index, nextAttempt]),
+			isMoved,
+		});
+	}
+
+	/** Tells the holders of groups that have tasks of this entry's jobs that it still waits. */
+	#sendKeeps(now: number): void {
+		for (const known of this.#ports.groups.list()) {
+			const {holder, state} = known;
+			const isDue =
+				now - (this.#keptAt.get(holder) ?? -Infinity) >= keepEveryMs;
+			if (isDue && !isSilent(known, now) && this.#hasTasksAt(state.group)) {
+				this.#keptAt.set(holder, now);
+				this.#ports.send(holder, {t: 'keep', at: now});
+			}
+		}
+	}
+
+	#hasTasksAt(group: string): boolean {
+		return [...this.#jobs.values()].some(
+			(job) => listTasksAt(job, group).length > 0,
+		);
+	}
+
+	/**
+	Tasks of a group whose holder is silent: the silent one stops them, as this entry no longer
+	tells it that it waits, and after that time they are placed elsewhere.
+	*/
+	#moveLost(job: EntryJob, now: number): void {
+		const lost = job.tasks.filter((task) => {
+			const known =
+				task.group === undefined || task.isDone
+					? undefined
+					: this.#ports.groups.findGroup(task.group);
+			const keptAt = this.#keptAt.get(known?.holder ?? '') ?? now;
+			return (
+				known !== undefined &&
+				isSilent(known, now) &&
+				now - keptAt > orphanLimitMs + clockSlackMs
+			);
+		});
+		if (lost.length === 0) {
+			return;
+		}
+
+		this.#ports.log('scheduler is silent: placing its tasks anew', {
+			job: job.request.id,
+			tasks: lost.length,
+		});
+		for (const task of lost) {
+			task.group = undefined;
+			task.nextAttempt += lostAttempts;
+		}
+
+		// It may have started some: a refusal would not be true any more.
+		job.isStarted = true;
+		this.#placeTasks(job, lost);
+	}
+
+	#giveUp(job: EntryJob, reason: string, retryAfterMs = leastRetryMs): void {
+		const type =
+			job.isStarted || this.#isMaybeStarted(job) ? 'given-up' : 'refused';
+		this.#answer(job, {
+			type,
+			reason,
+			retryAfterMs: Math.min(mostRetryMs, Math.max(leastRetryMs, retryAfterMs)),
+		});
+	}
+
+	/** A scheduler may have started a task whose word is still on its way. */
+	#isMaybeStarted(job: EntryJob): boolean {
+		return job.tasks.some(({group}) => group !== undefined);
+	}
+
+	#answer(job: EntryJob, answer: JobAnswer): void {
+		const {id} = job.request;
+		if (this.#jobs.get(id) !== job) {
+			return;
+		}
+
+		this.#jobs.delete(id);
+		const groups = new Set(
+			job.tasks.flatMap(({group, isDone}) =>
+				group === undefined || isDone ? [] : [group],
+			),
+		);
+		for (const group of groups) {
+			const holder = this.#ports.groups.findGroup(group)?.holder;
+			if (holder !== undefined) {
+				this.#ports.send(holder, {t: 'drop', job: id});
+			}
+		}
+
+		this.#ports.onAnswer(job, answer, this.#ports.now() - job.arrivedAt);
+		for (const waiter of job.waiters) {
+			waiter(answer);
+		}
+	}
+}
--- /dev/null
+++ b/packages/scheduling/src/group-directory.ts
@@ -0,0 +1,85 @@
+/**
+What a host knows of the groups: who schedules each, since when it is silent, how much room it has.
+*/
+import {type GroupState} from '@gentianshift/protocol';
+import {type GroupRoom} from './place-job.js';
+import {takeFits} from './room.js';
+import {stateStaleMs} from './timing.js';
+
+export type KnownGroup = {
+	state: GroupState;
+	/** The holder's host. */
+	holder: string;
+	/** When it last told its state. */
+	heardAt: number;
+	/** Free processor, less what was sent there since. */
+	free: number[];
+};
+
+export type GroupDirectory = {
+	/** Takes a holder's word; true when the holder is another, or its token rose. */
+	update: (holder: string, state: GroupState, now: number) => boolean;
+	findGroup: (group: string) => KnownGroup | undefined;
+	list: () => KnownGroup[];
+	/** Notes tasks sent to a group, until its next word. */
+	take: (group: string, cpu: number, tasks: number) => void;
+	/** Groups that new tasks may go to. */
+	listRooms: (now: number) => GroupRoom[];
+	/** A holder's connection broke: it is given half of the usual time to be heard again. */
+	markDoubtful: (holder: string, now: number) => void;
+};
+
+export function isSilent({heardAt}: KnownGroup, now: number): boolean {
+	return now - heardAt > stateStaleMs;
+}
+
+export function createGroupDirectory(): GroupDirectory {
+	const groups = new Map<string, KnownGroup>();
+	return {
+		update(holder, state, now) {
+			const known = groups.get(state.group);
+			if (known && known.state.token > state.token) {
+				return false;
+			}
+
+			const isNew =
+				known?.state.token !== state.token || known.holder !== holder;
+			groups.set(state.group, {
+				state,
+				holder,
+				heardAt: now,
+				free: [...state.free],
+			});
+			return isNew;
+		},
+		findGroup: (group) => groups.get(group),
+		list: () => [...groups.values()],
+		take(group, cpu, tasks) {
+			const known = groups.get(group);
+			if (known) {
+				known.free = takeFits(known.free, cpu, tasks);
+			}
+		},
+		listRooms: (now) =>
+			[...groups.values()]
+				.filter(
+					(known) =>
+						!isSilent(known, now) &&
+						!known.state.isReleased &&
+						known.state.capacity > 0,
+				)
+				.map(({state, free}) => ({
+					group: state.group,
+					free,
+					capacity: state.capacity,
+					backlog: state.backlog,
+				})),
+		markDoubtful(holder, now) {
+			for (const known of groups.values()) {
+				if (known.holder === holder) {
+					known.heardAt = Math.min(known.heardAt, now - stateStaleMs / 2);
+				}
+			}
+		},
+	};
+}
--- /dev/null
+++ b/packages/scheduling/src/group-job.ts
@@ -0,0 +1,98 @@
+/**
+A job's tasks at one scheduler: what an entry has handed over, and how far it is.
+*/
+import {type Ends, type Part, type TaskDemand} from '@gentianshift/protocol';
+import {type RankedJob} from './rank-jobs.js';
+
+/** Who handed a job over: one incarnation of a host, and how to answer it. */
+export type Entry = {
+	/** `<host key>.<incarnation>`. */
+	key: string;
+	send: (message: Ends) => void;
+};
+
+export type GroupTask = {
+	index: number;
+	/** The number that the next start carries. */
+	nextAttempt: number;
+	state: 'waiting' | 'started' | 'over';
+	/** The executor of its run. */
+	executor?: string;
+	failures: number;
+	/** Executors where a run of it came to nothing. */
+	avoid: Set<string>;
+	startedAt: number;
+};
+
+export type GroupJob = RankedJob & {
+	id: string;
+	entry: Entry;
+	queue: string;
+	service: string;
+	spec: string;
+	maxAttempts: number;
+	demand: TaskDemand;
+	/** When the caller no longer waits; this host's clock. */
+	endsAt: number;
+	tasks: Map<number, GroupTask>;
+	/** A task of it has been started here. */
+	isStarted: boolean;
+	/** The entry wants nothing more of it: it is kept until its runs have ended. */
+	isDropped: boolean;
+	/** Tasks may run under an earlier holder: none is started before this time, or the reports. */
+	isMoved: boolean;
+};
+
+/** What the entry handed over, on this host's clock. */
+export function createGroupJob(
+	part: Part,
+	entry: Entry,
+	now: number,
+): GroupJob {
+	return {
+		id: part.job,
+		entry,
+		queue: part.queue,
+		service: part.service,
+		priority: part.priority,
+		spec: part.spec,
+		maxAttempts: part.maxAttempts,
+		demand: part.demand,
+		estimateMs: part.estimateMs,
+		work: part.remaining * part.estimateMs * Math.max(1, part.demand.cpu),
+		dueAt: now + part.dueInMs,
+		endsAt: now + part.timeLeftMs,
+		tasks: new Map(),
+		isStarted: false,
+		isDropped: false,
+		isMoved: part.isMoved,
+	};
+}
+
+/** Adds the tasks of a part that are not known yet; those that are stay as they are. */
+export function addTasks(job: GroupJob, part: Part): GroupTask[] {
+	const added: GroupTask[] = [];
+	for (const [index, nextAttempt] of part.tasks) {
+		const known = job.tasks.get(index);
+		if (known && known.state !== 'over') {
+			continue;
+		}
+
+		const task: GroupTask = {
+			index,
+			nextAttempt,
+			state: 'waiting',
+			failures: 0,
+			avoid: new Set(),
+			startedAt: 0,
+		};
+		job.tasks.set(index, task);
+		added.push(task);
+	}
+
+	return added;
+}
+
+export function listWaiting(job: GroupJob): GroupTask[] {
+	return [...job.tasks.values()].filter(({state}) => state === 'waiting');
+}
--- /dev/null
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -0,0 +1,568 @@
+/**
+The scheduler of a group of executors: one queue, one book of free room, and the only one that
+calls these executors while it holds the group.
+
+Parts of jobs come from entries. A task is started when an executor has room; its end goes to its
+entry at once. A job whose entry is silent, or that is dropped, has its runs stopped. What
+can't be served in time is returned at once, so that its entry can place it elsewhere or refuse it.
+*/
+import {
+	type GroupState,
+	type Part,
+	type TaskEnd,
+	type Ends,
+} from '@gentianshift/protocol';
+import {type ExecutorControl} from './executor-control.js';
+import {ExecutorSession} from './executor-session.js';
+import {type Executor} from './executor.js';
+import {
+	addTasks,
+	createGroupJob,
+	listWaiting,
+	type Entry,
+	type GroupJob,
+	type GroupTask,
+} from './group-job.js';
+import {chooseExecutor} from './place-task.js';
+import {compareJobs} from './rank-jobs.js';
+import {formatTaskKey, type Run, type RunOutcome} from './run.js';
+import {type RunTimes} from './run-times.js';
+import {entrySilenceMs, orphanLimitMs} from './timing.js';
+
+/** A start that an executor calls outdated is made again with a number this much higher: past what another copy of the job used. */
+const attemptStep = 16;
+/** Priorities that are told apart in the backlog. */
+const priorityCount = 4;
+/** How long an executor that is no longer listed is kept if it answers: listings lapse with the store, and are back within two seconds of its return. */
+const unlistedLimitMs = 2500;
+
+export type GroupPorts = {
+	/** The data centre whose executors these are. */
+	group: string;
+	token: number;
+	now: () => number;
+	wait: (ms: number, signal: AbortSignal) => Promise<void>;
+	control: ExecutorControl;
+	runTimes: RunTimes;
+	/** An executor obeys another holder. */
+	onFenced: () => void;
+	/** Room or backlog has changed. */
+	onChange: () => void;
+	/** Since the store was last heard of, milliseconds. */
+	getStoreAgeMs: () => number;
+	log: (message: string, fields: Record<string, unknown>) => void;
+};
+
+type EntryContact = {
+	entry: Entry;
+	/** When its last message was sent, on this host's clock. */
+	heardAt: number;
+	/** Least difference seen between this host's clock and the entry's: the fastest message's. */
+	clockOffset: number;
+};
+
+/** How long an entry's clock is remembered after its last word: longer than any cut's held-up messages last. */
+const forgetEntryMs = 60_000;
+
+/** A waiting task is given up when less than this share of its estimated run time is left: estimates are off by about 40%. */
+const hopelessShare = 0.6;
+
+/** A part that spent longer than this on its way is not started: its caller may have come again elsewhere. */
+const stalePartMs = 400;
+
+type ToldEnd = {entry: string; end: Omit<TaskEnd, 'index'>; at: number};
+
+/** How long an end that was told is remembered: longer than a broken connection takes to come back. */
+const toldLimitMs = 2000;
+
+export class GroupScheduler {
+	readonly #sessions = new Map<string, ExecutorSession>();
+	readonly #unlistedAt = new Map<string, number>();
+	readonly #jobs = new Map<string, GroupJob>();
+	readonly #entries = new Map<string, EntryContact>();
+	/** Ends to be told, by job: those of one turn of the loop go together. */
+	readonly #untold = new Map<GroupJob, TaskEnd[]>();
+	/** Ends told lately: a connection may have broken before they arrived, and the part comes again. */
+	readonly #toldEnds = new Map<string, ToldEnd>();
+	readonly #openedAt: number;
+	#isClosed = false;
+	#isPlacing = false;
+
+	constructor(private readonly ports: GroupPorts) {
+		this.#openedAt = ports.now();
+	}
+
+	/** Every executor has answered, or those that have not cannot run anything of before. */
+	get isReady(): boolean {
+		return this.#hasReports(this.ports.now());
+	}
+
+	/** The group's executors as the store lists them now. */
+	setExecutors(executors: readonly Executor[]): void {
+		const now = this.ports.now();
+		const listed = new Set<string>();
+		for (const executor of executors) {
+			listed.add(executor.id);
+			this.#unlistedAt.delete(executor.id);
+			const session = this.#sessions.get(executor.id);
+			if (session) {
+				session.update(executor);
+			} else {
+				this.#open(executor);
+			}
+		}
+
+		for (const id of this.#sessions.keys()) {
+			if (!listed.has(id) && !this.#unlistedAt.has(id)) {
+				this.#unlistedAt.set(id, now);
+			}
+		}
+
+		this.#place();
+	}
+
+	receivePart(entry: Entry, part: Part): void {
+		const now = this.ports.now();
+		const sentAt = this.keepEntry(entry, part.at);
+		if (now - sentAt > stalePartMs) {
+			this.ports.log('part came too late', {
+				job: part.job,
+				entry: entry.key,
+				ageMs: now - sentAt,
+			});
+			return;
+		}
+
+		const job = this.#findJob(entry, part) ?? createGroupJob(part, entry, now);
+		job.isMoved ||= part.isMoved;
+		this.#jobs.set(job.id, job);
+		for (const task of addTasks(job, part)) {
+			this.#claim(job, task);
+		}
+
+		this.#place();
+	}
+
+	dropJob(entry: Entry, id: string): void {
+		const job = this.#jobs.get(id);
+		if (job?.entry.key === entry.key) {
+			this.#drop(job);
+			this.#place();
+		}
+	}
+
+	/**
+	An entry still waits for what it handed over, as of when it said so on its clock; gives that
+	moment on this host's clock.
+	*/
+	keepEntry(entry: Entry, at: number): number {
+		const known = this.#entries.get(entry.key);
+		const offset = this.ports.now() - at;
+		const clockOffset = Math.min(known?.clockOffset ?? offset, offset);
+		const heardAt = Math.max(known?.heardAt ?? -Infinity, at + clockOffset);
+		this.#entries.set(entry.key, {entry, heardAt, clockOffset});
+		return at + clockOffset;
+	}
+
+	/** What time alone brings about; to be called each 50 ms or so. */
+	update(): void {
+		const now = this.ports.now();
+		for (const [key, {heardAt}] of this.#entries) {
+			if (now - heardAt > entrySilenceMs) {
+				this.#dropEntry(key);
+			}
+
+			if (now - heardAt > forgetEntryMs) {
+				this.#entries.delete(key);
+			}
+		}
+
+		for (const [key, {at}] of this.#toldEnds) {
+			if (now - at > toldLimitMs) {
+				this.#toldEnds.delete(key);
+			}
+		}
+
+		for (const [id, at] of this.#unlistedAt) {
+			const session = this.#sessions.get(id)!;
+			const isStale =
+				now - at > unlistedLimitMs &&
+				this.ports.getStoreAgeMs() < unlistedLimitMs;
+			if (session.isGone || (isStale && session.runs.size === 0)) {
+				this.#unlistedAt.delete(id);
+				this.#sessions.delete(id);
+				session.close();
+			}
+		}
+
+		this.#place();
+	}
+
+	/** Another holder takes over: nothing more is sent, what runs goes on under its lease. */
+	close(): void {
+		this.#isClosed = true;
+		for (const session of this.#sessions.values()) {
+			session.close();
+		}
+	}
+
+	describeState(): GroupState {
+		const open = [...this.#sessions.values()].filter(({isOpen}) => isOpen);
+		return {
+			t: 'group-state',
+			group: this.ports.group,
+			token: this.ports.token,
+			isReady: this.isReady,
+			isReleased: this.#isClosed,
+			storeAgeMs: this.ports.getStoreAgeMs(),
+			free: open.map(({free}) => Math.max(0, free.cpu)),
+			capacity: open.reduce((sum, {capacity}) => sum + capacity.cpu, 0),
+			backlog: this.#measureBacklog(),
+		};
+	}
+
+	/** Executors by state, for metrics. */
+	countExecutors(): {open: number; all: number} {
+		const all = [...this.#sessions.values()];
+		return {open: all.filter(({isOpen}) => isOpen).length, all: all.length};
+	}
+
+	#open(executor: Executor): void {
+		const session = new ExecutorSession(executor, {
+			...this.ports,
+			getToken: () => this.ports.token,
+			getLeaseCap: (runs) => this.#getLeaseCap(runs),
+			onRunEnd: (run, outcome, source) => {
+				this.#endRun(run, outcome, source);
+			},
+			onChange: () => {
+				this.#place();
+				this.ports.onChange();
+			},
+		});
+		this.#sessions.set(executor.id, session);
+		session.open();
+	}
+
+	/** A job that the same entry handed over before, or one whose caller has come again elsewhere. */
+	#findJob(entry: Entry, part: Part): GroupJob | undefined {
+		const job = this.#jobs.get(part.job);
+		if (!job || job.entry.key === entry.key) {
+			return job?.isDropped ? undefined : job;
+		}
+
+		// Its caller came again at another host: the runs of the first copy are stopped.
+		this.#drop(job);
+		return undefined;
+	}
+
+	/** A task that runs already under an earlier holder, or has ended there, isn't started again. */
+	#claim(job: GroupJob, task: GroupTask): void {
+		const told = this.#toldEnds.get(
+			formatTaskKey({job: job.id, index: task.index}),
+		);
+		if (told?.entry === job.entry.key) {
+			this.#endTask(job, task, told.end);
+			return;
+		}
+
+		for (const session of this.#sessions.values()) {
+			const end = session.takeStrayEnd({job: job.id, index: task.index});
+			if (end?.outcome === 'done') {
+				this.#endTask(job, task, {outcome: 'done', attempt: end.attempt});
+				return;
+			}
+
+			const run = session.claimRun(
+				{job: job.id, index: task.index, attempt: task.nextAttempt},
+				job.demand,
+			);
+			if (run) {
+				task.state = 'started';
+				task.executor = session.id;
+				task.startedAt = run.startedAt;
+				task.nextAttempt = Math.max(task.nextAttempt, run.attempt + 1);
+				job.isStarted = true;
+				return;
+			}
+		}
+	}
+
+	/** A run may go on no longer than its silent entry's caller may take to come again elsewhere. */
+	#getLeaseCap(runs: Iterable<Run>): number {
+		let cap = Infinity;
+		for (const {job, isFound, state} of runs) {
+			if (isFound || state === 'stopping') {
+				continue;
+			}
+
+			const key = this.#jobs.get(job)?.entry.key ?? '';
+			const heardAt = this.#entries.get(key)?.heardAt;
+			if (heardAt !== undefined) {
+				cap = Math.min(cap, heardAt + orphanLimitMs);
+			}
+		}
+
+		return cap;
+	}
+
+	/**
+	Tasks that may run under an earlier holder start when every executor has said what runs there,
+	or when the leases of that time have passed.
+	*/
+	#hasReports(now: number): boolean {
+		if (now - this.#openedAt > orphanLimitMs) {
+			return true;
+		}
+
+		const sessions = [...this.#sessions.values()];
+		return sessions.length > 0 && sessions.every(({isReported}) => isReported);
+	}
+
+	#place(): void {
+		if (this.#isClosed || this.#isPlacing) {
+			return;
+		}
+
+		this.#isPlacing = true;
+		const now = this.ports.now();
+		const hasReports = this.#hasReports(now);
+		const ranked = [...this.#jobs.values()]
+			.filter((job) => !job.isDropped && (hasReports || !job.isMoved))
+			.filter((job) => listWaiting(job).length > 0)
+			.toSorted((a, b) => compareJobs(a, b, now));
+		for (const job of ranked) {
+			this.#placeJob(job, now);
+		}
+
+		this.#isPlacing = false;
+		this.#tellEnds();
+	}
+
+	#placeJob(job: GroupJob, now: number): void {
+		if (now + job.estimateMs * hopelessShare >= job.endsAt) {
+			this.#giveBack(job, 'hopeless');
+			return;
+		}
+
+		const open = [...this.#sessions.values()].filter(({isOpen}) => isOpen);
+		for (const task of listWaiting(job)) {
+			if (this.#hasRun(job, task)) {
+				continue;
+			}
+
+			const session = chooseExecutor(
+				open,
+				{service: job.service, demand: job.demand, avoid: task.avoid},
+				now,
+			);
+			if (!session) {
+				return;
+			}
+
+			this.#start(job, task, session);
+		}
+	}
+
+	/** A run of an earlier copy of the job, being stopped: the task waits until it is over. */
+	#hasRun(job: GroupJob, task: GroupTask): boolean {
+		const key = formatTaskKey({job: job.id, index: task.index});
+		return [...this.#sessions.values()].some(({runs}) => runs.has(key));
+	}
+
+	#start(job: GroupJob, task: GroupTask, session: ExecutorSession): void {
+		const attempt = task.nextAttempt;
+		task.nextAttempt += 1;
+		task.state = 'started';
+		task.executor = session.id;
+		task.startedAt = this.ports.now();
+		if (!job.isStarted) {
+			job.isStarted = true;
+			job.entry.send({t: 'ends', job: job.id, isStarted: true, ends: []});
+		}
+
+		session.start(
+			{job: job.id, index: task.index, attempt},
+			job.spec,
+			job.demand,
+		);
+	}
+
+	/** Gives tasks that have not been started back to the entry. */
+	#giveBack(job: GroupJob, reason: NonNullable<Ends['reason']>): void {
+		const ends = listWaiting(job).map((task) => {
+			task.state = 'over';
+			return {
+				index: task.index,
+				outcome: 'returned' as const,
+				attempt: task.nextAttempt - 1,
+			};
+		});
+		if (ends.length > 0) {
+			job.entry.send({
+				t: 'ends',
+				job: job.id,
+				isStarted: job.isStarted,
+				ends,
+				reason,
+			});
+		}
+
+		this.#forgetIfOver(job);
+	}
+
+	#endRun(run: Run, outcome: RunOutcome, session: ExecutorSession): void {
+		const job = this.#jobs.get(run.job);
+		const task = job?.tasks.get(run.index);
+		const isCurrent =
+			task?.executor === session.id && task.nextAttempt === run.attempt + 1;
+		if (!job || !isCurrent || task.state !== 'started') {
+			this.#place();
+			return;
+		}
+
+		const runMs = this.ports.now() - run.startedAt;
+		if (outcome === 'done') {
+			this.#learn(job, run, runMs, session);
+			this.#endTask(job, task, {outcome, attempt: run.attempt, runMs});
+		} else {
+			this.#requeue(job, task, outcome, session);
+		}
+
+		this.#place();
+	}
+
+	#learn(
+		job: GroupJob,
+		run: Run,
+		runMs: number,
+		session: ExecutorSession,
+	): void {
+		if (run.acceptedAt === undefined) {
+			return;
+		}
+
+		session.learnSpeed(runMs, job.estimateMs);
+		this.ports.runTimes.learn(job.queue, runMs);
+	}
+
+	#requeue(
+		job: GroupJob,
+		task: GroupTask,
+		outcome: Exclude<RunOutcome, 'done'>,
+		session: ExecutorSession,
+	): void {
+		if (job.isDropped) {
+			task.state = 'over';
+			this.#forgetIfOver(job);
+			return;
+		}
+
+		if (outcome === 'failed') {
+			task.failures += 1;
+			this.ports.log('task failed', {
+				job: job.id,
+				task: task.index,
+				executor: session.id,
+				failures: task.failures,
+			});
+			if (task.failures >= job.maxAttempts) {
+				this.#endTask(job, task, {
+					outcome: 'failed',
+					attempt: task.nextAttempt - 1,
+				});
+				return;
+			}
+		}
+
+		task.avoid.add(session.id);
+		task.state = 'waiting';
+		task.executor = undefined;
+		if (outcome === 'unstarted') {
+			task.nextAttempt += attemptStep;
+		}
+	}
+
+	#endTask(job: GroupJob, task: GroupTask, end: Omit<TaskEnd, 'index'>): void {
+		task.state = 'over';
+		this.#toldEnds.set(formatTaskKey({job: job.id, index: task.index}), {
+			entry: job.entry.key,
+			end,
+			at: this.ports.now(),
+		});
+		const ends = this.#untold.get(job) ?? [];
+		ends.push({index: task.index, ...end});
+		this.#untold.set(job, ends);
+		this.#forgetIfOver(job);
+	}
+
+	#tellEnds(): void {
+		for (const [job, ends] of this.#untold) {
+			if (!job.isDropped) {
+				job.entry.send({
+					t: 'ends',
+					job: job.id,
+					isStarted: job.isStarted,
+					ends,
+				});
+			}
+		}
+
+		this.#untold.clear();
+	}
+
+	#drop(job: GroupJob): void {
+		job.isDropped = true;
+		for (const task of job.tasks.values()) {
+			if (task.state === 'waiting') {
+				task.state = 'over';
+			} else if (task.state === 'started') {
+				this.#stopRun(job, task);
+			}
+		}
+
+		this.#forgetIfOver(job);
+	}
+
+	#stopRun(job: GroupJob, task: GroupTask): void {
+		const session = this.#sessions.get(task.executor ?? '');
+		const run = session?.runs.get(
+			formatTaskKey({job: job.id, index: task.index}),
+		);
+		if (session && run) {
+			session.stop(run);
+		}
+	}
+
+	#dropEntry(key: string): void {
+		for (const job of this.#jobs.values()) {
+			if (job.entry.key === key && !job.isDropped) {
+				this.ports.log('entry is silent: stopping its job', {
+					job: job.id,
+					entry: key,
+				});
+				this.#drop(job);
+			}
+		}
+	}
+
+	#forgetIfOver(job: GroupJob): void {
+		const isOver = [...job.tasks.values()].every(({state}) => state === 'over');
+		if (isOver && this.#jobs.get(job.id) === job) {
+			this.#jobs.delete(job.id);
+		}
+	}
+
+	#measureBacklog(): number[] {
+		const backlog = Array.from({length: priorityCount}, () => 0);
+		for (const job of this.#jobs.values()) {
+			if (!job.isDropped) {
+				const level = Math.min(job.priority, priorityCount - 1);
+				backlog[level]! +=
+					listWaiting(job).length * job.estimateMs * job.demand.cpu;
+			}
+		}
+
+		return backlog;
+	}
+}
--- /dev/null
+++ b/packages/scheduling/src/run.ts
@@ -0,0 +1,42 @@
+/**
+A task's run on an executor, as the scheduler that started or found it knows it.
+*/
+import {type TaskDemand} from '@gentianshift/protocol';
+import {type RunName} from './executor-control.js';
+
+/**
+- `starting`: the start has no answer yet.
+- `running`: the executor has accepted it, or lists it.
+- `stopping`: a stop has to be answered before the run is known to be over.
+*/
+export type RunState = 'starting' | 'running' | 'stopping';
+
+export type Run = RunName & {
+	demand: TaskDemand;
+	state: RunState;
+	/** When the start was sent; for a run found at takeover, when it was found. */
+	startedAt: number;
+	/** When the executor accepted the start: lists of an earlier moment may lack it. */
+	acceptedAt?: number;
+	/** When the executor answered the stop: a later list without the run proves that it is over. */
+	stoppedAt?: number;
+	/** Started by an earlier holder of the group. */
+	isFound: boolean;
+};
+
+/**
+How a run ended for its scheduler. `lost`: the lease passed or the executor's life ended;
+`unstarted`: it is proved that it never ran.
+*/
+export type RunOutcome = 'done' | 'failed' | 'ended' | 'lost' | 'unstarted';
+
+/** Names a task in maps. */
+export function formatTaskKey({
+	job,
+	index,
+}: {
+	job: string;
+	index: number;
+}): string {
+	return `${job}/${index}`;
+}
--- /dev/null
+++ b/packages/scheduling/src/timing.ts
@@ -0,0 +1,35 @@
+/**
+The clocks that keep a task from running twice at once, as named constants, milliseconds.
+
+A caller sends a lost job again 1,300 ms after it lost its connection, at any host. All that the
+first copy started has to be gone by then:
+
+- An entry that dies stops telling its schedulers that it waits. A scheduler counts an entry as
+  gone `entrySilenceMs` after it last heard of it, and stops its tasks.
+- A scheduler that dies renews no lease: its runs end within `leaseMs` of the last renewal.
+- Both at once: leases of executors that run a silent entry's tasks are renewed no further than
+  `entrySilenceMs + stopMarginMs` after the entry was last heard, so the two do not add up.
+*/
+
+/** How far ahead of the executor's clock a lease is renewed. */
+export const leaseMs = 700;
+/** How long one renewal waits at the executor for an end. Leaves two more tries within the lease. */
+export const renewWaitMs = 200;
+/** An idle executor is asked this often, to know its clock and that it lives. */
+export const idleLookMs = 1000;
+/** How often an entry tells its schedulers that it still waits. */
+export const keepEveryMs = 200;
+/** An entry not heard for this long is gone: four of its messages are missing. */
+export const entrySilenceMs = 850;
+/** Time for stops to be carried out before the capped lease ends. */
+export const stopMarginMs = 150;
+/** Bound on what a silent entry's tasks may still run, counted from its last message. */
+export const orphanLimitMs = entrySilenceMs + stopMarginMs;
+/** Two clocks that differ by 2% over the longest span counted here, and a timer's lateness. */
+export const clockSlackMs = 60;
+/** A start or stop that has no answer after this long counts as unanswered: 20 round trips between data centres, and a busy host's pause. */
+export const orderTimeoutMs = 150;
+/** A holder tells its state this often, and at once when it changes hands. */
+export const stateEveryMs = 100;
+/** A holder that told nothing for this long is not given new parts. */
+export const stateStaleMs = 450;
--- a/packages/settings/src/function-names.test.ts
+++ b/packages/settings/src/function-names.test.ts
@@ -32,9 +32,10 @@
 }
 
 function listSources(): string[] {
-	return readdirSync(path.join(root, 'packages'))
+	const names = readdirSync(path.join(root, 'packages'));
+	return [...names.map((name) => `packages/${name}`), 'platform']
 		.flatMap((name) => {
-			const dir = path.join(root, 'packages', name, 'src');
+			const dir = path.join(root, name, 'src');
 			return readdirSync(dir, {recursive: true, encoding: 'utf8'}).map((file) =>
 				path.join(dir, file),
 			);
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -1,3 +1,4 @@
+export * from './log-sink.js';
 export * from './logger.js';
 export * from './metrics.js';
 export * from './span-buffer.js';
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -21,7 +21,8 @@
 export type Metrics = ReturnType<typeof createMetrics>;
 
 /**
-Makes the metrics of one host.
+Makes the metrics of one host. The process's own (memory, event loop) cost a timer each 10 ms,
+which a host with a fraction of a core does without.
 
 @example
 const metrics = createMetrics();
@@ -29,10 +30,14 @@
 metrics.refusals.inc({code: 'overloaded'});
 await metrics.render(); // Prometheus text
 */
-export function createMetrics() {
+export function createMetrics({hasProcessMetrics = true} = {}) {
 	const registry = new Registry();
-	collectDefaultMetrics({register: registry});
+	if (hasProcessMetrics) {
+		collectDefaultMetrics({register: registry});
+	}
+
 	return {
+		...createGroupMetrics(registry),
 		...createMessageMetrics(registry),
 		...createJobMetrics(registry),
 		...createStateMetrics(registry),
@@ -139,6 +144,45 @@
 	};
 }
 
+/** Scheduling of executors under leases. */
+function createGroupMetrics(registry: Registry) {
+	const registers = [registry];
+	return {
+		executors: new Gauge({
+			name: 'gentianshift_group_executors',
+			help: 'Executors of the group that this host schedules: open (they take tasks) and all.',
+			labelNames: ['state'] as const,
+			registers,
+		}),
+		groupToken: new Gauge({
+			name: 'gentianshift_group_token',
+			help: 'Fencing token of the group that this host schedules; 0: none.',
+			registers,
+		}),
+		groupBacklog: new Gauge({
+			name: 'gentianshift_group_backlog_core_seconds',
+			help: 'Work that waits at this host for room on executors.',
+			registers,
+		}),
+		storeAgeSeconds: new Gauge({
+			name: 'gentianshift_store_age_seconds',
+			help: 'Time since the store last answered this host.',
+			registers,
+		}),
+		entryJobs: new Gauge({
+			name: 'gentianshift_entry_jobs',
+			help: 'Jobs of callers at this host that have no answer yet.',
+			registers,
+		}),
+		executorCalls: new Counter({
+			name: 'gentianshift_executor_calls_total',
+			help: 'Calls to executors by kind (start, stop, renew) and outcome.',
+			labelNames: ['kind', 'outcome'] as const,
+			registers,
+		}),
+	};
+}
+
 /** What a host holds now. */
 function createStateMetrics(registry: Registry) {
 	const registers = [registry];
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -2,6 +2,7 @@
 Builds the one binary: an esbuild bundle, made a single executable with Node's own runtime.
 
 Usage: `node scripts/build.mjs`. Result: `dist/gentianshift` and `dist/gentianshift.cjs`.
+`node scripts/build.mjs target` makes the bundle alone, `target/gentianshift.cjs`.
 */
 import {execFileSync} from 'node:child_process';
 import {
@@ -15,6 +16,10 @@
 import {build} from 'esbuild';
 import {inject} from 'postject';
 
+/** The users' platform runs the bundle by Node itself and takes nothing but this folder. */
+const isTargetOnly = process.argv[2] === 'target';
+const outFolder = isTargetOnly ? 'target' : 'dist';
+
 const fuse = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
 
 /** What libraries try to load and do without: the binary can load built-in modules only. */
@@ -35,13 +40,15 @@
 	},
 };
 
-mkdirSync('dist', {recursive: true});
+mkdirSync(outFolder, {recursive: true});
 async function bundle(entry, outfile) {
 	await build({
 		entryPoints: [entry],
 		bundle: true,
 		platform: 'node',
 		target: 'node20',
+		minify: isTargetOnly,
+		keepNames: isTargetOnly,
 		format: 'cjs',
 		outfile,
 		plugins: [leaveOut],
@@ -49,7 +56,11 @@
 	});
 }
 
-await bundle('packages/cli/src/main.ts', 'dist/gentianshift.cjs');
+await bundle('packages/cli/src/main.ts', `${outFolder}/gentianshift.cjs`);
+if (isTargetOnly) {
+	process.exit(0);
+}
+
 // For the load tool only: no part of the product.
 await bundle('packages/bench/src/baseline-host.ts', 'dist/baseline-host.cjs');
 const sea = {
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -19,7 +19,7 @@
 		.toSorted();
 }
 
-const files = listTests('packages');
+const files = [...listTests('packages'), ...listTests('platform')];
 if (files.length === 0) {
 	process.stderr.write(`no test file's path holds "${word}"\n`);
 	process.exit(1);
