Move overdue tasks, doubt executors that fail or stall, and tell held-up messages by their age

Cause: an executor that lets tasks stand still or fails them with good health drew tasks in, as its room looked free. A host whose clock stood still for a moment (suspended) would have had all its parts taken for late, for ever. A scheduler that was paused for a second dropped the jobs of entries whose messages it had not read yet, and did not tell them.

Change: a run that takes far longer than its siblings or its estimate is stopped and placed elsewhere while there is room; one overdue run or two failures in a row put an executor in doubt, with rests that grow. The age of messages goes by the least difference of clocks of the last seconds on one connection. A paused scheduler reads before it judges; an entry dropped for its silence is told of each task when it has stopped. The order, placement, refusal and takeover decisions have tests.

--- a/packages/host/src/scheduling/scheduling-handlers.ts
+++ b/packages/host/src/scheduling/scheduling-handlers.ts
@@ -8,6 +8,8 @@
 	type Session,
 } from '@gentianshift/protocol';
 import {
+	createClockOffset,
+	type ClockOffset,
 	type Entry,
 	type EntryJobs,
 	type GroupDirectory,
@@ -41,6 +43,7 @@
 	now,
 	log,
 }: SchedulingParts): MeshHandlers {
+	const offsets = new WeakMap<Session, ClockOffset>();
 	return {
 		onBeat() {
 			// Nothing is told with the heartbeat: holders tell their state more often.
@@ -48,6 +51,8 @@
 		onLinkUp(link) {
 			log('link up', {peer: link.key});
 			directory.markLinkUp(link, findAddress(link.key));
+			// The first message of a connection tells the peer this host's clock.
+			link.send({t: 'keep', at: now()});
 			entry.sendAgain(link.key);
 			tables.tell((message) => {
 				link.send(message);
@@ -121,11 +126,23 @@
 		}
 	}
 
+	/** When the message was sent, on this host's clock. */
+	function readSendTime(session: Session, message: Message): number {
+		if (message.t !== 'part' && message.t !== 'keep') {
+			return now();
+		}
+
+		const offset = offsets.get(session) ?? createClockOffset();
+		offsets.set(session, offset);
+		return offset.toOwnClock(message.at, now());
+	}
+
 	function receiveWork(
 		session: Session,
 		message: Extract<Message, {t: 'part' | 'drop' | 'keep'}>,
 	): void {
 		const {scheduler} = holding;
+		const sentAt = readSendTime(session, message);
 		const from: Entry = {
 			key: `${session.key}.${session.hello.incarnation}`,
 			send(ends) {
@@ -141,9 +158,9 @@
 		}
 
 		if (message.t === 'part') {
-			scheduler.receivePart(from, message);
+			scheduler.receivePart(from, message, sentAt);
 		} else if (message.t === 'keep') {
-			scheduler.keepEntry(from, message.at);
+			scheduler.keepEntry(from, sentAt);
 		} else {
 			scheduler.dropJob(from, message.job);
 		}
--- a/packages/host/src/scheduling/start-scheduling-host.ts
+++ b/packages/host/src/scheduling/start-scheduling-host.ts
@@ -39,6 +39,11 @@
 
 /** How often what time alone brings about is looked at: a tenth of the shortest bound. */
 const updateEveryMs = 50;
+/**
+Heartbeat between hosts: a scheduler's silence is noticed by its state, which comes more often, so
+this one is only for connections that went silent. Two may be missed before one is closed.
+*/
+const heartbeatMs = 900;
 /** A role that holds the group of a data centre, in rendezvous hashing. */
 const schedulerRole = 'scheduler';
 /** The successor has taken over when it tells its state; without one this host stops all the same. */
@@ -307,6 +312,7 @@
 			source,
 			random: Math.random,
 			meter: createMeter(metrics),
+			pingMs: heartbeatMs,
 			handlers: createSchedulingHandlers({
 				directory: this.#directory,
 				entry: this.#entry,
@@ -334,7 +340,7 @@
 
 		switch (message.t) {
 			case 'part': {
-				scheduler.receivePart(this.#localEntry, message);
+				scheduler.receivePart(this.#localEntry, message, readNow());
 				break;
 			}
 
@@ -344,7 +350,7 @@
 			}
 
 			case 'keep': {
-				scheduler.keepEntry(this.#localEntry, message.at);
+				scheduler.keepEntry(this.#localEntry, readNow());
 				break;
 			}
 
--- a/packages/protocol/src/mesh.ts
+++ b/packages/protocol/src/mesh.ts
@@ -12,8 +12,10 @@
 import {Connection, type Meter} from './connection.js';
 import {protocolVersion, type Hello, type Message} from './messages.js';
 
-/** Heartbeat interval. */
+/** Heartbeat interval where none is given. */
 export const pingMs = 600;
+/** Silence and due dials are looked at this many times between heartbeats. */
+const ticksPerPing = 5;
 /** A peer that sent nothing for this long is hung up on. */
 export const silenceMs = 2000;
 /** How long a dial may take. */
@@ -62,6 +64,8 @@
 	meter: Meter;
 	/** Uniform in [0, 1). */
 	random: () => number;
+	/** Heartbeat interval; a third of `silenceMs` at most, so that two may be missed. */
+	pingMs?: number;
 };
 
 /** Names a host in maps: `<data centre>_<host>`, as in issuers. */
@@ -91,8 +95,10 @@
 	#timer: NodeJS.Timeout | undefined;
 	#tickAt = performance.now();
 	#beat = 0;
+	readonly #pingMs: number;
 
 	constructor(private readonly options: MeshOptions) {
+		this.#pingMs = options.pingMs ?? pingMs;
 		this.#server = net.createServer((socket) => {
 			this.#accept(socket);
 		});
@@ -107,7 +113,7 @@
 		});
 		this.#timer = setInterval(() => {
 			this.#tick();
-		}, pingMs / 5);
+		}, this.#pingMs / ticksPerPing);
 	}
 
 	/** The peers to hold links to; links to others are closed. */
@@ -208,7 +214,7 @@
 
 	#tick(): void {
 		const now = performance.now();
-		const late = now - this.#tickAt - pingMs / 5;
+		const late = now - this.#tickAt - this.#pingMs / ticksPerPing;
 		this.#tickAt = now;
 		if (late > pauseMs) {
 			this.#forgiveSilence(now);
@@ -217,8 +223,8 @@
 		this.#closeSilent(now);
 		this.#dialDue(now);
 		this.#beat += 1;
-		if (this.#beat % 5 === 0) {
-			this.#sendHeartbeats(now - pingMs);
+		if (this.#beat % ticksPerPing === 0) {
+			this.#sendHeartbeats(now - this.#pingMs);
 			this.options.handlers.onBeat();
 		}
 	}
--- a/packages/scheduling/src/choose-holder.ts
+++ b/packages/scheduling/src/choose-holder.ts
@@ -7,8 +7,8 @@
 passed over. The store's condition and the executors' fence settle it when two do try.
 */
 
-/** A holder that told nothing for this long is taken for gone: six of its words are missing. */
-export const holderSilenceMs = 600;
+/** A holder that told nothing for this long is taken for gone: four of its words are missing. */
+export const holderSilenceMs = 700;
 /** A holder that has not heard of the store for this long can't see executors come and go: another takes over. */
 export const storeSilenceMs = 2500;
 /** What the next in the order waits: one takeover's calls of the store, with room for a slow answer. */
--- a/packages/scheduling/src/executor-session.ts
+++ b/packages/scheduling/src/executor-session.ts
@@ -16,6 +16,7 @@
 	type RunEnd,
 	type RunName,
 } from './executor-control.js';
+import {createTrust, recordFailure} from './executor-trust.js';
 import {type Executor} from './executor.js';
 import {type Candidate} from './place-task.js';
 import {addDemand, noDemand, removeDemand} from './room.js';
@@ -28,8 +29,6 @@
 const declinedRestMs = 150;
 /** Runs of an earlier holder that no entry has claimed by then are stopped: an entry that lives tells its parts within one exchange after a change of holder. */
 const claimLimitMs = 400;
-/** Weight of one more run in the executor's slowness. */
-const slownessWeight = 0.3;
 /** How long ends of runs that nobody has claimed are remembered for an entry that tells its part later. */
 const strayEndMs = 3000;
 
@@ -51,9 +50,7 @@
 export class ExecutorSession implements Candidate {
 	readonly runs = new Map<string, Run>();
 	used: TaskDemand = noDemand;
-	slowness = 1;
-	failuresInRow = 0;
-	restsUntil = 0;
+	readonly trust = createTrust();
 	/** The executor has listed what runs there to this scheduler. */
 	isReported = false;
 	/** No answer since then; undefined: it answers. */
@@ -70,7 +67,8 @@
 	readonly #unsettled: RunName[] = [];
 	readonly #strayEnds = new Map<string, {end: RunEnd; at: number}>();
 	readonly #closing = new AbortController();
-	#wakeUp = new AbortController();
+	/** A pause between renewals; undefined: there is none. */
+	#idle: {end: () => void} | undefined;
 
 	constructor(
 		executor: Executor,
@@ -140,7 +138,7 @@
 		};
 		this.#enter(run);
 		void this.#sendStart(run, spec);
-		this.#endIdle();
+		this.#idle?.end();
 	}
 
 	/** Stops a run that is no longer wanted; its room is free when its end is listed. */
@@ -148,7 +146,7 @@
 		if (run.state !== 'stopping') {
 			run.state = 'stopping';
 			void this.#sendStop(run);
-			this.#endIdle();
+			this.#idle?.end();
 		}
 	}
 
@@ -173,12 +171,6 @@
 		return stray?.end;
 	}
 
-	/** Keeps the executor's slowness: its run times against what was expected of them. */
-	learnSpeed(runMs: number, expectedMs: number): void {
-		const ratio = runMs / Math.max(1, expectedMs);
-		this.slowness += slownessWeight * (ratio - this.slowness);
-	}
-
 	async #repeatRenewals(): Promise<void> {
 		const {signal} = this.#closing;
 		while (!signal.aborted && !this.isGone) {
@@ -197,16 +189,12 @@
 		}
 	}
 
+	/** Until the time is over, there is something to do, or the session is closed. */
 	async #waitIdle(ms: number): Promise<void> {
-		this.#wakeUp = new AbortController();
-		await this.ports.wait(
-			ms,
-			AbortSignal.any([this.#closing.signal, this.#wakeUp.signal]),
-		);
-	}
-
-	#endIdle(): void {
-		this.#wakeUp.abort();
+		await new Promise<void>((resolve) => {
+			this.#idle = {end: resolve};
+			void this.ports.wait(ms, this.#closing.signal).then(resolve);
+		});
 	}
 
 	/** One renewal, which also brings the ends; true when it was answered. */
@@ -422,7 +410,7 @@
 		}
 
 		if (failure.code !== 'outdated' && failure.code !== 'lease-passed') {
-			this.restsUntil = this.ports.now() + declinedRestMs;
+			this.trust.restsUntil = this.ports.now() + declinedRestMs;
 		}
 
 		this.#receiveFailure(failure, 'start');
@@ -554,10 +542,8 @@
 	#end(run: Run, outcome: RunOutcome): void {
 		this.runs.delete(formatTaskKey(run));
 		this.used = removeDemand(this.used, run.demand);
-		if (outcome === 'done') {
-			this.failuresInRow = 0;
-		} else if (outcome === 'failed') {
-			this.failuresInRow += 1;
+		if (outcome === 'failed') {
+			recordFailure(this.trust, this.ports.now());
 		}
 
 		this.ports.onRunEnd(run, outcome, this);
--- a/packages/scheduling/src/fake-executors.fixture.ts
+++ b/packages/scheduling/src/fake-executors.fixture.ts
@@ -31,6 +31,10 @@
 	sequence: number;
 	/** Callers, by token, that get no answer and whose orders are lost; or all. */
 	cutFrom: Set<number> | 'all';
+	/** Tasks take this many times as long; `Infinity`: they stand still. */
+	slowness: number;
+	/** Tasks fail at once. */
+	isFailing: boolean;
 	/** The next starts get no answer and are carried out this much later. */
 	lateStartMs: number;
 	highest: Map<string, number>;
@@ -44,7 +48,11 @@
 
 export function createFakeExecutors(
 	clock: VirtualClock,
-	{count, cpu = 32_000, taskMs = 100}: {count: number; cpu?: number; taskMs?: number},
+	{
+		count,
+		cpu = 32_000,
+		taskMs = 100,
+	}: {count: number; cpu?: number; taskMs?: number},
 ) {
 	const runs: FakeRun[] = [];
 	const fakes = Array.from({length: count}, (_, i): FakeExecutor => ({
@@ -63,6 +71,8 @@
 		sequence: 0,
 		cutFrom: new Set(),
 		lateStartMs: 0,
+		slowness: 1,
+		isFailing: false,
 		highest: new Map(),
 	}));
 
@@ -74,7 +84,11 @@
 		return cutFrom === 'all' || cutFrom.has(token);
 	}
 
-	function endRun(fake: FakeExecutor, run: FakeRun, outcome: RunEnd['outcome']) {
+	function endRun(
+		fake: FakeExecutor,
+		run: FakeRun,
+		outcome: RunEnd['outcome'],
+	) {
 		if (run.endedAt !== undefined) {
 			return;
 		}
@@ -129,9 +143,16 @@
 		fake.active.push(run);
 		runs.push(run);
 		extend(fake, leaseUntilMs);
-		clock.schedule(taskMs, () => {
-			endRun(fake, run, 'done');
-		});
+		if (fake.isFailing) {
+			clock.schedule(1, () => {
+				endRun(fake, run, 'failed');
+			});
+		} else if (fake.slowness < Infinity) {
+			clock.schedule(taskMs * fake.slowness, () => {
+				endRun(fake, run, 'done');
+			});
+		}
+
 		return ok({clockMs: clock.now});
 	}
 
--- a/packages/scheduling/src/group-job.ts
+++ b/packages/scheduling/src/group-job.ts
@@ -19,6 +19,8 @@
 	/** The executor of its run. */
 	executor?: string;
 	failures: number;
+	/** Times that a run of it was stopped as overdue. */
+	moves: number;
 	/** Executors where a run of it came to nothing. */
 	avoid: Set<string>;
 	startedAt: number;
@@ -35,10 +37,14 @@
 	/** When the caller no longer waits; this host's clock. */
 	endsAt: number;
 	tasks: Map<number, GroupTask>;
+	/** Run times of its tasks that have ended here: their sum and number. */
+	ended: {sumMs: number; count: number};
 	/** A task of it has been started here. */
 	isStarted: boolean;
 	/** The entry wants nothing more of it: it is kept until its runs have ended. */
 	isDropped: boolean;
+	/** Dropped because the entry was silent. */
+	isOrphaned?: boolean;
 	/** When it came from an earlier holder of the group, under which tasks may run; undefined: it did not. */
 	movedAt?: number;
 };
@@ -63,6 +69,7 @@
 		dueAt: now + part.dueInMs,
 		endsAt: now + part.timeLeftMs,
 		tasks: new Map(),
+		ended: {sumMs: 0, count: 0},
 		isStarted: false,
 		isDropped: false,
 		movedAt: part.isMoved ? now : undefined,
@@ -83,6 +90,7 @@
 			nextAttempt,
 			state: 'waiting',
 			failures: 0,
+			moves: 0,
 			avoid: new Set(),
 			startedAt: 0,
 		};
--- a/packages/scheduling/src/group-scheduler.test.ts
+++ b/packages/scheduling/src/group-scheduler.test.ts
@@ -102,10 +102,22 @@
 	await clock.run(10);
 	scheduler.receivePart(
 		entry,
-		makePart(clock, {tasks: [[0, 1], [1, 1], [2, 1], [3, 1], [4, 1]]}),
+		makePart(clock, {
+			tasks: [
+				[0, 1],
+				[1, 1],
+				[2, 1],
+				[3, 1],
+				[4, 1],
+			],
+		}),
+		clock.now,
 	);
 	await runFor(clock, 400, [[scheduler, entry]]);
-	assert.deepEqual(listOutcomes(entry), Array.from({length: 5}, () => 'done'));
+	assert.deepEqual(
+		listOutcomes(entry),
+		Array.from({length: 5}, () => 'done'),
+	);
 	assert.equal(executors.runs.length, 5);
 });
 
@@ -121,7 +133,11 @@
 		fake.lateStartMs = 2000;
 	}
 
-	scheduler.receivePart(entry, makePart(clock, {timeLeftMs: 10_000}));
+	scheduler.receivePart(
+		entry,
+		makePart(clock, {timeLeftMs: 10_000}),
+		clock.now,
+	);
 	await runFor(clock, 50, [[scheduler, entry]]);
 	for (const fake of executors.fakes) {
 		fake.lateStartMs = 0;
@@ -140,7 +156,11 @@
 	const scheduler = createScheduler(clock, executors, 1);
 	const entry = createEntry();
 	await clock.run(10);
-	scheduler.receivePart(entry, makePart(clock, {timeLeftMs: 10_000}));
+	scheduler.receivePart(
+		entry,
+		makePart(clock, {timeLeftMs: 10_000}),
+		clock.now,
+	);
 	await runFor(clock, 300, [[scheduler, entry]]);
 	const lastWordAt = clock.now - 50;
 	for (let i = 0; i < 30; i += 1) {
@@ -150,7 +170,10 @@
 
 	const [run] = executors.runs;
 	assert.equal(run?.outcome, 'ended');
-	assert.ok(run.endedAt! - lastWordAt < 1100, `${run.endedAt! - lastWordAt} ms`);
+	assert.ok(
+		run.endedAt! - lastWordAt < 1100,
+		`${run.endedAt! - lastWordAt} ms`,
+	);
 });
 
 // An entry and its scheduler die at the same moment: nobody stops the tasks. Their leases must not
@@ -161,7 +184,11 @@
 	const scheduler = createScheduler(clock, executors, 1);
 	const entry = createEntry();
 	await clock.run(10);
-	scheduler.receivePart(entry, makePart(clock, {timeLeftMs: 10_000}));
+	scheduler.receivePart(
+		entry,
+		makePart(clock, {timeLeftMs: 10_000}),
+		clock.now,
+	);
 	await runFor(clock, 500, [[scheduler, entry]]);
 	const lastWordAt = clock.now - 50;
 	for (let i = 0; i < 15; i += 1) {
@@ -172,7 +199,10 @@
 	executors.fakes[0]!.cutFrom = 'all';
 	await clock.run(2000);
 	const [run] = executors.runs;
-	assert.ok(run!.endedAt! - lastWordAt < 1300, `${run!.endedAt! - lastWordAt} ms`);
+	assert.ok(
+		run!.endedAt! - lastWordAt < 1300,
+		`${run!.endedAt! - lastWordAt} ms`,
+	);
 });
 
 // Another host takes the group over while a task runs, and the entry hands it the job anew. The
@@ -183,11 +213,15 @@
 	const first = createScheduler(clock, executors, 1);
 	const entry = createEntry();
 	await clock.run(10);
-	first.receivePart(entry, makePart(clock));
+	first.receivePart(entry, makePart(clock, {estimateMs: 1000}), clock.now);
 	await runFor(clock, 200, [[first, entry]]);
 	const second = createScheduler(clock, executors, 2);
 	await clock.run(10);
-	second.receivePart(entry, makePart(clock, {isMoved: true}));
+	second.receivePart(
+		entry,
+		makePart(clock, {isMoved: true, estimateMs: 1000}),
+		clock.now,
+	);
 	await runFor(clock, 1500, [[second, entry]]);
 	assert.equal(executors.runs.length, 1);
 	assert.deepEqual(listOutcomes(entry), ['done']);
@@ -202,7 +236,7 @@
 	const first = createScheduler(clock, executors, 1);
 	const entry = createEntry();
 	await clock.run(10);
-	first.receivePart(entry, makePart(clock, {timeLeftMs: 10_000}));
+	first.receivePart(entry, makePart(clock, {timeLeftMs: 10_000}), clock.now);
 	await runFor(clock, 200, [[first, entry]]);
 	const [run] = executors.runs;
 	const reached = executors.executors.filter(({id}) => id !== run?.executor);
@@ -211,7 +245,11 @@
 	const second = createScheduler(clock, executors, 2);
 	assert.equal(reached.length, 1);
 	await runFor(clock, 1000, [[first, entry]]);
-	second.receivePart(entry, makePart(clock, {isMoved: true, timeLeftMs: 10_000}));
+	second.receivePart(
+		entry,
+		makePart(clock, {isMoved: true, timeLeftMs: 10_000}),
+		clock.now,
+	);
 	for (let i = 0; i < 60; i += 1) {
 		first.update();
 		await runFor(clock, 50, [[second, entry]]);
@@ -220,3 +258,100 @@
 	assert.equal(executors.runs.length, 2);
 	assert.deepEqual(findOverlaps(executors.runs), []);
 });
+
+/** A job of two tasks each 100 ms; gives how long each took until its last end, by job. */
+async function runSteadyLoad(
+	clock: VirtualClock,
+	scheduler: GroupScheduler,
+	entry: ReturnType<typeof createEntry>,
+	jobs: number,
+): Promise<Map<string, {outcomes: string[]; tookMs: number}>> {
+	const begun = new Map<string, number>();
+	const results = new Map<string, {outcomes: string[]; tookMs: number}>();
+	let read = 0;
+	const readTold = () => {
+		for (const {job, ends} of entry.told.slice(read)) {
+			const known = results.get(job) ?? {outcomes: [], tookMs: 0};
+			known.outcomes.push(...ends.map(({outcome}) => outcome));
+			known.tookMs = clock.now - begun.get(job)!;
+			results.set(job, known);
+		}
+
+		read = entry.told.length;
+	};
+
+	for (let i = 0; i < jobs; i += 1) {
+		const job = `job${i}`;
+		begun.set(job, clock.now);
+		scheduler.receivePart(
+			entry,
+			makePart(clock, {
+				job,
+				tasks: [
+					[0, 1],
+					[1, 1],
+				],
+				remaining: 2,
+			}),
+			clock.now,
+		);
+		await runFor(clock, 100, [[scheduler, entry]]);
+		readTold();
+	}
+
+	for (let i = 0; i < 40; i += 1) {
+		await runFor(clock, 50, [[scheduler, entry]]);
+		readTold();
+	}
+
+	return results;
+}
+
+// One executor of eight lets tasks stand still while it says that it is well. Its room looks the
+// freest, so every job would leave a task there and its caller would wait for nothing.
+test('an executor on which tasks stand still delays a few jobs, not all', async () => {
+	const clock = new VirtualClock();
+	const executors = createFakeExecutors(clock, {count: 8});
+	const scheduler = createScheduler(clock, executors, 1);
+	const entry = createEntry();
+	await clock.run(10);
+	executors.fakes[3]!.slowness = Infinity;
+	const results = await runSteadyLoad(clock, scheduler, entry, 40);
+	const served = [...results.values()].filter(
+		({outcomes}) => outcomes.filter((one) => one === 'done').length === 2,
+	);
+	assert.equal(served.length, 40);
+	const delayed = served.filter(({tookMs}) => tookMs > 200);
+	assert.ok(delayed.length <= 6, `${delayed.length} of 40 were delayed`);
+	assert.deepEqual(findOverlaps(executors.runs), []);
+});
+
+// An executor fails all it starts, at once, so that its room is always free. Every task would pass
+// through it and use up one of its few attempts.
+test('an executor that fails all it starts gets few tasks', async () => {
+	const clock = new VirtualClock();
+	const executors = createFakeExecutors(clock, {count: 8});
+	const scheduler = createScheduler(clock, executors, 1);
+	const entry = createEntry();
+	await clock.run(10);
+	executors.fakes[2]!.isFailing = true;
+	const results = await runSteadyLoad(clock, scheduler, entry, 40);
+	const failed = executors.runs.filter(({outcome}) => outcome === 'failed');
+	assert.ok(failed.length <= 8, `${failed.length} runs failed`);
+	assert.ok(
+		[...results.values()].every(({outcomes}) => !outcomes.includes('failed')),
+	);
+});
+
+// An executor works at a sixth of its speed for a while. Tasks placed there make their jobs late.
+test('an executor that has turned slow gets few tasks while others have room', async () => {
+	const clock = new VirtualClock();
+	const executors = createFakeExecutors(clock, {count: 8});
+	const scheduler = createScheduler(clock, executors, 1);
+	const entry = createEntry();
+	await clock.run(10);
+	executors.fakes[5]!.slowness = 6;
+	const results = await runSteadyLoad(clock, scheduler, entry, 40);
+	const delayed = [...results.values()].filter(({tookMs}) => tookMs > 200);
+	assert.ok(delayed.length <= 6, `${delayed.length} of 40 were delayed`);
+});
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -23,7 +23,10 @@
 	type GroupJob,
 	type GroupTask,
 } from './group-job.js';
+import {isDoubted, recordOverdue, recordSuccess} from './executor-trust.js';
+import {isOverdue, maxMoves} from './judge-run.js';
 import {chooseExecutor} from './place-task.js';
+import {hasRoom} from './room.js';
 import {compareJobs} from './rank-jobs.js';
 import {formatTaskKey, type Run, type RunOutcome} from './run.js';
 import {type RunTimes} from './run-times.js';
@@ -31,6 +34,8 @@
 
 /** A start that an executor calls outdated is made again with a number this much higher: past what another copy of the job used. */
 const attemptStep = 16;
+/** Updates come each 50 ms; one that is this late means that this host was paused. */
+const pauseMs = 150;
 /** Priorities that are told apart in the backlog. */
 const priorityCount = 4;
 export type GroupPorts = {
@@ -54,13 +59,8 @@
 	entry: Entry;
 	/** When its last message was sent, on this host's clock. */
 	heardAt: number;
-	/** Least difference seen between this host's clock and the entry's: the fastest message's. */
-	clockOffset: number;
 };
 
-/** How long an entry's clock is remembered after its last word: longer than any cut's held-up messages last. */
-const forgetEntryMs = 60_000;
-
 /** A waiting task is given up when less than this share of its estimated run time is left: estimates are off by about 40%. */
 const hopelessShare = 0.6;
 
@@ -82,6 +82,7 @@
 	/** Ends told lately: a connection may have broken before they arrived, and the part comes again. */
 	readonly #toldEnds = new Map<string, ToldEnd>();
 	readonly #openedAt: number;
+	#updatedAt = 0;
 	#isClosed = false;
 	#isPlacing = false;
 
@@ -112,9 +113,10 @@
 		this.#place();
 	}
 
-	receivePart(entry: Entry, part: Part): void {
+	/** `sentAt`: when the entry sent it, on this host's clock. */
+	receivePart(entry: Entry, part: Part, sentAt: number): void {
 		const now = this.ports.now();
-		const sentAt = this.keepEntry(entry, part.at);
+		this.keepEntry(entry, sentAt);
 		if (now - sentAt > stalePartMs) {
 			this.ports.log('part came too late', {
 				job: part.job,
@@ -145,30 +147,21 @@
 		}
 	}
 
-	/**
-	An entry still waits for what it handed over, as of when it said so on its clock; gives that
-	moment on this host's clock.
-	*/
-	keepEntry(entry: Entry, at: number): number {
-		const known = this.#entries.get(entry.key);
-		const offset = this.ports.now() - at;
-		const clockOffset = Math.min(known?.clockOffset ?? offset, offset);
-		const heardAt = Math.max(known?.heardAt ?? -Infinity, at + clockOffset);
-		this.#entries.set(entry.key, {entry, heardAt, clockOffset});
-		return at + clockOffset;
+	/** An entry still waits for what it handed over, as of that moment on this host's clock. */
+	keepEntry(entry: Entry, sentAt: number): void {
+		const heardAt = this.#entries.get(entry.key)?.heardAt ?? -Infinity;
+		this.#entries.set(entry.key, {entry, heardAt: Math.max(heardAt, sentAt)});
 	}
 
 	/** What time alone brings about; to be called each 50 ms or so. */
 	update(): void {
 		const now = this.ports.now();
-		for (const [key, {heardAt}] of this.#entries) {
-			if (now - heardAt > entrySilenceMs) {
-				this.#dropEntry(key);
-			}
-
-			if (now - heardAt > forgetEntryMs) {
-				this.#entries.delete(key);
-			}
+		// After a pause of this host, what was sent to it meanwhile has yet to be read.
+		const isPaused = now - this.#updatedAt > pauseMs;
+		this.#updatedAt = now;
+		if (!isPaused) {
+			this.#dropSilentEntries(now);
+			this.#moveOverdue(now);
 		}
 
 		for (const [key, {at}] of this.#toldEnds) {
@@ -309,7 +302,11 @@
 	runs there, or until that holder has given the runs up: it no longer hears from the entry,
 	which now tells this one that it waits.
 	*/
-	#isStartable({isDropped, movedAt}: GroupJob, now: number, hasReports: boolean): boolean {
+	#isStartable(
+		{isDropped, movedAt}: GroupJob,
+		now: number,
+		hasReports: boolean,
+	): boolean {
 		const isSettled =
 			movedAt === undefined ||
 			hasReports ||
@@ -351,7 +348,13 @@
 
 			const session = chooseExecutor(
 				open,
-				{service: job.service, demand: job.demand, avoid: task.avoid},
+				{
+					service: job.service,
+					demand: job.demand,
+					estimateMs: job.estimateMs,
+					endsAt: job.endsAt,
+					avoid: task.avoid,
+				},
 				now,
 			);
 			if (!session) {
@@ -440,7 +443,11 @@
 			return;
 		}
 
-		session.learnSpeed(runMs, job.estimateMs);
+		const {sumMs, count} = job.ended;
+		const expectedMs = count > 0 ? sumMs / count : job.estimateMs;
+		recordSuccess(session.trust, {runMs, expectedMs, now: this.ports.now()});
+		job.ended.sumMs += runMs;
+		job.ended.count += 1;
 		this.ports.runTimes.learn(job.queue, runMs);
 	}
 
@@ -451,8 +458,7 @@
 		session: ExecutorSession,
 	): void {
 		if (job.isDropped) {
-			task.state = 'over';
-			this.#forgetIfOver(job);
+			this.#endDropped(job, task);
 			return;
 		}
 
@@ -481,6 +487,18 @@
 		}
 	}
 
+	/** A task whose entry no longer wants it, or is silent, has stopped running. */
+	#endDropped(job: GroupJob, task: GroupTask): void {
+		if (job.isOrphaned) {
+			task.state = 'waiting';
+			this.#giveBack(job, 'elsewhere');
+			return;
+		}
+
+		task.state = 'over';
+		this.#forgetIfOver(job);
+	}
+
 	#endTask(job: GroupJob, task: GroupTask, end: Omit<TaskEnd, 'index'>): void {
 		task.state = 'over';
 		this.#toldEnds.set(formatTaskKey({job: job.id, index: task.index}), {
@@ -522,6 +540,61 @@
 		this.#forgetIfOver(job);
 	}
 
+	/** Stops runs that take too long where their tasks can be started elsewhere at once. */
+	#moveOverdue(now: number): void {
+		for (const job of this.#jobs.values()) {
+			if (job.isDropped) {
+				continue;
+			}
+
+			const {sumMs, count} = job.ended;
+			const siblingMs = count > 0 ? sumMs / count : undefined;
+			for (const task of job.tasks.values()) {
+				const elapsedMs = now - task.startedAt;
+				const isLate =
+					task.state === 'started' &&
+					isOverdue({elapsedMs, estimateMs: job.estimateMs, siblingMs});
+				if (isLate) {
+					this.#moveTask(job, task, now);
+				}
+			}
+		}
+	}
+
+	#moveTask(job: GroupJob, task: GroupTask, now: number): void {
+		const session = this.#sessions.get(task.executor ?? '');
+		const run = session?.runs.get(
+			formatTaskKey({job: job.id, index: task.index}),
+		);
+		if (!session || run?.state !== 'running' || run.isOverdue) {
+			return;
+		}
+
+		run.isOverdue = true;
+		recordOverdue(session.trust, now);
+		const others = [...this.#sessions.values()].filter(
+			(other) => other.isOpen && other !== session && !isDoubted(other.trust),
+		);
+		const isMovable =
+			task.moves < maxMoves &&
+			others.some(
+				({free, service}) =>
+					service === job.service && hasRoom(free, job.demand),
+			);
+		this.ports.log('run is overdue', {
+			job: job.id,
+			task: task.index,
+			executor: session.id,
+			elapsedMs: Math.round(now - task.startedAt),
+			estimateMs: Math.round(job.estimateMs),
+			isMoved: isMovable,
+		});
+		if (isMovable) {
+			task.moves += 1;
+			session.stop(run);
+		}
+	}
+
 	#stopRun(job: GroupJob, task: GroupTask): void {
 		const session = this.#sessions.get(task.executor ?? '');
 		const run = session?.runs.get(
@@ -532,6 +605,19 @@
 		}
 	}
 
+	#dropSilentEntries(now: number): void {
+		for (const [key, {heardAt}] of this.#entries) {
+			if (now - heardAt > entrySilenceMs) {
+				this.#entries.delete(key);
+				this.#dropEntry(key);
+			}
+		}
+	}
+
+	/**
+	The entry is gone, or cut off, and its callers may come again elsewhere. Should it hear of it
+	after all, it is told of each task when nothing of it runs any more.
+	*/
 	#dropEntry(key: string): void {
 		for (const job of this.#jobs.values()) {
 			if (job.entry.key === key && !job.isDropped) {
@@ -539,6 +625,8 @@
 					job: job.id,
 					entry: key,
 				});
+				this.#giveBack(job, 'elsewhere');
+				job.isOrphaned = true;
 				this.#drop(job);
 			}
 		}
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -11,3 +11,4 @@
 export * from './choose-holder.js';
 export type * from './coordination-store.js';
 export * from './fencing-token.js';
+export * from './clock-offset.js';
--- /dev/null
+++ b/packages/scheduling/src/judge-run.ts
@@ -0,0 +1,40 @@
+/**
+Whether a run takes longer than it should, so that its task is better started elsewhere.
+
+For executors that are healthy by their own word and let tasks stand still, or have turned slow.
+One late task is all that shows it at first. Left alone, the task holds its job until the caller
+gives up, and the executor, whose room seems free as others fill up, draws more tasks in.
+
+Run times of a queue differ from job to job by about 40%, those of one job's tasks by about 15%:
+once a sibling has ended, the judgement is sharp, else it has to be patient.
+*/
+
+/** Over the mean of the job's ended tasks: past all but one task in a thousand. */
+const siblingFactor = 1.5;
+/** Over the estimate from the queue: past all but one job in a hundred. */
+const estimateFactor = 2.5;
+/** Added to both: an executor's answer and this host's own delays. */
+const allowanceMs = 25;
+/** A task is moved this often at most: after that it is the task that is long. */
+export const maxMoves = 2;
+
+export type JudgedRun = {
+	elapsedMs: number;
+	estimateMs: number;
+	/** Mean run time of the job's tasks that have ended; undefined: none has. */
+	siblingMs?: number;
+};
+
+/** How long the run may take before it counts as overdue, milliseconds. */
+export function computeRunLimit({
+	estimateMs,
+	siblingMs,
+}: Omit<JudgedRun, 'elapsedMs'>): number {
+	return siblingMs === undefined
+		? estimateFactor * estimateMs + allowanceMs
+		: siblingFactor * siblingMs + allowanceMs;
+}
+
+export function isOverdue(run: JudgedRun): boolean {
+	return run.elapsedMs > computeRunLimit(run);
+}
--- a/packages/scheduling/src/place-task.ts
+++ b/packages/scheduling/src/place-task.ts
@@ -2,10 +2,16 @@
 Where a task goes: the executor with the most room among the sound ones that have enough.
 
 For thin executors that take two or three tasks each. Spreading keeps room on many executors, so
-that a wide job starts at once. An executor that has proved slow is used only when no other has
-room, and one that failed its last tasks gets one at a time until it ends one well.
+that a wide job starts at once. An executor that has proved slow, or is doubted, is used only when
+no other has room, and not for a task that it could not end in time.
 */
 import {type TaskDemand} from '@gentianshift/protocol';
+import {
+	computeSlowness,
+	isDoubted,
+	slowFactor,
+	type ExecutorTrust,
+} from './executor-trust.js';
 import {hasRoom} from './room.js';
 
 export type Candidate = {
@@ -13,22 +19,15 @@
 	service: string;
 	free: TaskDemand;
 	runCount: number;
-	/** Run times there against those elsewhere; 1: as fast as the others. */
-	slowness: number;
-	/** Tasks that failed there in a row without a good end between. */
-	failuresInRow: number;
-	/** No start before this time. */
-	restsUntil: number;
+	trust: ExecutorTrust;
 };
 
-/** An executor that takes more than this many times as long as the others counts as slow. */
-export const slowFactor = 1.7;
-/** Failures in a row after which an executor is doubted: single failures are the tasks' own. */
-export const doubtFailures = 2;
-
 export type PlacedTask = {
 	service: string;
 	demand: TaskDemand;
+	estimateMs: number;
+	/** Ending later is of no use. */
+	endsAt: number;
 	/** Executors where a run of the task came to nothing. */
 	avoid: ReadonlySet<string>;
 };
@@ -39,16 +38,16 @@
 	now: number,
 ): C | undefined {
 	let best: C | undefined;
-	let bestScore = -Infinity;
+	let bestWeight = -Infinity;
 	for (const candidate of candidates) {
 		if (!isFit(candidate, task, now)) {
 			continue;
 		}
 
-		const score = weighExecutor(candidate, task);
-		if (score > bestScore) {
+		const weight = weighExecutor(candidate, task, now);
+		if (weight > bestWeight) {
 			best = candidate;
-			bestScore = score;
+			bestWeight = weight;
 		}
 	}
 
@@ -56,22 +55,30 @@
 }
 
 function isFit(candidate: Candidate, task: PlacedTask, now: number): boolean {
-	const isDoubted = candidate.failuresInRow >= doubtFailures;
+	const {trust} = candidate;
+	const slowness = computeSlowness(trust, now);
+	const isInTime =
+		slowness < slowFactor || now + task.estimateMs * slowness < task.endsAt;
 	return (
 		candidate.service === task.service &&
-		now >= candidate.restsUntil &&
+		now >= trust.restsUntil &&
 		hasRoom(candidate.free, task.demand) &&
-		!(isDoubted && candidate.runCount > 0)
+		!(isDoubted(trust) && candidate.runCount > 0) &&
+		isInTime
 	);
 }
 
 /** Larger than any room: a class of executors goes before another whatever is free. */
 const classStep = 1e9;
 
-function weighExecutor(candidate: Candidate, {avoid}: PlacedTask): number {
+function weighExecutor(
+	{id, free, trust}: Candidate,
+	{avoid}: PlacedTask,
+	now: number,
+): number {
 	const demerits =
-		Number(candidate.slowness > slowFactor) * 2 +
-		Number(candidate.failuresInRow >= doubtFailures) * 4 +
-		Number(avoid.has(candidate.id)) * 8;
-	return candidate.free.cpu - demerits * classStep;
+		Number(computeSlowness(trust, now) > slowFactor) * 2 +
+		Number(isDoubted(trust)) * 4 +
+		Number(avoid.has(id)) * 8;
+	return free.cpu - demerits * classStep;
 }
--- a/packages/scheduling/src/run.ts
+++ b/packages/scheduling/src/run.ts
@@ -22,6 +22,8 @@
 	stoppedAt?: number;
 	/** Started by an earlier holder of the group. */
 	isFound: boolean;
+	/** It has taken too long, and its executor's trust has been lowered for it. */
+	isOverdue?: boolean;
 };
 
 /**
--- a/packages/standins/src/leased/json-server.ts
+++ b/packages/standins/src/leased/json-server.ts
@@ -3,7 +3,11 @@
 */
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
-import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import {
+	createServer,
+	type IncomingMessage,
+	type ServerResponse,
+} from 'node:http';
 import {type AddressInfo, type Socket} from 'node:net';
 
 export type JsonRequest = {
--- a/packages/standins/src/leased/leased-executor.ts
+++ b/packages/standins/src/leased/leased-executor.ts
@@ -65,6 +65,8 @@
 };
 
 export class LeasedExecutor {
+	readonly id: string;
+	readonly capacityCpu: number;
 	readonly faults: ExecutorFaults = {
 		isSilent: false,
 		slowness: 1,
@@ -85,10 +87,10 @@
 	readonly #attempts = new Map<string, number>();
 	#leaseTimer: NodeJS.Timeout | undefined;
 
-	constructor(
-		readonly id: string,
-		readonly capacityCpu: number,
-	) {}
+	constructor(id: string, capacityCpu: number) {
+		this.id = id;
+		this.capacityCpu = capacityCpu;
+	}
 
 	async start(ip: string): Promise<string> {
 		this.#server = await startJsonServer(ip, async (request) =>
@@ -139,9 +141,7 @@
 		}
 	}
 
-	async #receiveStart(
-		order: z.infer<typeof startSchema>,
-	): Promise<JsonReply> {
+	async #receiveStart(order: z.infer<typeof startSchema>): Promise<JsonReply> {
 		if (this.faults.lateStartMs > 0) {
 			setTimeout(() => {
 				this.#startRun(order);
@@ -153,7 +153,13 @@
 	}
 
 	#startRun(order: z.infer<typeof startSchema>): JsonReply {
-		const {task, attempt, spec, deadline_ms: until, fencing_token: token} = order;
+		const {
+			task,
+			attempt,
+			spec,
+			deadline_ms: until,
+			fencing_token: token,
+		} = order;
 		if (token < this.#token) {
 			return this.#refuse('fence');
 		}
@@ -272,7 +278,7 @@
 	}
 
 	#endAll(how: string): void {
-		for (const run of [...this.#active.values()]) {
+		for (const run of this.#active.values()) {
 			this.#endRun(run, how);
 		}
 	}
--- a/packages/standins/src/leased/metadata-store.ts
+++ b/packages/standins/src/leased/metadata-store.ts
@@ -102,7 +102,7 @@
 
 	/** Keys under a prefix, as text. */
 	list(prefix: string): Array<{key: string; value: string}> {
-		this.#expireLeases();
+		this.#dropLeases();
 		return [...this.#items.values()]
 			.filter(({key}) => key.startsWith(prefix))
 			.map(({key, value}) => ({
@@ -135,7 +135,7 @@
 			await delay(faults.delayMs);
 		}
 
-		this.#expireLeases();
+		this.#dropLeases();
 		const reply = await this.#carryOut(request);
 		return faults.losesAnswers && request.method !== 'GET' ? undefined : reply;
 	}
@@ -151,7 +151,10 @@
 		}
 
 		if (path === '/v1/kv-range') {
-			return this.#readRange(query.get('prefix') ?? '', query.get('after') ?? '');
+			return this.#readRange(
+				query.get('prefix') ?? '',
+				query.get('after') ?? '',
+			);
 		}
 
 		if (path === '/v1/kv-watch') {
@@ -283,7 +286,7 @@
 		return {status: isKnown ? 200 : 404};
 	}
 
-	#expireLeases(): void {
+	#dropLeases(): void {
 		for (const [id, {endsAt}] of this.#leases) {
 			if (performance.now() > endsAt) {
 				this.#leases.delete(id);
--- a/packages/trials/src/scheduling/holders.test.ts
+++ b/packages/trials/src/scheduling/holders.test.ts
@@ -6,10 +6,15 @@
 import {test, type TestContext} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
 import {waitFor} from '../processes.js';
-import {makeJobId, submitJob, submitUntilAnswered, type JobReply} from './caller.js';
+import {
+	makeJobId,
+	submitJob,
+	submitUntilAnswered,
+	type JobReply,
+} from './caller.js';
 import {assertNoOverlaps, listRuns} from './judge.js';
 import {
-	killHost,
+	stopHost,
 	startSchedulingSystem,
 	type SchedulingHostProcess,
 	type SchedulingSystem,
@@ -47,7 +52,10 @@
 	const replies: Array<Promise<JobReply>> = [];
 	const endsAt = performance.now() + forMs;
 	for (let i = 0; performance.now() < endsAt; i += 1) {
-		const order = [...hosts.slice(i % hosts.length), ...hosts.slice(0, i % hosts.length)];
+		const order = [
+			...hosts.slice(i % hosts.length),
+			...hosts.slice(0, i % hosts.length),
+		];
 		replies.push(submitUntilAnswered(order, {ms, count: 2}));
 		await delay(everyMs);
 	}
@@ -57,7 +65,11 @@
 
 test('jobs are served on a calm day, each task run once', async (context) => {
 	const system = await openSystem(context);
-	const replies = await runLoad(system.hosts, {everyMs: 50, forMs: 2000, ms: 60});
+	const replies = await runLoad(system.hosts, {
+		everyMs: 50,
+		forMs: 2000,
+		ms: 60,
+	});
 	assert.deepEqual(
 		replies.filter(({state}) => state !== 'completed'),
 		[],
@@ -78,13 +90,16 @@
 	const others = system.hosts.filter((host) => host !== holder);
 	const load = runLoad(others, {everyMs: 60, forMs: 4000, ms: 300});
 	await delay(1200);
-	await killHost(holder);
+	await stopHost(holder);
 	const replies = await load;
 	assertNoOverlaps(system.executors);
 	const lost = replies.filter(({status}) => status === 0);
 	assert.deepEqual(lost, []);
 	const served = replies.filter(({state}) => state === 'completed').length;
-	assert.ok(served > replies.length * 0.7, `${served} of ${replies.length} served`);
+	assert.ok(
+		served > replies.length * 0.7,
+		`${served} of ${replies.length} served`,
+	);
 });
 
 // A scheduler's machine stands still for seconds and goes on as if nothing had been. Another host
@@ -115,7 +130,7 @@
 		'its tasks to run',
 		2000,
 	);
-	await killHost(entry);
+	await stopHost(entry);
 	const broken = await first;
 	assert.equal(broken.status, 0);
 	await delay(1300);
@@ -130,7 +145,7 @@
 	for (const host of system.hosts) {
 		const load = runLoad([host], {everyMs: 60, forMs: 1500, ms: 200});
 		await delay(800);
-		const stopped = killHost(host, 'SIGTERM');
+		const stopped = stopHost(host, 'SIGTERM');
 		const replies = await load;
 		await stopped;
 		assert.deepEqual(
@@ -138,7 +153,7 @@
 			[],
 			host.name,
 		);
-		system.restartHost(host);
+		system.startAgain(host);
 		await system.waitUntilReady([host]);
 	}
 
--- a/packages/trials/src/scheduling/system.ts
+++ b/packages/trials/src/scheduling/system.ts
@@ -47,13 +47,18 @@
 /** Each system of a test run has IPs of its own. */
 let nextSubnet = 40 + (process.pid % 150);
 
+function takeSubnet(): number {
+	nextSubnet += 1;
+	return nextSubnet;
+}
+
 export class SchedulingSystem {
 	readonly store = new MetadataStore();
 	readonly executors: LeasedExecutor[] = [];
 	readonly hosts: SchedulingHostProcess[] = [];
 	readonly #group = new ProcessGroup();
 	readonly #dir = mkdtempSync(path.join(os.tmpdir(), 'gentianshift-'));
-	readonly #subnet = (nextSubnet += 1);
+	readonly #subnet = takeSubnet();
 	#storeAddress = '';
 	#nextIp = 10;
 	#version = 1;
@@ -72,7 +77,9 @@
 
 		for (const [dataCentre, count] of Object.entries(hosts)) {
 			for (let i = 0; i < count; i += 1) {
-				this.hosts.push(await this.#makeHost(`${dataCentre}-${i + 1}`, dataCentre));
+				this.hosts.push(
+					await this.#makeHost(`${dataCentre}-${i + 1}`, dataCentre),
+				);
 			}
 		}
 
@@ -121,7 +128,7 @@
 	}
 
 	/** Starts a host's process again at its address. */
-	restartHost(host: SchedulingHostProcess): void {
+	startAgain(host: SchedulingHostProcess): void {
 		host.process = this.#startProcess(host.name, host.settingsFile);
 	}
 
@@ -182,7 +189,15 @@
 			].join('\n'),
 		);
 		const started = this.#startProcess(name, settingsFile);
-		return {name, dataCentre, ip, callers, readiness, settingsFile, process: started};
+		return {
+			name,
+			dataCentre,
+			ip,
+			callers,
+			readiness,
+			settingsFile,
+			process: started,
+		};
 	}
 
 	#startProcess(name: string, settingsFile: string): TrialProcess {
@@ -209,7 +224,7 @@
 	return system;
 }
 
-export async function killHost(
+export async function stopHost(
 	host: SchedulingHostProcess,
 	signal: NodeJS.Signals = 'SIGKILL',
 ): Promise<void> {
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -2,7 +2,7 @@
 Builds the one binary: an esbuild bundle, made a single executable with Node's own runtime.
 
 Usage: `node scripts/build.mjs`. Result: `dist/gentianshift` and `dist/gentianshift.cjs`.
-`node scripts/build.mjs target` makes the bundle alone, `target/gentianshift.cjs`.
+`node scripts/build.mjs target` makes the bundle alone, `target/gentianshift.mjs`.
 */
 import {execFileSync} from 'node:child_process';
 import {
@@ -12,6 +12,7 @@
 	readFileSync,
 	writeFileSync,
 } from 'node:fs';
+import path from 'node:path';
 import process from 'node:process';
 import {build} from 'esbuild';
 import {inject} from 'postject';
@@ -40,6 +41,26 @@
 	},
 };
 
+/**
+For the users' platform, whose hosts have a fraction of a core to start with: of the HTTP client
+only the pool, of the schema library only the English texts. Halves what is loaded.
+*/
+const slim = {
+	name: 'slim',
+	setup(steps) {
+		// eslint-disable-next-line require-unicode-regexp
+		steps.onResolve({filter: /^undici$/}, ({importer}) =>
+			importer.includes(`${path.sep}platform${path.sep}src`)
+				? {path: path.resolve('scripts/undici-pool.cjs')}
+				: undefined,
+		);
+		// eslint-disable-next-line require-unicode-regexp
+		steps.onLoad({filter: /zod\/v4\/locales\/index\.js$/}, () => ({
+			contents: "export {default as en} from './en.js';",
+		}));
+	},
+};
+
 mkdirSync(outFolder, {recursive: true});
 async function bundle(entry, outfile) {
 	await build({
@@ -47,8 +68,6 @@
 		bundle: true,
 		platform: 'node',
 		target: 'node20',
-		minify: isTargetOnly,
-		keepNames: isTargetOnly,
 		format: 'cjs',
 		outfile,
 		plugins: [leaveOut],
@@ -56,11 +75,33 @@
 	});
 }
 
-await bundle('packages/cli/src/main.ts', `${outFolder}/gentianshift.cjs`);
+/** One file for each way to run: the platform's host loads nothing of the command line. */
+async function bundleTarget() {
+	await build({
+		entryPoints: {gentianshift: 'packages/cli/src/main.ts'},
+		bundle: true,
+		platform: 'node',
+		target: 'node20',
+		format: 'esm',
+		splitting: true,
+		minify: true,
+		outdir: outFolder,
+		outExtension: {'.js': '.mjs'},
+		chunkNames: '[name]-[hash]',
+		banner: {
+			js: "import {createRequire} from 'node:module'; const require = createRequire(import.meta.url);",
+		},
+		plugins: [leaveOut, slim],
+		logLevel: 'warning',
+	});
+}
+
 if (isTargetOnly) {
+	await bundleTarget();
 	process.exit(0);
 }
 
+await bundle('packages/cli/src/main.ts', 'dist/gentianshift.cjs');
 // For the load tool only: no part of the product.
 await bundle('packages/bench/src/baseline-host.ts', 'dist/baseline-host.cjs');
 const sea = {
