Give waiting tasks to a group that has room now, and tell callers at once of a silent scheduler

Cause: a job's tasks waited at a full data centre while another had room, as where they go was decided on their arrival only. Jobs with tasks at a scheduler that went silent were held to the end of their callers' time although they could not end in time any more.

Change: the scheduler gives waiting tasks back while another group has room, twice a task at most; the room taken counts as used until that group tells its own. The entry gives a job up when what a silent scheduler may run has to end first and that is too late.

--- a/packages/host/src/scheduling/start-scheduling-host.ts
+++ b/packages/host/src/scheduling/start-scheduling-host.ts
@@ -11,6 +11,7 @@
 	type Message,
 } from '@gentianshift/protocol';
 import {
+	countFits,
 	createGroupDirectory,
 	createRunTimes,
 	EntryJobs,
@@ -266,6 +267,7 @@
 				onChange() {
 					// Told with the next update.
 				},
+				takeElsewhere: (cpu, tasks) => this.#takeElsewhere(cpu, tasks),
 				getStoreAgeMs: () => measureStoreAge(surroundings.store, readNow()),
 			},
 			onChange: () => {
@@ -277,6 +279,20 @@
 		});
 	}
 
+	/** What is taken counts as used until the other holder tells its room again. */
+	#takeElsewhere(cpu: number, tasks: number): number {
+		let taken = 0;
+		for (const {group, free} of this.#groups.listRooms(readNow())) {
+			if (group !== this.#options.host.dataCentre) {
+				const fits = Math.min(tasks - taken, countFits(free, cpu));
+				this.#groups.take(group, cpu, fits);
+				taken += fits;
+			}
+		}
+
+		return taken;
+	}
+
 	#createEntry(): EntryJobs {
 		return new EntryJobs({
 			home: this.#options.host.dataCentre,
--- a/packages/protocol/src/scheduling-messages.ts
+++ b/packages/protocol/src/scheduling-messages.ts
@@ -53,6 +53,8 @@
 	/** Tasks of the whole job that are not done: its place in the queue follows from it. */
 	remaining: count,
 	tasks: z.array(wantedTaskSchema),
+	/** Times that these tasks have been given back for room in another group. */
+	shifts: count,
 	/** Tasks of it may run under an earlier holder of the group. */
 	isMoved: z.boolean(),
 });
--- a/packages/scheduling/src/entry-job.ts
+++ b/packages/scheduling/src/entry-job.ts
@@ -35,6 +35,8 @@
 	/** The group it was handed to; undefined: nowhere now. */
 	group?: string;
 	isDone: boolean;
+	/** Times that a group gave it back for room in another. */
+	shifts: number;
 	nextAttempt: number;
 };
 
@@ -75,6 +77,7 @@
 		tasks: Array.from({length: count}, (_, index) => ({
 			index,
 			isDone: false,
+			shifts: 0,
 			nextAttempt: 1,
 		})),
 		waiters: [],
--- a/packages/scheduling/src/entry-jobs.ts
+++ b/packages/scheduling/src/entry-jobs.ts
@@ -103,6 +103,7 @@
 		}
 
 		job.isStarted ||= message.isStarted;
+		const from = this.#findGroupOf(holder);
 		const returned: EntryTask[] = [];
 		for (const end of message.ends) {
 			this.#receiveEnd(job, end, holder, returned);
@@ -115,7 +116,7 @@
 		if (job.tasks.every(({isDone}) => isDone)) {
 			this.#answer(job, {type: 'completed'});
 		} else if (returned.length > 0) {
-			this.#placeReturned(job, returned, message.reason);
+			this.#placeReturned(job, returned, {reason: message.reason, from});
 		}
 	}
 
@@ -182,6 +183,7 @@
 			}
 
 			case 'returned': {
+				task.shifts += 1;
 				task.group = undefined;
 				returned.push(task);
 				break;
@@ -193,21 +195,25 @@
 	#placeReturned(
 		job: EntryJob,
 		tasks: EntryTask[],
-		reason: Ends['reason'],
+		{reason, from}: {reason: Ends['reason']; from?: string},
 	): void {
 		if (reason === 'hopeless') {
 			this.#giveUp(job, 'its tasks can no longer end in time');
 			return;
 		}
 
-		this.#placeTasks(job, tasks);
+		this.#placeTasks(job, tasks, from);
 	}
 
-	#placeTasks(job: EntryJob, tasks: EntryTask[]): void {
+	/** Places tasks; `avoided` is a group that has just found no room for them. */
+	#placeTasks(job: EntryJob, tasks: EntryTask[], avoided?: string): void {
 		const ports = this.#ports;
 		const now = ports.now();
 		const {queue, demand} = job.request;
-		const spread = placeJob(ports.groups.listRooms(now), {
+		const rooms = ports.groups
+			.listRooms(now)
+			.map((room) => (room.group === avoided ? {...room, free: []} : room));
+		const spread = placeJob(rooms, {
 			count: tasks.length,
 			cpu: demand.cpu,
 			priority: queue.priority,
@@ -277,10 +283,16 @@
 			timeLeftMs: (job.isStarted ? job.endsAt : job.uselessAt) - now,
 			remaining: job.tasks.filter(({isDone}) => !isDone).length,
 			tasks: tasks.map(({index, nextAttempt}) => [index, nextAttempt]),
+			shifts: Math.max(...tasks.map(({shifts}) => shifts)),
 			isMoved,
 		});
 	}
 
+	#findGroupOf(holder: string): string | undefined {
+		return this.#ports.groups.list().find((known) => known.holder === holder)
+			?.state.group;
+	}
+
 	/** Tells the holders of groups that have tasks of this entry's jobs that it still waits. */
 	#sendKeeps(now: number): void {
 		for (const known of this.#ports.groups.list()) {
@@ -302,25 +314,27 @@
 
 	/**
 	Tasks of a group whose holder is silent: the silent one stops them, as this entry no longer
-	tells it that it waits, and after that time they are placed elsewhere.
+	tells it that it waits, and after that time they are placed elsewhere. Where that would be too
+	late for the caller, it is told now rather than at the end of its time.
 	*/
 	#moveLost(job: EntryJob, now: number): void {
-		const lost = job.tasks.filter((task) => {
-			const known =
-				task.group === undefined || task.isDone
-					? undefined
-					: this.#ports.groups.findGroup(task.group);
-			const keptAt = this.#keptAt.get(known?.holder ?? '') ?? now;
-			return (
-				known !== undefined &&
-				isSilent(known, now) &&
-				now - keptAt > orphanLimitMs + clockSlackMs
-			);
-		});
+		const lost = job.tasks.filter((task) => this.#isAtSilent(task, now));
 		if (lost.length === 0) {
 			return;
 		}
 
+		const movableAt = Math.max(
+			...lost.map((task) => this.#findStopTime(task, now)),
+		);
+		if (movableAt + job.estimateMs > job.uselessAt) {
+			this.#giveUp(job, 'its scheduler is silent');
+			return;
+		}
+
+		if (movableAt > now) {
+			return;
+		}
+
 		this.#ports.log('scheduler is silent: placing its tasks anew', {
 			job: job.request.id,
 			tasks: lost.length,
@@ -335,6 +349,21 @@
 		this.#placeTasks(job, lost);
 	}
 
+	#isAtSilent({group, isDone}: EntryTask, now: number): boolean {
+		const known =
+			group === undefined || isDone
+				? undefined
+				: this.#ports.groups.findGroup(group);
+		return known !== undefined && isSilent(known, now);
+	}
+
+	/** When a silent holder has stopped a task, as it last heard of this entry some time ago. */
+	#findStopTime({group}: EntryTask, now: number): number {
+		const holder = this.#ports.groups.findGroup(group ?? '')?.holder ?? '';
+		const keptAt = this.#keptAt.get(holder) ?? now;
+		return keptAt + orphanLimitMs + clockSlackMs;
+	}
+
 	#giveUp(job: EntryJob, reason: string, retryAfterMs = leastRetryMs): void {
 		const type =
 			job.isStarted || this.#isMaybeStarted(job) ? 'given-up' : 'refused';
--- a/packages/scheduling/src/group-job.ts
+++ b/packages/scheduling/src/group-job.ts
@@ -19,6 +19,8 @@
 	/** The executor of its run. */
 	executor?: string;
 	failures: number;
+	/** Times that it was given back, here or elsewhere, for room in another group. */
+	shifts: number;
 	/** Times that a run of it was stopped as overdue. */
 	moves: number;
 	/** Executors where a run of it came to nothing. */
@@ -91,6 +93,7 @@
 			state: 'waiting',
 			failures: 0,
 			moves: 0,
+			shifts: part.shifts,
 			avoid: new Set(),
 			startedAt: 0,
 		};
--- a/packages/scheduling/src/group-scheduler.test.ts
+++ b/packages/scheduling/src/group-scheduler.test.ts
@@ -29,8 +29,9 @@
 	clock: VirtualClock,
 	{control, executors}: FakeExecutors,
 	token: number,
-	listed = executors,
+	fitsElsewhere = 0,
 ): GroupScheduler {
+	let leftElsewhere = fitsElsewhere;
 	const scheduler = new GroupScheduler({
 		group: 'mieres',
 		token,
@@ -44,12 +45,17 @@
 		onChange() {
 			// Nobody is told.
 		},
+		takeElsewhere(_cpu, tasks) {
+			const taken = Math.min(tasks, leftElsewhere);
+			leftElsewhere -= taken;
+			return taken;
+		},
 		getStoreAgeMs: () => 0,
 		log() {
 			// Not read.
 		},
 	});
-	scheduler.setExecutors(listed);
+	scheduler.setExecutors(executors);
 	return scheduler;
 }
 
@@ -69,6 +75,7 @@
 		timeLeftMs: 5000,
 		remaining: 1,
 		tasks: [[0, 1]],
+		shifts: 0,
 		isMoved: false,
 		...part,
 	};
@@ -355,3 +362,25 @@
 	const delayed = [...results.values()].filter(({tookMs}) => tookMs > 200);
 	assert.ok(delayed.length <= 6, `${delayed.length} of 40 were delayed`);
 });
+
+// One data centre is full while another has room for three more tasks. What waits behind long
+// tasks would be late; what is sent on starts a millisecond later.
+test('tasks that find no room go back while another group has room for them', async () => {
+	const clock = new VirtualClock();
+	const executors = createFakeExecutors(clock, {count: 1});
+	const scheduler = createScheduler(clock, executors, 1, 3);
+	const entry = createEntry();
+	await clock.run(10);
+	const tasks = Array.from({length: 8}, (_, i): [number, number] => [i, 1]);
+	scheduler.receivePart(entry, makePart(clock, {tasks, remaining: 8}), clock.now);
+	assert.equal(listOutcomes(entry).filter((one) => one === 'returned').length, 3);
+	scheduler.receivePart(
+		entry,
+		makePart(clock, {job: 'job2', shifts: 2, remaining: 1}),
+		clock.now,
+	);
+	assert.equal(listOutcomes(entry).filter((one) => one === 'returned').length, 3);
+	await runFor(clock, 600, [[scheduler, entry]]);
+	const outcomes = listOutcomes(entry);
+	assert.equal(outcomes.filter((one) => one === 'done').length, 6);
+});
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -36,6 +36,8 @@
 const attemptStep = 16;
 /** Updates come each 50 ms; one that is this late means that this host was paused. */
 const pauseMs = 150;
+/** A task is given back for room elsewhere this often at most: what is told of that room is some milliseconds old. */
+const maxShifts = 2;
 /** Priorities that are told apart in the backlog. */
 const priorityCount = 4;
 export type GroupPorts = {
@@ -50,6 +52,8 @@
 	onFenced: () => void;
 	/** Room or backlog has changed. */
 	onChange: () => void;
+	/** Takes room for tasks of this size in other groups, as far as it is known; gives for how many. */
+	takeElsewhere: (cpu: number, tasks: number) => number;
 	/** Since the store was last heard of, milliseconds. */
 	getStoreAgeMs: () => number;
 	log: (message: string, fields: Record<string, unknown>) => void;
@@ -358,6 +362,7 @@
 				now,
 			);
 			if (!session) {
+				this.#shift(job);
 				return;
 			}
 
@@ -365,6 +370,19 @@
 		}
 	}
 
+	/** Tasks that find no room here go back while another group has room for them now. */
+	#shift(job: GroupJob): void {
+		const waiting = listWaiting(job).filter(
+			({shifts}) => shifts < maxShifts,
+		);
+		if (waiting.length === 0) {
+			return;
+		}
+
+		const taken = this.ports.takeElsewhere(job.demand.cpu, waiting.length);
+		this.#giveBack(job, 'elsewhere', waiting.slice(0, taken));
+	}
+
 	/** A run of an earlier copy of the job, being stopped: the task waits until it is over. */
 	#hasRun(job: GroupJob, task: GroupTask): boolean {
 		const key = formatTaskKey({job: job.id, index: task.index});
@@ -390,8 +408,12 @@
 	}
 
 	/** Gives tasks that have not been started back to the entry. */
-	#giveBack(job: GroupJob, reason: NonNullable<Ends['reason']>): void {
-		const ends = listWaiting(job).map((task) => {
+	#giveBack(
+		job: GroupJob,
+		reason: NonNullable<Ends['reason']>,
+		tasks = listWaiting(job),
+	): void {
+		const ends = tasks.map((task) => {
 			task.state = 'over';
 			return {
 				index: task.index,
