Number each placement of a task, so that a part that comes again starts nothing that was given back

A scheduler gave a waiting task back while the entry sent the part again, as the group's holder or the connection had changed: the scheduler took it for news and started it, and the entry placed it elsewhere.

Ruled out: the clocks of silent entries and schedulers (both hosts lived and answered).

Change: tasks carry the number of their placement, ends carry it back; a known placement is answered again with its end, and an end of an earlier placement is not news. Jobs are let in by the work before them, with the share of more urgent work left out, up to 1.2 times their objective.

--- a/packages/host/src/scheduling/scheduling-handlers.ts
+++ b/packages/host/src/scheduling/scheduling-handlers.ts
@@ -5,6 +5,7 @@
 	type Ends,
 	type Message,
 	type MeshHandlers,
+	type Part,
 	type Session,
 } from '@gentianshift/protocol';
 import {
@@ -170,13 +171,18 @@
 /** This host does not hold the group: nothing of the part runs here. */
 function makeReleased(
 	job: string,
-	tasks: ReadonlyArray<readonly [number, number]>,
+	tasks: Part['tasks'],
 ): Ends {
 	return {
 		t: 'ends',
 		job,
 		isStarted: false,
-		ends: tasks.map(([index]) => ({index, outcome: 'returned', attempt: 0})),
+		ends: tasks.map(([index, , placement]) => ({
+			index,
+			outcome: 'returned',
+			attempt: 0,
+			placement,
+		})),
 		reason: 'released',
 	};
 }
--- a/packages/protocol/src/scheduling-messages.ts
+++ b/packages/protocol/src/scheduling-messages.ts
@@ -25,8 +25,16 @@
 	accelerators: count,
 });
 
-/** A task that the entry asks for: its index in the job and the number of its next attempt. */
-export const wantedTaskSchema = z.tuple([count, z.number().int().min(1)]);
+/**
+A task that the entry asks for: its index in the job, the number of its next attempt, and the number
+of this placement, which rises each time that the entry places the task. Ends carry it back, so that
+a part that comes again and a task that was given back meanwhile are not taken for news.
+*/
+export const wantedTaskSchema = z.tuple([
+	count,
+	z.number().int().min(1),
+	count,
+]);
 
 /**
 Some or all tasks of a job, handed to one scheduler. Sent again after a broken connection or a
@@ -74,6 +82,8 @@
 	outcome: z.enum(['done', 'failed', 'returned']),
 	/** The last attempt that was started here; 0: none. */
 	attempt: count,
+	/** The placement that the end is of. */
+	placement: count,
 	/** Run time on the executor, where it was seen. */
 	runMs: duration.optional(),
 });
@@ -109,6 +119,8 @@
 	capacity: count,
 	/** Waiting work by priority, thousandths of a core times milliseconds. */
 	backlog: z.array(z.number()),
+	/** Thousandths of a core that run, by priority. */
+	running: z.array(count),
 });
 
 /** A caller cancelled a job at a host that does not hold it. */
--- a/packages/scheduling/src/entry-job.ts
+++ b/packages/scheduling/src/entry-job.ts
@@ -35,6 +35,8 @@
 	/** The group it was handed to; undefined: nowhere now. */
 	group?: string;
 	isDone: boolean;
+	/** Rises each time that the task is placed. */
+	placement: number;
 	/** Times that a group gave it back for room in another. */
 	shifts: number;
 	nextAttempt: number;
@@ -47,6 +49,8 @@
 	arrivedAt: number;
 	/** When the latency objective passes. */
 	dueAt: number;
+	/** A job that would end later than this is not let in. */
+	admitUntil: number;
 	/** Ending later is of no use to the caller. */
 	uselessAt: number;
 	/** When the caller no longer waits. */
@@ -56,6 +60,8 @@
 	waiters: Array<(answer: JobAnswer) => void>;
 };
 
+/** Estimates are off by a quarter: a job that seems late by less than that may be in time. */
+const admitFactor = 1.2;
 /** After three times its objective an answer is of no use to its caller. */
 const uselessFactor = 3;
 
@@ -71,12 +77,14 @@
 		estimateMs,
 		arrivedAt: now,
 		dueAt: now + objectiveMs,
+		admitUntil: now + Math.min(timeLeftMs, admitFactor * objectiveMs),
 		uselessAt: now + Math.min(timeLeftMs, uselessFactor * objectiveMs),
 		endsAt: now + timeLeftMs,
 		isStarted: false,
 		tasks: Array.from({length: count}, (_, index) => ({
 			index,
 			isDone: false,
+			placement: 0,
 			shifts: 0,
 			nextAttempt: 1,
 		})),
--- /dev/null
+++ b/packages/scheduling/src/entry-jobs.test.ts
@@ -0,0 +1,167 @@
+/**
+Jobs at their entry while schedulers change, fall silent and give tasks back.
+*/
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {type GroupState, type Part} from '@gentianshift/protocol';
+import {type JobAnswer, type JobRequest} from './entry-job.js';
+import {EntryJobs} from './entry-jobs.js';
+import {createGroupDirectory} from './group-directory.js';
+import {createRunTimes} from './run-times.js';
+
+function makeState(group: string, state: Partial<GroupState> = {}): GroupState {
+	return {
+		t: 'group-state',
+		group,
+		token: 1,
+		isReady: true,
+		isReleased: false,
+		storeAgeMs: 0,
+		free: [32_000, 32_000],
+		capacity: 64_000,
+		backlog: [0, 0, 0, 0],
+		running: [0, 0, 0, 0],
+		...state,
+	};
+}
+
+function createEntryJobs() {
+	const clock = {now: 1000};
+	const sent: Array<{holder: string; message: {t: string}}> = [];
+	const groups = createGroupDirectory();
+	const entry = new EntryJobs({
+		home: 'mieres',
+		now: () => clock.now,
+		groups,
+		runTimes: createRunTimes(),
+		send(holder, message) {
+			sent.push({holder, message});
+			return true;
+		},
+		log() {
+			// Not read.
+		},
+		onAnswer() {
+			// The caller's own function is looked at.
+		},
+	});
+	const listParts = (holder: string) =>
+		sent
+			.filter(({message}) => message.t === 'part')
+			.filter((one) => one.holder === holder)
+			.map(({message}) => message as Part);
+	return {clock, sent, groups, entry, listParts};
+}
+
+function makeRequest(request: Partial<JobRequest> = {}): JobRequest {
+	return {
+		id: 'job1',
+		queue: {
+			name: 'menu',
+			host: 'kitchen.example',
+			prefix: '/menu/',
+			service: 'meals',
+			priority: 0,
+			maxAttempts: 3,
+			timeoutMs: 1500,
+			allowanceMs: 60,
+			slackFactor: 1.6,
+		},
+		spec: '',
+		count: 2,
+		demand: {cpu: 14_000, memoryMb: 64, accelerators: 0},
+		declaredMs: 100,
+		timeLeftMs: 3000,
+		...request,
+	};
+}
+
+test('a job is answered when all its tasks are done', () => {
+	const {entry, groups, clock} = createEntryJobs();
+	groups.update('mieres_m1', makeState('mieres'), clock.now);
+	const answers: JobAnswer[] = [];
+	entry.submit(makeRequest(), (answer) => {
+		answers.push(answer);
+	});
+	for (const index of [0, 1]) {
+		entry.receiveEnds('mieres_m1', {
+			t: 'ends',
+			job: 'job1',
+			isStarted: true,
+			ends: [{index, outcome: 'done', attempt: 1, placement: 1}],
+		});
+	}
+
+	assert.deepEqual(answers, [{type: 'completed'}]);
+	assert.equal(entry.size, 0);
+});
+
+// A scheduler gives a task back twice, as the part came to it again. By then the task runs elsewhere:
+// taken at its word once more, it would be placed a third time beside that run.
+test('a task that was given back once is not placed again for the same word', () => {
+	const {entry, groups, clock, listParts} = createEntryJobs();
+	groups.update('mieres_m1', makeState('mieres'), clock.now);
+	groups.update('langreo_l1', makeState('langreo'), clock.now);
+	entry.submit(makeRequest({count: 1}), () => undefined);
+	const returned = {
+		t: 'ends' as const,
+		job: 'job1',
+		isStarted: false,
+		ends: [{index: 0, outcome: 'returned' as const, attempt: 0, placement: 1}],
+		reason: 'elsewhere' as const,
+	};
+	entry.receiveEnds('mieres_m1', returned);
+	assert.equal(listParts('langreo_l1').length, 1);
+	entry.receiveEnds('mieres_m1', returned);
+	entry.receiveEnds('langreo_l1', returned);
+	assert.equal(listParts('mieres_m1').length, 1);
+	assert.equal(listParts('langreo_l1').length, 1);
+});
+
+test('another holder of a group is told what runs there', () => {
+	const {entry, groups, clock, listParts} = createEntryJobs();
+	groups.update('mieres_m1', makeState('mieres'), clock.now);
+	entry.submit(makeRequest(), () => undefined);
+	groups.update('mieres_m2', makeState('mieres', {token: 2}), clock.now);
+	entry.handOver('mieres');
+	const [part] = listParts('mieres_m2');
+	assert.equal(part?.isMoved, true);
+	assert.equal(part?.tasks.length, 2);
+});
+
+// A scheduler's machine is cut off with a job's tasks. Until it has stopped them they may not run
+// elsewhere, and then it is too late: a caller that is told so at once can do something else.
+test('a job whose scheduler is silent is given up when it can no longer end in time', () => {
+	const {entry, groups, clock} = createEntryJobs();
+	groups.update('mieres_m1', makeState('mieres'), clock.now);
+	const answers: JobAnswer[] = [];
+	entry.submit(makeRequest(), (answer) => {
+		answers.push(answer);
+	});
+	clock.now += 700;
+	entry.update();
+	assert.equal(answers[0]?.type, 'given-up');
+});
+
+// The same, with a caller that waits long enough: its tasks start elsewhere, with numbers that the
+// silent scheduler cannot have used, once the silent one has stopped them.
+test('a patient job is placed elsewhere once its silent scheduler has stopped its tasks', () => {
+	const {entry, groups, clock, listParts} = createEntryJobs();
+	groups.update('mieres_m1', makeState('mieres'), clock.now);
+	entry.submit(makeRequest({declaredMs: 1000, timeLeftMs: 9000}), () => undefined);
+	for (let i = 0; i < 15; i += 1) {
+		clock.now += 50;
+		groups.update('langreo_l1', makeState('langreo'), clock.now);
+		entry.update();
+	}
+
+	assert.equal(listParts('langreo_l1').length, 0);
+	for (let i = 0; i < 30; i += 1) {
+		clock.now += 50;
+		groups.update('langreo_l1', makeState('langreo'), clock.now);
+		entry.update();
+	}
+
+	const [part] = listParts('langreo_l1');
+	assert.ok(part?.tasks.every(([, attempt]) => attempt > 10));
+});
--- a/packages/scheduling/src/entry-jobs.ts
+++ b/packages/scheduling/src/entry-jobs.ts
@@ -161,6 +161,7 @@
 		const task = job.tasks[end.index];
 		const isFromHolder =
 			task?.group !== undefined &&
+			task.placement === end.placement &&
 			this.#ports.groups.findGroup(task.group)?.holder === holder;
 		if (!task || task.isDone || (end.outcome !== 'done' && !isFromHolder)) {
 			return;
@@ -210,6 +211,7 @@
 		const ports = this.#ports;
 		const now = ports.now();
 		const {queue, demand} = job.request;
+		const isNew = tasks.length === job.tasks.length && !job.isStarted;
 		const rooms = ports.groups
 			.listRooms(now)
 			.map((room) => (room.group === avoided ? {...room, free: []} : room));
@@ -219,7 +221,7 @@
 			priority: queue.priority,
 			estimateMs: job.estimateMs,
 			home: ports.home,
-			limitMs: job.uselessAt - now,
+			limitMs: (isNew ? job.admitUntil : job.uselessAt) - now,
 		});
 		if (spread.type === 'refused') {
 			ports.log('no group can serve the tasks in time', {
@@ -248,6 +250,7 @@
 
 		for (const task of tasks) {
 			task.group = group;
+			task.placement += 1;
 		}
 
 		this.#ports.groups.take(group, job.request.demand.cpu, tasks.length);
@@ -282,7 +285,11 @@
 			dueInMs: job.dueAt - now,
 			timeLeftMs: (job.isStarted ? job.endsAt : job.uselessAt) - now,
 			remaining: job.tasks.filter(({isDone}) => !isDone).length,
-			tasks: tasks.map(({index, nextAttempt}) => [index, nextAttempt]),
+			tasks: tasks.map(({index, nextAttempt, placement}) => [
+				index,
+				nextAttempt,
+				placement,
+			]),
 			shifts: Math.max(...tasks.map(({shifts}) => shifts)),
 			isMoved,
 		});
--- a/packages/scheduling/src/group-directory.ts
+++ b/packages/scheduling/src/group-directory.ts
@@ -75,6 +75,7 @@
 					free,
 					capacity: state.capacity,
 					backlog: state.backlog,
+					running: state.running,
 				})),
 		describe: (now) =>
 			[...groups.values()].map(({state, holder, heardAt, free}) => {
--- a/packages/scheduling/src/group-job.ts
+++ b/packages/scheduling/src/group-job.ts
@@ -13,6 +13,8 @@
 
 export type GroupTask = {
 	index: number;
+	/** The entry's number of this placement. */
+	placement: number;
 	/** The number that the next start carries. */
 	nextAttempt: number;
 	state: 'waiting' | 'started' | 'over';
@@ -78,17 +80,18 @@
 	};
 }
 
-/** Adds the tasks of a part that are not known yet; those that are stay as they are. */
+/** Adds the tasks of a part that are new here; those that are known by this placement stay as they are. */
 export function addTasks(job: GroupJob, part: Part): GroupTask[] {
 	const added: GroupTask[] = [];
-	for (const [index, nextAttempt] of part.tasks) {
+	for (const [index, nextAttempt, placement] of part.tasks) {
 		const known = job.tasks.get(index);
-		if (known && known.state !== 'over') {
+		if (known && (known.state !== 'over' || known.placement >= placement)) {
 			continue;
 		}
 
 		const task: GroupTask = {
 			index,
+			placement,
 			nextAttempt,
 			state: 'waiting',
 			failures: 0,
--- a/packages/scheduling/src/group-scheduler.test.ts
+++ b/packages/scheduling/src/group-scheduler.test.ts
@@ -74,7 +74,7 @@
 		dueInMs: 300,
 		timeLeftMs: 5000,
 		remaining: 1,
-		tasks: [[0, 1]],
+		tasks: [[0, 1, 1]],
 		shifts: 0,
 		isMoved: false,
 		...part,
@@ -111,11 +111,11 @@
 		entry,
 		makePart(clock, {
 			tasks: [
-				[0, 1],
-				[1, 1],
-				[2, 1],
-				[3, 1],
-				[4, 1],
+				[0, 1, 1],
+				[1, 1, 1],
+				[2, 1, 1],
+				[3, 1, 1],
+				[4, 1, 1],
 			],
 		}),
 		clock.now,
@@ -295,8 +295,8 @@
 			makePart(clock, {
 				job,
 				tasks: [
-					[0, 1],
-					[1, 1],
+					[0, 1, 1],
+					[1, 1, 1],
 				],
 				remaining: 2,
 			}),
@@ -371,7 +371,11 @@
 	const scheduler = createScheduler(clock, executors, 1, 3);
 	const entry = createEntry();
 	await clock.run(10);
-	const tasks = Array.from({length: 8}, (_, i): [number, number] => [i, 1]);
+	const tasks = Array.from({length: 8}, (_, i): [number, number, number] => [
+		i,
+		1,
+		1,
+	]);
 	scheduler.receivePart(entry, makePart(clock, {tasks, remaining: 8}), clock.now);
 	assert.equal(listOutcomes(entry).filter((one) => one === 'returned').length, 3);
 	scheduler.receivePart(
@@ -384,3 +388,27 @@
 	const outcomes = listOutcomes(entry);
 	assert.equal(outcomes.filter((one) => one === 'done').length, 6);
 });
+
+// A task was given back, and the entry's part came again at the same moment, as its connection had
+// been broken. The entry places the task elsewhere when it hears; started here as well, it would
+// run twice.
+test('a part that comes again does not start a task that was given back', async () => {
+	const clock = new VirtualClock();
+	const executors = createFakeExecutors(clock, {count: 1});
+	const scheduler = createScheduler(clock, executors, 1, 1);
+	const entry = createEntry();
+	await clock.run(10);
+	const full = makePart(clock, {job: 'job0', tasks: [[0, 1, 1], [1, 1, 1]]});
+	scheduler.receivePart(entry, full, clock.now);
+	const part = makePart(clock, {tasks: [[0, 1, 1]]});
+	scheduler.receivePart(entry, part, clock.now);
+	assert.deepEqual(listOutcomes(entry), ['returned']);
+	await runFor(clock, 300, [[scheduler, entry]]);
+	scheduler.receivePart(entry, part, clock.now);
+	await runFor(clock, 300, [[scheduler, entry]]);
+	assert.equal(executors.runs.filter(({job}) => job === 'job1').length, 0);
+	assert.equal(listOutcomes(entry).at(-1), 'returned');
+	scheduler.receivePart(entry, makePart(clock, {tasks: [[0, 1, 2]]}), clock.now);
+	await runFor(clock, 300, [[scheduler, entry]]);
+	assert.equal(executors.runs.filter(({job}) => job === 'job1').length, 1);
+});
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -71,7 +71,7 @@
 /** A part that spent longer than this on its way is not started: its caller may have come again elsewhere. */
 const stalePartMs = 400;
 
-type ToldEnd = {entry: string; end: Omit<TaskEnd, 'index'>; at: number};
+type ToldEnd = {entry: string; end: TaskEnd; at: number};
 
 /** How long an end that was told is remembered: longer than a broken connection takes to come back. */
 const toldLimitMs = 2000;
@@ -136,6 +136,7 @@
 		}
 
 		this.#jobs.set(job.id, job);
+		this.#tellAgain(job, part);
 		for (const task of addTasks(job, part)) {
 			this.#claim(job, task);
 		}
@@ -203,7 +204,7 @@
 			storeAgeMs: this.ports.getStoreAgeMs(),
 			free: open.map(({free}) => Math.max(0, free.cpu)),
 			capacity: open.reduce((sum, {capacity}) => sum + capacity.cpu, 0),
-			backlog: this.#measureBacklog(),
+			...this.#measureLoad(),
 		};
 	}
 
@@ -242,13 +243,31 @@
 		return undefined;
 	}
 
+	/** The ends of a part's tasks that were told before, and may not have arrived. */
+	#tellAgain(job: GroupJob, part: Part): void {
+		for (const [index, , placement] of part.tasks) {
+			const told = this.#findTold(job, index, placement);
+			if (told) {
+				this.#addEnd(job, told);
+			}
+		}
+	}
+
+	#findTold(
+		{id, entry}: GroupJob,
+		index: number,
+		placement: number,
+	): TaskEnd | undefined {
+		const told = this.#toldEnds.get(formatTaskKey({job: id, index}));
+		const isSame = told?.entry === entry.key && told.end.placement === placement;
+		return isSame ? told.end : undefined;
+	}
+
 	/** A task that runs already under an earlier holder, or has ended there, isn't started again. */
 	#claim(job: GroupJob, task: GroupTask): void {
-		const told = this.#toldEnds.get(
-			formatTaskKey({job: job.id, index: task.index}),
-		);
-		if (told?.entry === job.entry.key) {
-			this.#endTask(job, task, told.end);
+		if (this.#findTold(job, task.index, task.placement)) {
+			task.state = 'over';
+			this.#forgetIfOver(job);
 			return;
 		}
 
@@ -397,7 +416,7 @@
 		task.startedAt = this.ports.now();
 		if (!job.isStarted) {
 			job.isStarted = true;
-			job.entry.send({t: 'ends', job: job.id, isStarted: true, ends: []});
+			this.#send(job, {ends: []});
 		}
 
 		session.start(
@@ -413,22 +432,18 @@
 		reason: NonNullable<Ends['reason']>,
 		tasks = listWaiting(job),
 	): void {
-		const ends = tasks.map((task) => {
-			task.state = 'over';
-			return {
+		for (const task of tasks) {
+			this.#rememberEnd(job, {
 				index: task.index,
-				outcome: 'returned' as const,
+				outcome: 'returned',
 				attempt: task.nextAttempt - 1,
-			};
-		});
-		if (ends.length > 0) {
-			job.entry.send({
-				t: 'ends',
-				job: job.id,
-				isStarted: job.isStarted,
-				ends,
-				reason,
+				placement: task.placement,
 			});
+			task.state = 'over';
+		}
+
+		if (tasks.length > 0) {
+			this.#send(job, {ends: tasks.map((task) => this.#findTold(job, task.index, task.placement)!), reason});
 		}
 
 		this.#forgetIfOver(job);
@@ -521,34 +536,50 @@
 		this.#forgetIfOver(job);
 	}
 
-	#endTask(job: GroupJob, task: GroupTask, end: Omit<TaskEnd, 'index'>): void {
-		task.state = 'over';
-		this.#toldEnds.set(formatTaskKey({job: job.id, index: task.index}), {
-			entry: job.entry.key,
+	#endTask(
+		job: GroupJob,
+		{index, placement}: GroupTask,
+		end: Omit<TaskEnd, 'index' | 'placement'>,
+	): void {
+		job.tasks.get(index)!.state = 'over';
+		const told = {index, placement, ...end};
+		this.#rememberEnd(job, told);
+		this.#addEnd(job, told);
+		this.#forgetIfOver(job);
+	}
+
+	#rememberEnd({id, entry}: GroupJob, end: TaskEnd): void {
+		this.#toldEnds.set(formatTaskKey({job: id, index: end.index}), {
+			entry: entry.key,
 			end,
 			at: this.ports.now(),
 		});
+	}
+
+	/** To be told with the others of this turn. */
+	#addEnd(job: GroupJob, end: TaskEnd): void {
 		const ends = this.#untold.get(job) ?? [];
-		ends.push({index: task.index, ...end});
+		ends.push(end);
 		this.#untold.set(job, ends);
-		this.#forgetIfOver(job);
 	}
 
 	#tellEnds(): void {
 		for (const [job, ends] of this.#untold) {
 			if (!job.isDropped) {
-				job.entry.send({
-					t: 'ends',
-					job: job.id,
-					isStarted: job.isStarted,
-					ends,
-				});
+				this.#send(job, {ends});
 			}
 		}
 
 		this.#untold.clear();
 	}
 
+	#send(
+		{id, entry, isStarted}: GroupJob,
+		ends: Pick<Ends, 'ends' | 'reason'>,
+	): void {
+		entry.send({t: 'ends', job: id, isStarted, ...ends});
+	}
+
 	#drop(job: GroupJob): void {
 		job.isDropped = true;
 		for (const task of job.tasks.values()) {
@@ -661,16 +692,26 @@
 		}
 	}
 
-	#measureBacklog(): number[] {
+	/** Waiting work and running demand, by priority. */
+	#measureLoad(): Pick<GroupState, 'backlog' | 'running'> {
 		const backlog = Array.from({length: priorityCount}, () => 0);
+		const running = Array.from({length: priorityCount}, () => 0);
 		for (const job of this.#jobs.values()) {
-			if (!job.isDropped) {
-				const level = Math.min(job.priority, priorityCount - 1);
-				backlog[level]! +=
-					listWaiting(job).length * job.estimateMs * job.demand.cpu;
+			if (job.isDropped) {
+				continue;
+			}
+
+			const level = Math.min(job.priority, priorityCount - 1);
+			const {cpu} = job.demand;
+			for (const {state} of job.tasks.values()) {
+				if (state === 'waiting') {
+					backlog[level]! += job.estimateMs * cpu;
+				} else if (state === 'started') {
+					running[level]! += cpu;
+				}
 			}
 		}
 
-		return backlog;
+		return {backlog, running};
 	}
 }
--- a/packages/scheduling/src/place-job.test.ts
+++ b/packages/scheduling/src/place-job.test.ts
@@ -11,6 +11,7 @@
 		free: [32_000, 32_000],
 		capacity: 64_000,
 		backlog: [0, 0, 0, 0],
+		running: [0, 0, 0, 0],
 		...room,
 	};
 }
@@ -78,3 +79,15 @@
 	assert.equal(urgent.type, 'placed');
 	assert.equal(patient.type, 'refused');
 });
+
+// Urgent work takes most of the group and goes on to come in. What is less urgent waits far longer
+// than the queue before it says; let in, it would be given up seconds later.
+test('the share that more urgent work takes is not counted on', () => {
+	const room = makeRoom('mieres', {
+		free: [0],
+		backlog: [0, 2_000_000, 0, 0],
+		running: [50_000, 14_000, 0, 0],
+	});
+	assert.equal(placeJob([room], makeRequest({priority: 0})).type, 'placed');
+	assert.equal(placeJob([room], makeRequest({limitMs: 300})).type, 'refused');
+});
--- a/packages/scheduling/src/place-job.ts
+++ b/packages/scheduling/src/place-job.ts
@@ -3,10 +3,11 @@
 
 For wide jobs on thin groups, and for one data centre that is fuller than the others: tasks go
 where they can start now, the entry's own data centre first, and only what finds no room anywhere
-waits, where the wait is shortest. Work is shifted before it is refused. A job is refused only
-when the shortest wait anywhere would end it too late to be of use to its caller.
+waits, where the wait is shortest. Work is shifted before it is refused. A job is refused at once
+when the shortest wait anywhere would make it late: at saturation, jobs that are let in although they
+will be late make those late that come after them, and in the end all are.
 */
-import {countFits, takeFits} from './room.js';
+import {countFits} from './room.js';
 
 export type GroupRoom = {
 	group: string;
@@ -15,6 +16,8 @@
 	capacity: number;
 	/** Waiting work by priority, thousandths of a core times milliseconds. */
 	backlog: readonly number[];
+	/** Thousandths of a core that run, by priority. */
+	running: readonly number[];
 };
 
 export type SpreadRequest = {
@@ -24,7 +27,7 @@
 	estimateMs: number;
 	/** The entry's own data centre. */
 	home: string;
-	/** The job is of no use if it ends later than this from now. */
+	/** The job is refused if it would end later than this from now. */
 	limitMs: number;
 };
 
@@ -32,26 +35,38 @@
 	| {type: 'placed'; shares: Map<string, number>}
 	| {type: 'refused'; retryAfterMs: number; waitMs: number};
 
-/** How long work of a priority waits at a group, milliseconds: what goes before it, over what the group does at once. */
+/** The longest of a job's tasks against their estimate: eight tasks that differ by 15%. */
+const longestFactor = 1.2;
+/** Share of a group that a priority has at least, however much of it more urgent work takes. */
+const leastShare = 0.15;
+
+/**
+How long the last of so many tasks waits for its start, milliseconds: the work that goes before it
+and its own siblings', over what the group does at once. What is more urgent goes on to come in, so
+the share of the group that such work takes now is not counted on.
+*/
 export function estimateWaitMs(
-	{free, capacity, backlog}: GroupRoom,
+	{capacity, backlog, running}: GroupRoom,
 	{cpu, priority, estimateMs}: SpreadRequest,
+	tasks: number,
 ): number {
-	if (countFits(free, cpu) > 0) {
-		return 0;
-	}
-
 	if (capacity <= 0) {
 		return Infinity;
 	}
 
-	let ahead = 0;
-	for (let level = 0; level <= priority && level < backlog.length; level += 1) {
-		ahead += backlog[level]!;
+	const ahead = sumUpTo(backlog, priority + 1);
+	const urgent = sumUpTo(running, priority);
+	const share = Math.max(leastShare, 1 - urgent / capacity);
+	return (ahead + tasks * estimateMs * cpu) / (capacity * share);
+}
+
+function sumUpTo(levels: readonly number[], end: number): number {
+	let sum = 0;
+	for (const level of levels.slice(0, end)) {
+		sum += level;
 	}
 
-	// Something of about this size ends, on average, after half of its time.
-	return ahead / capacity + estimateMs / 2;
+	return sum;
 }
 
 export function placeJob(
@@ -73,20 +88,13 @@
 		return {type: 'placed', shares};
 	}
 
+	const perGroup = Math.ceil(left / Math.max(1, ranked.length));
 	const waits = ranked
-		.map((room) => ({
-			room,
-			waitMs: estimateWaitMs(
-				{
-					...room,
-					free: takeFits(room.free, request.cpu, shares.get(room.group) ?? 0),
-				},
-				request,
-			),
-		}))
+		.map((room) => ({room, waitMs: estimateWaitMs(room, request, perGroup)}))
 		.toSorted((a, b) => a.waitMs - b.waitMs);
 	const shortest = waits[0];
-	if (!shortest || shortest.waitMs + request.estimateMs > request.limitMs) {
+	const endMs = (shortest?.waitMs ?? Infinity) + longestFactor * request.estimateMs;
+	if (!shortest || endMs > request.limitMs) {
 		const waitMs = shortest?.waitMs ?? Infinity;
 		return {type: 'refused', waitMs, retryAfterMs: waitMs};
 	}
