Give back only tasks of which nothing runs, and claim what executors report after the part has come

A new holder got a part that had moved before its executors had said what runs there; it looked for runs once, at that moment, and then gave the tasks back as waiting ones, while they ran under the old holder.

Ruled out: the numbers of placements (the tasks were given back once).

Change: only tasks that have no run and whose job's earlier holder is settled are started or given back; runs reported later are claimed before each placement. Jobs that moved are not judged on arrival.

--- a/packages/protocol/src/scheduling-messages.ts
+++ b/packages/protocol/src/scheduling-messages.ts
@@ -56,6 +56,8 @@
 	estimateMs: duration,
 	/** Until the job's latency objective; negative when it has passed. */
 	dueInMs: duration,
+	/** Tasks that would end later than this from now are given back at once, if none has started. */
+	admitInMs: duration,
 	/** Until the caller no longer waits. */
 	timeLeftMs: duration,
 	/** Tasks of the whole job that are not done: its place in the queue follows from it. */
@@ -94,9 +96,11 @@
 	/** The first task of the job has been started here. */
 	isStarted: z.boolean(),
 	ends: z.array(taskEndSchema),
-	/** Why tasks were returned. */
-	reason: z
-		.enum(['hopeless', 'elsewhere', 'released', 'unknown-service'])
+	/**
+	Why tasks were returned: `full`: not let in; `hopeless`: no longer in time; `elsewhere`: another
+	group has room; `released`: the group has another holder.
+	*/
+	reason: z.enum(['full', 'hopeless', 'elsewhere', 'released'])
 		.optional(),
 });
 
--- a/packages/scheduling/src/entry-jobs.ts
+++ b/packages/scheduling/src/entry-jobs.ts
@@ -203,6 +203,11 @@
 			return;
 		}
 
+		if (reason === 'full' && !job.isStarted && !this.#isMaybeStarted(job)) {
+			this.#giveUp(job, 'no room in time');
+			return;
+		}
+
 		this.#placeTasks(job, tasks, from);
 	}
 
@@ -217,7 +222,7 @@
 			.map((room) => (room.group === avoided ? {...room, free: []} : room));
 		const spread = placeJob(rooms, {
 			count: tasks.length,
-			cpu: demand.cpu,
+			demand,
 			priority: queue.priority,
 			estimateMs: job.estimateMs,
 			home: ports.home,
@@ -283,6 +288,8 @@
 			demand,
 			estimateMs: job.estimateMs,
 			dueInMs: job.dueAt - now,
+			admitInMs:
+				(isMoved || job.isStarted ? job.uselessAt : job.admitUntil) - now,
 			timeLeftMs: (job.isStarted ? job.endsAt : job.uselessAt) - now,
 			remaining: job.tasks.filter(({isDone}) => !isDone).length,
 			tasks: tasks.map(({index, nextAttempt, placement}) => [
--- a/packages/scheduling/src/group-scheduler.test.ts
+++ b/packages/scheduling/src/group-scheduler.test.ts
@@ -72,6 +72,7 @@
 		demand: {cpu: 14_000, memoryMb: 64, accelerators: 0},
 		estimateMs: 100,
 		dueInMs: 300,
+		admitInMs: 10_000,
 		timeLeftMs: 5000,
 		remaining: 1,
 		tasks: [[0, 1, 1]],
@@ -412,3 +413,48 @@
 	await runFor(clock, 300, [[scheduler, entry]]);
 	assert.equal(executors.runs.filter(({job}) => job === 'job1').length, 1);
 });
+
+// A flood: ten hosts each see the same gap, as the scheduler told it a moment ago, and send their
+// jobs. Let in, each makes the others late; those that can't be in time are told so at once.
+test('jobs that would be late are given back at once, the others end in time', async () => {
+	const clock = new VirtualClock();
+	const executors = createFakeExecutors(clock, {count: 2});
+	const scheduler = createScheduler(clock, executors, 1);
+	const entry = createEntry();
+	await clock.run(10);
+	for (let i = 0; i < 20; i += 1) {
+		const tasks: Part['tasks'] = [[0, 1, 1], [1, 1, 1]];
+		scheduler.receivePart(
+			entry,
+			makePart(clock, {job: `job${i}`, tasks, remaining: 2, admitInMs: 300}),
+			clock.now,
+		);
+	}
+
+	const atOnce = listOutcomes(entry).filter((one) => one === 'returned').length;
+	assert.ok(atOnce >= 26, `${atOnce} tasks came back at once`);
+	await runFor(clock, 300, [[scheduler, entry]]);
+	const done = listOutcomes(entry).filter((one) => one === 'done').length;
+	assert.equal(done + atOnce, 40);
+	assert.ok(done >= 8, `${done} tasks were done in time`);
+});
+
+// The group changes hands while it is full, and the entry's part comes before the executors have
+// said what runs there. Given back for room elsewhere, the tasks would be started a second time.
+test('a new scheduler gives nothing back that runs under the old one', async () => {
+	const clock = new VirtualClock();
+	const executors = createFakeExecutors(clock, {count: 1, taskMs: 600});
+	const first = createScheduler(clock, executors, 1);
+	const entry = createEntry();
+	await clock.run(10);
+	const tasks: Part['tasks'] = [[0, 1, 1], [1, 1, 1]];
+	const part = makePart(clock, {tasks, remaining: 2, estimateMs: 600});
+	first.receivePart(entry, part, clock.now);
+	await runFor(clock, 200, [[first, entry]]);
+	const second = createScheduler(clock, executors, 2, 5);
+	const moved = {...part, at: clock.now, isMoved: true, admitInMs: 100};
+	second.receivePart(entry, moved, clock.now);
+	await runFor(clock, 1000, [[second, entry]]);
+	assert.deepEqual(listOutcomes(entry), ['done', 'done']);
+	assert.equal(executors.runs.length, 2);
+});
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -26,7 +26,8 @@
 import {isDoubted, recordOverdue, recordSuccess} from './executor-trust.js';
 import {isOverdue, maxMoves} from './judge-run.js';
 import {chooseExecutor} from './place-task.js';
-import {hasRoom} from './room.js';
+import {estimateWaitMs, longestFactor} from './place-job.js';
+import {countFits, hasRoom} from './room.js';
 import {compareJobs} from './rank-jobs.js';
 import {formatTaskKey, type Run, type RunOutcome} from './run.js';
 import {type RunTimes} from './run-times.js';
@@ -137,10 +138,15 @@
 
 		this.#jobs.set(job.id, job);
 		this.#tellAgain(job, part);
-		for (const task of addTasks(job, part)) {
+		const added = addTasks(job, part);
+		for (const task of added) {
 			this.#claim(job, task);
 		}
 
+		if (!job.isStarted && !part.isMoved && this.#isTooLate(job, part)) {
+			this.#giveBack(job, 'full');
+		}
+
 		this.#place();
 	}
 
@@ -243,6 +249,23 @@
 		return undefined;
 	}
 
+	/**
+	Whether a job that would have to wait would end too late. Entries judge by what this scheduler
+	told them some time ago; at a flood each of them would fill the same gap, and all would be late.
+	*/
+	#isTooLate(job: GroupJob, {admitInMs, tasks}: Part): boolean {
+		const {cpu} = job.demand;
+		const state = this.describeState();
+		const left = tasks.length - countFits(state.free, cpu);
+		if (left <= 0) {
+			return false;
+		}
+
+		// The job's own tasks are part of the backlog by now.
+		const waitMs = estimateWaitMs(state, job, 0);
+		return waitMs + longestFactor * job.estimateMs > admitInMs;
+	}
+
 	/** The ends of a part's tasks that were told before, and may not have arrived. */
 	#tellAgain(job: GroupJob, part: Part): void {
 		for (const [index, , placement] of part.tasks) {
@@ -271,6 +294,11 @@
 			return;
 		}
 
+		this.#claimRun(job, task);
+	}
+
+	/** Finds the task's run, or its end, under an earlier holder of the group. */
+	#claimRun(job: GroupJob, task: GroupTask): void {
 		for (const session of this.#sessions.values()) {
 			const end = session.takeStrayEnd({job: job.id, index: task.index});
 			if (end?.outcome === 'done') {
@@ -325,16 +353,12 @@
 	runs there, or until that holder has given the runs up: it no longer hears from the entry,
 	which now tells this one that it waits.
 	*/
-	#isStartable(
-		{isDropped, movedAt}: GroupJob,
-		now: number,
-		hasReports: boolean,
-	): boolean {
-		const isSettled =
+	#isSettled({movedAt}: GroupJob, now: number): boolean {
+		return (
 			movedAt === undefined ||
-			hasReports ||
-			now - movedAt > orphanLimitMs + clockSlackMs;
-		return !isDropped && isSettled;
+			now - movedAt > orphanLimitMs + clockSlackMs ||
+			this.#hasReports()
+		);
 	}
 
 	#place(): void {
@@ -344,12 +368,12 @@
 
 		this.#isPlacing = true;
 		const now = this.ports.now();
-		const hasReports = this.#hasReports();
 		const ranked = [...this.#jobs.values()]
-			.filter((job) => this.#isStartable(job, now, hasReports))
+			.filter((job) => !job.isDropped && this.#isSettled(job, now))
 			.filter((job) => listWaiting(job).length > 0)
 			.toSorted((a, b) => compareJobs(a, b, now));
 		for (const job of ranked) {
+			this.#claimReported(job);
 			this.#placeJob(job, now);
 		}
 
@@ -357,6 +381,27 @@
 		this.#tellEnds();
 	}
 
+	/** Runs that executors have reported since the job was handed over. */
+	#claimReported(job: GroupJob): void {
+		if (job.movedAt === undefined) {
+			return;
+		}
+
+		for (const task of listWaiting(job)) {
+			this.#claimRun(job, task);
+		}
+	}
+
+	/**
+	Waiting tasks of which nothing runs: only these may be started or given back. One that moved
+	here may run under the earlier holder until the executors have said otherwise.
+	*/
+	#listFree(job: GroupJob, now = this.ports.now()): GroupTask[] {
+		return this.#isSettled(job, now)
+			? listWaiting(job).filter((task) => !this.#hasRun(job, task))
+			: [];
+	}
+
 	#placeJob(job: GroupJob, now: number): void {
 		if (now + job.estimateMs * hopelessShare >= job.endsAt) {
 			this.#giveBack(job, 'hopeless');
@@ -364,11 +409,7 @@
 		}
 
 		const open = [...this.#sessions.values()].filter(({isOpen}) => isOpen);
-		for (const task of listWaiting(job)) {
-			if (this.#hasRun(job, task)) {
-				continue;
-			}
-
+		for (const task of this.#listFree(job, now)) {
 			const session = chooseExecutor(
 				open,
 				{
@@ -391,7 +432,7 @@
 
 	/** Tasks that find no room here go back while another group has room for them now. */
 	#shift(job: GroupJob): void {
-		const waiting = listWaiting(job).filter(
+		const waiting = this.#listFree(job).filter(
 			({shifts}) => shifts < maxShifts,
 		);
 		if (waiting.length === 0) {
@@ -430,7 +471,7 @@
 	#giveBack(
 		job: GroupJob,
 		reason: NonNullable<Ends['reason']>,
-		tasks = listWaiting(job),
+		tasks = this.#listFree(job),
 	): void {
 		for (const task of tasks) {
 			this.#rememberEnd(job, {
--- a/packages/scheduling/src/place-job.test.ts
+++ b/packages/scheduling/src/place-job.test.ts
@@ -19,7 +19,7 @@
 function makeRequest(request: Partial<SpreadRequest> = {}): SpreadRequest {
 	return {
 		count: 2,
-		cpu: 14_000,
+		demand: {cpu: 14_000, memoryMb: 64, accelerators: 0},
 		priority: 1,
 		estimateMs: 100,
 		home: 'mieres',
--- a/packages/scheduling/src/place-job.ts
+++ b/packages/scheduling/src/place-job.ts
@@ -7,6 +7,7 @@
 when the shortest wait anywhere would make it late: at saturation, jobs that are let in although they
 will be late make those late that come after them, and in the end all are.
 */
+import {type TaskDemand} from '@gentianshift/protocol';
 import {countFits} from './room.js';
 
 export type GroupRoom = {
@@ -22,7 +23,7 @@
 
 export type SpreadRequest = {
 	count: number;
-	cpu: number;
+	demand: TaskDemand;
 	priority: number;
 	estimateMs: number;
 	/** The entry's own data centre. */
@@ -36,7 +37,7 @@
 	| {type: 'refused'; retryAfterMs: number; waitMs: number};
 
 /** The longest of a job's tasks against their estimate: eight tasks that differ by 15%. */
-const longestFactor = 1.2;
+export const longestFactor = 1.2;
 /** Share of a group that a priority has at least, however much of it more urgent work takes. */
 const leastShare = 0.15;
 
@@ -46,8 +47,12 @@
 the share of the group that such work takes now is not counted on.
 */
 export function estimateWaitMs(
-	{capacity, backlog, running}: GroupRoom,
-	{cpu, priority, estimateMs}: SpreadRequest,
+	{capacity, backlog, running}: Omit<GroupRoom, 'group' | 'free'>,
+	{
+		demand: {cpu},
+		priority,
+		estimateMs,
+	}: Pick<SpreadRequest, 'demand' | 'priority' | 'estimateMs'>,
 	tasks: number,
 ): number {
 	if (capacity <= 0) {
@@ -77,7 +82,7 @@
 	const ranked = rankRooms(rooms, request);
 	let left = request.count;
 	for (const room of ranked) {
-		const fits = Math.min(left, countFits(room.free, request.cpu));
+		const fits = Math.min(left, countFits(room.free, request.demand.cpu));
 		if (fits > 0) {
 			shares.set(room.group, fits);
 			left -= fits;
@@ -106,7 +111,7 @@
 /** Own data centre first, then the emptiest. */
 function rankRooms(
 	rooms: readonly GroupRoom[],
-	{home, cpu}: SpreadRequest,
+	{home, demand: {cpu}}: SpreadRequest,
 ): GroupRoom[] {
 	return rooms.toSorted((a, b) => {
 		const homeFirst = Number(b.group === home) - Number(a.group === home);
