Try a job that one group turns away as full at another before it is refused

Ruled out: room that was told too late alone: two groups are asked, with what is known of the third. Change: a job is refused when two groups have turned it away.

--- a/packages/host/src/scheduling/queue-tables.test.ts
+++ b/packages/host/src/scheduling/queue-tables.test.ts
@@ -31,7 +31,9 @@
 }
 
 /** A read that takes a moment, as all do. */
-function answerLater(read: ConfigurationRead): ResultAsync<ConfigurationRead, StoreFailure> {
+function answerLater(
+	read: ConfigurationRead,
+): ResultAsync<ConfigurationRead, StoreFailure> {
 	return ResultAsync.fromSafePromise(delay(5).then(() => read));
 }
 
--- a/packages/host/src/scheduling/scheduling-handlers.ts
+++ b/packages/host/src/scheduling/scheduling-handlers.ts
@@ -169,10 +169,7 @@
 }
 
 /** This host does not hold the group: nothing of the part runs here. */
-function makeReleased(
-	job: string,
-	tasks: Part['tasks'],
-): Ends {
+function makeReleased(job: string, tasks: Part['tasks']): Ends {
 	return {
 		t: 'ends',
 		job,
--- a/packages/protocol/src/scheduling-messages.ts
+++ b/packages/protocol/src/scheduling-messages.ts
@@ -100,8 +100,7 @@
 	Why tasks were returned: `full`: not let in; `hopeless`: no longer in time; `elsewhere`: another
 	group has room; `released`: the group has another holder.
 	*/
-	reason: z.enum(['full', 'hopeless', 'elsewhere', 'released'])
-		.optional(),
+	reason: z.enum(['full', 'hopeless', 'elsewhere', 'released']).optional(),
 });
 
 /** A holder's state, told to all hosts: who schedules the group, and its room. */
--- a/packages/scheduling/src/entry-jobs.test.ts
+++ b/packages/scheduling/src/entry-jobs.test.ts
@@ -148,7 +148,10 @@
 test('a patient job is placed elsewhere once its silent scheduler has stopped its tasks', () => {
 	const {entry, groups, clock, listParts} = createEntryJobs();
 	groups.update('mieres_m1', makeState('mieres'), clock.now);
-	entry.submit(makeRequest({declaredMs: 1000, timeLeftMs: 9000}), () => undefined);
+	entry.submit(
+		makeRequest({declaredMs: 1000, timeLeftMs: 9000}),
+		() => undefined,
+	);
 	for (let i = 0; i < 15; i += 1) {
 		clock.now += 50;
 		groups.update('langreo_l1', makeState('langreo'), clock.now);
@@ -165,3 +168,30 @@
 	const [part] = listParts('langreo_l1');
 	assert.ok(part?.tasks.every(([, attempt]) => attempt > 10));
 });
+
+// A data centre turns a job away as full, and what the entry knew of the next one was right: there is
+// room. Refused at the first no, its caller would be sent away while executors stand idle.
+test('a job that one group turns away as full is tried at another before it is refused', () => {
+	const {entry, groups, clock, listParts} = createEntryJobs();
+	groups.update('mieres_m1', makeState('mieres'), clock.now);
+	groups.update('langreo_l1', makeState('langreo'), clock.now);
+	const answers: JobAnswer[] = [];
+	entry.submit(makeRequest({count: 1}), (answer) => {
+		answers.push(answer);
+	});
+	const turnAway = (holder: string, placement: number) => {
+		entry.receiveEnds(holder, {
+			t: 'ends',
+			job: 'job1',
+			isStarted: false,
+			ends: [{index: 0, outcome: 'returned', attempt: 0, placement}],
+			reason: 'full',
+		});
+	};
+
+	turnAway('mieres_m1', 1);
+	assert.equal(listParts('langreo_l1').length, 1);
+	assert.equal(answers.length, 0);
+	turnAway('langreo_l1', 2);
+	assert.equal(answers[0]?.type, 'refused');
+});
--- a/packages/scheduling/src/entry-jobs.ts
+++ b/packages/scheduling/src/entry-jobs.ts
@@ -21,6 +21,8 @@
 
 /** Attempts that a lost scheduler may have used up beyond those that the entry heard of. */
 const lostAttempts = 16;
+/** Groups that may turn a job away before it is refused: what is known of the others' room is as old as what was known of these. */
+const maxFullGroups = 2;
 /** Least time after which a refused caller is asked to come again: a queue's state has changed by then. */
 const leastRetryMs = 1000;
 /** Longest; a wait that can't be told is no reason to keep a caller away for long. */
@@ -203,7 +205,10 @@
 			return;
 		}
 
-		if (reason === 'full' && !job.isStarted && !this.#isMaybeStarted(job)) {
+		if (
+			reason === 'full' &&
+			tasks.some(({shifts}) => shifts >= maxFullGroups)
+		) {
 			this.#giveUp(job, 'no room in time');
 			return;
 		}
--- a/packages/scheduling/src/group-scheduler.test.ts
+++ b/packages/scheduling/src/group-scheduler.test.ts
@@ -377,14 +377,24 @@
 		1,
 		1,
 	]);
-	scheduler.receivePart(entry, makePart(clock, {tasks, remaining: 8}), clock.now);
-	assert.equal(listOutcomes(entry).filter((one) => one === 'returned').length, 3);
+	scheduler.receivePart(
+		entry,
+		makePart(clock, {tasks, remaining: 8}),
+		clock.now,
+	);
+	assert.equal(
+		listOutcomes(entry).filter((one) => one === 'returned').length,
+		3,
+	);
 	scheduler.receivePart(
 		entry,
 		makePart(clock, {job: 'job2', shifts: 2, remaining: 1}),
 		clock.now,
 	);
-	assert.equal(listOutcomes(entry).filter((one) => one === 'returned').length, 3);
+	assert.equal(
+		listOutcomes(entry).filter((one) => one === 'returned').length,
+		3,
+	);
 	await runFor(clock, 600, [[scheduler, entry]]);
 	const outcomes = listOutcomes(entry);
 	assert.equal(outcomes.filter((one) => one === 'done').length, 6);
@@ -399,7 +409,13 @@
 	const scheduler = createScheduler(clock, executors, 1, 1);
 	const entry = createEntry();
 	await clock.run(10);
-	const full = makePart(clock, {job: 'job0', tasks: [[0, 1, 1], [1, 1, 1]]});
+	const full = makePart(clock, {
+		job: 'job0',
+		tasks: [
+			[0, 1, 1],
+			[1, 1, 1],
+		],
+	});
 	scheduler.receivePart(entry, full, clock.now);
 	const part = makePart(clock, {tasks: [[0, 1, 1]]});
 	scheduler.receivePart(entry, part, clock.now);
@@ -409,7 +425,11 @@
 	await runFor(clock, 300, [[scheduler, entry]]);
 	assert.equal(executors.runs.filter(({job}) => job === 'job1').length, 0);
 	assert.equal(listOutcomes(entry).at(-1), 'returned');
-	scheduler.receivePart(entry, makePart(clock, {tasks: [[0, 1, 2]]}), clock.now);
+	scheduler.receivePart(
+		entry,
+		makePart(clock, {tasks: [[0, 1, 2]]}),
+		clock.now,
+	);
 	await runFor(clock, 300, [[scheduler, entry]]);
 	assert.equal(executors.runs.filter(({job}) => job === 'job1').length, 1);
 });
@@ -423,7 +443,10 @@
 	const entry = createEntry();
 	await clock.run(10);
 	for (let i = 0; i < 20; i += 1) {
-		const tasks: Part['tasks'] = [[0, 1, 1], [1, 1, 1]];
+		const tasks: Part['tasks'] = [
+			[0, 1, 1],
+			[1, 1, 1],
+		];
 		scheduler.receivePart(
 			entry,
 			makePart(clock, {job: `job${i}`, tasks, remaining: 2, admitInMs: 300}),
@@ -447,7 +470,10 @@
 	const first = createScheduler(clock, executors, 1);
 	const entry = createEntry();
 	await clock.run(10);
-	const tasks: Part['tasks'] = [[0, 1, 1], [1, 1, 1]];
+	const tasks: Part['tasks'] = [
+		[0, 1, 1],
+		[1, 1, 1],
+	];
 	const part = makePart(clock, {tasks, remaining: 2, estimateMs: 600});
 	first.receivePart(entry, part, clock.now);
 	await runFor(clock, 200, [[first, entry]]);
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -282,7 +282,8 @@
 		placement: number,
 	): TaskEnd | undefined {
 		const told = this.#toldEnds.get(formatTaskKey({job: id, index}));
-		const isSame = told?.entry === entry.key && told.end.placement === placement;
+		const isSame =
+			told?.entry === entry.key && told.end.placement === placement;
 		return isSame ? told.end : undefined;
 	}
 
@@ -484,7 +485,12 @@
 		}
 
 		if (tasks.length > 0) {
-			this.#send(job, {ends: tasks.map((task) => this.#findTold(job, task.index, task.placement)!), reason});
+			this.#send(job, {
+				ends: tasks.map((task) =>
+					this.#findTold(job, task.index, task.placement)!,
+				),
+				reason,
+			});
 		}
 
 		this.#forgetIfOver(job);
--- a/packages/scheduling/src/place-job.ts
+++ b/packages/scheduling/src/place-job.ts
@@ -98,7 +98,8 @@
 		.map((room) => ({room, waitMs: estimateWaitMs(room, request, perGroup)}))
 		.toSorted((a, b) => a.waitMs - b.waitMs);
 	const shortest = waits[0];
-	const endMs = (shortest?.waitMs ?? Infinity) + longestFactor * request.estimateMs;
+	const endMs =
+		(shortest?.waitMs ?? Infinity) + longestFactor * request.estimateMs;
 	if (!shortest || endMs > request.limitMs) {
 		const waitMs = shortest?.waitMs ?? Infinity;
 		return {type: 'refused', waitMs, retryAfterMs: waitMs};
