--- a/packages/scheduling/src/entry-job.ts
+++ b/packages/scheduling/src/entry-job.ts
@@ -55,6 +55,8 @@
 	uselessAt: number;
 	/** When the caller no longer waits. */
 	endsAt: number;
+	/** A scheduler let it in and gave it back for room elsewhere: it is not judged anew as late. */
+	isLetIn: boolean;
 	/** A scheduler has started a task of it. */
 	isStarted: boolean;
 	waiters: Array<(answer: JobAnswer) => void>;
@@ -65,6 +67,11 @@
 /** After three times its objective an answer is of no use to its caller. */
 const uselessFactor = 3;
 
+/** When the job has to end by to be placed: one that was let in is served, late if need be. */
+export function getLimit({isLetIn, isStarted, admitUntil, uselessAt}: EntryJob): number {
+	return isLetIn || isStarted ? uselessAt : admitUntil;
+}
+
 export function createEntryJob(
 	request: JobRequest,
 	estimateMs: number,
@@ -80,6 +87,7 @@
 		admitUntil: now + Math.min(timeLeftMs, admitFactor * objectiveMs),
 		uselessAt: now + Math.min(timeLeftMs, uselessFactor * objectiveMs),
 		endsAt: now + timeLeftMs,
+		isLetIn: false,
 		isStarted: false,
 		tasks: Array.from({length: count}, (_, index) => ({
 			index,
--- a/packages/scheduling/src/entry-jobs.test.ts
+++ b/packages/scheduling/src/entry-jobs.test.ts
@@ -195,3 +195,26 @@
 	turnAway('langreo_l1', 2);
 	assert.equal(answers[0]?.type, 'refused');
 });
+
+// A job has waited for a while at a group that then sent it on to room elsewhere, and the room was
+// gone. Judged anew as if it had just come, it would be refused after having been held.
+test('a job that was let in is not judged anew when it is sent on', () => {
+	const {entry, groups, clock, listParts} = createEntryJobs();
+	groups.update('mieres_m1', makeState('mieres'), clock.now);
+	groups.update('langreo_l1', makeState('langreo'), clock.now);
+	entry.submit(makeRequest({count: 1}), () => undefined);
+	clock.now += 200;
+	groups.update('mieres_m1', makeState('mieres'), clock.now);
+	const full = {free: [0, 0], backlog: [2_000_000, 0, 0, 0]};
+	groups.update('langreo_l1', makeState('langreo', full), clock.now);
+	entry.receiveEnds('mieres_m1', {
+		t: 'ends',
+		job: 'job1',
+		isStarted: false,
+		ends: [{index: 0, outcome: 'returned', attempt: 0, placement: 1}],
+		reason: 'elsewhere',
+	});
+	const part = [...listParts('langreo_l1'), ...listParts('mieres_m1')].at(-1);
+	assert.equal(entry.size, 1);
+	assert.ok(part!.admitInMs > 400, `${part!.admitInMs} ms`);
+});
--- a/packages/scheduling/src/entry-jobs.ts
+++ b/packages/scheduling/src/entry-jobs.ts
@@ -8,6 +8,7 @@
 import {type Ends, type Part, type TaskEnd} from '@gentianshift/protocol';
 import {
 	createEntryJob,
+	getLimit,
 	listTasksAt,
 	type EntryJob,
 	type EntryTask,
@@ -200,6 +201,7 @@
 		tasks: EntryTask[],
 		{reason, from}: {reason: Ends['reason']; from?: string},
 	): void {
+		job.isLetIn ||= reason === 'elsewhere';
 		if (reason === 'hopeless') {
 			this.#giveUp(job, 'its tasks can no longer end in time');
 			return;
@@ -221,7 +223,6 @@
 		const ports = this.#ports;
 		const now = ports.now();
 		const {queue, demand} = job.request;
-		const isNew = tasks.length === job.tasks.length && !job.isStarted;
 		const rooms = ports.groups
 			.listRooms(now)
 			.map((room) => (room.group === avoided ? {...room, free: []} : room));
@@ -231,7 +232,7 @@
 			priority: queue.priority,
 			estimateMs: job.estimateMs,
 			home: ports.home,
-			limitMs: (isNew ? job.admitUntil : job.uselessAt) - now,
+			limitMs: getLimit(job) - now,
 		});
 		if (spread.type === 'refused') {
 			ports.log('no group can serve the tasks in time', {
@@ -293,8 +294,7 @@
 			demand,
 			estimateMs: job.estimateMs,
 			dueInMs: job.dueAt - now,
-			admitInMs:
-				(isMoved || job.isStarted ? job.uselessAt : job.admitUntil) - now,
+			admitInMs: getLimit(job) - now,
 			timeLeftMs: (job.isStarted ? job.endsAt : job.uselessAt) - now,
 			remaining: job.tasks.filter(({isDone}) => !isDone).length,
 			tasks: tasks.map(({index, nextAttempt, placement}) => [
