--- /dev/null
+++ b/packages/scheduling/src/entry-contacts.ts
@@ -0,0 +1,37 @@
+/**
+When a scheduler last heard from each entry whose jobs it has.
+*/
+import {type Entry} from './group-job.js';
+import {entrySilenceMs, orphanLimitMs} from './timing.js';
+
+export type EntryContacts = {
+	/** The entry still waits, as of that moment on this host's clock. */
+	note: (entry: Entry, sentAt: number) => void;
+	/** Entries that have been silent for too long; each is given once. */
+	takeSilent: (now: number) => string[];
+	/** Until when what the entry handed over may run at the latest. */
+	computeLimit: (entryKey: string) => number;
+};
+
+export function createEntryContacts(): EntryContacts {
+	const heardAt = new Map<string, number>();
+	return {
+		note({key}, sentAt) {
+			heardAt.set(key, Math.max(heardAt.get(key) ?? -Infinity, sentAt));
+		},
+		takeSilent(now) {
+			const silent = [...heardAt]
+				.filter(([, at]) => now - at > entrySilenceMs)
+				.map(([key]) => key);
+			for (const key of silent) {
+				heardAt.delete(key);
+			}
+
+			return silent;
+		},
+		computeLimit(entryKey) {
+			const at = heardAt.get(entryKey);
+			return at === undefined ? Infinity : at + orphanLimitMs;
+		},
+	};
+}
--- a/packages/scheduling/src/entry-job.ts
+++ b/packages/scheduling/src/entry-job.ts
@@ -68,7 +68,12 @@
 const uselessFactor = 3;
 
 /** When the job has to end by to be placed: one that was let in is served, late if need be. */
-export function getLimit({isLetIn, isStarted, admitUntil, uselessAt}: EntryJob): number {
+export function getLimit({
+	isLetIn,
+	isStarted,
+	admitUntil,
+	uselessAt,
+}: EntryJob): number {
 	return isLetIn || isStarted ? uselessAt : admitUntil;
 }
 
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -13,6 +13,8 @@
 	type Ends,
 } from '@gentianshift/protocol';
 import {type ExecutorControl} from './executor-control.js';
+import {createEndsOutbox} from './ends-outbox.js';
+import {createEntryContacts} from './entry-contacts.js';
 import {ExecutorSession} from './executor-session.js';
 import {type Executor} from './executor.js';
 import {
@@ -24,14 +26,14 @@
 	type GroupTask,
 } from './group-job.js';
 import {isDoubted, recordOverdue, recordSuccess} from './executor-trust.js';
-import {isOverdue, maxMoves} from './judge-run.js';
+import {listOverdue, maxMoves} from './judge-run.js';
 import {chooseExecutor} from './place-task.js';
-import {estimateWaitMs, longestFactor} from './place-job.js';
+import {isTooLate, measureLoad} from './measure-load.js';
 import {countFits, hasRoom} from './room.js';
 import {compareJobs} from './rank-jobs.js';
 import {formatTaskKey, type Run, type RunOutcome} from './run.js';
 import {type RunTimes} from './run-times.js';
-import {clockSlackMs, entrySilenceMs, orphanLimitMs} from './timing.js';
+import {clockSlackMs, orphanLimitMs} from './timing.js';
 
 /** A start that an executor calls outdated is made again with a number this much higher: past what another copy of the job used. */
 const attemptStep = 16;
@@ -39,8 +41,6 @@
 const pauseMs = 150;
 /** A task is given back for room elsewhere this often at most: what is told of that room is some milliseconds old. */
 const maxShifts = 2;
-/** Priorities that are told apart in the backlog. */
-const priorityCount = 4;
 export type GroupPorts = {
 	/** The data centre whose executors these are. */
 	group: string;
@@ -60,32 +60,18 @@
 	log: (message: string, fields: Record<string, unknown>) => void;
 };
 
-type EntryContact = {
-	entry: Entry;
-	/** When its last message was sent, on this host's clock. */
-	heardAt: number;
-};
-
 /** A waiting task is given up when less than this share of its estimated run time is left: estimates are off by about 40%. */
 const hopelessShare = 0.6;
 
 /** A part that spent longer than this on its way is not started: its caller may have come again elsewhere. */
 const stalePartMs = 400;
 
-type ToldEnd = {entry: string; end: TaskEnd; at: number};
-
-/** How long an end that was told is remembered: longer than a broken connection takes to come back. */
-const toldLimitMs = 2000;
-
 export class GroupScheduler {
 	readonly #sessions = new Map<string, ExecutorSession>();
 	#listed: ReadonlySet<string> = new Set();
 	readonly #jobs = new Map<string, GroupJob>();
-	readonly #entries = new Map<string, EntryContact>();
-	/** Ends to be told, by job: those of one turn of the loop go together. */
-	readonly #untold = new Map<GroupJob, TaskEnd[]>();
-	/** Ends told lately: a connection may have broken before they arrived, and the part comes again. */
-	readonly #toldEnds = new Map<string, ToldEnd>();
+	readonly #entries = createEntryContacts();
+	readonly #outbox = createEndsOutbox();
 	readonly #openedAt: number;
 	#updatedAt = 0;
 	#isClosed = false;
@@ -137,13 +123,13 @@
 		}
 
 		this.#jobs.set(job.id, job);
-		this.#tellAgain(job, part);
+		this.#outbox.tellAgain(job, part);
 		const added = addTasks(job, part);
 		for (const task of added) {
 			this.#claim(job, task);
 		}
 
-		if (!job.isStarted && !part.isMoved && this.#isTooLate(job, part)) {
+		if (!job.isStarted && !part.isMoved && this.#hasNoRoomInTime(job, part)) {
 			this.#giveBack(job, 'full');
 		}
 
@@ -160,8 +146,7 @@
 
 	/** An entry still waits for what it handed over, as of that moment on this host's clock. */
 	keepEntry(entry: Entry, sentAt: number): void {
-		const heardAt = this.#entries.get(entry.key)?.heardAt ?? -Infinity;
-		this.#entries.set(entry.key, {entry, heardAt: Math.max(heardAt, sentAt)});
+		this.#entries.note(entry, sentAt);
 	}
 
 	/** What time alone brings about; to be called each 50 ms or so. */
@@ -175,11 +160,7 @@
 			this.#moveOverdue(now);
 		}
 
-		for (const [key, {at}] of this.#toldEnds) {
-			if (now - at > toldLimitMs) {
-				this.#toldEnds.delete(key);
-			}
-		}
+		this.#outbox.forgetOld(now);
 
 		for (const [id, session] of this.#sessions) {
 			if (!this.#listed.has(id) && session.runs.size === 0) {
@@ -210,7 +191,7 @@
 			storeAgeMs: this.ports.getStoreAgeMs(),
 			free: open.map(({free}) => Math.max(0, free.cpu)),
 			capacity: open.reduce((sum, {capacity}) => sum + capacity.cpu, 0),
-			...this.#measureLoad(),
+			...measureLoad(this.#jobs.values()),
 		};
 	}
 
@@ -253,43 +234,15 @@
 	Whether a job that would have to wait would end too late. Entries judge by what this scheduler
 	told them some time ago; at a flood each of them would fill the same gap, and all would be late.
 	*/
-	#isTooLate(job: GroupJob, {admitInMs, tasks}: Part): boolean {
-		const {cpu} = job.demand;
+	#hasNoRoomInTime(job: GroupJob, {admitInMs, tasks}: Part): boolean {
 		const state = this.describeState();
-		const left = tasks.length - countFits(state.free, cpu);
-		if (left <= 0) {
-			return false;
-		}
-
-		// The job's own tasks are part of the backlog by now.
-		const waitMs = estimateWaitMs(state, job, 0);
-		return waitMs + longestFactor * job.estimateMs > admitInMs;
-	}
-
-	/** The ends of a part's tasks that were told before, and may not have arrived. */
-	#tellAgain(job: GroupJob, part: Part): void {
-		for (const [index, , placement] of part.tasks) {
-			const told = this.#findTold(job, index, placement);
-			if (told) {
-				this.#addEnd(job, told);
-			}
-		}
-	}
-
-	#findTold(
-		{id, entry}: GroupJob,
-		index: number,
-		placement: number,
-	): TaskEnd | undefined {
-		const told = this.#toldEnds.get(formatTaskKey({job: id, index}));
-		const isSame =
-			told?.entry === entry.key && told.end.placement === placement;
-		return isSame ? told.end : undefined;
+		const fits = countFits(state.free, job.demand.cpu);
+		return tasks.length > fits && isTooLate(job, state, admitInMs);
 	}
 
 	/** A task that runs already under an earlier holder, or has ended there, isn't started again. */
 	#claim(job: GroupJob, task: GroupTask): void {
-		if (this.#findTold(job, task.index, task.placement)) {
+		if (this.#outbox.isTold(job, task)) {
 			task.state = 'over';
 			this.#forgetIfOver(job);
 			return;
@@ -331,10 +284,7 @@
 			}
 
 			const key = this.#jobs.get(job)?.entry.key ?? '';
-			const heardAt = this.#entries.get(key)?.heardAt;
-			if (heardAt !== undefined) {
-				cap = Math.min(cap, heardAt + orphanLimitMs);
-			}
+			cap = Math.min(cap, this.#entries.computeLimit(key));
 		}
 
 		return cap;
@@ -379,7 +329,7 @@
 		}
 
 		this.#isPlacing = false;
-		this.#tellEnds();
+		this.#outbox.flush();
 	}
 
 	/** Runs that executors have reported since the job was handed over. */
@@ -458,7 +408,7 @@
 		task.startedAt = this.ports.now();
 		if (!job.isStarted) {
 			job.isStarted = true;
-			this.#send(job, {ends: []});
+			this.#outbox.tellStarted(job);
 		}
 
 		session.start(
@@ -474,25 +424,11 @@
 		reason: NonNullable<Ends['reason']>,
 		tasks = this.#listFree(job),
 	): void {
+		this.#outbox.giveBack(job, tasks, reason, this.ports.now());
 		for (const task of tasks) {
-			this.#rememberEnd(job, {
-				index: task.index,
-				outcome: 'returned',
-				attempt: task.nextAttempt - 1,
-				placement: task.placement,
-			});
 			task.state = 'over';
 		}
 
-		if (tasks.length > 0) {
-			this.#send(job, {
-				ends: tasks.map((task) =>
-					this.#findTold(job, task.index, task.placement)!,
-				),
-				reason,
-			});
-		}
-
 		this.#forgetIfOver(job);
 	}
 
@@ -589,44 +525,10 @@
 		end: Omit<TaskEnd, 'index' | 'placement'>,
 	): void {
 		job.tasks.get(index)!.state = 'over';
-		const told = {index, placement, ...end};
-		this.#rememberEnd(job, told);
-		this.#addEnd(job, told);
+		this.#outbox.add(job, {index, placement, ...end}, this.ports.now());
 		this.#forgetIfOver(job);
 	}
 
-	#rememberEnd({id, entry}: GroupJob, end: TaskEnd): void {
-		this.#toldEnds.set(formatTaskKey({job: id, index: end.index}), {
-			entry: entry.key,
-			end,
-			at: this.ports.now(),
-		});
-	}
-
-	/** To be told with the others of this turn. */
-	#addEnd(job: GroupJob, end: TaskEnd): void {
-		const ends = this.#untold.get(job) ?? [];
-		ends.push(end);
-		this.#untold.set(job, ends);
-	}
-
-	#tellEnds(): void {
-		for (const [job, ends] of this.#untold) {
-			if (!job.isDropped) {
-				this.#send(job, {ends});
-			}
-		}
-
-		this.#untold.clear();
-	}
-
-	#send(
-		{id, entry, isStarted}: GroupJob,
-		ends: Pick<Ends, 'ends' | 'reason'>,
-	): void {
-		entry.send({t: 'ends', job: id, isStarted, ...ends});
-	}
-
 	#drop(job: GroupJob): void {
 		job.isDropped = true;
 		for (const task of job.tasks.values()) {
@@ -642,22 +544,8 @@
 
 	/** Stops runs that take too long where their tasks can be started elsewhere at once. */
 	#moveOverdue(now: number): void {
-		for (const job of this.#jobs.values()) {
-			if (job.isDropped) {
-				continue;
-			}
-
-			const {sumMs, count} = job.ended;
-			const siblingMs = count > 0 ? sumMs / count : undefined;
-			for (const task of job.tasks.values()) {
-				const elapsedMs = now - task.startedAt;
-				const isLate =
-					task.state === 'started' &&
-					isOverdue({elapsedMs, estimateMs: job.estimateMs, siblingMs});
-				if (isLate) {
-					this.#moveTask(job, task, now);
-				}
-			}
+		for (const {job, task} of listOverdue(this.#jobs.values(), now)) {
+			this.#moveTask(job, task, now);
 		}
 	}
 
@@ -706,11 +594,8 @@
 	}
 
 	#dropSilentEntries(now: number): void {
-		for (const [key, {heardAt}] of this.#entries) {
-			if (now - heardAt > entrySilenceMs) {
-				this.#entries.delete(key);
-				this.#dropEntry(key);
-			}
+		for (const key of this.#entries.takeSilent(now)) {
+			this.#dropEntry(key);
 		}
 	}
 
@@ -738,27 +623,4 @@
 			this.#jobs.delete(job.id);
 		}
 	}
-
-	/** Waiting work and running demand, by priority. */
-	#measureLoad(): Pick<GroupState, 'backlog' | 'running'> {
-		const backlog = Array.from({length: priorityCount}, () => 0);
-		const running = Array.from({length: priorityCount}, () => 0);
-		for (const job of this.#jobs.values()) {
-			if (job.isDropped) {
-				continue;
-			}
-
-			const level = Math.min(job.priority, priorityCount - 1);
-			const {cpu} = job.demand;
-			for (const {state} of job.tasks.values()) {
-				if (state === 'waiting') {
-					backlog[level]! += job.estimateMs * cpu;
-				} else if (state === 'started') {
-					running[level]! += cpu;
-				}
-			}
-		}
-
-		return {backlog, running};
-	}
 }
--- a/packages/scheduling/src/judge-run.ts
+++ b/packages/scheduling/src/judge-run.ts
@@ -10,6 +10,7 @@
 a wide job's longest task takes half as long again: a factor of 1.5 stopped one run in eighty that
 only took its time, and doubted their executors.
 */
+import {type GroupJob, type GroupTask} from './group-job.js';
 
 /** Over the mean of the job's ended tasks, the shortest of 32: past five deviations. */
 const siblingFactor = 2.2;
@@ -40,3 +41,25 @@
 export function isOverdue(run: JudgedRun): boolean {
 	return run.elapsedMs > computeRunLimit(run);
 }
+
+/** The tasks whose runs take too long, over all jobs. */
+export function* listOverdue(
+	jobs: Iterable<GroupJob>,
+	now: number,
+): Generator<{job: GroupJob; task: GroupTask}> {
+	for (const job of jobs) {
+		if (job.isDropped) {
+			continue;
+		}
+
+		const {estimateMs, ended} = job;
+		const siblingMs = ended.count > 0 ? ended.sumMs / ended.count : undefined;
+		for (const task of job.tasks.values()) {
+			const elapsedMs = now - task.startedAt;
+			const isLate = isOverdue({elapsedMs, estimateMs, siblingMs});
+			if (task.state === 'started' && isLate) {
+				yield {job, task};
+			}
+		}
+	}
+}
