Give a holder that was not heard of yet the time to be heard; trials of the store's faults

Metrics at a taken port ended the whole host (two test files at once shared IPs). Test files never ended under the runner: Node waits for ever at its end for sockets that were reset and destroyed by a server that closes; found by a native stack in the clean-up of handles.

Ruled out: the stand-ins' loops, fetch, child processes (each tried alone).

Change: the key names the holder's process; another one's is waited for as long as a silent holder's, unless its host is seen to run as another process. The stand-in destroys its sockets at its end. check reads the platform's settings file.

--- a/packages/cli/src/commands/check.ts
+++ b/packages/cli/src/commands/check.ts
@@ -1,6 +1,11 @@
 /**
 `check`: reports all findings of settings and declarations, and changes nothing.
 */
+import {type Result} from 'neverthrow';
+import {
+	isPlatformSettings,
+	readPlatformSettings,
+} from '@gentianshift/platform-adapter/settings';
 import {type Finding, formatFindings} from '@gentianshift/resources';
 import {
 	isHostSettings,
@@ -12,7 +17,10 @@
 import {type ExitCode, exitCodes} from '../exit-codes.js';
 import {type Terminal} from '../terminal.js';
 
-/** Files with a `[host]` section are settings; all others together are one set of declarations. */
+/**
+Files with a `[host]` section are settings, and so are those in the format of the users' platform; all
+others together are one set of declarations.
+*/
 export async function check(
 	terminal: Terminal,
 	paths: string[],
@@ -23,14 +31,18 @@
 		return exitCodes.usage;
 	}
 
-	const settings = files.value.filter(({text}) => isHostSettings(text));
-	const declared = files.value.filter(({text}) => !isHostSettings(text));
-	const findings: Finding[] = settings.flatMap(({file, text}) =>
-		readHostSettings(text, file).match(
-			() => [],
-			(found) => found,
+	const platform = files.value.filter(({text}) => isPlatformSettings(text));
+	const own = files.value.filter((one) => !platform.includes(one));
+	const settings = own.filter(({text}) => isHostSettings(text));
+	const declared = own.filter(({text}) => !isHostSettings(text));
+	const findings: Finding[] = [
+		...platform.flatMap(({file, text}) =>
+			listFindings(readPlatformSettings(text, file)),
 		),
-	);
+		...settings.flatMap(({file, text}) =>
+			listFindings(readHostSettings(text, file)),
+		),
+	];
 	const declarations = readDeclarations(declared);
 	if (declarations.isOk()) {
 		reportWarnings(terminal, listUndeclaredTargets(declarations.value));
@@ -47,6 +59,10 @@
 	return exitCodes.ok;
 }
 
+function listFindings(result: Result<unknown, Finding[]>): Finding[] {
+	return result.isErr() ? result.error : [];
+}
+
 function reportWarnings({writeError}: Terminal, warnings: Finding[]): void {
 	for (const warning of warnings) {
 		writeError(`warning: ${formatFindings([warning])}`);
--- /dev/null
+++ b/packages/host/src/scheduling/group-holding.test.ts
@@ -0,0 +1,126 @@
+/**
+When a host takes the group of its data centre.
+*/
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {setImmediate as nextTurn} from 'node:timers/promises';
+import {errAsync, okAsync} from 'neverthrow';
+import {
+	createGroupDirectory,
+	createRunTimes,
+	holderSilenceMs,
+	type CoordinationStore,
+	type StoreItem,
+} from '@gentianshift/scheduling';
+import {GroupHolding} from './group-holding.js';
+
+function createStore(item?: StoreItem): CoordinationStore & {commits: number} {
+	const unused = () => errAsync({code: 'rejected' as const, message: 'unused'});
+	const store = {
+		commits: 0,
+		readKey: () => okAsync(item),
+		commit() {
+			store.commits += 1;
+			return okAsync({revision: 100});
+		},
+		readPrefix: unused,
+		watchPrefix: unused,
+		createLease: unused,
+		renewLease: unused,
+		endLease: unused,
+		getAnsweredAt: () => 0,
+		async close() {
+			// Nothing is open.
+		},
+	};
+	return store;
+}
+
+function createHolding(
+	store: CoordinationStore,
+	clock: {now: number},
+	isOver = false,
+): GroupHolding {
+	const unused = () =>
+		errAsync({code: 'unreachable' as const, message: 'unused'});
+	return new GroupHolding({
+		group: 'mieres',
+		self: 'mieres_m1',
+		selfId: 'mieres_m1.a1',
+		isOver: () => isOver,
+		store,
+		groups: createGroupDirectory(),
+		now: () => clock.now,
+		listOrder: () => ['mieres_m1', 'mieres_m2'],
+		isLeaving: () => false,
+		hasPeers: () => true,
+		getLeaseId: () => 1,
+		listExecutors: () => [],
+		ports: {
+			wait: async () => undefined,
+			control: {
+				startTask: unused,
+				stopTask: unused,
+				renewLease: unused,
+				forgetExecutor() {
+					// Nothing is kept.
+				},
+			},
+			runTimes: createRunTimes(),
+			onChange() {
+				// Nobody is told.
+			},
+			takeElsewhere: () => 0,
+			getStoreAgeMs: () => 0,
+		},
+		onChange() {
+			// Nobody is told.
+		},
+		log() {
+			// Not read.
+		},
+	});
+}
+
+/** Time passes in steps of the host's own updates. */
+async function runFor(
+	holding: GroupHolding,
+	clock: {now: number},
+	ms: number,
+): Promise<void> {
+	for (let passed = 0; passed < ms; passed += 50) {
+		clock.now += 50;
+		holding.update();
+		await nextTurn();
+	}
+}
+
+test('a group that nobody holds is taken at once by the first in order', async () => {
+	const clock = {now: 1000};
+	const holding = createHolding(createStore(), clock);
+	await runFor(holding, clock, 100);
+	assert.ok(holding.scheduler);
+});
+
+const held = {key: 'g', value: 'mieres_m2.b2', revision: 50};
+
+// Hosts of a data centre start together, and the second has taken the group before the first is
+// connected to it. Taken over at once, the group changes hands as the first callers come, and some
+// of them are turned away.
+test('a holder that is not heard of yet is given the time to be heard', async () => {
+	const clock = {now: 1000};
+	const store = createStore(held);
+	const holding = createHolding(store, clock);
+	await runFor(holding, clock, holderSilenceMs - 100);
+	assert.equal(store.commits, 0);
+	await runFor(holding, clock, 400);
+	assert.ok(holding.scheduler);
+});
+
+// All hosts lost power and are back; the store still names the holder of before for some seconds.
+test('a holder whose host runs as another process by now is not waited for', async () => {
+	const clock = {now: 1000};
+	const holding = createHolding(createStore(held), clock, true);
+	await runFor(holding, clock, 100);
+	assert.ok(holding.scheduler);
+});
--- a/packages/host/src/scheduling/group-holding.ts
+++ b/packages/host/src/scheduling/group-holding.ts
@@ -6,9 +6,11 @@
 gives the fencing token. When the store is away, the executors' fence alone decides, which is safe
 in any case; the delays of `choose-holder` keep hosts from taking the group from one another.
 */
+import {errAsync} from 'neverthrow';
 import {
 	computeTakeoverDelay,
 	GroupScheduler,
+	holderSilenceMs,
 	isVacant,
 	makeStorelessToken,
 	makeStoreToken,
@@ -17,6 +19,7 @@
 	type GroupDirectory,
 	type GroupPorts,
 	type HolderView,
+	type StoreFailure,
 } from '@gentianshift/scheduling';
 
 export type GroupHoldingOptions = {
@@ -24,6 +27,10 @@
 	group: string;
 	/** This host's key. */
 	self: string;
+	/** This process, as the store names it: `<host key>.<incarnation>`. */
+	selfId: string;
+	/** Whether a host is known to run as another process than this one. */
+	isOver: (processId: string) => boolean;
 	store: CoordinationStore;
 	groups: GroupDirectory;
 	now: () => number;
@@ -42,6 +49,8 @@
 
 /** After executors obeyed another, this host leaves the group alone for this long. */
 const fencedRestMs = 1000;
+/** Pause before a group that could not be taken is tried again: each try costs two calls of the store. */
+const retryMs = 150;
 
 export class GroupHolding {
 	readonly #options: GroupHoldingOptions;
@@ -50,6 +59,8 @@
 	#vacantSince: number | undefined;
 	#isTaking = false;
 	#restsUntil = 0;
+	/** A holder that the store names and that was not heard of, and since when. */
+	#unheard: {id: string; since: number} | undefined;
 
 	constructor(options: GroupHoldingOptions) {
 		this.#options = options;
@@ -137,7 +148,7 @@
 			: this.#takeWithoutStore(rank);
 		this.#isTaking = false;
 		if (token === undefined) {
-			this.#vacantSince = this.#options.now();
+			this.#restsUntil = this.#options.now() + retryMs;
 			return;
 		}
 
@@ -145,7 +156,7 @@
 	}
 
 	async #takeByStore(): Promise<number | undefined> {
-		const {store, group, self, getLeaseId, log} = this.#options;
+		const {store, group, selfId, getLeaseId, log} = this.#options;
 		const leaseId = getLeaseId();
 		if (leaseId === undefined) {
 			return undefined;
@@ -153,10 +164,15 @@
 
 		const key = `gentianshift/groups/${group}`;
 		const result = await store.readKey(key).andThen((item) =>
-			store.commit({
-				expected: [{key, revision: item?.revision ?? 0}],
-				write: [{key, value: self, leaseId}],
-			}),
+			this.#isUnheard(item?.value)
+				? errAsync<{revision: number}, StoreFailure>({
+						code: 'conflict',
+						message: `held by ${item!.value}, not heard of yet`,
+					})
+				: store.commit({
+						expected: [{key, revision: item?.revision ?? 0}],
+						write: [{key, value: selfId, leaseId}],
+					}),
 		);
 		if (result.isErr()) {
 			log('group is not taken', {
@@ -170,6 +186,29 @@
 		return makeStoreToken(result.value.revision);
 	}
 
+	/**
+	Whether the store names a holder that may live although this host has not heard its state yet,
+	as both have just started. Taken from it at once, the group would change hands twice while the
+	first callers come.
+	*/
+	#isUnheard(holderId: string | undefined): boolean {
+		const {groups, group, self, isOver, now} = this.#options;
+		const known = groups.findGroup(group)?.holder;
+		const isOwn = holderId?.startsWith(`${self}.`);
+		const isHeard = known !== undefined && holderId?.startsWith(`${known}.`);
+		const isSettled = [isOwn, isHeard].includes(true);
+		if (holderId === undefined || isSettled || isOver(holderId)) {
+			this.#unheard = undefined;
+			return false;
+		}
+
+		if (this.#unheard?.id !== holderId) {
+			this.#unheard = {id: holderId, since: now()};
+		}
+
+		return now() - this.#unheard.since < holderSilenceMs;
+	}
+
 	#takeWithoutStore(rank: number): number | undefined {
 		const {groups, group, hasPeers} = this.#options;
 		const lastToken = groups.findGroup(group)?.state.token;
--- a/packages/host/src/scheduling/start-scheduling-host.ts
+++ b/packages/host/src/scheduling/start-scheduling-host.ts
@@ -247,6 +247,8 @@
 		return new GroupHolding({
 			group: host.dataCentre,
 			self: key,
+			selfId: this.#identity.ownerId,
+			isOver: (processId) => this.#isOver(processId),
 			store: surroundings.store,
 			groups: this.#groups,
 			now: readNow,
@@ -279,6 +281,15 @@
 		});
 	}
 
+	/** A peer answers from another incarnation of that host: the one named is gone. */
+	#isOver(processId: string): boolean {
+		const at = processId.lastIndexOf('.');
+		const link = this.#mesh.findLink(processId.slice(0, at));
+		return (
+			link !== undefined && link.hello.incarnation !== processId.slice(at + 1)
+		);
+	}
+
 	/** What is taken counts as used until the other holder tells its room again. */
 	#takeElsewhere(cpu: number, tasks: number): number {
 		let taken = 0;
--- a/packages/standins/src/leased/json-server.ts
+++ b/packages/standins/src/leased/json-server.ts
@@ -62,7 +62,10 @@
 		async close() {
 			const closed = once(server, 'close');
 			server.close();
-			resetConnections();
+			for (const socket of sockets) {
+				socket.destroy();
+			}
+
 			await closed;
 		},
 	};
--- a/packages/trials/src/scheduling/system.ts
+++ b/packages/trials/src/scheduling/system.ts
@@ -7,6 +7,7 @@
 import path from 'node:path';
 import process from 'node:process';
 import {LeasedExecutor, MetadataStore} from '@gentianshift/standins';
+import {request} from 'undici';
 import {findFreePort} from '../ports.js';
 import {
 	endProcess,
@@ -44,12 +45,13 @@
 	executors?: Record<string, number>;
 };
 
-/** Each system of a test run has IPs of its own. */
-let nextSubnet = 40 + (process.pid % 150);
+/** Each test process, and each system in it, has IPs of its own: metrics stand at a fixed port. */
+const processSubnet = 40 + (process.pid % 200);
+let nextSubnet = 0;
 
-function takeSubnet(): number {
+function takeSubnet(): string {
 	nextSubnet += 1;
-	return nextSubnet;
+	return `127.${processSubnet}.${nextSubnet}`;
 }
 
 export class SchedulingSystem {
@@ -146,7 +148,8 @@
 	findHolder(dataCentre: string): SchedulingHostProcess | undefined {
 		const [item] = this.store.list(`gentianshift/groups/${dataCentre}`);
 		return this.hosts.find(
-			(host) => item?.value === `${host.dataCentre}_${host.name}`,
+			(host) =>
+				item?.value.startsWith(`${host.dataCentre}_${host.name}.`) ?? false,
 		);
 	}
 
@@ -211,7 +214,7 @@
 
 	#takeIp(): string {
 		this.#nextIp += 1;
-		return `127.${this.#subnet}.1.${this.#nextIp}`;
+		return `${this.#subnet}.${this.#nextIp}`;
 	}
 }
 
@@ -233,9 +236,11 @@
 
 async function isReady({readiness}: SchedulingHostProcess): Promise<boolean> {
 	try {
-		const reply = await fetch(`http://${readiness}/v1/readyz`);
-		await reply.arrayBuffer();
-		return reply.ok;
+		const reply = await request(`http://${readiness}/v1/readyz`, {
+			reset: true,
+		});
+		await reply.body.dump();
+		return reply.statusCode === 200;
 	} catch {
 		return false;
 	}
