Read the executors before a group is taken over

Ruled out: the holder's own reads (each 0.6 s); the executor's entry (it was acknowledged). Change: a host that takes a group by the store reads the executors afresh first.

--- a/packages/host/src/scheduling/executor-lists.test.ts
+++ b/packages/host/src/scheduling/executor-lists.test.ts
@@ -3,7 +3,6 @@
 */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {setTimeout as delay} from 'node:timers/promises';
 import {okAsync} from 'neverthrow';
 import {type Executor} from '@gentianshift/scheduling';
 import {createExecutorLists} from './executor-lists.js';
@@ -36,8 +35,7 @@
 	lists.start(ending.signal);
 	return {
 		async read() {
-			lists.refresh();
-			await delay(5);
+			await lists.readNow();
 			return lists.list().map(({id}) => id);
 		},
 		end() {
--- a/packages/host/src/scheduling/executor-lists.ts
+++ b/packages/host/src/scheduling/executor-lists.ts
@@ -27,8 +27,8 @@
 export type ExecutorLists = {
 	list: () => readonly Executor[];
 	start: (signal: AbortSignal) => void;
-	/** Reads now: this host takes a group over. */
-	refresh: () => void;
+	/** Reads now, and not what may be old: this host takes a group over. Resolves also when it can't. */
+	readNow: () => Promise<void>;
 };
 
 export function createExecutorLists({
@@ -51,8 +51,8 @@
 	/** When a list first lacked an executor that is still in force. */
 	const missingSince = new Map<string, number>();
 
-	async function read(): Promise<boolean> {
-		const found = await source.list({mayBeStale: !isHolder()});
+	async function read(mayBeStale = !isHolder()): Promise<boolean> {
+		const found = await source.list({mayBeStale});
 		if (found.isErr()) {
 			log('executors can not be listed', {
 				code: found.error.code,
@@ -106,7 +106,9 @@
 		start(signal) {
 			void repeatReads(signal);
 		},
-		refresh() {
+		async readNow() {
+			await read(false);
+			// The pause of a host that did not hold the group is too long for one that does.
 			wake.abort();
 		},
 	};
--- a/packages/host/src/scheduling/group-holding.test.ts
+++ b/packages/host/src/scheduling/group-holding.test.ts
@@ -10,6 +10,7 @@
 	createRunTimes,
 	holderSilenceMs,
 	type CoordinationStore,
+	type Executor,
 	type StoreItem,
 } from '@gentianshift/scheduling';
 import {GroupHolding} from './group-holding.js';
@@ -39,7 +40,15 @@
 function createHolding(
 	store: CoordinationStore,
 	clock: {now: number},
-	isOver = false,
+	{
+		isOver = false,
+		readExecutors = async () => undefined,
+		listExecutors = () => [],
+	}: {
+		isOver?: boolean;
+		readExecutors?: () => Promise<void>;
+		listExecutors?: () => readonly Executor[];
+	} = {},
 ): GroupHolding {
 	const unused = () =>
 		errAsync({code: 'unreachable' as const, message: 'unused'});
@@ -55,9 +64,14 @@
 		isLeaving: () => false,
 		hasPeers: () => true,
 		getLeaseId: () => 1,
-		listExecutors: () => [],
+		listExecutors,
+		readExecutors,
 		ports: {
-			wait: async () => undefined,
+			// Pauses between calls of the scheduler never end here.
+			wait: async () =>
+				new Promise(() => {
+					// Never settled.
+				}),
 			control: {
 				startTask: unused,
 				stopTask: unused,
@@ -120,7 +134,35 @@
 // All hosts lost power and are back; the store still names the holder of before for some seconds.
 test('a holder whose host runs as another process by now is not waited for', async () => {
 	const clock = {now: 1000};
-	const holding = createHolding(createStore(held), clock, true);
+	const holding = createHolding(createStore(held), clock, {isOver: true});
 	await runFor(holding, clock, 100);
 	assert.ok(holding.scheduler);
 });
+
+// An executor has begun to drain, and three seconds later another host takes its group over. That
+// host's list is from before; going by it, it starts a task that the executor's end cuts off.
+test('a host that takes a group over reads the executors first', async () => {
+	const clock = {now: 1000};
+	const executor: Executor = {
+		id: 'e1',
+		address: '10.0.0.1:8000',
+		dataCentre: 'mieres',
+		service: 'meals',
+		isDraining: false,
+		capacity: {cpu: 32_000, memoryMb: 1000, accelerators: 0},
+	};
+	let known = executor;
+	const seen: boolean[] = [];
+	const holding = createHolding(createStore(), clock, {
+		async readExecutors() {
+			known = {...executor, isDraining: true};
+		},
+		listExecutors() {
+			seen.push(known.isDraining);
+			return [known];
+		},
+	});
+	await runFor(holding, clock, 200);
+	assert.ok(holding.scheduler);
+	assert.deepEqual(seen, [true]);
+});
--- a/packages/host/src/scheduling/group-holding.ts
+++ b/packages/host/src/scheduling/group-holding.ts
@@ -41,6 +41,8 @@
 	hasPeers: () => boolean;
 	getLeaseId: () => number | undefined;
 	listExecutors: () => readonly Executor[];
+	/** Reads the executors anew; resolves when they are read, or can't be. */
+	readExecutors: () => Promise<void>;
 	ports: Omit<GroupPorts, 'group' | 'token' | 'now' | 'onFenced' | 'log'>;
 	/** This host has taken the group, or given it up. */
 	onChange: () => void;
@@ -146,6 +148,12 @@
 		const token = isStoreReached
 			? await this.#takeByStore()
 			: this.#takeWithoutStore(rank);
+		if (token !== undefined && isStoreReached) {
+			// A host that does not hold the group knows them as of some seconds ago: it would
+			// start tasks on an executor that has begun to drain since.
+			await this.#options.readExecutors();
+		}
+
 		this.#isTaking = false;
 		if (token === undefined) {
 			this.#restsUntil = this.#options.now() + retryMs;
--- a/packages/host/src/scheduling/start-scheduling-host.ts
+++ b/packages/host/src/scheduling/start-scheduling-host.ts
@@ -262,6 +262,7 @@
 			hasPeers: () => this.#mesh.listLinks().length > 0,
 			getLeaseId: () => this.#presence.getLeaseId(),
 			listExecutors: () => this.#executors.list(),
+			readExecutors: async () => this.#executors.readNow(),
 			ports: {
 				wait: waitFor,
 				control: wrapControl(surroundings.control, this.#options.metrics),
@@ -273,7 +274,6 @@
 				getStoreAgeMs: () => measureStoreAge(surroundings.store, readNow()),
 			},
 			onChange: () => {
-				this.#executors.refresh();
 				this.#tellState();
 				this.#entry.handOver(host.dataCentre);
 			},
