--- a/packages/bench/src/slopes-schedulers.ts
+++ b/packages/bench/src/slopes-schedulers.ts
@@ -90,7 +90,12 @@
 	}
 
 	#report({active, ended}: FakeExecutor): LeaseReply {
-		return {clockMs: this.now(), running: [...active], ended: [...ended]};
+		return {
+			clockMs: this.now(),
+			running: [...active],
+			ended: [...ended],
+			hasMoreEnds: false,
+		};
 	}
 
 	#find(id: string): FakeExecutor {
--- a/packages/scheduling/src/executor-control.ts
+++ b/packages/scheduling/src/executor-control.ts
@@ -23,6 +23,8 @@
 	running: RunName[];
 	/** Ends that have not been acknowledged. */
 	ended: RunEnd[];
+	/** More ends than fit into one reply: the others come after these have been acknowledged. */
+	hasMoreEnds: boolean;
 };
 
 /**
--- a/packages/scheduling/src/executor-lease.test.ts
+++ b/packages/scheduling/src/executor-lease.test.ts
@@ -33,3 +33,11 @@
 	assert.equal(lease.hasPassed(100 + leaseMs + clockSlackMs), false);
 	assert.ok(lease.hasPassed(100 + leaseMs + clockSlackMs + 1));
 });
+
+// A new holder finds a run on an executor that answers nothing after that. An earlier holder may have renewed the lease just before.
+test('a lease that an earlier holder may have renewed has not passed', () => {
+	const lease = createExecutorLease();
+	lease.assumeRenewed(100);
+	assert.equal(lease.hasPassed(100 + leaseMs), false);
+	assert.ok(lease.hasPassed(100 + leaseMs + clockSlackMs + 1));
+});
--- a/packages/scheduling/src/executor-lease.ts
+++ b/packages/scheduling/src/executor-lease.ts
@@ -12,6 +12,11 @@
 	it can't be extended, as the cap has passed or the executor's clock is not known yet.
 	*/
 	extend: (cap: number, now: number) => number | undefined;
+	/**
+	Runs were found there that this scheduler did not start: an earlier holder may have renewed the lease until a moment
+	ago. Without this, runs of an executor that goes silent right after its first report would count as over at once.
+	*/
+	assumeRenewed: (now: number) => void;
 	/** Everything there has ended for certain, also by the slowest clock. */
 	hasPassed: (now: number) => boolean;
 };
@@ -39,6 +44,9 @@
 			endsAt = Math.max(endsAt, until + clockSlackMs);
 			return Math.floor(clock.clockMs + (until - clock.readAt));
 		},
+		assumeRenewed(now) {
+			endsAt = Math.max(endsAt, now + leaseMs + clockSlackMs);
+		},
 		hasPassed: (now) => now > endsAt,
 	};
 }
--- a/packages/scheduling/src/executor-session.ts
+++ b/packages/scheduling/src/executor-session.ts
@@ -2,11 +2,8 @@
 One executor, driven by the scheduler that holds its group: starts and stops, the renewal of its
 lease, and the ends of its runs. There is one reader of an executor's ends, this one.
 
-What goes wrong: an order or its answer is lost, and the order may be carried out seconds later.
-Then a task that is placed again runs twice. One would notice two runs of one task that overlap.
-So an order without an answer is not taken for undone: a stop for the same attempt is sent until
-it is answered, which also makes a late start of it worthless; or the lease runs out first, which
-is never renewed while the executor answers nothing.
+An executor that answers nothing is silent: it gets nothing new, its lease is no longer renewed, and
+when that has passed its runs are over for certain. What it reports is entered whole (`run-book.ts`) before anybody is told.
 */
 import {type TaskDemand} from '@gentianshift/protocol';
 import {
@@ -20,25 +17,31 @@
 import {createTrust, recordFailure} from './executor-trust.js';
 import {type Executor} from './executor.js';
 import {type Candidate} from './place-task.js';
-import {addDemand, noDemand, removeDemand} from './room.js';
+import {noDemand, removeDemand} from './room.js';
+import {createRunBook} from './run-book.js';
+import {createRunOrders, retryMs, type RunOrders} from './run-orders.js';
 import {formatTaskKey, type Run, type RunOutcome} from './run.js';
-import {createStrayEnds} from './stray-ends.js';
-import {idleLookMs, renewWaitMs} from './timing.js';
+import {
+	claimLimitMs,
+	dropStopMs,
+	idleLookMs,
+	renewWaitMs,
+	stopLimitMs,
+} from './timing.js';
+import {type UnsettledOrders} from './unsettled-orders.js';
 
-/** Pause before a call that failed is made again. */
-const retryMs = 25;
 /** After the executor said that it has no room, or declined, it gets nothing for this long. */
 const declinedRestMs = 150;
-/** Runs of an earlier holder that no entry has claimed by then are stopped: an entry that lives tells its parts within one exchange after a change of holder. */
-const claimLimitMs = 400;
 
 export type SessionPorts = {
 	now: () => number;
 	wait: (ms: number, signal: AbortSignal) => Promise<void>;
 	control: ExecutorControl;
 	getToken: () => number;
-	/** The latest moment to which leases may be renewed: entries that are silent cap it. */
+	/** The latest moment to which the lease may be renewed, by what runs there. */
 	getLeaseCap: (runs: Iterable<Run>) => number;
+	/** Starts of an earlier session with this executor among them. */
+	unsettled: UnsettledOrders;
 	onRunEnd: (run: Run, outcome: RunOutcome, session: ExecutorSession) => void;
 	/** The executor has answered, or has more room than before. */
 	onChange: () => void;
@@ -48,22 +51,17 @@
 };
 
 export class ExecutorSession implements Candidate {
-	readonly runs = new Map<string, Run>();
-	used: TaskDemand = noDemand;
 	readonly trust = createTrust();
 	/** The executor has listed what runs there to this scheduler. */
 	isReported = false;
-	/** No answer since then; undefined: it answers. */
+	/** No answer since then, or orders of before it are not settled; undefined: it answers. */
 	silentSince: number | undefined;
 	/** This life of the executor is over. */
 	isGone = false;
 	#executor: Executor;
+	readonly #book = createRunBook();
 	readonly #lease = createExecutorLease();
-	#acknowledged = 0;
-	#openedAt = 0;
-	/** Starts without an answer whose runs were given up with the lease: they may be carried out yet. */
-	readonly #unsettled: RunName[] = [];
-	readonly #strayEnds = createStrayEnds();
+	readonly #orders: RunOrders;
 	readonly #closing = new AbortController();
 	/** A pause between renewals; undefined: there is none. */
 	#idle: {end: () => void} | undefined;
@@ -73,12 +71,17 @@
 		private readonly ports: SessionPorts,
 	) {
 		this.#executor = executor;
+		this.#orders = this.#createOrders();
 	}
 
 	get id(): string {
 		return this.#executor.id;
 	}
 
+	get runs(): ReadonlyMap<string, Run> {
+		return this.#book.runs;
+	}
+
 	get runCount(): number {
 		return this.runs.size;
 	}
@@ -96,7 +99,7 @@
 	}
 
 	get free(): TaskDemand {
-		return removeDemand(this.#executor.capacity, this.used);
+		return removeDemand(this.#executor.capacity, this.#book.used);
 	}
 
 	/** Whether a start may be sent now. */
@@ -115,7 +118,9 @@
 
 	/** Begins to follow the executor; returns at once. */
 	open(): void {
-		this.#openedAt = this.ports.now();
+		this.silentSince = this.ports.unsettled.isEmpty
+			? undefined
+			: this.ports.now();
 		void this.#repeatRenewals();
 	}
 
@@ -134,17 +139,22 @@
 			startedAt: this.ports.now(),
 			isFound: false,
 		};
-		this.#enter(run);
-		void this.#sendStart(run, spec);
+		this.#book.enter(run);
+		this.#orders.start(run, spec);
+		this.#idle?.end();
+	}
+
+	/** Stops a run that is no longer wanted; its room is free when its end is listed. `stopBy`: when it has to be over. */
+	stop(run: Run, stopBy: number): void {
+		this.#orders.stop(run, stopBy);
 		this.#idle?.end();
 	}
 
-	/** Stops a run that is no longer wanted; its room is free when its end is listed. */
-	stop(run: Run): void {
-		if (run.state !== 'stopping') {
-			run.state = 'stopping';
-			void this.#sendStop(run);
-			this.#idle?.end();
+	/** The store no longer lists the executor: it counts as gone, so what runs there is stopped. */
+	stopAll(): void {
+		const stopBy = this.ports.now() + dropStopMs;
+		for (const run of this.runs.values()) {
+			this.stop(run, stopBy);
 		}
 	}
 
@@ -155,29 +165,47 @@
 			return undefined;
 		}
 
-		this.used = addDemand(removeDemand(this.used, run.demand), demand);
-		run.demand = demand;
+		this.#book.resize(run, demand);
 		run.isFound = false;
 		return run;
 	}
 
 	/** The end of a run that nobody had claimed when it was listed. */
 	takeStrayEnd(task: {job: string; index: number}): RunEnd | undefined {
-		return this.#strayEnds.take(task);
+		return this.#book.takeStrayEnd(task);
+	}
+
+	#createOrders(): RunOrders {
+		const {now, wait, control, getToken, log} = this.ports;
+		return createRunOrders({
+			now,
+			wait,
+			control,
+			getToken,
+			getExecutor: () => this.#executor,
+			extendLease: () => this.#extendLease(),
+			isCurrent: (run) => !this.isGone && this.#book.isCurrent(run),
+			signal: this.#closing.signal,
+			onClock: (clockMs) => {
+				this.#setClock(clockMs);
+			},
+			onFailure: (failure, call) => {
+				this.#receiveOrderFailure(failure, call);
+			},
+			onUnstarted: (run) => {
+				this.#book.remove(run);
+				this.#tellEnd({run, outcome: 'unstarted'});
+			},
+			log,
+		});
 	}
 
 	async #repeatRenewals(): Promise<void> {
 		const {signal} = this.#closing;
 		while (!signal.aborted && !this.isGone) {
-			const hasRuns = this.runs.size > 0;
-			const isAnswered = await this.#renew(hasRuns);
+			const pause = await this.#renew();
 			this.#dropLapsed();
 			this.#stopUnclaimed();
-			const pause = isAnswered
-				? this.runs.size > 0
-					? 0
-					: idleLookMs
-				: retryMs;
 			if (pause > 0 && !signal.aborted) {
 				await this.#waitIdle(pause);
 			}
@@ -192,93 +220,79 @@
 		});
 	}
 
-	/** One renewal, which also brings the ends; true when it was answered. */
-	async #renew(hasRuns: boolean): Promise<boolean> {
+	/** One renewal, which also brings the ends; gives the pause until the next, milliseconds. */
+	async #renew(): Promise<number> {
 		const {control, now, getToken} = this.ports;
 		const sentAt = now();
+		const hasRuns = this.runs.size > 0;
 		const isTrusted = this.silentSince === undefined;
 		const reply = await control.renewLease(this.#executor, {
 			token: getToken(),
-			acknowledged: this.#acknowledged,
+			acknowledged: this.#book.acknowledged,
 			leaseUntilMs: hasRuns && isTrusted ? this.#extendLease() : undefined,
 			waitMs: hasRuns && isTrusted && this.isReported ? renewWaitMs : 0,
 		});
 		if (this.#closing.signal.aborted) {
-			return false;
+			return 0;
 		}
 
 		if (reply.isErr()) {
 			this.#receiveFailure(reply.error, 'renewal');
-			return false;
+			return retryMs;
 		}
 
 		this.#receiveReport(reply.value, sentAt);
-		return true;
+		return this.runs.size > 0 || reply.value.hasMoreEnds ? 0 : idleLookMs;
 	}
 
-	/** Extends the lease by what the runs' entries allow; the new end on the executor's clock. */
+	/** Extends the lease by what its runs allow; the new end on the executor's clock. */
 	#extendLease(): number | undefined {
 		const cap = this.ports.getLeaseCap(this.runs.values());
 		return this.#lease.extend(cap, this.ports.now());
 	}
 
+	/** The book has the whole report before others act on any of it. */
 	#receiveReport(report: LeaseReply, sentAt: number): void {
+		const now = this.ports.now();
 		this.#setClock(report.clockMs);
-		const isFirst = !this.isReported;
-		this.isReported = true;
-		if (this.silentSince !== undefined) {
-			void this.#endSilence();
+		const {ended, found} = this.#book.takeReport(report, {
+			sentAt,
+			now,
+			foundDemand: this.#estimateDemand(),
+		});
+		if (found.length > 0) {
+			this.#lease.assumeRenewed(now);
 		}
 
-		for (const end of report.ended) {
-			this.#receiveEnd(end);
+		const isFirst = !this.isReported && !report.hasMoreEnds;
+		if (this.isReported) {
+			this.#stopLateStarts(found, now);
 		}
 
-		const listed = new Set(report.running.map((run) => this.#noteRunning(run)));
-		for (const [key, run] of this.runs) {
-			if (!listed.has(key)) {
-				this.#judgeMissing(run, sentAt);
-			}
+		this.isReported ||= isFirst;
+		if (this.silentSince !== undefined) {
+			void this.#endSilence();
 		}
 
-		if (isFirst || report.ended.length > 0) {
-			this.ports.onChange();
+		for (const end of ended) {
+			this.#tellEnd(end);
 		}
-	}
 
-	/** A listed run that this scheduler does not know was started by an earlier holder, or late. */
-	#noteRunning({job, index, attempt}: RunName): string {
-		const key = formatTaskKey({job, index});
-		const run = this.runs.get(key);
-		if (!run) {
-			this.#enter({
-				job,
-				index,
-				attempt,
-				demand: this.#estimateDemand(),
-				state: 'running',
-				startedAt: this.ports.now(),
-				isFound: true,
-			});
-			this.#stopIfStray(key);
-		} else if (run.state === 'starting') {
-			run.state = 'running';
+		if (isFirst || ended.length > 0 || report.ended.length > 0) {
+			this.ports.onChange();
 		}
-
-		return key;
 	}
 
-	/** Unless the group has just been taken over, an unknown run is a start carried out late. */
-	#stopIfStray(key: string): void {
-		const run = this.runs.get(key)!;
-		if (this.ports.now() - this.#openedAt > claimLimitMs) {
+	/** A run that shows up after the executor's first report is a start carried out late. */
+	#stopLateStarts(found: readonly Run[], now: number): void {
+		for (const run of found) {
 			this.ports.log('stopping a run that nobody wants', {
 				executor: this.id,
 				job: run.job,
 				task: run.index,
 				attempt: run.attempt,
 			});
-			this.stop(run);
+			this.stop(run, now + stopLimitMs);
 		}
 	}
 
@@ -287,21 +301,21 @@
 	and only then may the lease be renewed.
 	*/
 	async #endSilence(): Promise<void> {
-		while (this.#unsettled.length > 0) {
-			const reply = await this.ports.control.stopTask(this.#executor, {
-				...this.#unsettled[0]!,
-				token: this.ports.getToken(),
-			});
-			if (reply.isErr() && reply.error.code !== 'outdated') {
-				return;
-			}
-
-			this.#unsettled.shift();
+		const {control, getToken, log, onChange, unsettled} = this.ports;
+		const isSettled =
+			unsettled.isEmpty ||
+			(await unsettled.settle(async (start) => {
+				const reply = await control.stopTask(this.#executor, {
+					...start,
+					token: getToken(),
+				});
+				return reply.isOk() || reply.error.code === 'outdated';
+			}));
+		if (isSettled && this.silentSince !== undefined) {
+			this.silentSince = undefined;
+			log('executor answers again', {executor: this.id});
+			onChange();
 		}
-
-		this.silentSince = undefined;
-		this.ports.log('executor answers again', {executor: this.id});
-		this.ports.onChange();
 	}
 
 	/** A run of unknown size takes half of the executor: two tasks is what most executors hold. */
@@ -309,122 +323,18 @@
 		return {...noDemand, cpu: Math.floor(this.capacity.cpu / 2)};
 	}
 
-	/** A run that the executor does not list, although it answered after the run was accepted or stopped. */
-	#judgeMissing(run: Run, sentAt: number): void {
-		if (run.stoppedAt !== undefined && sentAt > run.stoppedAt) {
-			this.#end(run, run.acceptedAt === undefined ? 'unstarted' : 'ended');
-		} else if (run.acceptedAt !== undefined && sentAt > run.acceptedAt) {
-			this.ports.log('run is neither listed nor ended', {
-				executor: this.id,
-				job: run.job,
-				task: run.index,
-			});
-			this.#end(run, 'lost');
-		}
-	}
-
-	#receiveEnd(end: RunEnd): void {
-		if (end.sequence <= this.#acknowledged) {
-			return;
-		}
-
-		this.#acknowledged = end.sequence;
-		const key = formatTaskKey(end);
-		const run = this.runs.get(key);
-		if (run?.attempt === end.attempt) {
-			this.#end(run, end.outcome);
-		}
-
-		if (!run || run.isFound) {
-			this.#strayEnds.add(end, this.ports.now());
-		}
-	}
-
-	async #sendStart(run: Run, spec: string): Promise<void> {
-		const leaseUntilMs = this.#extendLease();
-		if (leaseUntilMs === undefined) {
-			this.#end(run, 'unstarted');
-			return;
-		}
-
-		const {job, index, attempt} = run;
-		const reply = await this.ports.control.startTask(this.#executor, {
-			job,
-			index,
-			attempt,
-			spec,
-			leaseUntilMs,
-			token: this.ports.getToken(),
-		});
-		if (!this.#isCurrent(run)) {
-			return;
-		}
-
-		if (reply.isOk()) {
-			this.#setClock(reply.value.clockMs);
-			run.acceptedAt = this.ports.now();
-			if (run.state === 'starting') {
-				run.state = 'running';
-			}
-
-			return;
-		}
-
-		this.#receiveStartFailure(run, reply.error);
-	}
-
-	#receiveStartFailure(run: Run, failure: CallFailure): void {
-		this.ports.log('start came to nothing', {
-			executor: this.id,
-			job: run.job,
-			task: run.index,
-			attempt: run.attempt,
-			code: failure.code,
-			reason: failure.message,
-		});
-		if (failure.code === 'unanswered') {
-			this.stop(run);
-			return;
-		}
-
+	#receiveOrderFailure(failure: CallFailure, call: 'start' | 'stop'): void {
 		if (failure.clockMs !== undefined) {
 			this.#setClock(failure.clockMs);
 		}
 
-		if (failure.code !== 'outdated' && failure.code !== 'lease-passed') {
+		const {code} = failure;
+		const isBusy = code !== 'outdated' && code !== 'lease-passed';
+		if (call === 'start' && isBusy) {
 			this.trust.restsUntil = this.ports.now() + declinedRestMs;
 		}
 
-		this.#receiveFailure(failure, 'start');
-		if (this.#isCurrent(run)) {
-			this.#end(run, 'unstarted');
-		}
-	}
-
-	/** Sends the stop until it is answered or the run is over otherwise. */
-	async #sendStop(run: Run): Promise<void> {
-		const {signal} = this.#closing;
-		while (this.#isCurrent(run) && !signal.aborted && !this.isGone) {
-			const {job, index, attempt} = run;
-			const reply = await this.ports.control.stopTask(this.#executor, {
-				job,
-				index,
-				attempt,
-				token: this.ports.getToken(),
-			});
-			if (reply.isOk()) {
-				run.stoppedAt = this.ports.now();
-				return;
-			}
-
-			if (reply.error.code === 'outdated') {
-				run.stoppedAt = this.ports.now();
-				return;
-			}
-
-			this.#receiveFailure(reply.error, 'stop');
-			await this.ports.wait(retryMs, signal);
-		}
+		this.#receiveFailure(failure, call);
 	}
 
 	#receiveFailure(failure: CallFailure, call: string): void {
@@ -478,7 +388,7 @@
 			reason,
 			runs: this.runs.size,
 		});
-		this.#endAll('lost');
+		this.#abandonRuns();
 		this.ports.onChange();
 	}
 
@@ -489,7 +399,7 @@
 				executor: this.id,
 				runs: this.runs.size,
 			});
-			this.#endAll('lost');
+			this.#abandonRuns();
 		}
 	}
 
@@ -497,44 +407,44 @@
 		const now = this.ports.now();
 		for (const run of this.runs.values()) {
 			if (run.isFound && now - run.startedAt > claimLimitMs) {
-				this.stop(run);
+				this.stop(run, now + stopLimitMs);
 			}
 		}
 
-		this.#strayEnds.forgetOld(now);
+		this.#book.forgetOldEnds(now);
 	}
 
 	#setClock(clockMs: number): void {
 		this.#lease.setClock(clockMs, this.ports.now());
 	}
 
-	#isCurrent(run: Run): boolean {
-		return this.runs.get(formatTaskKey(run)) === run;
-	}
+	#abandonRuns(): void {
+		const lost = [...this.runs.values()];
+		for (const run of lost) {
+			this.#book.remove(run);
+			if (run.acceptedAt === undefined && !run.isFound) {
+				this.ports.unsettled.add(run, this.ports.now());
+			}
+		}
 
-	#enter(run: Run): void {
-		this.runs.set(formatTaskKey(run), run);
-		this.used = addDemand(this.used, run.demand);
+		for (const run of lost) {
+			this.#tellEnd({run, outcome: 'lost'});
+		}
 	}
 
-	#end(run: Run, outcome: RunOutcome): void {
-		this.runs.delete(formatTaskKey(run));
-		this.used = removeDemand(this.used, run.demand);
+	#tellEnd({run, outcome}: {run: Run; outcome: RunOutcome}): void {
+		if (outcome === 'lost' && !this.isGone && this.silentSince === undefined) {
+			this.ports.log('run is neither listed nor ended', {
+				executor: this.id,
+				job: run.job,
+				task: run.index,
+			});
+		}
+
 		if (outcome === 'failed') {
 			recordFailure(this.trust, this.ports.now());
 		}
 
 		this.ports.onRunEnd(run, outcome, this);
 	}
-
-	#endAll(outcome: RunOutcome): void {
-		for (const run of this.runs.values()) {
-			if (run.acceptedAt === undefined && !run.isFound) {
-				const {job, index, attempt} = run;
-				this.#unsettled.push({job, index, attempt});
-			}
-
-			this.#end(run, outcome);
-		}
-	}
 }
--- /dev/null
+++ b/packages/scheduling/src/executor-set.ts
@@ -0,0 +1,111 @@
+/**
+The executors of a group as their scheduler follows them: one session each, opened when the store lists the executor
+and closed when it is no longer listed and nothing runs there.
+*/
+import {ExecutorSession, type SessionPorts} from './executor-session.js';
+import {type Executor} from './executor.js';
+import {formatTaskKey, type Run} from './run.js';
+import {
+	createUnsettledOrders,
+	type UnsettledOrders,
+} from './unsettled-orders.js';
+
+export type ExecutorSet = {
+	readonly sessions: ReadonlyMap<string, ExecutorSession>;
+	/** The group's executors as the store lists them now. */
+	setListed: (executors: readonly Executor[]) => void;
+	/** Those that may be sent a start now. */
+	listOpen: () => ExecutorSession[];
+	/** Every executor has said what runs there. */
+	isReported: () => boolean;
+	/** A run of the task on any of them, also one that is being stopped. */
+	findRun: (task: {
+		job: string;
+		index: number;
+	}) => {run: Run; session: ExecutorSession} | undefined;
+	/** Closes the sessions that are over; to be called from time to time. */
+	closeUnlisted: (now: number) => void;
+	closeAll: () => void;
+};
+
+export function createExecutorSet(
+	ports: Omit<SessionPorts, 'unsettled'>,
+): ExecutorSet {
+	const sessions = new Map<string, ExecutorSession>();
+	/** By executor, also of those whose session is closed. */
+	const unsettledOrders = new Map<string, UnsettledOrders>();
+	let listed: ReadonlySet<string> = new Set();
+
+	function open(executor: Executor): void {
+		const {id} = executor;
+		const unsettled = unsettledOrders.get(id) ?? createUnsettledOrders();
+		unsettledOrders.set(id, unsettled);
+		const session = new ExecutorSession(executor, {...ports, unsettled});
+		sessions.set(id, session);
+		session.open();
+	}
+
+	function forgetSettled(now: number): void {
+		for (const [id, orders] of unsettledOrders) {
+			orders.forgetOld(now);
+			if (orders.isEmpty && !sessions.has(id)) {
+				unsettledOrders.delete(id);
+			}
+		}
+	}
+
+	return {
+		sessions,
+		setListed(executors) {
+			listed = new Set(executors.map(({id}) => id));
+			for (const executor of executors) {
+				const session = sessions.get(executor.id);
+				if (session) {
+					session.update(executor);
+				} else {
+					open(executor);
+				}
+			}
+
+			// The next holder would not know of them: what runs there could be started a second time.
+			for (const [id, session] of sessions) {
+				if (!listed.has(id)) {
+					session.stopAll();
+				}
+			}
+		},
+		listOpen: () =>
+			[...sessions.values()].filter(({id, isOpen}) => isOpen && listed.has(id)),
+		isReported: () =>
+			sessions.size > 0 &&
+			[...sessions.values()].every(
+				({isReported, isGone}) => isReported || isGone,
+			),
+		findRun(task) {
+			const key = formatTaskKey(task);
+			for (const session of sessions.values()) {
+				const run = session.runs.get(key);
+				if (run) {
+					return {run, session};
+				}
+			}
+
+			return undefined;
+		},
+		closeUnlisted(now) {
+			for (const [id, session] of sessions) {
+				if (!listed.has(id) && session.runs.size === 0) {
+					sessions.delete(id);
+					session.close();
+				}
+			}
+
+			forgetSettled(now);
+		},
+		closeAll() {
+			for (const session of sessions.values()) {
+				session.close();
+			}
+		},
+	};
+}
--- a/packages/scheduling/src/fake-executors.fixture.ts
+++ b/packages/scheduling/src/fake-executors.fixture.ts
@@ -40,11 +40,23 @@
 	highest: Map<string, number>;
 };
 
+/** What becomes of a call: `lost` on its way there, only its answer lost, or carried out so much later without one. */
+export type CallFate =
+	| {type: 'answered'}
+	| {type: 'lost'}
+	| {type: 'answer-lost'}
+	| {type: 'late'; ms: number};
+
+export type FakeCall = {
+	kind: 'start' | 'stop' | 'renewal';
+	executor: string;
+	token: number;
+};
+
 export type FakeExecutors = ReturnType<typeof createFakeExecutors>;
 
 /** A call that gets no answer is given up after this long. */
 const callLimitMs = 150;
-const pollMs = 5;
 
 export function createFakeExecutors(
 	clock: VirtualClock,
@@ -52,11 +64,17 @@
 		count,
 		cpu = 32_000,
 		taskMs = 100,
+		decideFate = () => ({type: 'answered'}),
+		lookMs = 5,
 	}: {
 		count: number;
 		cpu?: number;
 		/** How long tasks take, all or each. */
 		taskMs?: number | ((task: {job: string; index: number}) => number);
+		/** Beside what `cutFrom` and `lateStartMs` say. */
+		decideFate?: (call: FakeCall) => CallFate;
+		/** An executor that is asked to wait for an end looks this often. */
+		lookMs?: number;
 	},
 ) {
 	const runs: FakeRun[] = [];
@@ -167,6 +185,35 @@
 		return err({code: 'unanswered', message: 'no answer'});
 	}
 
+	/** Carries a call out as its fate says. */
+	async function carryOut<T>(
+		call: FakeCall,
+		run: () => Result<T, CallFailure> | Promise<Result<T, CallFailure>>,
+	): Promise<Result<T, CallFailure>> {
+		const fate = decideFate(call);
+		switch (fate.type) {
+			case 'answered': {
+				return run();
+			}
+
+			case 'lost': {
+				return loseAnswer();
+			}
+
+			case 'answer-lost': {
+				void run();
+				return loseAnswer();
+			}
+
+			case 'late': {
+				clock.schedule(fate.ms, () => {
+					void run();
+				});
+				return loseAnswer();
+			}
+		}
+	}
+
 	async function sendStart(executor: Executor, request: StartRequest) {
 		const fake = find(executor);
 		if (isCut(fake, request.token)) {
@@ -180,18 +227,29 @@
 			return loseAnswer();
 		}
 
-		return startRun(fake, request);
+		return carryOut(
+			{kind: 'start', executor: executor.id, token: request.token},
+			() => startRun(fake, request),
+		);
 	}
 
 	async function sendStop(
 		executor: Executor,
-		{job, index, attempt, token}: RunName & {token: number},
+		request: RunName & {token: number},
 	): Promise<Result<{clockMs: number}, CallFailure>> {
 		const fake = find(executor);
-		if (isCut(fake, token)) {
-			return loseAnswer();
-		}
+		return isCut(fake, request.token)
+			? loseAnswer()
+			: carryOut(
+					{kind: 'stop', executor: executor.id, token: request.token},
+					() => stopRun(fake, request),
+				);
+	}
 
+	function stopRun(
+		fake: FakeExecutor,
+		{job, index, attempt, token}: RunName & {token: number},
+	): Result<{clockMs: number}, CallFailure> {
 		if (token < fake.token) {
 			return refuse('fenced');
 		}
@@ -209,13 +267,21 @@
 
 	async function renew(
 		executor: Executor,
-		{token, acknowledged, leaseUntilMs, waitMs}: LeaseRequest,
+		request: LeaseRequest,
 	): Promise<Result<LeaseReply, CallFailure>> {
 		const fake = find(executor);
-		if (isCut(fake, token)) {
-			return loseAnswer();
-		}
+		return isCut(fake, request.token)
+			? loseAnswer()
+			: carryOut(
+					{kind: 'renewal', executor: executor.id, token: request.token},
+					async () => renewLease(fake, request),
+				);
+	}
 
+	async function renewLease(
+		fake: FakeExecutor,
+		{token, acknowledged, leaseUntilMs, waitMs}: LeaseRequest,
+	): Promise<Result<LeaseReply, CallFailure>> {
 		if (token < fake.token) {
 			return refuse('fenced');
 		}
@@ -228,7 +294,7 @@
 
 		const endsAt = clock.now + waitMs;
 		while (fake.ended.length === 0 && clock.now < endsAt) {
-			await clock.wait(pollMs);
+			await clock.wait(lookMs);
 		}
 
 		return isCut(fake, token)
@@ -241,6 +307,7 @@
 						attempt,
 					})),
 					ended: fake.ended,
+					hasMoreEnds: false,
 				});
 	}
 
--- a/packages/scheduling/src/group-scheduler.test.ts
+++ b/packages/scheduling/src/group-scheduler.test.ts
@@ -3,125 +3,20 @@
 */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {type Ends, type Part} from '@gentianshift/protocol';
+import {type Part} from '@gentianshift/protocol';
+import {createFakeExecutors, findOverlaps} from './fake-executors.fixture.js';
 import {
-	createFakeExecutors,
-	findOverlaps,
-	type FakeExecutors,
-} from './fake-executors.fixture.js';
-import {type Entry} from './group-job.js';
-import {GroupScheduler} from './group-scheduler.js';
-import {createRunTimes} from './run-times.js';
+	createEntry,
+	createScheduler,
+	listOutcomes,
+	makePart,
+	makeTasks,
+	openScheduler,
+	runFor,
+} from './group-scheduler.fixture.js';
+import {type GroupScheduler} from './group-scheduler.js';
 import {VirtualClock} from './virtual-clock.fixture.js';
 
-function createEntry(): Entry & {told: Ends[]} {
-	const told: Ends[] = [];
-	return {
-		key: 'mieres_m1.0',
-		told,
-		send(message) {
-			told.push(message);
-		},
-	};
-}
-
-function createScheduler(
-	clock: VirtualClock,
-	{control, executors}: FakeExecutors,
-	token: number,
-	fitsElsewhere = 0,
-	isListComplete = true,
-): GroupScheduler {
-	let leftElsewhere = fitsElsewhere;
-	const scheduler = new GroupScheduler({
-		group: 'mieres',
-		token,
-		now: () => clock.now,
-		wait: clock.wait,
-		control,
-		runTimes: createRunTimes(),
-		onFenced() {
-			scheduler.close();
-		},
-		onChange() {
-			// Nobody is told.
-		},
-		takeElsewhere(_cpu, tasks) {
-			const taken = Math.min(tasks, leftElsewhere);
-			leftElsewhere -= taken;
-			return taken;
-		},
-		isLeaving: () => false,
-		getSuccessor: () => undefined,
-		isListComplete: () => isListComplete,
-		getStoreAgeMs: () => 0,
-		log() {
-			// Not read.
-		},
-	});
-	scheduler.setExecutors(executors);
-	return scheduler;
-}
-
-/** The first holder of a group of fake executors, which have answered it, and an entry with nothing there yet. */
-async function openScheduler(
-	options: Parameters<typeof createFakeExecutors>[1],
-) {
-	const clock = new VirtualClock();
-	const executors = createFakeExecutors(clock, options);
-	const scheduler = createScheduler(clock, executors, 1);
-	await clock.run(10);
-	return {clock, executors, scheduler, entry: createEntry()};
-}
-
-function makePart(clock: VirtualClock, part: Partial<Part> = {}): Part {
-	return {
-		t: 'part',
-		job: 'job1',
-		at: clock.now,
-		queue: 'menu',
-		service: 'meals',
-		priority: 0,
-		maxAttempts: 3,
-		spec: '',
-		demand: {cpu: 14_000, memoryMb: 64, accelerators: 0},
-		estimateMs: 100,
-		dueInMs: 300,
-		admitInMs: 10_000,
-		timeLeftMs: 5000,
-		remaining: 1,
-		tasks: [[0, 1, 1]],
-		shifts: 0,
-		isMoved: false,
-		...part,
-	};
-}
-
-/** So many tasks that an entry hands over for the first time. */
-function makeTasks(count: number): Part['tasks'] {
-	return Array.from({length: count}, (_, index) => [index, 1, 1]);
-}
-
-/** Time passes with the scheduler's own clock ticks and an entry that still waits. */
-async function runFor(
-	clock: VirtualClock,
-	ms: number,
-	waiting: ReadonlyArray<readonly [GroupScheduler, Entry]>,
-): Promise<void> {
-	for (let passed = 0; passed < ms; passed += 50) {
-		for (const [scheduler, entry] of waiting) {
-			scheduler.keepEntry(entry, clock.now);
-			scheduler.update();
-		}
-
-		await clock.run(50);
-	}
-}
-
-function listOutcomes({told}: {told: Ends[]}): string[] {
-	return told.flatMap(({ends}) => ends.map(({outcome}) => outcome));
-}
-
 test('tasks are started where there is room and their ends are told', async () => {
 	const {clock, executors, scheduler, entry} = await openScheduler({count: 2});
 	scheduler.receivePart(
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -16,7 +16,8 @@
 import {type ExecutorControl} from './executor-control.js';
 import {createEndsOutbox} from './ends-outbox.js';
 import {createEntryContacts} from './entry-contacts.js';
-import {ExecutorSession} from './executor-session.js';
+import {type ExecutorSession} from './executor-session.js';
+import {createExecutorSet, type ExecutorSet} from './executor-set.js';
 import {type Executor} from './executor.js';
 import {
 	addTasks,
@@ -28,14 +29,20 @@
 	type GroupTask,
 } from './group-job.js';
 import {recordSuccess} from './executor-trust.js';
+import {computeLeaseCap} from './lease-cap.js';
 import {moveOverdue} from './overdue-runs.js';
 import {placeWaiting} from './place-waiting.js';
 import {isTooLate, measureLoad} from './measure-load.js';
 import {createPlacingRound} from './placing-round.js';
 import {countFits} from './room.js';
-import {formatTaskKey, type Run, type RunOutcome} from './run.js';
+import {type Run, type RunOutcome} from './run.js';
 import {type RunTimes} from './run-times.js';
-import {clockSlackMs, orphanLimitMs} from './timing.js';
+import {
+	clockSlackMs,
+	dropStopMs,
+	orphanLimitMs,
+	orphanStopMs,
+} from './timing.js';
 
 /** A start that an executor calls outdated is made again with a number this much higher: past what another copy of the job used. */
 const attemptStep = 16;
@@ -71,8 +78,7 @@
 const stalePartMs = 400;
 
 export class GroupScheduler {
-	readonly #sessions = new Map<string, ExecutorSession>();
-	#listed: ReadonlySet<string> = new Set();
+	readonly #executors: ExecutorSet;
 	readonly #jobs = new Map<string, GroupJob>();
 	readonly #entries = createEntryContacts();
 	readonly #outbox = createEndsOutbox();
@@ -83,28 +89,29 @@
 
 	constructor(private readonly ports: GroupPorts) {
 		this.#openedAt = ports.now();
+		this.#executors = createExecutorSet({
+			...ports,
+			getToken: () => ports.token,
+			getLeaseCap: (runs) => this.#getLeaseCap(runs),
+			onRunEnd: (run, outcome, session) => {
+				this.#endRun(run, outcome, session);
+			},
+			onChange: () => {
+				this.#place();
+				ports.onChange();
+			},
+		});
 	}
 
 	/** Every executor has answered, or has had the time to. */
 	get isReady(): boolean {
 		const age = this.ports.now() - this.#openedAt;
-		return this.#hasReports() || age > orphanLimitMs;
+		return this.#executors.isReported() || age > orphanLimitMs;
 	}
 
 	/** The group's executors as the store lists them now. */
 	setExecutors(executors: readonly Executor[]): void {
-		const listed = new Set<string>();
-		for (const executor of executors) {
-			listed.add(executor.id);
-			const session = this.#sessions.get(executor.id);
-			if (session) {
-				session.update(executor);
-			} else {
-				this.#open(executor);
-			}
-		}
-
-		this.#listed = listed;
+		this.#executors.setListed(executors);
 		this.#place();
 	}
 
@@ -143,7 +150,7 @@
 	dropJob(entry: Entry, id: string): void {
 		const job = this.#jobs.get(id);
 		if (job?.entry.key === entry.key) {
-			this.#drop(job);
+			this.#drop(job, this.ports.now() + dropStopMs);
 			this.#place();
 		}
 	}
@@ -161,34 +168,25 @@
 		this.#updatedAt = now;
 		if (!isPaused) {
 			this.#dropSilentEntries(now);
-			moveOverdue(this.#jobs.values(), this.#sessions, {
+			moveOverdue(this.#jobs.values(), this.#executors.sessions, {
 				now,
 				log: this.ports.log,
 			});
 		}
 
 		this.#outbox.forgetOld(now);
-
-		for (const [id, session] of this.#sessions) {
-			if (!this.#listed.has(id) && session.runs.size === 0) {
-				this.#sessions.delete(id);
-				session.close();
-			}
-		}
-
+		this.#executors.closeUnlisted(now);
 		this.#place();
 	}
 
 	/** Another holder takes over: nothing more is sent, what runs goes on under its lease. */
 	close(): void {
 		this.#isClosed = true;
-		for (const session of this.#sessions.values()) {
-			session.close();
-		}
+		this.#executors.closeAll();
 	}
 
 	describeState(): GroupState {
-		const open = [...this.#sessions.values()].filter(({isOpen}) => isOpen);
+		const open = this.#executors.listOpen();
 		return {
 			t: 'group-state',
 			group: this.ports.group,
@@ -205,25 +203,8 @@
 
 	/** Executors by state, for metrics. */
 	countExecutors(): {open: number; all: number} {
-		const all = [...this.#sessions.values()];
-		return {open: all.filter(({isOpen}) => isOpen).length, all: all.length};
-	}
-
-	#open(executor: Executor): void {
-		const session = new ExecutorSession(executor, {
-			...this.ports,
-			getToken: () => this.ports.token,
-			getLeaseCap: (runs) => this.#getLeaseCap(runs),
-			onRunEnd: (run, outcome, source) => {
-				this.#endRun(run, outcome, source);
-			},
-			onChange: () => {
-				this.#place();
-				this.ports.onChange();
-			},
-		});
-		this.#sessions.set(executor.id, session);
-		session.open();
+		const {sessions, listOpen} = this.#executors;
+		return {open: listOpen().length, all: sessions.size};
 	}
 
 	/** A job that the same entry handed over before, or one whose caller has come again elsewhere. */
@@ -234,7 +215,7 @@
 		}
 
 		// Its caller came again at another host: the runs of the first copy are stopped.
-		this.#drop(job);
+		this.#drop(job, this.ports.now() + dropStopMs);
 		return undefined;
 	}
 
@@ -266,7 +247,7 @@
 
 	/** Takes over the task's run, or its end, under an earlier holder of the group. */
 	#claimRun(job: GroupJob, task: GroupTask): void {
-		const claim = claimRun(this.#sessions.values(), job, task);
+		const claim = claimRun(this.#executors.sessions.values(), job, task);
 		if (claim?.type === 'ended') {
 			this.#endTask(job, task, {outcome: 'done', attempt: claim.attempt});
 		} else if (claim) {
@@ -281,25 +262,8 @@
 
 	/** A run may go on no longer than its silent entry's caller may take to come again elsewhere. */
 	#getLeaseCap(runs: Iterable<Run>): number {
-		let cap = Infinity;
-		for (const {job, isFound, state} of runs) {
-			if (isFound || state === 'stopping') {
-				continue;
-			}
-
-			const key = this.#jobs.get(job)?.entry.key ?? '';
-			cap = Math.min(cap, this.#entries.computeLimit(key));
-		}
-
-		return cap;
-	}
-
-	/** Every executor has said what runs there. */
-	#hasReports(): boolean {
-		const sessions = [...this.#sessions.values()];
-		return (
-			sessions.length > 0 &&
-			sessions.every(({isReported, isGone}) => isReported || isGone)
+		return computeLeaseCap(runs, (job) =>
+			this.#entries.computeLimit(this.#jobs.get(job)?.entry.key ?? ''),
 		);
 	}
 
@@ -313,7 +277,7 @@
 		return (
 			movedAt === undefined ||
 			now - movedAt > orphanLimitMs + clockSlackMs ||
-			(this.ports.isListComplete() && this.#hasReports())
+			(this.ports.isListComplete() && this.#executors.isReported())
 		);
 	}
 
@@ -324,17 +288,19 @@
 
 		this.#isPlacing = true;
 		const now = this.ports.now();
-		const waiting = [...this.#jobs.values()].filter(
-			(job) => !job.isDropped && hasWaiting(job) && this.#isSettled(job, now),
+		const wanted = [...this.#jobs.values()].filter(
+			(job) => !job.isDropped && hasWaiting(job),
 		);
-		const open = [...this.#sessions.values()].filter(({isOpen}) => isOpen);
+		for (const job of wanted) {
+			this.#claimReported(job);
+		}
+
+		const waiting = wanted.filter((job) => this.#isSettled(job, now));
+		const open = this.#executors.listOpen();
 		placeWaiting(
 			waiting,
 			createPlacingRound(open, now, this.ports.takeElsewhere),
 			{
-				claim: (job) => {
-					this.#claimReported(job);
-				},
 				listFree: (job) => this.#listFree(job, now),
 				start: (job, task, session) => {
 					this.#start(job, task, session);
@@ -348,7 +314,7 @@
 		this.#outbox.flush();
 	}
 
-	/** Runs that executors have reported since the job was handed over. */
+	/** Runs that executors have reported since the job was handed over, however many have yet to report. */
 	#claimReported(job: GroupJob): void {
 		if (job.movedAt === undefined) {
 			return;
@@ -361,20 +327,17 @@
 
 	/**
 	Waiting tasks of which nothing runs: only these may be started or given back. One that moved
-	here may run under the earlier holder until the executors have said otherwise.
+	here may run under the earlier holder until the executors have said otherwise; a run of an earlier
+	copy of the job may be on its way to being stopped.
 	*/
 	#listFree(job: GroupJob, now = this.ports.now()): GroupTask[] {
 		return this.#isSettled(job, now)
-			? listWaiting(job).filter((task) => !this.#hasRun(job, task))
+			? listWaiting(job).filter(
+					({index}) => !this.#executors.findRun({job: job.id, index}),
+				)
 			: [];
 	}
 
-	/** A run of an earlier copy of the job, being stopped: the task waits until it is over. */
-	#hasRun(job: GroupJob, task: GroupTask): boolean {
-		const key = formatTaskKey({job: job.id, index: task.index});
-		return [...this.#sessions.values()].some(({runs}) => runs.has(key));
-	}
-
 	#start(job: GroupJob, task: GroupTask, session: ExecutorSession): void {
 		const attempt = task.nextAttempt;
 		task.nextAttempt += 1;
@@ -504,32 +467,24 @@
 		this.#forgetIfOver(job);
 	}
 
-	#drop(job: GroupJob): void {
+	/** `stopBy`: when its runs have to be over. */
+	#drop(job: GroupJob, stopBy: number): void {
 		job.isDropped = true;
 		for (const task of job.tasks.values()) {
 			if (task.state === 'waiting') {
 				task.state = 'over';
 			} else if (task.state === 'started') {
-				this.#stopRun(job, task);
+				const found = this.#executors.findRun({job: job.id, index: task.index});
+				found?.session.stop(found.run, stopBy);
 			}
 		}
 
 		this.#forgetIfOver(job);
 	}
 
-	#stopRun(job: GroupJob, task: GroupTask): void {
-		const session = this.#sessions.get(task.executor ?? '');
-		const run = session?.runs.get(
-			formatTaskKey({job: job.id, index: task.index}),
-		);
-		if (session && run) {
-			session.stop(run);
-		}
-	}
-
 	#dropSilentEntries(now: number): void {
 		for (const key of this.#entries.takeSilent(now)) {
-			this.#dropEntry(key);
+			this.#dropEntry(key, now + orphanStopMs);
 		}
 	}
 
@@ -537,7 +492,7 @@
 	The entry is gone, or cut off, and its callers may come again elsewhere. Should it hear of it
 	after all, it is told of each task when nothing of it runs any more.
 	*/
-	#dropEntry(key: string): void {
+	#dropEntry(key: string, stopBy: number): void {
 		for (const job of this.#jobs.values()) {
 			if (job.entry.key === key && !job.isDropped) {
 				this.ports.log('entry is silent: stopping its job', {
@@ -546,7 +501,7 @@
 				});
 				this.#giveBack(job, 'elsewhere');
 				job.isOrphaned = true;
-				this.#drop(job);
+				this.#drop(job, stopBy);
 			}
 		}
 	}
--- a/packages/scheduling/src/overdue-runs.ts
+++ b/packages/scheduling/src/overdue-runs.ts
@@ -11,9 +11,7 @@
 import {listOverdue, maxMoves} from './judge-run.js';
 import {hasRoom} from './room.js';
 import {formatTaskKey} from './run.js';
-
-/** An executor carries out a stop in this time; only then can the task be started elsewhere. */
-const stopLimitMs = 50;
+import {dropStopMs, stopLimitMs} from './timing.js';
 
 type Sessions = ReadonlyMap<string, ExecutorSession>;
 
@@ -67,7 +65,7 @@
 
 	if (isMoved) {
 		task.moves += 1;
-		session.stop(run);
+		session.stop(run, now + dropStopMs);
 	}
 }
 
--- a/packages/scheduling/src/place-waiting.ts
+++ b/packages/scheduling/src/place-waiting.ts
@@ -17,8 +17,6 @@
 const maxShifts = 2;
 
 export type PlacingActions<C extends Candidate> = {
-	/** Looks whether executors have reported runs of the job; their tasks wait no longer. */
-	claim: (job: GroupJob) => void;
 	/** Waiting tasks of which nothing runs: only these may be started or given back. */
 	listFree: (job: GroupJob) => GroupTask[];
 	start: (job: GroupJob, task: GroupTask, executor: C) => void;
@@ -37,7 +35,6 @@
 ): void {
 	const ranked = jobs.toSorted((a, b) => compareJobs(a, b, round.now));
 	for (const job of ranked) {
-		actions.claim(job);
 		if (isHopeless(job, round.now)) {
 			actions.giveBack(job, 'hopeless');
 		} else if (!startTasks(job, round, actions)) {
--- /dev/null
+++ b/packages/scheduling/src/run-book.test.ts
@@ -0,0 +1,91 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {type LeaseReply} from './executor-control.js';
+import {noDemand} from './room.js';
+import {createRunBook} from './run-book.js';
+import {type Run} from './run.js';
+
+function makeRun(run: Partial<Run> = {}): Run {
+	return {
+		job: 'job1',
+		index: 0,
+		attempt: 1,
+		demand: {...noDemand, cpu: 14_000},
+		state: 'running',
+		startedAt: 0,
+		acceptedAt: 5,
+		isFound: false,
+		...run,
+	};
+}
+
+function makeReport(report: Partial<LeaseReply> = {}): LeaseReply {
+	return {clockMs: 0, running: [], ended: [], hasMoreEnds: false, ...report};
+}
+
+const context = {sentAt: 10, now: 20, foundDemand: {...noDemand, cpu: 16_000}};
+
+test('a report ends runs, brings unknown ones and leaves the room that is left', () => {
+	const book = createRunBook();
+	const run = makeRun();
+	book.enter(run);
+	const {ended, found} = book.takeReport(
+		makeReport({
+			running: [{job: 'job2', index: 3, attempt: 2}],
+			ended: [
+				{job: 'job1', index: 0, attempt: 1, sequence: 1, outcome: 'done'},
+			],
+		}),
+		context,
+	);
+	assert.deepEqual(ended, [{run, outcome: 'done'}]);
+	assert.deepEqual(
+		found.map(({job, index, attempt, isFound}) => ({
+			job,
+			index,
+			attempt,
+			isFound,
+		})),
+		[{job: 'job2', index: 3, attempt: 2, isFound: true}],
+	);
+	assert.equal(book.used.cpu, 16_000);
+	assert.equal(book.acknowledged, 1);
+});
+
+test('an end that is listed again changes nothing', () => {
+	const book = createRunBook();
+	const end = {
+		job: 'job1',
+		index: 0,
+		attempt: 1,
+		sequence: 1,
+		outcome: 'done',
+	} as const;
+	book.takeReport(makeReport({ended: [end]}), context);
+	const again = makeRun({acceptedAt: 15});
+	book.enter(again);
+	const {ended} = book.takeReport(makeReport({ended: [end]}), context);
+	assert.deepEqual(ended, []);
+	assert.ok(book.isCurrent(again));
+});
+
+// The executor was asked before it accepted the run: its answer can't have it. Taken for lost, the task would be started again.
+test('a run is not missing from a report that was asked for before it was accepted', () => {
+	const book = createRunBook();
+	book.enter(makeRun({acceptedAt: 15}));
+	assert.deepEqual(book.takeReport(makeReport(), context).ended, []);
+	const later = book.takeReport(makeReport(), {...context, sentAt: 16});
+	assert.deepEqual(
+		later.ended.map(({outcome}) => outcome),
+		['lost'],
+	);
+});
+
+// More runs have ended than fit into one reply. Those whose ends are in the next one are in neither of its lists; taken for lost,
+// tasks that are done would run a second time.
+test('a run is not missing from a report that has more ends to come', () => {
+	const book = createRunBook();
+	book.enter(makeRun());
+	const part = makeReport({hasMoreEnds: true});
+	assert.deepEqual(book.takeReport(part, context).ended, []);
+});
--- /dev/null
+++ b/packages/scheduling/src/run-orders.ts
@@ -0,0 +1,129 @@
+/**
+Starts and stops sent to one executor.
+
+What goes wrong: an order or its answer is lost, and the order may be carried out seconds later. A task placed again
+meanwhile runs twice; one would notice two runs of one task that overlap. So an order without an answer is not
+taken for undone: a stop of the same attempt is sent until it is answered, which also makes a late start worthless.
+*/
+import {type CallFailure, type ExecutorControl} from './executor-control.js';
+import {type Executor} from './executor.js';
+import {type Run} from './run.js';
+import {dropStopMs} from './timing.js';
+
+/** Pause before a call that failed is made again. */
+export const retryMs = 25;
+
+export type RunOrderPorts = {
+	now: () => number;
+	wait: (ms: number, signal: AbortSignal) => Promise<void>;
+	control: ExecutorControl;
+	getToken: () => number;
+	getExecutor: () => Executor;
+	/** The new end of the lease on the executor's clock; undefined: it can't be extended. */
+	extendLease: () => number | undefined;
+	/** The run is not over yet. */
+	isCurrent: (run: Run) => boolean;
+	/** No order is sent from then on. */
+	signal: AbortSignal;
+	onClock: (clockMs: number) => void;
+	onFailure: (failure: CallFailure, call: 'start' | 'stop') => void;
+	/** It is proved that the run never began. */
+	onUnstarted: (run: Run) => void;
+	log: (message: string, fields: Record<string, unknown>) => void;
+};
+
+export type RunOrders = {
+	start: (run: Run, spec: string) => void;
+	/** `stopBy`: when the run has to be over, on this host's clock. */
+	stop: (run: Run, stopBy: number) => void;
+};
+
+export function createRunOrders(ports: RunOrderPorts): RunOrders {
+	const {now, wait, control, getToken, getExecutor, isCurrent, signal, log} =
+		ports;
+
+	async function sendStart(run: Run, spec: string): Promise<void> {
+		const leaseUntilMs = ports.extendLease();
+		if (leaseUntilMs === undefined) {
+			ports.onUnstarted(run);
+			return;
+		}
+
+		const {job, index, attempt} = run;
+		const reply = await control.startTask(getExecutor(), {
+			job,
+			index,
+			attempt,
+			spec,
+			leaseUntilMs,
+			token: getToken(),
+		});
+		if (!isCurrent(run)) {
+			return;
+		}
+
+		if (reply.isErr()) {
+			receiveStartFailure(run, reply.error);
+			return;
+		}
+
+		ports.onClock(reply.value.clockMs);
+		run.acceptedAt = now();
+		run.state = run.state === 'starting' ? 'running' : run.state;
+	}
+
+	function receiveStartFailure(run: Run, failure: CallFailure): void {
+		log('start came to nothing', {
+			executor: getExecutor().id,
+			job: run.job,
+			task: run.index,
+			attempt: run.attempt,
+			code: failure.code,
+			reason: failure.message,
+		});
+		if (failure.code === 'unanswered') {
+			stop(run, now() + dropStopMs);
+			return;
+		}
+
+		ports.onFailure(failure, 'start');
+		if (isCurrent(run)) {
+			ports.onUnstarted(run);
+		}
+	}
+
+	function stop(run: Run, stopBy: number): void {
+		run.stopBy = Math.min(run.stopBy ?? Infinity, stopBy);
+		if (run.state !== 'stopping') {
+			run.state = 'stopping';
+			void repeatStop(run);
+		}
+	}
+
+	/** Until it is answered or the run is over otherwise. */
+	async function repeatStop(run: Run): Promise<void> {
+		const {job, index, attempt} = run;
+		while (isCurrent(run) && !signal.aborted) {
+			const reply = await control.stopTask(getExecutor(), {
+				job,
+				index,
+				attempt,
+				token: getToken(),
+			});
+			if (reply.isOk() || reply.error.code === 'outdated') {
+				run.stoppedAt = now();
+				return;
+			}
+
+			ports.onFailure(reply.error, 'stop');
+			await wait(retryMs, signal);
+		}
+	}
+
+	return {
+		start(run, spec) {
+			void sendStart(run, spec);
+		},
+		stop,
+	};
+}
--- a/packages/scheduling/src/run.ts
+++ b/packages/scheduling/src/run.ts
@@ -20,7 +20,9 @@
 	acceptedAt?: number;
 	/** When the executor answered the stop: a later list without the run proves that it is over. */
 	stoppedAt?: number;
-	/** Started by an earlier holder of the group. */
+	/** When it has to be over at the latest, once it is to be stopped: no lease goes further. */
+	stopBy?: number;
+	/** Started by an earlier holder of the group, and not claimed by an entry. */
 	isFound: boolean;
 	/** It has taken too long, and its executor's trust has been lowered for it. */
 	isOverdue?: boolean;
--- /dev/null
+++ b/packages/scheduling/src/takeover.test.ts
@@ -0,0 +1,215 @@
+/**
+What runs while a group changes hands or orders are lost, on a virtual clock: no task may run twice
+at a time, whichever answer is missing, old or in part.
+*/
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+	createFakeExecutors,
+	findOverlaps,
+	type CallFate,
+	type FakeCall,
+} from './fake-executors.fixture.js';
+import {
+	createEntry,
+	createScheduler,
+	listOutcomes,
+	makePart,
+	openScheduler,
+	runFor,
+} from './group-scheduler.fixture.js';
+import {VirtualClock} from './virtual-clock.fixture.js';
+
+/** After its last word a job's caller may have come again elsewhere: nothing of the first copy may run then. */
+const resendMs = 1300;
+
+// The new holder's first look at an executor is lost, and the executor counts as silent. Its next answer ends the
+// silence and names a run. Whoever places tasks on the word that it answers again, before the run is entered,
+// starts that task a second time; the caller's chair is reserved twice.
+test('a report is entered whole before a task that moved is placed', async () => {
+	const {clock, executors, scheduler, entry} = await openScheduler({
+		count: 2,
+		taskMs: 3000,
+	});
+	const part = makePart(clock, {estimateMs: 3000, timeLeftMs: 10_000});
+	scheduler.receivePart(entry, part, clock.now);
+	await runFor(clock, 100, [[scheduler, entry]]);
+	const fake = executors.fakes.find(
+		({executor}) => executor.id === executors.runs[0]!.executor,
+	)!;
+	fake.cutFrom = new Set([2]);
+	const second = createScheduler(clock, executors, 2);
+	second.receivePart(entry, {...part, at: clock.now, isMoved: true}, clock.now);
+	await runFor(clock, 160, [[second, entry]]);
+	fake.cutFrom = new Set();
+	await runFor(clock, 3500, [[second, entry]]);
+	assert.deepEqual(findOverlaps(executors.runs), []);
+	assert.deepEqual(listOutcomes(entry), ['done']);
+	assert.equal(executors.runs.length, 1);
+});
+
+// A part comes to a new holder of whose two executors one has reported the part's run and the other is silent. Nothing of the
+// job may be started before both have answered, but the run is the part's: stopped as one that nobody wants, it would begin anew.
+test('a run is claimed although other executors have yet to report', async () => {
+	const {clock, executors, scheduler, entry} = await openScheduler({
+		count: 2,
+		taskMs: 700,
+	});
+	const part = makePart(clock, {estimateMs: 700, timeLeftMs: 10_000});
+	scheduler.receivePart(entry, part, clock.now);
+	await runFor(clock, 100, [[scheduler, entry]]);
+	const other = executors.fakes.find(
+		({executor}) => executor.id !== executors.runs[0]!.executor,
+	)!;
+	other.cutFrom = 'all';
+	const second = createScheduler(clock, executors, 2);
+	const moved = {...part, at: clock.now, isMoved: true};
+	second.receivePart(entry, moved, clock.now);
+	await runFor(clock, 900, [[second, entry]]);
+	assert.deepEqual(listOutcomes(entry), ['done']);
+	assert.equal(executors.runs.length, 1);
+});
+
+// A host dies that was a job's entry and scheduled its tasks. The host that takes the group over finds the runs, and nobody
+// will ever claim them; the caller sends the job again elsewhere, where nothing is known of them.
+test('runs that no entry claims are over before their caller comes again', async () => {
+	const {clock, executors, scheduler, entry} = await openScheduler({
+		count: 1,
+		taskMs: 5000,
+	});
+	scheduler.receivePart(entry, makePart(clock, {timeLeftMs: 9000}), clock.now);
+	await runFor(clock, 300, [[scheduler, entry]]);
+	const diedAt = clock.now - 50;
+	for (let i = 0; i < 16; i += 1) {
+		scheduler.update();
+		await clock.run(50);
+	}
+
+	scheduler.close();
+	const second = createScheduler(clock, executors, 2);
+	for (let i = 0; i < 20; i += 1) {
+		second.update();
+		await clock.run(50);
+	}
+
+	const [run] = executors.runs;
+	const ranMs = run!.endedAt! - diedAt;
+	assert.ok(ranMs < resendMs, `it ran for ${ranMs} ms more`);
+});
+
+// The entry of a job dies, and the stops of its runs are lost again and again while the executor's renewals are answered. Other
+// runs there have their lease renewed; renewed for all, it would keep the dead entry's run going beside the job's second copy.
+test('a run whose stop is lost goes on no longer than its caller stays away', async () => {
+	let isLossy = false;
+	const {clock, executors, scheduler, entry} = await openScheduler({
+		count: 1,
+		taskMs: 5000,
+		decideFate: ({kind}: FakeCall): CallFate => ({
+			type: isLossy && kind === 'stop' ? 'lost' : 'answered',
+		}),
+	});
+	const dying = {...createEntry(), key: 'mieres_m2.0'};
+	const other = makePart(clock, {job: 'other', timeLeftMs: 9000});
+	scheduler.receivePart(dying, makePart(clock, {timeLeftMs: 9000}), clock.now);
+	scheduler.receivePart(entry, other, clock.now);
+	await runFor(clock, 300, [
+		[scheduler, entry],
+		[scheduler, dying],
+	]);
+	const diedAt = clock.now - 50;
+	isLossy = true;
+	await runFor(clock, 3000, [[scheduler, entry]]);
+	const run = executors.runs.find(({job}) => job === 'job1')!;
+	const ranMs = (run.endedAt ?? Infinity) - diedAt;
+	assert.ok(ranMs < resendMs, `it ran for ${ranMs} ms more`);
+});
+
+// A start has no answer, the executor goes silent and its lease passes, so the task is placed elsewhere. The executor's entry in the
+// store lapses and comes back; followed anew as if nothing were known of it, it would carry the old start out under a fresh lease.
+test('an unanswered start is settled also when its executor was dropped meanwhile', async () => {
+	let lateMs = 0;
+	const {clock, executors, scheduler, entry} = await openScheduler({
+		count: 2,
+		taskMs: 6000,
+		decideFate: ({kind}: FakeCall): CallFate =>
+			lateMs > 0 && kind === 'start'
+				? {type: 'late', ms: lateMs}
+				: {type: 'answered'},
+	});
+	lateMs = 4000;
+	const part = makePart(clock, {estimateMs: 6000, timeLeftMs: 20_000});
+	scheduler.receivePart(entry, part, clock.now);
+	await clock.run(10);
+	lateMs = 0;
+	const [silent, other] = executors.fakes;
+	silent!.cutFrom = 'all';
+	scheduler.setExecutors([other!.executor]);
+	await runFor(clock, 2500, [[scheduler, entry]]);
+	silent!.cutFrom = new Set();
+	scheduler.setExecutors(executors.executors);
+	const filler = makePart(clock, {
+		job: 'filler',
+		timeLeftMs: 20_000,
+		tasks: [
+			[0, 1, 1],
+			[1, 1, 1],
+		],
+	});
+	await runFor(clock, 200, [[scheduler, entry]]);
+	scheduler.receivePart(entry, filler, clock.now);
+	await runFor(clock, 6000, [[scheduler, entry]]);
+	assert.deepEqual(findOverlaps(executors.runs), []);
+});
+
+// An executor's entry has been missing from the store for so long that it counts as gone, although it still answers its
+// holder. The next holder will not know of it: what runs there then would be started once more.
+test('nothing is started or left running on an executor that is no longer listed', async () => {
+	const {clock, executors, scheduler, entry} = await openScheduler({
+		count: 2,
+		taskMs: 2000,
+	});
+	const part = makePart(clock, {estimateMs: 2000, timeLeftMs: 10_000});
+	scheduler.receivePart(entry, part, clock.now);
+	await runFor(clock, 100, [[scheduler, entry]]);
+	const [run] = executors.runs;
+	scheduler.setExecutors(
+		executors.executors.filter(({id}) => id !== run!.executor),
+	);
+	await runFor(clock, 200, [[scheduler, entry]]);
+	assert.equal(run!.outcome, 'ended');
+	const more = makePart(clock, {
+		job: 'job2',
+		tasks: [
+			[0, 1, 1],
+			[1, 1, 1],
+			[2, 1, 1],
+		],
+	});
+	scheduler.receivePart(entry, more, clock.now);
+	await runFor(clock, 100, [[scheduler, entry]]);
+	const later = executors.runs.filter((one) => one !== run);
+	assert.ok(later.every(({executor}) => executor !== run!.executor));
+	assert.deepEqual(findOverlaps(executors.runs), []);
+});
+
+// A new holder finds a run, and the next thing it hears of the executor is nothing. The run goes on under the lease that the earlier
+// holder renewed a moment before; counted as over at once, its task would be started elsewhere beside it.
+test('a run that was found outlives the silence of its executor by a lease', async () => {
+	const {clock, executors, scheduler, entry} = await openScheduler({
+		count: 2,
+		taskMs: 3000,
+	});
+	const part = makePart(clock, {estimateMs: 3000, timeLeftMs: 10_000});
+	scheduler.receivePart(entry, part, clock.now);
+	await runFor(clock, 200, [[scheduler, entry]]);
+	const fake = executors.fakes.find(
+		({executor}) => executor.id === executors.runs[0]!.executor,
+	)!;
+	const second = createScheduler(clock, executors, 2);
+	second.receivePart(entry, {...part, at: clock.now, isMoved: true}, clock.now);
+	await clock.run(0);
+	fake.cutFrom = 'all';
+	await runFor(clock, 4500, [[second, entry]]);
+	assert.deepEqual(findOverlaps(executors.runs), []);
+	assert.deepEqual(listOutcomes(entry), ['done']);
+});
--- a/packages/scheduling/src/timing.ts
+++ b/packages/scheduling/src/timing.ts
@@ -23,13 +23,28 @@
 export const entrySilenceMs = 850;
 /** Time for stops to be carried out before the capped lease ends. */
 export const stopMarginMs = 150;
+/** An executor carries out a stop in this time. */
+export const stopLimitMs = 50;
 /** Bound on what a silent entry's tasks may still run, counted from its last message. */
 export const orphanLimitMs = entrySilenceMs + stopMarginMs;
+/**
+Runs of a silent entry whose stop has no answer go on no longer than this after they were to be stopped: with the
+silence, and the pause between two looks at it, they are gone before their callers come again.
+*/
+export const orphanStopMs = 300;
+/** Likewise runs that are stopped for another reason: the caller of a job that was given up comes again after 1,300 ms. */
+export const dropStopMs = 1000;
+/**
+A run of an earlier holder that no entry has claimed by then is stopped. Its entry may have died with that holder: the
+lease that it was found under ends `orphanLimitMs` after the entry's last word at the latest, so that this much more,
+and a stop, stay below the time after which the caller comes again. An entry that lives tells its parts within one exchange.
+*/
+export const claimLimitMs = 200;
 /** Two clocks that differ by 2% over the longest span counted here, and a timer's lateness. */
 export const clockSlackMs = 60;
 /** A start or stop that has no answer after this long counts as unanswered: 20 round trips between data centres, and a busy host's pause. */
 export const orderTimeoutMs = 150;
-/** A holder tells its state this often, and at once when it changes hands. Chosen, not measured: four words fit into the silence after which a holder is replaced. */
+/** A holder tells its state this often, and at once when it changes hands. Four words fit into the silence after which a holder is replaced. */
 export const stateEveryMs = 150;
 /** A holder that told nothing for this long offers no room while others have some: two of its words are missing. */
 export const stateDoubtMs = 375;
