Drive the real hosts through drawn plans of faults on a virtual clock, and drop given-up jobs again on a new connection

`holder-contacts.ts` names jobs dropped lately again on each new connection. By reading: a host that takes a group without the store believed in a list that may be seconds old (`isFresh`), and a cheap read that was answered late replaced a fresh one.

--- a/packages/bench/src/slopes-schedulers.ts
+++ b/packages/bench/src/slopes-schedulers.ts
@@ -141,6 +141,7 @@
 			onChange: doNothing,
 			takeElsewhere: () => 0,
 			isListComplete: () => true,
+			isListFresh: () => true,
 			isLeaving: () => false,
 			getSuccessor: () => undefined,
 			getStoreAgeMs: () => 0,
--- a/packages/host/src/scheduling/executor-lists.test.ts
+++ b/packages/host/src/scheduling/executor-lists.test.ts
@@ -3,8 +3,10 @@
 */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {errAsync, okAsync} from 'neverthrow';
+import {setImmediate as nextTurn} from 'node:timers/promises';
+import {errAsync, okAsync, ResultAsync} from 'neverthrow';
 import {type Executor} from '@gentianshift/scheduling';
+import {waitFor} from '../timers.js';
 import {createExecutorLists} from './executor-lists.js';
 
 function makeExecutor(id: string): Executor {
@@ -36,6 +38,7 @@
 			// Read by the test itself.
 		},
 		now,
+		wait: waitFor,
 		random: () => 0,
 		log() {
 			// Not read.
@@ -104,3 +107,76 @@
 	assert.equal(isComplete(), true);
 	end();
 });
+
+// A host takes a group over while the cheap read that it began before is still under way. That one's answer is seconds old and comes last; it
+// lacks an executor that has come since and runs tasks.
+test('an older read that is answered later changes nothing', async () => {
+	const answers: Array<(list: Executor[]) => void> = [];
+	const ending = new AbortController();
+	const lists = createExecutorLists({
+		source: {
+			list: () =>
+				ResultAsync.fromSafePromise(
+					new Promise<Executor[]>((resolve) => {
+						answers.push(resolve);
+					}),
+				),
+		},
+		isHolder: () => false,
+		onList() {
+			// Read by the test itself.
+		},
+		now: () => 0,
+		wait: waitFor,
+		random: () => 0,
+		log() {
+			// Not read.
+		},
+	});
+	lists.start(ending.signal);
+	const reading = lists.readNow();
+	answers[1]!([makeExecutor('e1'), makeExecutor('e2')]);
+	await reading;
+	assert.ok(lists.isFresh());
+	answers[0]!([makeExecutor('e1')]);
+	await nextTurn();
+	assert.deepEqual(
+		lists.list().map(({id}) => id),
+		['e1', 'e2'],
+	);
+	assert.ok(lists.isFresh());
+	ending.abort();
+});
+
+// A host that does not hold a group reads cheaply, and what it gets may be seconds old. Taking the group over without the store it knows of no
+// executor that has come since, and must not take their silence for a word.
+test('a list that may be old does not count as fresh', async () => {
+	const ending = new AbortController();
+	const seen: Array<boolean | undefined> = [];
+	const lists = createExecutorLists({
+		source: {
+			list(options) {
+				seen.push(options?.mayBeStale);
+				return okAsync([makeExecutor('e1')]);
+			},
+		},
+		isHolder: () => false,
+		onList() {
+			// Read by the test itself.
+		},
+		now: () => 0,
+		wait: waitFor,
+		random: () => 0,
+		log() {
+			// Not read.
+		},
+	});
+	lists.start(ending.signal);
+	await nextTurn();
+	assert.deepEqual(seen, [true]);
+	assert.equal(lists.isFresh(), false);
+	await lists.readNow();
+	assert.deepEqual(seen, [true, false]);
+	assert.ok(lists.isFresh());
+	ending.abort();
+});
--- a/packages/host/src/scheduling/executor-lists.ts
+++ b/packages/host/src/scheduling/executor-lists.ts
@@ -11,13 +11,14 @@
 A watch is no help here: every heartbeat of every executor would wake it.
 */
 import {type Executor} from '@gentianshift/scheduling';
-import {waitFor} from '../timers.js';
 import {type ExecutorSource} from './surroundings.js';
 
 /** A holder's pause: a third of the two seconds within which a draining executor must be known. */
 const holderEveryMs = 600;
 /** What others have may be this old when they take over, and is then read at once. */
 const standbyEveryMs = 3000;
+/** A host that is taking a group over reads like its holder for this long: the store's part of a takeover. */
+const takeoverMs = 2000;
 /** Pause after a read that failed. */
 const retryMs = 250;
 
@@ -31,6 +32,10 @@
 	is missing but those that are gone.
 	*/
 	isComplete: () => boolean;
+	/**
+	The last list was read as it is now. One that may be old can lack an executor that has come since and runs tasks.
+	*/
+	isFresh: () => boolean;
 	start: (signal: AbortSignal) => void;
 	/** Reads now, and not what may be old: this host takes a group over. Resolves also when it can't. */
 	readNow: () => Promise<void>;
@@ -41,6 +46,7 @@
 	isHolder,
 	onList,
 	now,
+	wait,
 	random,
 	log,
 }: {
@@ -48,6 +54,7 @@
 	isHolder: () => boolean;
 	onList: (executors: readonly Executor[]) => void;
 	now: () => number;
+	wait: (ms: number, signal: AbortSignal) => Promise<void>;
 	random: () => number;
 	log: (message: string, fields: Record<string, unknown>) => void;
 }): ExecutorLists {
@@ -57,11 +64,26 @@
 	const missingSince = new Map<string, number>();
 	/** Since when no read has failed; undefined: the last one did, or there was none yet. */
 	let readSince: number | undefined;
+	let isFresh = false;
+	/** Until then this host reads like a holder. */
+	let takesOverUntil = -Infinity;
+	/** Reads are numbered: the answer of an older one that comes later is not taken. */
+	let begun = 0;
+	let taken = 0;
 
-	async function read(mayBeStale = !isHolder()): Promise<boolean> {
+	async function read(): Promise<boolean> {
+		const mayBeStale = !isHolder() && now() >= takesOverUntil;
+		begun += 1;
+		const number = begun;
 		const found = await source.list({mayBeStale});
+		if (number < taken) {
+			return true;
+		}
+
+		taken = number;
 		if (found.isErr()) {
 			readSince = undefined;
+			isFresh = false;
 			log('executors can not be listed', {
 				code: found.error.code,
 				reason: found.error.message,
@@ -70,6 +92,7 @@
 		}
 
 		readSince ??= now();
+		isFresh = !mayBeStale;
 		executors = keepMissing(found.value);
 		onList(executors);
 		return true;
@@ -106,7 +129,7 @@
 			const everyMs = isHolder() ? holderEveryMs : standbyEveryMs;
 			const pauseMs = (isRead ? everyMs : retryMs) * (0.75 + random() / 2);
 			wake = new AbortController();
-			await waitFor(pauseMs, AbortSignal.any([signal, wake.signal]));
+			await wait(pauseMs, AbortSignal.any([signal, wake.signal]));
 		}
 	}
 
@@ -114,11 +137,13 @@
 		list: () => executors,
 		isComplete: () =>
 			readSince !== undefined && now() - readSince >= missingLimitMs,
+		isFresh: () => isFresh,
 		start(signal) {
 			void repeatReads(signal);
 		},
 		async readNow() {
-			await read(false);
+			takesOverUntil = now() + takeoverMs;
+			await read();
 			// The pause of a host that did not hold the group is too long for one that does.
 			wake.abort();
 		},
--- /dev/null
+++ b/packages/host/src/scheduling/faulty/fault-plan.fixture.ts
@@ -0,0 +1,130 @@
+/**
+What happens in one play of a small system: which jobs come, and what goes wrong when. Drawn by fast-check, which makes
+a plan that breaks a promise smaller until nothing can be left out.
+*/
+import fc from 'fast-check';
+
+/** Two data centres of two hosts each, with two executors and one. */
+export const hostCount = 4;
+export const executorCount = 3;
+export const executorsOfFirst = 2;
+
+export type PlannedJob = {
+	at: number;
+	host: number;
+	tasks: number;
+	runMs: number;
+};
+
+/** Acts from `at` for `forMs`, milliseconds from the begin of the play. */
+export type PlannedFault = {at: number; forMs: number} & (
+	| {kind: 'kill' | 'freeze' | 'plan-stop' | 'reset-callers'; host: number}
+	/** Whoever holds the first group then is to be stopped: another host takes it at once. */
+	| {kind: 'hand-over'}
+	/** Connections between two hosts break, and none is made. */
+	| {kind: 'cut'; host: number; peer: number}
+	/** Messages one way arrive only afterwards; the connection stays open. */
+	| {kind: 'hold-up'; host: number; peer: number}
+	/** The store turns a host away, or loses the answers of what it does for it. */
+	| {kind: 'store'; host: number; how: 'refuses' | 'loses-answers'}
+	/** The store has no entry of the executor. */
+	| {kind: 'unlist'; executor: number}
+	/** The executor can't be reached. */
+	| {kind: 'silence'; executor: number}
+	/** Each `every`-th order to the executor fares badly. */
+	| {
+			kind: 'orders';
+			executor: number;
+			how: 'lost' | 'answer-lost' | 'late';
+			every: number;
+			lateMs: number;
+	  }
+);
+
+export type FaultPlan = {jobs: PlannedJob[]; faults: PlannedFault[]};
+
+/** Jobs come and faults begin within this span. */
+const spanMs = 2400;
+/** Faults begin near one another: what breaks a promise is mostly two of them that meet. */
+const beatMs = 800;
+const spreadMs = 250;
+const host = fc.nat(hostCount - 1);
+const executor = fc.nat(executorCount - 1);
+const at = fc
+	.tuple(fc.nat(spanMs / beatMs), fc.nat(spreadMs))
+	.map(([beat, offset]) => beat * beatMs + offset);
+const span = {
+	at,
+	forMs: fc.oneof(
+		fc.integer({min: 50, max: 400}),
+		fc.integer({min: 400, max: 2500}),
+	),
+};
+
+const job = fc.record({
+	at: fc.nat(spanMs),
+	host,
+	tasks: fc.integer({min: 1, max: 3}),
+	runMs: fc.constantFrom(60, 600, 1500, 2500),
+});
+
+const hostFault = fc.record({
+	...span,
+	kind: fc.constantFrom(
+		'kill' as const,
+		'freeze' as const,
+		'plan-stop' as const,
+		'reset-callers' as const,
+	),
+	host,
+});
+
+const handOver = fc.record({...span, kind: fc.constant('hand-over' as const)});
+
+const linkFault = fc.record({
+	...span,
+	kind: fc.constantFrom('cut' as const, 'hold-up' as const),
+	host,
+	peer: host,
+});
+
+const storeFault = fc.record({
+	...span,
+	kind: fc.constant('store' as const),
+	host,
+	how: fc.constantFrom('refuses' as const, 'loses-answers' as const),
+});
+
+const executorFault = fc.record({
+	...span,
+	kind: fc.constantFrom('unlist' as const, 'silence' as const),
+	executor,
+});
+
+const orderFault = fc.record({
+	...span,
+	kind: fc.constant('orders' as const),
+	executor,
+	how: fc.constantFrom(
+		'lost' as const,
+		'answer-lost' as const,
+		'late' as const,
+	),
+	every: fc.integer({min: 1, max: 3}),
+	lateMs: fc.integer({min: 200, max: 4000}),
+});
+
+/** A group that changes hands while orders are lost is where most goes wrong. */
+const fault: fc.Arbitrary<PlannedFault> = fc.oneof(
+	{weight: 3, arbitrary: handOver},
+	{weight: 3, arbitrary: orderFault},
+	{weight: 2, arbitrary: executorFault},
+	{weight: 2, arbitrary: hostFault},
+	{weight: 1, arbitrary: linkFault},
+	{weight: 1, arbitrary: storeFault},
+);
+
+export const faultPlans: fc.Arbitrary<FaultPlan> = fc.record({
+	jobs: fc.array(job, {minLength: 1, maxLength: 6}),
+	faults: fc.array(fault, {maxLength: 6}),
+});
--- /dev/null
+++ b/packages/host/src/scheduling/faulty/faulty-store.fixture.ts
@@ -0,0 +1,137 @@
+/**
+The platform's store on a virtual clock: the keys of groups, and the executors' entries as it lists them to each host.
+*/
+import {err, errAsync, ok, ResultAsync} from 'neverthrow';
+import {
+	type CoordinationStore,
+	type Executor,
+	type StoreFailure,
+	type StoreItem,
+} from '@gentianshift/scheduling';
+import {type VirtualClock} from '@gentianshift/scheduling/fixtures';
+import {type ExecutorSource} from '../surroundings.js';
+
+const answerMs = 4;
+/** A call without an answer is given up after this long. */
+const callLimitMs = 600;
+/** How old a read may be that may be stale. */
+const staleMs = 2000;
+const firstRevision = 100;
+
+export type StoreMood = 'well' | 'refuses' | 'loses-answers';
+
+export class FaultyStore {
+	readonly #items = new Map<string, StoreItem>();
+	#revision = firstRevision;
+	/** Executors without an entry now, and for how many reasons. */
+	readonly #unlisted = new Map<string, number>();
+	/** Lists of before: since when each held. */
+	readonly #lists: Array<{since: number; ids: Set<string>}> = [];
+
+	constructor(
+		private readonly clock: VirtualClock,
+		private readonly executors: readonly Executor[],
+	) {
+		this.#noteList();
+	}
+
+	setListed(id: string, isListed: boolean): void {
+		const reasons = this.#unlisted.get(id) ?? 0;
+		this.#unlisted.set(id, reasons + (isListed ? -1 : 1));
+		this.#noteList();
+	}
+
+	/** The store as one host sees it. */
+	createView(getMood: () => StoreMood): {
+		store: CoordinationStore;
+		executors: ExecutorSource;
+	} {
+		let answeredAt: number | undefined;
+		const call = <T>(
+			work: () => ResultAsync<T, StoreFailure>,
+		): ResultAsync<T, StoreFailure> =>
+			new ResultAsync(
+				(async () => {
+					await this.clock.wait(answerMs);
+					const mood = getMood();
+					if (mood === 'refuses') {
+						return err(fail('unavailable'));
+					}
+
+					const result = await work();
+					if (mood === 'loses-answers') {
+						await this.clock.wait(callLimitMs);
+						return err(fail('unknown-outcome'));
+					}
+
+					answeredAt = this.clock.now;
+					return result;
+				})(),
+			);
+		const unused = () => errAsync(fail('rejected'));
+		return {
+			store: {
+				readKey: (key) =>
+					call(
+						() => new ResultAsync(Promise.resolve(ok(this.#items.get(key)))),
+					),
+				commit: (change) => call(() => this.#commit(change)),
+				readPrefix: unused,
+				watchPrefix: unused,
+				createLease: unused,
+				renewLease: unused,
+				endLease: unused,
+				getAnsweredAt: () => answeredAt,
+				async close() {
+					// Nothing is open.
+				},
+			},
+			executors: {
+				list: ({mayBeStale = false} = {}) =>
+					call(
+						() => new ResultAsync(Promise.resolve(ok(this.#list(mayBeStale)))),
+					),
+			},
+		};
+	}
+
+	#commit({
+		expected = [],
+		write = [],
+	}: Parameters<CoordinationStore['commit']>[0]): ResultAsync<
+		{revision: number},
+		StoreFailure
+	> {
+		const holds = expected.every(
+			({key, revision}) => (this.#items.get(key)?.revision ?? 0) === revision,
+		);
+		if (!holds) {
+			return errAsync(fail('conflict'));
+		}
+
+		this.#revision += 1;
+		for (const {key, value} of write) {
+			this.#items.set(key, {key, value, revision: this.#revision});
+		}
+
+		return new ResultAsync(Promise.resolve(ok({revision: this.#revision})));
+	}
+
+	#noteList(): void {
+		const ids = this.executors
+			.map(({id}) => id)
+			.filter((id) => (this.#unlisted.get(id) ?? 0) === 0);
+		this.#lists.push({since: this.clock.now, ids: new Set(ids)});
+	}
+
+	#list(mayBeStale: boolean): Executor[] {
+		const at = this.clock.now - (mayBeStale ? staleMs : 0);
+		const list =
+			this.#lists.findLast(({since}) => since <= at) ?? this.#lists[0]!;
+		return this.executors.filter(({id}) => list.ids.has(id));
+	}
+}
+
+function fail(code: StoreFailure['code']): StoreFailure {
+	return {code, message: code};
+}
--- a/packages/host/src/scheduling/group-holding.test.ts
+++ b/packages/host/src/scheduling/group-holding.test.ts
@@ -89,6 +89,7 @@
 			},
 			takeElsewhere: () => 0,
 			isListComplete: () => true,
+			isListFresh: () => true,
 			isLeaving: () => false,
 			getSuccessor: () => undefined,
 			getStoreAgeMs: () => 0,
--- a/packages/host/src/scheduling/scheduling-handlers.ts
+++ b/packages/host/src/scheduling/scheduling-handlers.ts
@@ -12,19 +12,22 @@
 	createClockOffset,
 	type ClockOffset,
 	type Entry,
-	type EntryJobs,
-	type GroupDirectory,
 } from '@gentianshift/scheduling';
 import {type Directory} from '../directory.js';
-import {type GroupHolding} from './group-holding.js';
+import {type HostRoles} from './host-roles.js';
 import {type QueueTables} from './queue-tables.js';
 
 export type SchedulingParts = {
-	directory: Directory;
-	entry: EntryJobs;
-	groups: GroupDirectory;
-	holding: GroupHolding;
-	tables: QueueTables;
+	directory: Pick<
+		Directory,
+		| 'markLinkUp'
+		| 'markLinkDown'
+		| 'markSession'
+		| 'markLeaving'
+		| 'receiveHosts'
+	>;
+	roles: Pick<HostRoles, 'entry' | 'groups' | 'holding'>;
+	tables: Pick<QueueTables, 'tell' | 'receive'>;
 	/** Where a peer is dialled. */
 	findAddress: (key: string) => string;
 	now: () => number;
@@ -33,9 +36,7 @@
 
 export function createSchedulingHandlers({
 	directory,
-	entry,
-	groups,
-	holding,
+	roles: {entry, groups, holding},
 	tables,
 	findAddress,
 	now,
--- a/packages/host/src/scheduling/start-scheduling-host.ts
+++ b/packages/host/src/scheduling/start-scheduling-host.ts
@@ -1,26 +1,15 @@
 /**
-One host that schedules tasks on executors under leases: the entry of its callers' jobs, and the
-scheduler of its data centre's group while it holds it. Wires the packages together.
+One host that schedules tasks on executors under leases: its roles, its connections to other hosts,
+and what it knows of hosts, executors and queues. Wires the packages together.
 */
 import {performance} from 'node:perf_hooks';
 import {loadHash, type Hash64} from '@gentianshift/membership';
+import {Mesh} from '@gentianshift/protocol';
 import {
-	formatHostKey,
-	Mesh,
-	type GroupState,
-	type Message,
-} from '@gentianshift/protocol';
-import {
-	createGroupDirectory,
-	createRunTimes,
-	createSuccession,
-	EntryJobs,
-	type Entry,
 	type EntryJob,
 	type JobAnswer,
 	type JobRequest,
 	type QueueTable,
-	stateEveryMs,
 } from '@gentianshift/scheduling';
 import {type Metrics} from '@gentianshift/telemetry';
 import {Directory} from '../directory.js';
@@ -28,8 +17,8 @@
 import {createMeter} from '../meter.js';
 import {waitFor} from '../timers.js';
 import {createExecutorLists, type ExecutorLists} from './executor-lists.js';
-import {GroupHolding} from './group-holding.js';
 import {createHostPresence, type HostPresence} from './host-presence.js';
+import {HostRoles} from './host-roles.js';
 import {createQueueTables, type QueueTables} from './queue-tables.js';
 import {createSchedulingHandlers} from './scheduling-handlers.js';
 import {recordAnswer, setGauges, wrapControl} from './scheduling-metrics.js';
@@ -101,26 +90,14 @@
 class Host implements SchedulingHost {
 	readonly #options: SchedulingHostOptions;
 	readonly #identity;
-	readonly #groups = createGroupDirectory();
-	readonly #runTimes = createRunTimes();
 	readonly #presence: HostPresence;
 	readonly #directory: Directory;
 	readonly #tables: QueueTables;
 	readonly #executors: ExecutorLists;
-	readonly #holding: GroupHolding;
-	readonly #succession = createSuccession();
-	/** A stronger host that is asked to take the group over. */
-	#successor: string | undefined;
-	readonly #entry: EntryJobs;
-	/** The entry on the scheduler's own host. */
-	readonly #localEntry: Entry;
+	readonly #roles: HostRoles;
 	readonly #mesh: Mesh;
 	readonly #ended = new AbortController();
 	#timer: NodeJS.Timeout | undefined;
-	#toldAt = 0;
-	/** The group was last told as one whose executors have all answered. */
-	#isToldReady = false;
-	#isStopping = false;
 
 	constructor(options: SchedulingHostOptions, hash: Hash64) {
 		this.#options = options;
@@ -149,31 +126,23 @@
 		this.#tables = createQueueTables({
 			source: surroundings.queueTables,
 			tellPeers: (message) => {
-				this.#tellPeers(message);
+				this.#roles.tellPeers(message);
 			},
 			random,
 			log,
 		});
 		this.#executors = createExecutorLists({
 			source: surroundings.executors,
-			isHolder: () => this.#holding.scheduler !== undefined,
+			isHolder: () => this.#roles.holding.scheduler !== undefined,
 			onList: (list) => {
-				this.#holding.setExecutors(list);
+				this.#roles.holding.setExecutors(list);
 			},
 			now: readNow,
+			wait: waitFor,
 			random,
 			log,
 		});
-		this.#holding = this.#createHolding();
-		this.#entry = this.#createEntry();
-		this.#localEntry = {
-			key: this.#identity.ownerId,
-			send: (message) => {
-				setImmediate(() => {
-					this.#entry.receiveEnds(this.#identity.key, message);
-				});
-			},
-		};
+		this.#roles = this.#createRoles();
 		this.#mesh = this.#createMesh();
 	}
 
@@ -185,19 +154,18 @@
 		this.#tables.start(signal);
 		this.#executors.start(signal);
 		this.#timer = setInterval(() => {
-			this.#update();
+			this.#roles.update();
 		}, updateEveryMs);
 	}
 
 	submit(request: JobRequest, onAnswer: (answer: JobAnswer) => void): void {
-		this.#refreshOwnState();
-		this.#entry.submit(request, onAnswer);
+		this.#roles.submit(request, onAnswer);
 	}
 
 	cancel(id: string): boolean {
-		const isHere = this.#entry.cancel(id);
+		const isHere = this.#roles.entry.cancel(id);
 		if (!isHere) {
-			this.#tellPeers({t: 'cancel-job', job: id});
+			this.#roles.tellPeers({t: 'cancel-job', job: id});
 		}
 
 		return isHere;
@@ -212,20 +180,21 @@
 	}
 
 	countPending(queue: string): number {
-		return this.#entry.countPending(queue);
+		return this.#roles.entry.countPending(queue);
 	}
 
 	countJobs(): number {
-		return this.#entry.size;
+		return this.#roles.entry.size;
 	}
 
 	isReady(): boolean {
-		const isServed = this.#groups.listRooms(performance.now()).length > 0;
-		return !this.#isStopping && this.getTable() !== undefined && isServed;
+		const {groups, isStopping} = this.#roles;
+		const isServed = groups.listRooms(readNow()).length > 0;
+		return !isStopping && this.getTable() !== undefined && isServed;
 	}
 
 	async exportMetrics(): Promise<string> {
-		const {scheduler} = this.#holding;
+		const {scheduler} = this.#roles.holding;
 		const state = scheduler?.describeState();
 		const {open, all} = scheduler?.countExecutors() ?? {open: 0, all: 0};
 		setGauges(this.#options.metrics, {
@@ -238,24 +207,24 @@
 					0,
 				) / thousandthsPerCore,
 			storeAgeMs: measureStoreAge(this.#options.surroundings.store, readNow()),
-			jobs: this.#entry.size,
+			jobs: this.#roles.entry.size,
 		});
 		return this.#options.metrics.render();
 	}
 
 	async startStopping(): Promise<void> {
-		this.#isStopping = true;
+		this.#roles.isStopping = true;
 		this.#directory.startStopping();
-		this.#tellState();
-		const limitAt = performance.now() + successorLimitMs;
-		while (this.#holding.scheduler && performance.now() < limitAt) {
+		this.#roles.tellState();
+		const limitAt = readNow() + successorLimitMs;
+		while (this.#roles.holding.scheduler && readNow() < limitAt) {
 			await waitFor(successorCheckMs);
 		}
 	}
 
 	async stop(): Promise<void> {
-		this.#holding.stop();
-		this.#tellState();
+		this.#roles.holding.stop();
+		this.#roles.tellState();
 		clearInterval(this.#timer);
 		this.#ended.abort();
 		await this.#presence.end();
@@ -263,103 +232,35 @@
 		await this.#options.surroundings.store.close();
 	}
 
-	#createHolding(): GroupHolding {
-		const {surroundings, log, host} = this.#options;
-		const {key} = this.#identity;
-		return new GroupHolding({
-			group: host.dataCentre,
-			self: key,
-			selfId: this.#identity.ownerId,
-			isOver: (processId) => this.#isOver(processId),
+	#createRoles(): HostRoles {
+		const {surroundings, log, host, metrics} = this.#options;
+		const {key, ownerId} = this.#identity;
+		const {view} = this.#directory;
+		return new HostRoles({
+			dataCentre: host.dataCentre,
+			key,
+			ownerId,
 			store: surroundings.store,
-			groups: this.#groups,
-			now: readNow,
-			listOrder: () => this.#listOrder(),
-			hasPeers: () => this.#mesh.listLinks().length > 0,
-			getLeaseId: () => this.#presence.getLeaseId(),
-			listExecutors: () => this.#executors.list(),
-			readExecutors: async () => this.#executors.readNow(),
-			ports: {
-				wait: waitFor,
-				control: wrapControl(surroundings.control, this.#options.metrics),
-				runTimes: this.#runTimes,
-				onChange: () => {
-					this.#tellFirstRoom();
-				},
-				takeElsewhere: (cpu, tasks) =>
-					this.#groups.takeElsewhere(
-						{home: host.dataCentre, cpu, tasks},
-						readNow(),
-					),
-				isListComplete: () => this.#executors.isComplete(),
-				isLeaving: () => this.#isStopping,
-				getSuccessor: () => this.#successor,
-				getStoreAgeMs: () => measureStoreAge(surroundings.store, readNow()),
-			},
-			onChange: () => {
-				this.#tellState();
-				this.#entry.handOver(host.dataCentre);
+			control: wrapControl(surroundings.control, metrics),
+			executors: this.#executors,
+			peers: {
+				listLinks: () => this.#mesh.listLinks(),
+				findLink: (peer) => this.#mesh.findLink(peer),
+				listIncarnations: (peer) => this.#mesh.listIncarnations(peer),
+				listOrder: () =>
+					this.#directory.listStrongest(schedulerRole, host.dataCentre),
+				getCores: (peer) => view.getCores(peer),
 			},
-			log,
-		});
-	}
-
-	/** Hosts that could hold the group of this data centre, the first choice first. */
-	#listOrder(): string[] {
-		return this.#directory.listStrongest(
-			schedulerRole,
-			this.#options.host.dataCentre,
-		);
-	}
-
-	/** A holder asks a stronger host to take its group; told with the group's state. */
-	#updateSuccessor(): void {
-		const successor = this.#holding.scheduler && this.#chooseSuccessor();
-		if (successor !== undefined && successor !== this.#successor) {
-			this.#options.log('a stronger host is asked to take the group', {
-				group: this.#options.host.dataCentre,
-				successor,
-				cores: this.#directory.view.getCores(successor),
-				ownCores: this.#directory.view.getCores(this.#identity.key),
-			});
-		}
-
-		this.#successor = successor;
-	}
-
-	#chooseSuccessor(): string | undefined {
-		const {view} = this.#directory;
-		const [strongest] = this.#listOrder();
-		const contender =
-			strongest === undefined
-				? undefined
-				: {key: strongest, cores: view.getCores(strongest)};
-		return this.#succession.choose(contender, {
-			ownCores: view.getCores(this.#identity.key),
-			now: readNow(),
-		});
-	}
-
-	/** That host speaks to this one as another incarnation: the one named is gone. */
-	#isOver(processId: string): boolean {
-		const at = processId.lastIndexOf('.');
-		const incarnations = this.#mesh.listIncarnations(processId.slice(0, at));
-		return (
-			incarnations.length > 0 && !incarnations.includes(processId.slice(at + 1))
-		);
-	}
-
-	#createEntry(): EntryJobs {
-		return new EntryJobs({
-			home: this.#options.host.dataCentre,
+			getLeaseId: () => this.#presence.getLeaseId(),
 			now: readNow,
-			groups: this.#groups,
-			runTimes: this.#runTimes,
-			send: (holder, message) => this.#sendToHolder(holder, message),
-			log: this.#options.log,
+			wait: waitFor,
+			defer(work) {
+				setImmediate(work);
+			},
 			onAnswer: (job, answer, tookMs) => {
 				this.#reportAnswer(job, answer, tookMs);
 			},
+			log,
 		});
 	}
 
@@ -392,9 +293,7 @@
 			pingMs: heartbeatMs,
 			handlers: createSchedulingHandlers({
 				directory: this.#directory,
-				entry: this.#entry,
-				groups: this.#groups,
-				holding: this.#holding,
+				roles: this.#roles,
 				tables: this.#tables,
 				findAddress: (key) => this.#mesh.findAddress(key) ?? '',
 				now: readNow,
@@ -402,92 +301,6 @@
 			}),
 		});
 	}
-
-	#sendToHolder(holder: string, message: Message): boolean {
-		if (holder !== this.#identity.key) {
-			const link = this.#mesh.findLink(holder);
-			link?.send(message);
-			return link !== undefined;
-		}
-
-		const {scheduler} = this.#holding;
-		if (!scheduler) {
-			return false;
-		}
-
-		switch (message.t) {
-			case 'part': {
-				scheduler.receivePart(this.#localEntry, message, readNow());
-				break;
-			}
-
-			case 'drop': {
-				scheduler.dropJob(this.#localEntry, message.job);
-				break;
-			}
-
-			case 'keep': {
-				scheduler.keepEntry(this.#localEntry, readNow());
-				break;
-			}
-
-			default:
-		}
-
-		return true;
-	}
-
-	#update(): void {
-		this.#holding.update();
-		this.#updateSuccessor();
-		this.#refreshOwnState();
-		this.#entry.update();
-		if (readNow() - this.#toldAt >= stateEveryMs) {
-			this.#tellState();
-		}
-	}
-
-	/** The entry on the same host sees the scheduler's room as it is now. */
-	#refreshOwnState(): void {
-		const state = this.#describeOwn();
-		if (state) {
-			this.#groups.update(this.#identity.key, state, readNow());
-		}
-	}
-
-	#describeOwn(): GroupState | undefined {
-		return this.#holding.scheduler?.describeState();
-	}
-
-	/**
-	A group that has just been taken has no room until its executors have answered. All entries wait
-	for that word, so it does not wait for the next round.
-	*/
-	#tellFirstRoom(): void {
-		if (!this.#isToldReady && this.#holding.scheduler?.isReady) {
-			this.#refreshOwnState();
-			this.#tellState();
-			this.#entry.placeWaiting();
-		}
-	}
-
-	/** Tells all hosts the state of the group that this host holds, or has just given up. */
-	#tellState(): void {
-		const known = this.#groups.findGroup(this.#options.host.dataCentre);
-		const isOwn = known?.holder === this.#identity.key;
-		const state = this.#describeOwn() ?? (isOwn ? known.state : undefined);
-		if (state) {
-			this.#toldAt = readNow();
-			this.#isToldReady = this.#holding.scheduler?.isReady ?? false;
-			this.#tellPeers(state);
-		}
-	}
-
-	#tellPeers(message: Message): void {
-		for (const link of this.#mesh.listLinks()) {
-			link.send(message);
-		}
-	}
 }
 
 /** Monotonic milliseconds. */
--- a/packages/scheduling/src/entry-jobs.test.ts
+++ b/packages/scheduling/src/entry-jobs.test.ts
@@ -285,3 +285,21 @@
 	assert.equal(entry.size, 1);
 	assert.ok(part!.admitInMs > 400, `${part!.admitInMs} ms`);
 });
+
+// The connection to a holder breaks while a job is given up, and the word to drop it is lost with it. The connection is back before the holder
+// counts the entry as silent; not told again, it would run the job on beside the copy that the caller brings elsewhere.
+test('a job that was given up is dropped again on the next connection', () => {
+	const {entry, groups, clock, sent} = createEntryJobs();
+	groups.update('mieres_m1', makeState('mieres'), clock.now);
+	entry.submit(makeRequest(), () => undefined);
+	entry.cancel('job1');
+	const countDrops = () =>
+		sent.filter(({message}) => message.t === 'drop').length;
+	assert.equal(countDrops(), 1);
+	clock.now += 300;
+	entry.sendAgain('mieres_m1');
+	assert.equal(countDrops(), 2);
+	entry.submit(makeRequest(), () => undefined);
+	entry.sendAgain('mieres_m1');
+	assert.equal(countDrops(), 2, 'it is wanted again');
+});
--- a/packages/scheduling/src/entry-jobs.ts
+++ b/packages/scheduling/src/entry-jobs.ts
@@ -5,7 +5,7 @@
 The entry is the one that knows a job. A scheduler that dies, or loses its group, takes nothing
 with it that the entry could not hand to the next one.
 */
-import {type Ends, type Part, type TaskEnd} from '@gentianshift/protocol';
+import {type Ends, type TaskEnd} from '@gentianshift/protocol';
 import {
 	createEntryJob,
 	getLimit,
@@ -16,11 +16,16 @@
 	type JobRequest,
 } from './entry-job.js';
 import {isSilent, type GroupDirectory} from './group-directory.js';
+import {
+	createHolderContacts,
+	type HolderContacts,
+	type HolderMessage,
+} from './holder-contacts.js';
+import {findLostTasks} from './lost-tasks.js';
 import {type RunTimes} from './run-times.js';
 import {makePart} from './make-part.js';
 import {placeJob} from './place-job.js';
 import {isLate} from './rank-jobs.js';
-import {clockSlackMs, keepEveryMs, orphanLimitMs} from './timing.js';
 
 /** Attempts that a lost scheduler may have used up beyond those that the entry heard of. */
 const lostAttempts = 16;
@@ -43,10 +48,7 @@
 	groups: GroupDirectory;
 	runTimes: RunTimes;
 	/** Hands a message to a group's holder; false: there is no connection to it. */
-	send: (
-		holder: string,
-		message: Part | {t: 'drop'; job: string} | {t: 'keep'; at: number},
-	) => boolean;
+	send: (holder: string, message: HolderMessage) => boolean;
 	log: (message: string, fields: Record<string, unknown>) => void;
 	onAnswer: (job: EntryJob, answer: JobAnswer, tookMs: number) => void;
 };
@@ -54,8 +56,7 @@
 export class EntryJobs {
 	readonly #ports: EntryPorts;
 	readonly #jobs = new Map<string, EntryJob>();
-	/** When each holder was last told that this entry waits. */
-	readonly #keptAt = new Map<string, number>();
+	readonly #holders: HolderContacts;
 	/** Jobs with tasks that wait for a scheduler to be in reach. */
 	readonly #waiting = new Set<EntryJob>();
 	/** When a scheduler was last in reach; at first: when this host started. */
@@ -63,6 +64,7 @@
 
 	constructor(ports: EntryPorts) {
 		this.#ports = ports;
+		this.#holders = createHolderContacts(ports.send);
 		this.#reachedAt = ports.now();
 	}
 
@@ -88,6 +90,7 @@
 			return;
 		}
 
+		this.#holders.forgetDrop(request.id);
 		const {queue, declaredMs} = request;
 		const estimateMs = this.#ports.runTimes.estimate(queue.name, declaredMs);
 		const job = createEntryJob(request, estimateMs, this.#ports.now());
@@ -147,6 +150,7 @@
 
 	/** A connection to a holder is back: what was sent meanwhile is sent again. */
 	sendAgain(holder: string): void {
+		this.#holders.sendDropsAgain(holder, this.#ports.now());
 		for (const {state, holder: current} of this.#ports.groups.list()) {
 			if (current === holder) {
 				this.handOver(state.group);
@@ -175,6 +179,7 @@
 
 		this.placeWaiting();
 		this.#sendKeeps(now);
+		this.#holders.forgetOld(now);
 		for (const job of this.#jobs.values()) {
 			if (now >= job.endsAt) {
 				this.#giveUp(job, 'no answer in the time that the caller waits');
@@ -332,8 +337,8 @@
 		}
 
 		const now = this.#ports.now();
-		this.#keptAt.set(known.holder, now);
-		this.#ports.send(known.holder, makePart(job, tasks, {isMoved, now}));
+		const part = makePart(job, tasks, {isMoved, now});
+		this.#holders.sendPart(known.holder, part, now);
 	}
 
 	#findGroupOf(holder: string): string | undefined {
@@ -344,12 +349,8 @@
 	/** Tells the holders of groups that have tasks of this entry's jobs that it still waits. */
 	#sendKeeps(now: number): void {
 		for (const known of this.#ports.groups.list()) {
-			const {holder, state} = known;
-			const isDue =
-				now - (this.#keptAt.get(holder) ?? -Infinity) >= keepEveryMs;
-			if (isDue && !isSilent(known, now) && this.#hasTasksAt(state.group)) {
-				this.#keptAt.set(holder, now);
-				this.#ports.send(holder, {t: 'keep', at: now});
+			if (!isSilent(known, now) && this.#hasTasksAt(known.state.group)) {
+				this.#holders.sendKeep(known.holder, now);
 			}
 		}
 	}
@@ -361,55 +362,37 @@
 	}
 
 	/**
-	Tasks of a group whose holder is silent: the silent one stops them, as this entry no longer
-	tells it that it waits, and after that time they are placed elsewhere. Where that would be too
-	late for the caller, it is told now rather than at the end of its time.
+	Tasks of a group whose holder is silent are placed elsewhere once it has stopped them. Where that
+	would be too late for the caller, it is told now rather than at the end of its time.
 	*/
 	#moveLost(job: EntryJob, now: number): void {
-		const lost = job.tasks.filter((task) => this.#isAtSilent(task, now));
-		if (lost.length === 0) {
+		const {groups, log} = this.#ports;
+		const lost = findLostTasks(job, groups, this.#holders.getToldAt, now);
+		if (!lost) {
 			return;
 		}
 
-		const movableAt = Math.max(
-			...lost.map((task) => this.#findStopTime(task, now)),
-		);
-		if (movableAt + job.estimateMs > job.uselessAt) {
+		if (lost.movableAt + job.estimateMs > job.uselessAt) {
 			this.#giveUp(job, 'its scheduler is silent');
 			return;
 		}
 
-		if (movableAt > now) {
+		if (lost.movableAt > now) {
 			return;
 		}
 
-		this.#ports.log('scheduler is silent: placing its tasks anew', {
+		log('scheduler is silent: placing its tasks anew', {
 			job: job.request.id,
-			tasks: lost.length,
+			tasks: lost.tasks.length,
 		});
-		for (const task of lost) {
+		for (const task of lost.tasks) {
 			task.group = undefined;
 			task.nextAttempt += lostAttempts;
 		}
 
 		// It may have started some: a refusal would not be true any more.
 		job.isStarted = true;
-		this.#placeTasks(job, lost);
-	}
-
-	#isAtSilent({group, isDone}: EntryTask, now: number): boolean {
-		const known =
-			group === undefined || isDone
-				? undefined
-				: this.#ports.groups.findGroup(group);
-		return known !== undefined && isSilent(known, now);
-	}
-
-	/** When a silent holder has stopped a task, as it last heard of this entry some time ago. */
-	#findStopTime({group}: EntryTask, now: number): number {
-		const holder = this.#ports.groups.findGroup(group ?? '')?.holder ?? '';
-		const keptAt = this.#keptAt.get(holder) ?? now;
-		return keptAt + orphanLimitMs + clockSlackMs;
+		this.#placeTasks(job, lost.tasks);
 	}
 
 	#giveUp(job: EntryJob, reason: string, retryAfterMs = leastRetryMs): void {
@@ -443,7 +426,7 @@
 		for (const group of groups) {
 			const holder = this.#ports.groups.findGroup(group)?.holder;
 			if (holder !== undefined) {
-				this.#ports.send(holder, {t: 'drop', job: id});
+				this.#holders.sendDrop(holder, id, this.#ports.now());
 			}
 		}
 
--- a/packages/scheduling/src/group-scheduler.fixture.ts
+++ b/packages/scheduling/src/group-scheduler.fixture.ts
@@ -51,6 +51,7 @@
 		isLeaving: () => false,
 		getSuccessor: () => undefined,
 		isListComplete: () => isListComplete,
+		isListFresh: () => true,
 		getStoreAgeMs: () => 0,
 		log() {
 			// Not read.
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -65,6 +65,8 @@
 	takeElsewhere: (cpu: number, tasks: number) => number;
 	/** The list of the group's executors lacks none whose entry may have lapsed for a while. */
 	isListComplete: () => boolean;
+	/** The list was read as it is now, and is not one that may lack executors that have come since. */
+	isListFresh: () => boolean;
 	/** This host is being stopped. */
 	isLeaving: () => boolean;
 	/** The host that is asked to take the group over; undefined: this one keeps it. */
@@ -270,14 +272,16 @@
 	/**
 	A job whose tasks may run under an earlier holder waits until every executor has said what
 	runs there, or until that holder has given the runs up: it no longer hears from the entry,
-	which now tells this one that it waits. Right after an outage of the store an executor may be missing
-	from the list; then only the time counts.
+	which now tells this one that it waits. Right after an outage of the store, or with a list of before
+	it, an executor may be missing; then only the time counts.
 	*/
 	#isSettled({movedAt}: GroupJob, now: number): boolean {
 		return (
 			movedAt === undefined ||
 			now - movedAt > orphanLimitMs + clockSlackMs ||
-			(this.ports.isListComplete() && this.#executors.isReported())
+			(this.ports.isListComplete() &&
+				this.ports.isListFresh() &&
+				this.#executors.isReported())
 		);
 	}
 
--- /dev/null
+++ b/packages/scheduling/src/holder-contacts.ts
@@ -0,0 +1,76 @@
+/**
+What an entry tells the holders of groups: that it still waits, and which jobs it no longer wants.
+
+What goes wrong: the connection to a holder breaks just when a job is given up, and the word to drop it is lost. The connection
+is back before the holder counts the entry as silent, and the entry's other jobs keep it from that afterwards; so the job
+runs on while its caller comes again elsewhere. Therefore jobs that were dropped lately are named again
+on each new connection.
+*/
+import {type Part} from '@gentianshift/protocol';
+import {keepEveryMs, orphanLimitMs} from './timing.js';
+
+/** By then a holder that did not get the word has stopped the job, or has been told on a new connection. */
+const dropMemoryMs = 2 * orphanLimitMs;
+
+export type HolderMessage =
+	Part | {t: 'drop'; job: string} | {t: 'keep'; at: number};
+
+export type HolderContacts = {
+	sendPart: (holder: string, part: Part, now: number) => void;
+	/** Tells the holder that this entry waits, if it is time to. */
+	sendKeep: (holder: string, now: number) => void;
+	sendDrop: (holder: string, job: string, now: number) => void;
+	/** A connection to the holder is back: what may have been lost with the last one is told again. */
+	sendDropsAgain: (holder: string, now: number) => void;
+	/** The job is wanted again. */
+	forgetDrop: (job: string) => void;
+	/** When the holder was last told that this entry waits; undefined: never. */
+	getToldAt: (holder: string) => number | undefined;
+	forgetOld: (now: number) => void;
+};
+
+export function createHolderContacts(
+	send: (holder: string, message: HolderMessage) => boolean,
+): HolderContacts {
+	const toldAt = new Map<string, number>();
+	const dropped: Array<{holder: string; job: string; at: number}> = [];
+
+	function remove(isOver: (drop: {job: string; at: number}) => boolean): void {
+		for (let i = dropped.length - 1; i >= 0; i -= 1) {
+			if (isOver(dropped[i]!)) {
+				dropped.splice(i, 1);
+			}
+		}
+	}
+
+	return {
+		sendPart(holder, part, now) {
+			toldAt.set(holder, now);
+			send(holder, part);
+		},
+		sendKeep(holder, now) {
+			if (now - (toldAt.get(holder) ?? -Infinity) >= keepEveryMs) {
+				toldAt.set(holder, now);
+				send(holder, {t: 'keep', at: now});
+			}
+		},
+		sendDrop(holder, job, now) {
+			dropped.push({holder, job, at: now});
+			send(holder, {t: 'drop', job});
+		},
+		sendDropsAgain(holder, now) {
+			for (const drop of dropped) {
+				if (drop.holder === holder && now - drop.at <= dropMemoryMs) {
+					send(holder, {t: 'drop', job: drop.job});
+				}
+			}
+		},
+		forgetDrop(job) {
+			remove((drop) => drop.job === job);
+		},
+		getToldAt: (holder) => toldAt.get(holder),
+		forgetOld(now) {
+			remove(({at}) => now - at > dropMemoryMs);
+		},
+	};
+}
--- /dev/null
+++ b/packages/scheduling/src/index.fixture.ts
@@ -0,0 +1,5 @@
+/**
+What tests of other packages use of this one's tests.
+*/
+export * from './fake-executors.fixture.js';
+export * from './virtual-clock.fixture.js';
--- a/packages/scheduling/src/load-system.fixture.ts
+++ b/packages/scheduling/src/load-system.fixture.ts
@@ -211,6 +211,7 @@
 		takeElsewhere: (cpu, tasks) =>
 			directory.takeElsewhere({home: name, cpu, tasks}, clock.now),
 		isListComplete: () => true,
+		isListFresh: () => true,
 		isLeaving: () => false,
 		getSuccessor: () => undefined,
 		getStoreAgeMs: () => 0,
--- a/packages/scheduling/src/virtual-clock.fixture.ts
+++ b/packages/scheduling/src/virtual-clock.fixture.ts
@@ -26,7 +26,8 @@
 	};
 
 	schedule(ms: number, run: () => void): void {
-		this.#timers.push({at: this.now + ms, run});
+		const at = this.now + ms;
+		this.#timers.splice(this.#findPlace(at), 0, {at, run});
 	}
 
 	/** Moves on by so many milliseconds, one due timer after the other. */
@@ -49,14 +50,24 @@
 
 	/** The first timer that is due by then, the oldest of those that are due together. */
 	#takeDue(endsAt: number): Timer | undefined {
-		let first = -1;
-		for (const [i, {at}] of this.#timers.entries()) {
-			if (at <= endsAt && (first === -1 || at < this.#timers[first]!.at)) {
-				first = i;
+		const first = this.#timers[0];
+		return first && first.at <= endsAt ? this.#timers.shift() : undefined;
+	}
+
+	/** Timers are kept in the order in which they run: behind all that are due by then. */
+	#findPlace(at: number): number {
+		let from = 0;
+		let to = this.#timers.length;
+		while (from < to) {
+			const middle = Math.floor((from + to) / 2);
+			if (this.#timers[middle]!.at <= at) {
+				from = middle + 1;
+			} else {
+				to = middle;
 			}
 		}
 
-		return first === -1 ? undefined : this.#timers.splice(first, 1)[0];
+		return from;
 	}
 }
 
