Read each entry of the store for itself, so that another writer's takes nothing from the others

Executors of services that no configuration has named are not listed. Hosts' own entries likewise: an address that is none is not dialled.

Ruled out: the group's key (any text is "not heard of yet" and taken over) and the configuration (the last good one stays in force).

--- a/packages/host/src/scheduling/executor-lists.test.ts
+++ b/packages/host/src/scheduling/executor-lists.test.ts
@@ -34,6 +34,7 @@
 					: okAsync(readList()),
 		},
 		isHolder: () => true,
+		isNamedService: () => true,
 		onList() {
 			// Read by the test itself.
 		},
@@ -123,6 +124,7 @@
 				),
 		},
 		isHolder: () => false,
+		isNamedService: () => true,
 		onList() {
 			// Read by the test itself.
 		},
@@ -161,6 +163,7 @@
 			},
 		},
 		isHolder: () => false,
+		isNamedService: () => true,
 		onList() {
 			// Read by the test itself.
 		},
@@ -180,3 +183,36 @@
 	assert.ok(lists.isFresh());
 	ending.abort();
 });
+
+// Another writer leaves an entry that looks like an executor's, of a service that the configuration does not name. Followed all the same, it would
+// be asked in vain, and each group that changes hands would wait for its answer.
+test('an executor of a service that nobody named is not listed, and logged once', async () => {
+	const logged: string[] = [];
+	const lists = createExecutorLists({
+		source: {
+			list: () =>
+				okAsync([
+					makeExecutor('e1'),
+					{...makeExecutor('e2'), service: 'nobodys'},
+				]),
+		},
+		isHolder: () => true,
+		isNamedService: (service) => service === 'meals',
+		onList() {
+			// Read by the test itself.
+		},
+		now: () => 0,
+		wait: waitFor,
+		random: () => 0,
+		log(message) {
+			logged.push(message);
+		},
+	});
+	await lists.readNow();
+	await lists.readNow();
+	assert.deepEqual(
+		lists.list().map(({id}) => id),
+		['e1'],
+	);
+	assert.deepEqual(logged, ['executor of a service that nobody named']);
+});
--- a/packages/host/src/scheduling/executor-lists.ts
+++ b/packages/host/src/scheduling/executor-lists.ts
@@ -44,6 +44,7 @@
 export function createExecutorLists({
 	source,
 	isHolder,
+	isNamedService,
 	onList,
 	now,
 	wait,
@@ -52,6 +53,8 @@
 }: {
 	source: ExecutorSource;
 	isHolder: () => boolean;
+	/** Another writer may leave entries in the store: of a service that nobody named, none is used. */
+	isNamedService: (service: string) => boolean;
 	onList: (executors: readonly Executor[]) => void;
 	now: () => number;
 	wait: (ms: number, signal: AbortSignal) => Promise<void>;
@@ -62,6 +65,8 @@
 	let wake = new AbortController();
 	/** When a list first lacked an executor that is still in force. */
 	const missingSince = new Map<string, number>();
+	/** Executors that the last list had of services that nobody named; each is logged once. */
+	let strangerIds: ReadonlySet<string> = new Set();
 	/** Since when no read has failed; undefined: the last one did, or there was none yet. */
 	let readSince: number | undefined;
 	let isFresh = false;
@@ -93,11 +98,23 @@
 
 		readSince ??= now();
 		isFresh = !mayBeStale;
-		executors = keepMissing(found.value);
+		executors = keepMissing(pickNamed(found.value));
 		onList(executors);
 		return true;
 	}
 
+	function pickNamed(listed: readonly Executor[]): Executor[] {
+		const strangers = listed.filter(({service}) => !isNamedService(service));
+		for (const {id, service} of strangers) {
+			if (!strangerIds.has(id)) {
+				log('executor of a service that nobody named', {executor: id, service});
+			}
+		}
+
+		strangerIds = new Set(strangers.map(({id}) => id));
+		return listed.filter(({id}) => !strangerIds.has(id));
+	}
+
 	/** The list, and the executors that it has lacked for a short time only. */
 	function keepMissing(listed: readonly Executor[]): readonly Executor[] {
 		const ids = new Set(listed.map(({id}) => id));
--- a/packages/host/src/scheduling/faulty/faulty-host.fixture.ts
+++ b/packages/host/src/scheduling/faulty/faulty-host.fixture.ts
@@ -207,6 +207,7 @@
 			source: {
 				list: (options) => hold(this.surroundings.executors.list(options)),
 			},
+			isNamedService: () => true,
 			isHolder: () => roles.holding.scheduler !== undefined,
 			onList(list) {
 				roles.holding.setExecutors(list);
--- a/packages/host/src/scheduling/host-presence.ts
+++ b/packages/host/src/scheduling/host-presence.ts
@@ -7,11 +7,15 @@
 written anew.
 */
 import {ResultAsync, err, ok, okAsync, type Result} from 'neverthrow';
+import {z} from 'zod';
 import {knownHostSchema, type KnownHost} from '@gentianshift/membership';
+import {hostAddressSchema} from '@gentianshift/resources';
 import {
 	type CoordinationStore,
 	type StoreFailure,
+	type StoreItem,
 } from '@gentianshift/scheduling';
+import {createOnceLog} from '@gentianshift/telemetry';
 import {repeat} from '../timers.js';
 
 const prefix = 'gentianshift/hosts/';
@@ -41,6 +45,7 @@
 	log: (message: string, fields: Record<string, unknown>) => void;
 }): HostPresence {
 	const key = `${prefix}${self.name}`;
+	const logOnce = createOnceLog(log);
 	let leaseId: number | undefined;
 	let isEnded = false;
 
@@ -84,7 +89,7 @@
 		getLeaseId: () => leaseId,
 		fetchHosts: () =>
 			store.readPrefix(prefix, {mayBeStale: true}).andThen(({items}) => {
-				const hosts = items.flatMap(({value}) => parseHost(value) ?? []);
+				const hosts = items.flatMap((item) => readHost(item));
 				const isMissing =
 					leaseId !== undefined &&
 					!isEnded &&
@@ -102,6 +107,20 @@
 		},
 	};
 
+	/** None where another writer, or another version, left something else. */
+	function readHost({key: itemKey, value}: StoreItem): KnownHost[] {
+		const host = parseHost(value);
+		if (host.isErr()) {
+			logOnce('entry of a host is not understood', itemKey, {
+				text: value,
+				reason: host.error,
+			});
+			return [];
+		}
+
+		return [host.value];
+	}
+
 	/** The list may be older than the entry: writing it again does no harm. */
 	function enterAgain(
 		hosts: KnownHost[],
@@ -118,11 +137,17 @@
 	}
 }
 
-/** Undefined: not written by this version of the program. */
-function parseHost(text: string): KnownHost | undefined {
+/** What is dialled has to be an address: another one ends the process that dials it. */
+const entrySchema = knownHostSchema.extend({address: hostAddressSchema});
+
+function parseHost(text: string): Result<KnownHost, string> {
+	let value: unknown;
 	try {
-		return knownHostSchema.safeParse(JSON.parse(text)).data;
-	} catch {
-		return undefined;
+		value = JSON.parse(text);
+	} catch (error) {
+		return err(String(error));
 	}
+
+	const parsed = entrySchema.safeParse(value);
+	return parsed.success ? ok(parsed.data) : err(z.prettifyError(parsed.error));
 }
--- a/packages/host/src/scheduling/queue-tables.test.ts
+++ b/packages/host/src/scheduling/queue-tables.test.ts
@@ -17,7 +17,12 @@
 		source: {
 			...source,
 			decode: (text) =>
-				ok({version: Number(text), queues: [], maxBodyBytes: 1000}),
+				ok({
+					version: Number(text),
+					queues: [],
+					services: [`service-${text}`],
+					maxBodyBytes: 1000,
+				}),
 		},
 		tellPeers(message) {
 			told.push(message);
@@ -112,3 +117,19 @@
 	assert.ok(performance.now() - againAt < 100);
 	ending.abort();
 });
+
+// A service is taken out of the configuration while its executors end what they run: treated as strangers, they would be stopped.
+test('a service is known from the first configuration that names it', async () => {
+	const reads = ['7', '8'];
+	const {tables, ending} = createTables({
+		read: () => answerLater({text: reads[0], revision: 1}),
+		watch: () => answerLater({text: reads[1], revision: 2}),
+	});
+	assert.ok(tables.isNamedService('any'), 'nothing is known yet');
+	tables.start(ending.signal);
+	await delay(50);
+	ending.abort();
+	assert.ok(tables.isNamedService('service-7'));
+	assert.ok(tables.isNamedService('service-8'));
+	assert.equal(tables.isNamedService('nobodys'), false);
+});
--- a/packages/host/src/scheduling/queue-tables.ts
+++ b/packages/host/src/scheduling/queue-tables.ts
@@ -26,6 +26,11 @@
 export type QueueTables = {
 	/** Undefined: none is known yet. */
 	getTable: () => QueueTable | undefined;
+	/**
+	Whether the configuration names the service, or did before: runs of one that was taken away end in peace. True while no
+	configuration is known.
+	*/
+	isNamedService: (service: string) => boolean;
 	/** The table as soon as one is in force; undefined at once when the host has waited long enough. */
 	waitForTable: () => Promise<QueueTable | undefined>;
 	start: (signal: AbortSignal) => void;
@@ -54,6 +59,7 @@
 }: QueueTablesOptions): QueueTables {
 	let table: QueueTable | undefined;
 	let text = '';
+	const services = new Set<string>();
 	let revision = 0;
 	const firstTable = new AbortController();
 	let firstLimit: Promise<void> | undefined;
@@ -77,6 +83,13 @@
 		});
 		table = decoded.value;
 		text = newText;
+		for (const service of [
+			...table.services,
+			...table.queues.map((queue) => queue.service),
+		]) {
+			services.add(service);
+		}
+
 		firstTable.abort();
 		return true;
 	}
@@ -114,6 +127,7 @@
 
 	return {
 		getTable: () => table,
+		isNamedService: (service) => table === undefined || services.has(service),
 		async waitForTable() {
 			await firstLimit;
 			return table;
--- a/packages/host/src/scheduling/start-scheduling-host.ts
+++ b/packages/host/src/scheduling/start-scheduling-host.ts
@@ -134,6 +134,7 @@
 		this.#executors = createExecutorLists({
 			source: surroundings.executors,
 			isHolder: () => this.#roles.holding.scheduler !== undefined,
+			isNamedService: (service) => this.#tables.isNamedService(service),
 			onList: (list) => {
 				this.#roles.holding.setExecutors(list);
 			},
--- a/packages/resources/src/index.ts
+++ b/packages/resources/src/index.ts
@@ -4,3 +4,4 @@
 export * from './kinds.js';
 export * from './resource.js';
 export * from './submission.js';
+export * from './host-address.js';
--- a/packages/scheduling/src/queue-table.ts
+++ b/packages/scheduling/src/queue-table.ts
@@ -24,6 +24,8 @@
 	/** Rises with each change. */
 	version: number;
 	queues: Queue[];
+	/** Services that have executors. */
+	services: string[];
 	/** Largest body of a request, bytes. */
 	maxBodyBytes: number;
 };
