Tell from hosts' logs what became of jobs, and why

Cause: to find where callers' answers are lost one read thousands of lines by hand; so does an operator after a complaint.

Change: `gentianshift explain LOG...` counts jobs by cause (in time, refused, given up, late by an overdue, failed or lost run, by a start that waited, by last tasks) and queue, and by second; `--job ID` tells one job line by line. Stamps of collectors are passed over. `job answered` tells how long the caller waits.

--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -11,6 +11,7 @@
 import {apply, type ApplyOptions} from './commands/apply.js';
 import {check} from './commands/check.js';
 import {drain} from './commands/drain.js';
+import {explain} from './commands/explain.js';
 import {get} from './commands/get.js';
 import {cancel, showJob} from './commands/job.js';
 import {serve} from './commands/serve.js';
@@ -99,6 +100,14 @@
 		.action(async (files: string[]) => {
 			finish(await check(terminal, files));
 		});
+	program
+		.command('explain')
+		.description("tell from hosts' logs what became of jobs, and why")
+		.argument('<log...>', 'files of log lines; "-": standard input')
+		.option('--job <id>', 'the story of one job')
+		.action(async (files: string[], options: {job?: string}) => {
+			finish(await explain(terminal, files, options));
+		});
 }
 
 function addOperatorCommands(
--- a/packages/host/src/scheduling/start-scheduling-host.ts
+++ b/packages/host/src/scheduling/start-scheduling-host.ts
@@ -279,6 +279,7 @@
 					? undefined
 					: Math.round(startToldAt - arrivedAt),
 			objectiveMs: Math.round(job.dueAt - arrivedAt),
+			timeLeftMs: Math.round(job.endsAt - arrivedAt),
 			...answer,
 		});
 	}
