Tell callers that they can't be served when it is known, not when their time is over

Cause: at saturation a job that was let in and then passed over waited until three times its objective was nearly over, and was only then given back; its caller could not come again while that was of use.

Change: the round over waiting jobs sums up the work that goes before each; a job that this alone makes useless goes back at once. The sum leaves out what still comes and what runs, so it gives up none that could be served.

--- a/packages/scheduling/src/place-task.ts
+++ b/packages/scheduling/src/place-task.ts
@@ -17,6 +17,7 @@
 export type Candidate = {
 	id: string;
 	service: string;
+	capacity: TaskDemand;
 	free: TaskDemand;
 	runCount: number;
 	trust: ExecutorTrust;
--- a/packages/scheduling/src/place-waiting.ts
+++ b/packages/scheduling/src/place-waiting.ts
@@ -1,6 +1,9 @@
 /**
 One round over the jobs that wait at a scheduler: in their order, each task is started where there is room, tasks that
 find none go back while another group has room for them, and jobs that can no longer end in time go back at once.
+
+For saturation: what goes before a job may take longer than its caller has use for an answer. That is known when the job is
+ranked; told only when its time is over, the caller has waited for nothing, and could not come again while it was of use.
 */
 import {type Ends} from '@gentianshift/protocol';
 import {
@@ -34,15 +37,33 @@
 	actions: PlacingActions<C>,
 ): void {
 	const ranked = jobs.toSorted((a, b) => compareJobs(a, b, round.now));
+	let aheadMs = 0;
 	for (const job of ranked) {
 		if (isHopeless(job, round.now)) {
 			actions.giveBack(job, 'hopeless');
-		} else if (!startTasks(job, round, actions)) {
+			continue;
+		}
+
+		if (!startTasks(job, round, actions)) {
 			shiftTasks(job, round, actions);
+			if (isHopeless(job, round.now + aheadMs)) {
+				actions.giveBack(job, 'hopeless');
+			}
 		}
+
+		aheadMs += measureWaitingMs(job, round);
 	}
 }
 
+/** How long all executors of the round are busy with the job's waiting tasks at least. */
+function measureWaitingMs<C extends Candidate>(
+	job: GroupJob,
+	{capacityCpu}: PlacingRound<C>,
+): number {
+	const work = listWaiting(job).length * job.estimateMs * job.demand.cpu;
+	return capacityCpu > 0 ? work / capacityCpu : 0;
+}
+
 /** False: there was no room for one of its tasks. */
 function startTasks<C extends Candidate>(
 	job: GroupJob,
--- a/packages/scheduling/src/placing-round.test.ts
+++ b/packages/scheduling/src/placing-round.test.ts
@@ -15,6 +15,7 @@
 	return {
 		id: 'e1',
 		service: 'meals',
+		capacity: {cpu: 32_000, memoryMb: 1000, accelerators: 0},
 		get free() {
 			onLook();
 			return {cpu, memoryMb: 1000, accelerators: 0};
--- a/packages/scheduling/src/placing-round.ts
+++ b/packages/scheduling/src/placing-round.ts
@@ -11,6 +11,8 @@
 
 export type PlacingRound<C extends Candidate> = {
 	candidates: readonly C[];
+	/** Of all candidates, thousandths of a core. */
+	capacityCpu: number;
 	now: number;
 	/** Whether an executor that may take a task now has the room for it. */
 	hasRoomFor: (service: string, demand: TaskDemand) => boolean;
@@ -29,6 +31,7 @@
 	let refusedElsewhere = Infinity;
 	return {
 		candidates,
+		capacityCpu: candidates.reduce((sum, {capacity}) => sum + capacity.cpu, 0),
 		now,
 		hasRoomFor(service, demand) {
 			const known = refused.get(service);
