Notice lost answers of executors by how long answers take, and ask again for one that is lost

Cause: where executors leave a twentieth of the orders unanswered, renewals are among them, and renewals bring the ends. A lost one was noticed after 350 ms (200 of waiting, 150 of patience): for so long no end was heard, and then the executor counted as silent and got nothing. After an unanswered start the task waited for a renewal sent after the stop, up to 200 ms more.

Change: `answer-times.ts` learns how long answers take, as TCP does; a renewal waits until the next end is expected (30 to 200 ms); one lost renewal is asked for again at once, two make an executor silent; after a stop the executor is looked at beside the waiting renewal, and a report older by the executor's clock is not taken.

--- a/packages/scheduling/src/executor-control.ts
+++ b/packages/scheduling/src/executor-control.ts
@@ -56,14 +56,20 @@
 	clockMs?: number;
 };
 
-export type StartRequest = RunName & {
-	spec: string;
-	/** On the executor's clock; covers everything that runs there, and never gets shorter. */
-	leaseUntilMs: number;
-	token: number;
-};
+/** An answer that has not come after this long, beside what the call waits for by itself, counts as lost; milliseconds. */
+type AnswerLimit = {answerLimitMs: number};
+
+export type StopRequest = RunName & AnswerLimit & {token: number};
+
+export type StartRequest = RunName &
+	AnswerLimit & {
+		spec: string;
+		/** On the executor's clock; covers everything that runs there, and never gets shorter. */
+		leaseUntilMs: number;
+		token: number;
+	};
 
-export type LeaseRequest = {
+export type LeaseRequest = AnswerLimit & {
 	token: number;
 	/** Ends up to this sequence have been taken note of; the executor forgets them. */
 	acknowledged: number;
@@ -80,7 +86,7 @@
 	) => ResultAsync<{clockMs: number}, CallFailure>;
 	stopTask: (
 		executor: Executor,
-		request: RunName & {token: number},
+		request: StopRequest,
 	) => ResultAsync<{clockMs: number}, CallFailure>;
 	renewLease: (
 		executor: Executor,
--- a/packages/scheduling/src/executor-session.ts
+++ b/packages/scheduling/src/executor-session.ts
@@ -10,9 +10,11 @@
 	type CallFailure,
 	type ExecutorControl,
 	type LeaseReply,
+	type LeaseRequest,
 	type RunEnd,
 	type RunName,
 } from './executor-control.js';
+import {type AnswerTimes} from './answer-times.js';
 import {createExecutorLease} from './executor-lease.js';
 import {createTrust, recordFailure} from './executor-trust.js';
 import {type Executor} from './executor.js';
@@ -25,6 +27,7 @@
 	claimLimitMs,
 	dropStopMs,
 	idleLookMs,
+	leastRenewWaitMs,
 	renewWaitMs,
 	stopLimitMs,
 } from './timing.js';
@@ -40,6 +43,8 @@
 	getToken: () => number;
 	/** The latest moment to which the lease may be renewed, by what runs there. */
 	getLeaseCap: (runs: Iterable<Run>) => number;
+	/** Of all executors of the group. */
+	answerTimes: AnswerTimes;
 	/** Starts of an earlier session with this executor among them. */
 	unsettled: UnsettledOrders;
 	onRunEnd: (run: Run, outcome: RunOutcome, session: ExecutorSession) => void;
@@ -62,6 +67,10 @@
 	readonly #book = createRunBook();
 	readonly #lease = createExecutorLease();
 	readonly #orders: RunOrders;
+	/** Renewals in a row without an answer. */
+	#missed = 0;
+	/** The executor's clock in the newest report: an older one that comes later tells nothing. */
+	#reportedClockMs = -Infinity;
 	readonly #closing = new AbortController();
 	/** A pause between renewals; undefined: there is none. */
 	#idle: {end: () => void} | undefined;
@@ -131,10 +140,18 @@
 	}
 
 	/** Sends a start; the run's end comes by `onRunEnd`. */
-	start(name: RunName, spec: string, demand: TaskDemand): void {
+	start(
+		name: RunName,
+		{
+			spec,
+			demand,
+			estimateMs,
+		}: {spec: string; demand: TaskDemand; estimateMs: number},
+	): void {
 		const run: Run = {
 			...name,
 			demand,
+			estimateMs,
 			state: 'starting',
 			startedAt: this.ports.now(),
 			isFound: false,
@@ -176,8 +193,9 @@
 	}
 
 	#createOrders(): RunOrders {
-		const {now, wait, control, getToken, log} = this.ports;
+		const {now, wait, control, getToken, answerTimes, log} = this.ports;
 		return createRunOrders({
+			answerTimes,
 			now,
 			wait,
 			control,
@@ -192,6 +210,9 @@
 			onFailure: (failure, call) => {
 				this.#receiveOrderFailure(failure, call);
 			},
+			onStopped: () => {
+				void this.#look();
+			},
 			onUnstarted: (run) => {
 				this.#book.remove(run);
 				this.#tellEnd({run, outcome: 'unstarted'});
@@ -222,29 +243,71 @@
 
 	/** One renewal, which also brings the ends; gives the pause until the next, milliseconds. */
 	async #renew(): Promise<number> {
-		const {control, now, getToken} = this.ports;
+		const {control, now} = this.ports;
 		const sentAt = now();
-		const hasRuns = this.runs.size > 0;
-		const isTrusted = this.silentSince === undefined;
+		const canRenew = this.runs.size > 0 && this.silentSince === undefined;
+		const canWait = canRenew && this.isReported && this.#missed === 0;
 		const reply = await control.renewLease(this.#executor, {
-			token: getToken(),
-			acknowledged: this.#book.acknowledged,
-			leaseUntilMs: hasRuns && isTrusted ? this.#extendLease() : undefined,
-			waitMs: hasRuns && isTrusted && this.isReported ? renewWaitMs : 0,
+			...this.#makeLook(),
+			leaseUntilMs: canRenew ? this.#extendLease() : undefined,
+			waitMs: canWait ? this.#computeWait(sentAt) : 0,
 		});
 		if (this.#closing.signal.aborted) {
 			return 0;
 		}
 
 		if (reply.isErr()) {
-			this.#receiveFailure(reply.error, 'renewal');
-			return retryMs;
+			return this.#receiveMissed(reply.error);
 		}
 
+		this.#missed = 0;
 		this.#receiveReport(reply.value, sentAt);
 		return this.runs.size > 0 || reply.value.hasMoreEnds ? 0 : idleLookMs;
 	}
 
+	/** What the executor lists now, beside the renewal that waits there: a task waits for it. */
+	async #look(): Promise<void> {
+		const {control, now} = this.ports;
+		const sentAt = now();
+		const reply = await control.renewLease(this.#executor, this.#makeLook());
+		if (reply.isOk() && !this.#closing.signal.aborted) {
+			this.#receiveReport(reply.value, sentAt);
+		}
+	}
+
+	#makeLook(): LeaseRequest {
+		return {
+			token: this.ports.getToken(),
+			acknowledged: this.#book.acknowledged,
+			waitMs: 0,
+			answerLimitMs: this.ports.answerTimes.getLimitMs(),
+		};
+	}
+
+	/** Until the next end is expected: a lost answer is noticed right after, not at the end of a long wait. */
+	#computeWait(now: number): number {
+		let nextMs = renewWaitMs;
+		for (const {startedAt, estimateMs} of this.runs.values()) {
+			if (estimateMs !== undefined) {
+				nextMs = Math.min(nextMs, startedAt + estimateMs - now);
+			}
+		}
+
+		return Math.ceil(Math.max(leastRenewWaitMs, nextMs));
+	}
+
+	/** One lost answer is asked for again at once; gives the pause until then, milliseconds. */
+	#receiveMissed(failure: CallFailure): number {
+		this.#missed += 1;
+		const isFirst = this.#missed === 1 && failure.code === 'unanswered';
+		if (isFirst && this.isReported && this.silentSince === undefined) {
+			return 0;
+		}
+
+		this.#receiveFailure(failure, 'renewal');
+		return retryMs;
+	}
+
 	/** Extends the lease by what its runs allow; the new end on the executor's clock. */
 	#extendLease(): number | undefined {
 		const cap = this.ports.getLeaseCap(this.runs.values());
@@ -253,7 +316,12 @@
 
 	/** The book has the whole report before others act on any of it. */
 	#receiveReport(report: LeaseReply, sentAt: number): void {
+		if (report.clockMs < this.#reportedClockMs) {
+			return;
+		}
+
 		const now = this.ports.now();
+		this.#reportedClockMs = report.clockMs;
 		this.#setClock(report.clockMs);
 		const {ended, found} = this.#book.takeReport(report, {
 			sentAt,
@@ -301,13 +369,15 @@
 	and only then may the lease be renewed.
 	*/
 	async #endSilence(): Promise<void> {
-		const {control, getToken, log, onChange, unsettled} = this.ports;
+		const {control, getToken, answerTimes, log, onChange, unsettled} =
+			this.ports;
 		const isSettled =
 			unsettled.isEmpty ||
 			(await unsettled.settle(async (start) => {
 				const reply = await control.stopTask(this.#executor, {
 					...start,
 					token: getToken(),
+					answerLimitMs: answerTimes.getLimitMs(),
 				});
 				return reply.isOk() || reply.error.code === 'outdated';
 			}));
@@ -367,7 +437,7 @@
 		}
 	}
 
-	/** Only renewals judge: one lost order among answered renewals does not make it silent. */
+	/** Only renewals judge: a lost order among answered renewals does not make it silent. */
 	#noteSilence({code, message}: CallFailure, call: string): void {
 		if (call === 'renewal' && this.silentSince === undefined) {
 			this.silentSince = this.ports.now();
--- a/packages/scheduling/src/executor-set.ts
+++ b/packages/scheduling/src/executor-set.ts
@@ -2,6 +2,7 @@
 The executors of a group as their scheduler follows them: one session each, opened when the store lists the executor
 and closed when it is no longer listed and nothing runs there.
 */
+import {createAnswerTimes} from './answer-times.js';
 import {ExecutorSession, type SessionPorts} from './executor-session.js';
 import {type Executor} from './executor.js';
 import {formatTaskKey, type Run} from './run.js';
@@ -29,9 +30,10 @@
 };
 
 export function createExecutorSet(
-	ports: Omit<SessionPorts, 'unsettled'>,
+	ports: Omit<SessionPorts, 'unsettled' | 'answerTimes'>,
 ): ExecutorSet {
 	const sessions = new Map<string, ExecutorSession>();
+	const answerTimes = createAnswerTimes();
 	/** By executor, also of those whose session is closed. */
 	const unsettledOrders = new Map<string, UnsettledOrders>();
 	let listed: ReadonlySet<string> = new Set();
@@ -40,7 +42,11 @@
 		const {id} = executor;
 		const unsettled = unsettledOrders.get(id) ?? createUnsettledOrders();
 		unsettledOrders.set(id, unsettled);
-		const session = new ExecutorSession(executor, {...ports, unsettled});
+		const session = new ExecutorSession(executor, {
+			...ports,
+			answerTimes,
+			unsettled,
+		});
 		sessions.set(id, session);
 		session.open();
 	}
--- a/packages/scheduling/src/fake-executors.fixture.ts
+++ b/packages/scheduling/src/fake-executors.fixture.ts
@@ -10,6 +10,7 @@
 	type RunEnd,
 	type RunName,
 	type StartRequest,
+	type StopRequest,
 } from './executor-control.js';
 import {type Executor} from './executor.js';
 import {type VirtualClock} from './virtual-clock.fixture.js';
@@ -55,9 +56,6 @@
 
 export type FakeExecutors = ReturnType<typeof createFakeExecutors>;
 
-/** A call that gets no answer is given up after this long. */
-const callLimitMs = 150;
-
 export function createFakeExecutors(
 	clock: VirtualClock,
 	{
@@ -180,14 +178,22 @@
 		return ok({clockMs: clock.now});
 	}
 
-	async function loseAnswer(): Promise<Result<never, CallFailure>> {
-		await clock.wait(callLimitMs);
+	/** The caller gives up after its own limit, and what the call would have waited for. */
+	async function loseAnswer({
+		answerLimitMs,
+		waitMs = 0,
+	}: {
+		answerLimitMs: number;
+		waitMs?: number;
+	}): Promise<Result<never, CallFailure>> {
+		await clock.wait(answerLimitMs + waitMs);
 		return err({code: 'unanswered', message: 'no answer'});
 	}
 
 	/** Carries a call out as its fate says. */
 	async function carryOut<T>(
 		call: FakeCall,
+		limits: {answerLimitMs: number; waitMs?: number},
 		run: () => Result<T, CallFailure> | Promise<Result<T, CallFailure>>,
 	): Promise<Result<T, CallFailure>> {
 		const fate = decideFate(call);
@@ -197,19 +203,19 @@
 			}
 
 			case 'lost': {
-				return loseAnswer();
+				return loseAnswer(limits);
 			}
 
 			case 'answer-lost': {
 				void run();
-				return loseAnswer();
+				return loseAnswer(limits);
 			}
 
 			case 'late': {
 				clock.schedule(fate.ms, () => {
 					void run();
 				});
-				return loseAnswer();
+				return loseAnswer(limits);
 			}
 		}
 	}
@@ -217,38 +223,40 @@
 	async function sendStart(executor: Executor, request: StartRequest) {
 		const fake = find(executor);
 		if (isCut(fake, request.token)) {
-			return loseAnswer();
+			return loseAnswer(request);
 		}
 
 		if (fake.lateStartMs > 0) {
 			clock.schedule(fake.lateStartMs, () => {
 				startRun(fake, request);
 			});
-			return loseAnswer();
+			return loseAnswer(request);
 		}
 
 		return carryOut(
 			{kind: 'start', executor: executor.id, token: request.token},
+			request,
 			() => startRun(fake, request),
 		);
 	}
 
 	async function sendStop(
 		executor: Executor,
-		request: RunName & {token: number},
+		request: StopRequest,
 	): Promise<Result<{clockMs: number}, CallFailure>> {
 		const fake = find(executor);
 		return isCut(fake, request.token)
-			? loseAnswer()
+			? loseAnswer(request)
 			: carryOut(
 					{kind: 'stop', executor: executor.id, token: request.token},
+					request,
 					() => stopRun(fake, request),
 				);
 	}
 
 	function stopRun(
 		fake: FakeExecutor,
-		{job, index, attempt, token}: RunName & {token: number},
+		{job, index, attempt, token}: StopRequest,
 	): Result<{clockMs: number}, CallFailure> {
 		if (token < fake.token) {
 			return refuse('fenced');
@@ -271,17 +279,19 @@
 	): Promise<Result<LeaseReply, CallFailure>> {
 		const fake = find(executor);
 		return isCut(fake, request.token)
-			? loseAnswer()
+			? loseAnswer(request)
 			: carryOut(
 					{kind: 'renewal', executor: executor.id, token: request.token},
+					request,
 					async () => renewLease(fake, request),
 				);
 	}
 
 	async function renewLease(
 		fake: FakeExecutor,
-		{token, acknowledged, leaseUntilMs, waitMs}: LeaseRequest,
+		request: LeaseRequest,
 	): Promise<Result<LeaseReply, CallFailure>> {
+		const {token, acknowledged, leaseUntilMs, waitMs} = request;
 		if (token < fake.token) {
 			return refuse('fenced');
 		}
@@ -298,7 +308,7 @@
 		}
 
 		return isCut(fake, token)
-			? loseAnswer()
+			? loseAnswer(request)
 			: ok({
 					clockMs: clock.now,
 					running: fake.active.map(({job, index, attempt}) => ({
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -353,11 +353,7 @@
 			this.#outbox.tellStarted(job);
 		}
 
-		session.start(
-			{job: job.id, index: task.index, attempt},
-			job.spec,
-			job.demand,
-		);
+		session.start({job: job.id, index: task.index, attempt}, job);
 	}
 
 	/** Gives tasks that have not been started back to the entry. */
--- a/packages/scheduling/src/run-orders.ts
+++ b/packages/scheduling/src/run-orders.ts
@@ -5,6 +5,8 @@
 meanwhile runs twice; one would notice two runs of one task that overlap. So an order without an answer is not
 taken for undone: a stop of the same attempt is sent until it is answered, which also makes a late start worthless.
 */
+import {type Result} from 'neverthrow';
+import {type AnswerTimes} from './answer-times.js';
 import {type CallFailure, type ExecutorControl} from './executor-control.js';
 import {type Executor} from './executor.js';
 import {type Run} from './run.js';
@@ -19,6 +21,7 @@
 	control: ExecutorControl;
 	getToken: () => number;
 	getExecutor: () => Executor;
+	answerTimes: AnswerTimes;
 	/** The new end of the lease on the executor's clock; undefined: it can't be extended. */
 	extendLease: () => number | undefined;
 	/** The run is not over yet. */
@@ -27,6 +30,8 @@
 	signal: AbortSignal;
 	onClock: (clockMs: number) => void;
 	onFailure: (failure: CallFailure, call: 'start' | 'stop') => void;
+	/** A stop was answered: what ran is over, and the executor lists how. */
+	onStopped: () => void;
 	/** It is proved that the run never began. */
 	onUnstarted: (run: Run) => void;
 	log: (message: string, fields: Record<string, unknown>) => void;
@@ -41,6 +46,7 @@
 export function createRunOrders(ports: RunOrderPorts): RunOrders {
 	const {now, wait, control, getToken, getExecutor, isCurrent, signal, log} =
 		ports;
+	const {answerTimes} = ports;
 
 	async function sendStart(run: Run, spec: string): Promise<void> {
 		const leaseUntilMs = ports.extendLease();
@@ -50,6 +56,7 @@
 		}
 
 		const {job, index, attempt} = run;
+		const sentAt = now();
 		const reply = await control.startTask(getExecutor(), {
 			job,
 			index,
@@ -57,7 +64,9 @@
 			spec,
 			leaseUntilMs,
 			token: getToken(),
+			answerLimitMs: answerTimes.getLimitMs(),
 		});
+		noteAnswer(reply, sentAt);
 		if (!isCurrent(run)) {
 			return;
 		}
@@ -72,6 +81,14 @@
 		run.state = run.state === 'starting' ? 'running' : run.state;
 	}
 
+	function noteAnswer(reply: Result<unknown, CallFailure>, sentAt: number) {
+		if (reply.isErr() && reply.error.code === 'unanswered') {
+			answerTimes.noteLost();
+		} else {
+			answerTimes.note(now() - sentAt);
+		}
+	}
+
 	function receiveStartFailure(run: Run, failure: CallFailure): void {
 		log('start came to nothing', {
 			executor: getExecutor().id,
@@ -104,14 +121,18 @@
 	async function repeatStop(run: Run): Promise<void> {
 		const {job, index, attempt} = run;
 		while (isCurrent(run) && !signal.aborted) {
+			const sentAt = now();
 			const reply = await control.stopTask(getExecutor(), {
 				job,
 				index,
 				attempt,
 				token: getToken(),
+				answerLimitMs: answerTimes.getLimitMs(),
 			});
+			noteAnswer(reply, sentAt);
 			if (reply.isOk() || reply.error.code === 'outdated') {
 				run.stoppedAt = now();
+				ports.onStopped();
 				return;
 			}
 
--- a/packages/scheduling/src/run.ts
+++ b/packages/scheduling/src/run.ts
@@ -14,6 +14,8 @@
 export type Run = RunName & {
 	demand: TaskDemand;
 	state: RunState;
+	/** How long it is expected to take, milliseconds; undefined: not known. */
+	estimateMs?: number;
 	/** When the start was sent; for a run found at takeover, when it was found. */
 	startedAt: number;
 	/** When the executor accepted the start: lists of an earlier moment may lack it. */
--- a/packages/scheduling/src/timing.ts
+++ b/packages/scheduling/src/timing.ts
@@ -13,8 +13,10 @@
 
 /** How far ahead of the executor's clock a lease is renewed. */
 export const leaseMs = 700;
-/** How long one renewal waits at the executor for an end. Leaves two more tries within the lease. */
+/** How long one renewal waits at the executor for an end at most. Leaves two more tries within the lease. */
 export const renewWaitMs = 200;
+/** Least: renewals of runs that are overdue follow one another no faster. */
+export const leastRenewWaitMs = 30;
 /** An idle executor is asked this often, to know its clock and that it lives. */
 export const idleLookMs = 1000;
 /** How often an entry tells its schedulers that it still waits. */
@@ -42,7 +44,7 @@
 export const claimLimitMs = 200;
 /** Two clocks that differ by 2% over the longest span counted here, and a timer's lateness. */
 export const clockSlackMs = 60;
-/** A start or stop that has no answer after this long counts as unanswered: 20 round trips between data centres, and a busy host's pause. */
+/** Longest time after which an order without an answer counts as unanswered: 20 round trips between data centres, and a busy host's pause. */
 export const orderTimeoutMs = 150;
 /** A holder tells its state this often, and at once when it changes hands. Four words fit into the silence after which a holder is replaced. */
 export const stateEveryMs = 150;
