Look for places once for all ends of a report, and count what waits without lists

Each end of a report began a round over all waiting jobs, and so did the report itself: four rounds for three ends, each sorting the queue.

Change: a run's end is only entered; the session tells of its change once, and the round is made then. The sum of waiting work is taken only for jobs that found no room, without a list.

Tests: scheduling 91, host/scheduling 22 (with 2,000 plans of faults), settings 12, all passed.

--- a/packages/scheduling/src/executor-session.ts
+++ b/packages/scheduling/src/executor-session.ts
@@ -48,7 +48,7 @@
 	/** Starts of an earlier session with this executor among them. */
 	unsettled: UnsettledOrders;
 	onRunEnd: (run: Run, outcome: RunOutcome, session: ExecutorSession) => void;
-	/** The executor has answered, or has more room than before. */
+	/** The executor has answered, or has more room than before; once for all ends of one report. */
 	onChange: () => void;
 	/** Another scheduler has the group. */
 	onFenced: () => void;
@@ -216,6 +216,7 @@
 			onUnstarted: (run) => {
 				this.#book.remove(run);
 				this.#tellEnd({run, outcome: 'unstarted'});
+				this.ports.onChange();
 			},
 			log,
 		});
@@ -470,6 +471,7 @@
 				runs: this.runs.size,
 			});
 			this.#abandonRuns();
+			this.ports.onChange();
 		}
 	}
 
--- a/packages/scheduling/src/group-job.ts
+++ b/packages/scheduling/src/group-job.ts
@@ -128,6 +128,15 @@
 	return false;
 }
 
+export function countWaiting({tasks}: GroupJob): number {
+	let count = 0;
+	for (const {state} of tasks.values()) {
+		count += Number(state === 'waiting');
+	}
+
+	return count;
+}
+
 export function listWaiting(job: GroupJob): GroupTask[] {
 	return [...job.tasks.values()].filter(({state}) => state === 'waiting');
 }
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -370,13 +370,13 @@
 		this.#forgetIfOver(job);
 	}
 
+	/** Others are placed once all ends of the same report are entered: the session tells of its change then. */
 	#endRun(run: Run, outcome: RunOutcome, session: ExecutorSession): void {
 		const job = this.#jobs.get(run.job);
 		const task = job?.tasks.get(run.index);
 		const isCurrent =
 			task?.executor === session.id && task.nextAttempt === run.attempt + 1;
 		if (!job || !isCurrent || task.state !== 'started') {
-			this.#place();
 			return;
 		}
 
@@ -387,8 +387,6 @@
 		} else {
 			this.#requeue(job, task, outcome, session);
 		}
-
-		this.#place();
 	}
 
 	#learn(
--- a/packages/scheduling/src/place-waiting.ts
+++ b/packages/scheduling/src/place-waiting.ts
@@ -7,6 +7,7 @@
 */
 import {type Ends} from '@gentianshift/protocol';
 import {
+	countWaiting,
 	isHopeless,
 	listWaiting,
 	type GroupJob,
@@ -49,9 +50,9 @@
 			if (isHopeless(job, round.now + aheadMs)) {
 				actions.giveBack(job, 'hopeless');
 			}
-		}
 
-		aheadMs += measureWaitingMs(job, round);
+			aheadMs += measureWaitingMs(job, round);
+		}
 	}
 }
 
@@ -60,7 +61,7 @@
 	job: GroupJob,
 	{capacityCpu}: PlacingRound<C>,
 ): number {
-	const work = listWaiting(job).length * job.estimateMs * job.demand.cpu;
+	const work = countWaiting(job) * job.estimateMs * job.demand.cpu;
 	return capacityCpu > 0 ? work / capacityCpu : 0;
 }
 
