Let renewals wait until most runs have ended

A renewal waited for the estimate only, which half of the runs exceed, and then came again each 30 ms.

Change: it waits for 1.5 times the estimate, and 60 ms at least; a lost one is noticed that much later.

--- a/packages/scheduling/src/executor-session.ts
+++ b/packages/scheduling/src/executor-session.ts
@@ -28,6 +28,7 @@
 	dropStopMs,
 	idleLookMs,
 	leastRenewWaitMs,
+	renewWaitFactor,
 	renewWaitMs,
 	stopLimitMs,
 } from './timing.js';
@@ -290,7 +291,8 @@
 		let nextMs = renewWaitMs;
 		for (const {startedAt, estimateMs} of this.runs.values()) {
 			if (estimateMs !== undefined) {
-				nextMs = Math.min(nextMs, startedAt + estimateMs - now);
+				const endsAt = startedAt + renewWaitFactor * estimateMs;
+				nextMs = Math.min(nextMs, endsAt - now);
 			}
 		}
 
--- a/packages/scheduling/src/timing.ts
+++ b/packages/scheduling/src/timing.ts
@@ -16,7 +16,9 @@
 /** How long one renewal waits at the executor for an end at most. Leaves two more tries within the lease. */
 export const renewWaitMs = 200;
 /** Least: renewals of runs that are overdue follow one another no faster. */
-export const leastRenewWaitMs = 30;
+export const leastRenewWaitMs = 60;
+/** Over the estimate: most runs have ended by then, so a renewal that waits until then brings an end and costs no call of its own. */
+export const renewWaitFactor = 1.5;
 /** An idle executor is asked this often, to know its clock and that it lives. */
 export const idleLookMs = 1000;
 /** How often an entry tells its schedulers that it still waits. */
