--- a/packages/scheduling/src/entry-job.ts
+++ b/packages/scheduling/src/entry-job.ts
@@ -65,9 +65,8 @@
 };
 
 /**
-Estimates are off by a quarter: a job that seems late by less than that may be in time. With 0.9 more work ended in
-time on a virtual clock, where room is told exactly, but a tenth less on the users' heaviest days, and twice as much
-was refused while executors were free; which jobs these were has not been looked into.
+Estimates are off by a quarter: a job that seems late by less than that may be in time, and one that is turned away while
+executors are free is lost for nothing.
 */
 const admitFactor = 1.2;
 /** After three times its objective an answer is of no use to its caller. */
--- a/packages/scheduling/src/judge-run.ts
+++ b/packages/scheduling/src/judge-run.ts
@@ -7,8 +7,8 @@
 
 Run times of a queue differ from job to job by about 40%, those of one job's tasks by about 15%:
 once siblings have ended, the judgement is sharper. But those that ended first are the shortest, and
-a wide job's longest task takes half as long again: a factor of 1.5 stopped one run in eighty that
-only took its time, and doubted their executors.
+a wide job's longest task takes half as long again: a smaller factor stops runs that only take their
+time, and doubts their executors.
 
 A job whose tasks are late together, on several executors, is itself long: its word was wrong. Moved
 as overdue, all its tasks begin anew, twice, and the time that its caller waits runs out; its sound
--- a/packages/scheduling/src/placing-round.ts
+++ b/packages/scheduling/src/placing-round.ts
@@ -2,8 +2,7 @@
 What one round over the waiting jobs has found out already.
 
 For long queues at saturation: each end of a task starts a round, and a queue of a hundred jobs that
-each look through all executors cost the scheduler 2 ms of processor time a task, a quarter of a small
-host's core at 120 tasks a second. Within a round room only shrinks, so where there is none for
+each look through all executors take a good part of a small host's core. Within a round room only shrinks, so where there is none for
 one job there is none for another that needs as much.
 */
 import {type TaskDemand} from '@gentianshift/protocol';
--- a/packages/scheduling/src/rank-jobs.ts
+++ b/packages/scheduling/src/rank-jobs.ts
@@ -10,10 +10,6 @@
 for all. The job first whose start can wait the least does the opposite: nearly none is late up to
 the capacity, and far beyond it most are. So each job's latest start is put off by its work, in the time that
 one executor would take for it. A job that waits moves forward, so none is passed over for ever.
-
-By ten seeds of `load.test.ts`' system, shares of the work that ended in time, least work first and this:
-0.985 and 0.986 at 75% of the capacity, 0.923 and 0.930 at 90%, 0.806 and 0.811 at 115%, 0.643 and 0.636 at 150%,
-0.693 and 0.693 with a burst; latest start alone had 0.734 at 115% (three seeds).
 */
 
 export type RankedJob = {
--- a/packages/scheduling/src/succession.ts
+++ b/packages/scheduling/src/succession.ts
@@ -1,8 +1,8 @@
 /**
 Whether a holder asks a host with far more processor to take its group over.
 
-For fleets of unequal hosts. The scheduler is the one role that costs a host much: with 80 executors and 130 jobs a
-second a host that schedules takes 0.28 of a core, nearly all that the smallest hosts have. A group that a small host has taken, because it
+For fleets of unequal hosts. The scheduler is the one role that costs a host much, nearly all that the smallest hosts
+have. A group that a small host has taken, because it
 started first or the larger hosts were away, would stay there, and on the next busy seconds every job of the data
 centre waits for it. The group changes hands as in a planned stop: nothing is lost, and entries hand their parts on.
 */
