Never say that nothing has run of a job whose scheduler was lost on the way

A holder's word that it has started a job is lost with the connection; the part is handed to the next holder, or to the same one again, which knows of no run any more and gives the tasks back; the entry, which has not heard of a start, says that none has run.

Change: a job that was handed over again is "given up" and no longer "refused". The test in entry-jobs.test.ts fails without it.

--- a/packages/scheduling/src/entry-job.ts
+++ b/packages/scheduling/src/entry-job.ts
@@ -59,6 +59,11 @@
 	isLetIn: boolean;
 	/** A scheduler has started a task of it, or may have. */
 	isStarted: boolean;
+	/**
+	A scheduler that had tasks of it was lost, or the connection to it: what it told of starts may be lost as well, so that
+	"nothing has run" would not be true any more.
+	*/
+	isHandedOver: boolean;
 	/** When a scheduler first told of a start; undefined: none did. */
 	startToldAt?: number;
 	waiters: Array<(answer: JobAnswer) => void>;
@@ -99,6 +104,7 @@
 		endsAt: now + timeLeftMs,
 		isLetIn: false,
 		isStarted: false,
+		isHandedOver: false,
 		tasks: Array.from({length: count}, (_, index) => ({
 			index,
 			isDone: false,
--- a/packages/scheduling/src/entry-jobs.test.ts
+++ b/packages/scheduling/src/entry-jobs.test.ts
@@ -303,3 +303,27 @@
 	entry.sendAgain('mieres_m1');
 	assert.equal(countDrops(), 2, 'it is wanted again');
 });
+
+// A holder starts a job's tasks, and its word of that is lost with the connection. The group changes hands, and the next holder, which knows of no run,
+// gives the tasks back. Told that nothing has run, the caller orders once more what has been delivered.
+test('a job that was handed over is not refused as one that never ran', () => {
+	const {entry, groups, clock} = createEntryJobs();
+	groups.update('mieres_m1', makeState('mieres'), clock.now);
+	const answers: JobAnswer[] = [];
+	entry.submit(makeRequest({count: 1}), (answer) => {
+		answers.push(answer);
+	});
+	groups.update('mieres_m2', makeState('mieres', {token: 2}), clock.now);
+	entry.handOver('mieres');
+	entry.receiveEnds('mieres_m2', {
+		t: 'ends',
+		job: 'job1',
+		isStarted: false,
+		ends: [{index: 0, outcome: 'returned', attempt: 0, placement: 1}],
+		reason: 'hopeless',
+	});
+	assert.deepEqual(
+		answers.map(({type}) => type),
+		['given-up'],
+	);
+});
--- a/packages/scheduling/src/entry-jobs.ts
+++ b/packages/scheduling/src/entry-jobs.ts
@@ -143,6 +143,7 @@
 		for (const job of this.#jobs.values()) {
 			const tasks = listTasksAt(job, group);
 			if (tasks.length > 0) {
+				job.isHandedOver = true;
 				this.#sendPart(job, group, tasks, true);
 			}
 		}
@@ -407,7 +408,9 @@
 
 	/** A scheduler may have started a task whose word is still on its way. */
 	#isMaybeStarted(job: EntryJob): boolean {
-		return job.tasks.some(({group}) => group !== undefined);
+		return (
+			job.isHandedOver || job.tasks.some(({group}) => group !== undefined)
+		);
 	}
 
 	#answer(job: EntryJob, answer: JobAnswer): void {
