--- a/packages/host/src/scheduling/faulty/fault-plan.fixture.ts
+++ b/packages/host/src/scheduling/faulty/fault-plan.fixture.ts
@@ -14,6 +14,8 @@
 	host: number;
 	tasks: number;
 	runMs: number;
+	/** What the objective allows beyond the run: with little, tasks are given back. */
+	allowanceMs: number;
 };
 
 /** Acts from `at` for `forMs`, milliseconds from the begin of the play. */
@@ -66,6 +68,7 @@
 	host,
 	tasks: fc.integer({min: 1, max: 3}),
 	runMs: fc.constantFrom(60, 600, 1500, 2500),
+	allowanceMs: fc.constantFrom(60, 1000),
 });
 
 const hostFault = fc.record({
--- a/packages/host/src/scheduling/faulty/no-task-twice.test.ts
+++ b/packages/host/src/scheduling/faulty/no-task-twice.test.ts
@@ -32,8 +32,8 @@
 		cause: 'the word to drop a job was lost with the connection to its holder',
 		plan: {
 			jobs: [
-				{at: 0, host: 1, tasks: 1, runMs: 2500},
-				{at: 201, host: 1, tasks: 1, runMs: 60},
+				{at: 0, host: 1, tasks: 1, runMs: 2500, allowanceMs: 1000},
+				{at: 201, host: 1, tasks: 1, runMs: 60, allowanceMs: 1000},
 			],
 			faults: [{at: 150, forMs: 351, kind: 'cut', host: 0, peer: 1}],
 		},
@@ -43,8 +43,8 @@
 			'a new holder acted on the first line of a report that its first look had missed',
 		plan: {
 			jobs: [
-				{at: 562, host: 1, tasks: 1, runMs: 1500},
-				{at: 504, host: 0, tasks: 1, runMs: 60},
+				{at: 562, host: 1, tasks: 1, runMs: 1500, allowanceMs: 1000},
+				{at: 504, host: 0, tasks: 1, runMs: 60, allowanceMs: 1000},
 			],
 			faults: [
 				{at: 800, forMs: 753, kind: 'hand-over'},
@@ -63,7 +63,7 @@
 	{
 		cause: 'an executor was silent in the moment after its group changed hands',
 		plan: {
-			jobs: [{at: 0, host: 0, tasks: 2, runMs: 2500}],
+			jobs: [{at: 0, host: 0, tasks: 2, runMs: 2500, allowanceMs: 1000}],
 			faults: [
 				{at: 800, forMs: 753, kind: 'hand-over'},
 				{at: 1600, forMs: 53, kind: 'plan-stop', host: 1},
--- a/packages/host/src/scheduling/faulty/play-plan.fixture.ts
+++ b/packages/host/src/scheduling/faulty/play-plan.fixture.ts
@@ -220,7 +220,7 @@
 		}
 	}
 
-	#makeRequest({id, tasks, runMs}: PlayedJob): JobRequest {
+	#makeRequest({id, tasks, runMs, allowanceMs}: PlayedJob): JobRequest {
 		return {
 			id,
 			queue: {
@@ -231,7 +231,7 @@
 				priority: 0,
 				maxAttempts: 3,
 				timeoutMs: timeLeftMs,
-				allowanceMs: 1000,
+				allowanceMs,
 				slackFactor: 2,
 			},
 			spec: '',
--- a/packages/scheduling/src/entry-jobs.ts
+++ b/packages/scheduling/src/entry-jobs.ts
@@ -408,9 +408,7 @@
 
 	/** A scheduler may have started a task whose word is still on its way. */
 	#isMaybeStarted(job: EntryJob): boolean {
-		return (
-			job.isHandedOver || job.tasks.some(({group}) => group !== undefined)
-		);
+		return job.isHandedOver || job.tasks.some(({group}) => group !== undefined);
 	}
 
 	#answer(job: EntryJob, answer: JobAnswer): void {
