Split the fixture that begins faults, and make the lists of executors in one place of their tests

Cause: read as a newcomer: one fixture of 392 lines played plans and began their faults; a test file made its subject in four places.

Change: begin-fault.fixture.ts (play-plan.fixture.ts: 392 to 276 lines); makeLists.

--- a/packages/host/src/scheduling/executor-lists.test.ts
+++ b/packages/host/src/scheduling/executor-lists.test.ts
@@ -20,30 +20,42 @@
 	};
 }
 
+type ListsOptions = Parameters<typeof createExecutorLists>[0];
+
+/** Lists of a host that holds its group, at the begin of time; what the test is about is given. */
+function makeLists(
+	options: Pick<ListsOptions, 'source'> & Partial<ListsOptions>,
+) {
+	return createExecutorLists({
+		isHolder: () => true,
+		isNamedService: () => true,
+		onList() {
+			// Read by the test itself.
+		},
+		now: () => 0,
+		wait: waitFor,
+		random: () => 0,
+		log() {
+			// Not read.
+		},
+		...options,
+	});
+}
+
 function createLists(
 	readList: () => Executor[],
 	now: () => number,
 	isDown = () => false,
 ) {
 	const ending = new AbortController();
-	const lists = createExecutorLists({
+	const lists = makeLists({
 		source: {
 			list: () =>
 				isDown()
 					? errAsync({code: 'unavailable', message: 'down'})
 					: okAsync(readList()),
 		},
-		isHolder: () => true,
-		isNamedService: () => true,
-		onList() {
-			// Read by the test itself.
-		},
 		now,
-		wait: waitFor,
-		random: () => 0,
-		log() {
-			// Not read.
-		},
 	});
 	lists.start(ending.signal);
 	return {
@@ -114,7 +126,7 @@
 test('an older read that is answered later changes nothing', async () => {
 	const answers: Array<(list: Executor[]) => void> = [];
 	const ending = new AbortController();
-	const lists = createExecutorLists({
+	const lists = makeLists({
 		source: {
 			list: () =>
 				ResultAsync.fromSafePromise(
@@ -124,16 +136,6 @@
 				),
 		},
 		isHolder: () => false,
-		isNamedService: () => true,
-		onList() {
-			// Read by the test itself.
-		},
-		now: () => 0,
-		wait: waitFor,
-		random: () => 0,
-		log() {
-			// Not read.
-		},
 	});
 	lists.start(ending.signal);
 	const reading = lists.readNow();
@@ -155,7 +157,7 @@
 test('a list that may be old does not count as fresh', async () => {
 	const ending = new AbortController();
 	const seen: Array<boolean | undefined> = [];
-	const lists = createExecutorLists({
+	const lists = makeLists({
 		source: {
 			list(options) {
 				seen.push(options?.mayBeStale);
@@ -163,16 +165,6 @@
 			},
 		},
 		isHolder: () => false,
-		isNamedService: () => true,
-		onList() {
-			// Read by the test itself.
-		},
-		now: () => 0,
-		wait: waitFor,
-		random: () => 0,
-		log() {
-			// Not read.
-		},
 	});
 	lists.start(ending.signal);
 	await nextTurn();
@@ -188,7 +180,7 @@
 // be asked in vain, and each group that changes hands would wait for its answer.
 test('an executor of a service that nobody named is not listed, and logged once', async () => {
 	const logged: string[] = [];
-	const lists = createExecutorLists({
+	const lists = makeLists({
 		source: {
 			list: () =>
 				okAsync([
@@ -196,14 +188,7 @@
 					{...makeExecutor('e2'), service: 'nobodys'},
 				]),
 		},
-		isHolder: () => true,
 		isNamedService: (service) => service === 'meals',
-		onList() {
-			// Read by the test itself.
-		},
-		now: () => 0,
-		wait: waitFor,
-		random: () => 0,
 		log(message) {
 			logged.push(message);
 		},
--- /dev/null
+++ b/packages/host/src/scheduling/faulty/begin-fault.fixture.ts
@@ -0,0 +1,167 @@
+/**
+Begins the faults of a plan in a running system.
+*/
+import {
+	type FakeExecutors,
+	type VirtualClock,
+} from '@gentianshift/scheduling/fixtures';
+import {dataCentres, type PlannedFault} from './fault-plan.fixture.js';
+import {type FaultyHost} from './faulty-host.fixture.js';
+import {type FaultyNetwork} from './faulty-network.fixture.js';
+import {type FaultyStore, type StoreMood} from './faulty-store.fixture.js';
+
+/** What goes wrong with an executor's orders; each rule counts the orders it has seen. */
+export type OrderRule = Extract<PlannedFault, {kind: 'orders'}> & {
+	seen: number;
+};
+
+export type FaultySystem = {
+	clock: VirtualClock;
+	hosts: readonly FaultyHost[];
+	network: FaultyNetwork;
+	store: FaultyStore;
+	executors: FakeExecutors;
+	/** How the store treats a host; it is well with those that are not listed. */
+	moods: Map<FaultyHost, StoreMood>;
+	orderRules: Set<OrderRule>;
+	/** Callers whose connections broke come again. */
+	resend: (jobs: readonly string[]) => void;
+};
+
+/** Begins a fault; gives what ends it. */
+export function beginFault(
+	fault: PlannedFault,
+	system: FaultySystem,
+): () => void {
+	const {hosts, moods, orderRules} = system;
+	switch (fault.kind) {
+		case 'kill':
+		case 'freeze':
+		case 'plan-stop':
+		case 'reset-callers': {
+			return disturbHost(fault, hosts[fault.host]!, system);
+		}
+
+		case 'hand-over': {
+			const holder = hosts.find(
+				({isHolder, dataCentre}) => isHolder && dataCentre === dataCentres[0],
+			);
+			holder?.planStop(true);
+			return () => {
+				holder?.planStop(false);
+			};
+		}
+
+		case 'cut':
+		case 'hold-up': {
+			return disturbLink(fault, system);
+		}
+
+		case 'store': {
+			const host = hosts[fault.host]!;
+			moods.set(host, fault.how);
+			return () => {
+				moods.delete(host);
+			};
+		}
+
+		case 'unlist':
+		case 'silence': {
+			return disturbExecutor(fault, system);
+		}
+
+		case 'orders': {
+			const rule = {...fault, seen: 0};
+			orderRules.add(rule);
+			return () => {
+				orderRules.delete(rule);
+			};
+		}
+	}
+}
+
+function disturbHost(
+	{
+		kind,
+		forMs,
+	}: Extract<
+		PlannedFault,
+		{kind: 'kill' | 'freeze' | 'plan-stop' | 'reset-callers'}
+	>,
+	host: FaultyHost,
+	{network, resend}: FaultySystem,
+): () => void {
+	switch (kind) {
+		case 'kill': {
+			resend(host.kill());
+			network.closeAll(host);
+			return () => {
+				if (!host.isAlive) {
+					host.start();
+					network.connect();
+				}
+			};
+		}
+
+		case 'freeze': {
+			host.freeze(forMs);
+			return doNothing;
+		}
+
+		case 'plan-stop': {
+			host.planStop(true);
+			return () => {
+				host.planStop(false);
+			};
+		}
+
+		case 'reset-callers': {
+			resend(host.resetCallers());
+			return doNothing;
+		}
+	}
+}
+
+function disturbLink(
+	{kind, host, peer, forMs}: Extract<PlannedFault, {kind: 'cut' | 'hold-up'}>,
+	{hosts, network, clock}: FaultySystem,
+): () => void {
+	const from = hosts[host]!;
+	const to = hosts[peer]!;
+	if (from === to) {
+		return doNothing;
+	}
+
+	if (kind === 'hold-up') {
+		network.holdUp(from, to, clock.now + forMs);
+		return doNothing;
+	}
+
+	network.cut(from, to, true);
+	return () => {
+		network.cut(from, to, false);
+	};
+}
+
+function disturbExecutor(
+	{kind, executor}: Extract<PlannedFault, {kind: 'unlist' | 'silence'}>,
+	{executors, store}: FaultySystem,
+): () => void {
+	const fake = executors.fakes[executor]!;
+	const {id} = fake.executor;
+	if (kind === 'unlist') {
+		store.setListed(id, false);
+		return () => {
+			store.setListed(id, true);
+		};
+	}
+
+	fake.cutFrom = 'all';
+	return () => {
+		fake.cutFrom = new Set();
+	};
+}
+
+function doNothing(): void {
+	// Not of interest here.
+}
--- a/packages/host/src/scheduling/faulty/fault-plan.fixture.ts
+++ b/packages/host/src/scheduling/faulty/fault-plan.fixture.ts
@@ -4,7 +4,8 @@
 */
 import fc from 'fast-check';
 
-/** Two data centres of two hosts each, with two executors and one. */
+export const dataCentres = ['mieres', 'langreo'] as const;
+/** Two hosts in each data centre, two executors in the first and one in the second. */
 export const hostCount = 4;
 export const executorCount = 3;
 export const executorsOfFirst = 2;
--- a/packages/host/src/scheduling/faulty/play-plan.fixture.ts
+++ b/packages/host/src/scheduling/faulty/play-plan.fixture.ts
@@ -14,10 +14,16 @@
 	type FakeCall,
 	type FakeExecutors,
 } from '@gentianshift/scheduling/fixtures';
+import {
+	beginFault,
+	type FaultySystem,
+	type OrderRule,
+} from './begin-fault.fixture.js';
 import {FaultyHost} from './faulty-host.fixture.js';
 import {FaultyNetwork} from './faulty-network.fixture.js';
 import {FaultyStore, type StoreMood} from './faulty-store.fixture.js';
 import {
+	dataCentres,
 	executorCount,
 	executorsOfFirst,
 	hostCount,
@@ -26,7 +32,6 @@
 	type PlannedJob,
 } from './fault-plan.fixture.js';
 
-const dataCentres = ['mieres', 'langreo'] as const;
 const places = [
 	{dataCentre: 'mieres', host: 'm1'},
 	{dataCentre: 'mieres', host: 'm2'},
@@ -53,21 +58,26 @@
 class Play {
 	readonly clock = new VirtualClock();
 	readonly #taskMs = new Map<string, number>();
-	/** What goes wrong with an executor's orders now; each rule counts the orders it has seen. */
-	readonly #orderFaults = new Set<
-		Extract<PlannedFault, {kind: 'orders'}> & {seen: number}
-	>();
-
+	readonly #orderRules = new Set<OrderRule>();
 	readonly #moods = new Map<FaultyHost, StoreMood>();
 	readonly #executors = this.#createExecutors();
-	readonly #store: FaultyStore;
 	readonly #hosts: FaultyHost[] = [];
-	readonly #network: FaultyNetwork;
+	readonly #system: FaultySystem;
 	readonly #jobs: PlayedJob[] = [];
 
 	constructor(private readonly log: (line: string) => void) {
-		this.#store = new FaultyStore(this.clock, this.#executors.executors);
-		this.#network = new FaultyNetwork(this.clock, this.#hosts);
+		this.#system = {
+			clock: this.clock,
+			hosts: this.#hosts,
+			network: new FaultyNetwork(this.clock, this.#hosts),
+			store: new FaultyStore(this.clock, this.#executors.executors),
+			executors: this.#executors,
+			moods: this.#moods,
+			orderRules: this.#orderRules,
+			resend: (jobs) => {
+				this.#resendAll(jobs);
+			},
+		};
 		for (const place of places) {
 			this.#hosts.push(this.#createHost(place));
 		}
@@ -78,7 +88,7 @@
 			host.start();
 		}
 
-		this.#network.connect();
+		this.#system.network.connect();
 		await this.clock.run(settleMs);
 		for (const [i, job] of jobs.entries()) {
 			const played = {...job, id: `job${i}`, answers: [], sends: 0};
@@ -141,7 +151,7 @@
 	}
 
 	#decideFate({executor}: FakeCall): CallFate {
-		for (const fault of this.#orderFaults) {
+		for (const fault of this.#orderRules) {
 			if (executor === `e${fault.executor + 1}`) {
 				fault.seen += 1;
 				if (fault.seen % fault.every === 0) {
@@ -156,7 +166,9 @@
 	}
 
 	#createHost(place: (typeof places)[number]): FaultyHost {
-		const view = this.#store.createView(() => this.#moods.get(host) ?? 'well');
+		const view = this.#system.store.createView(
+			() => this.#moods.get(host) ?? 'well',
+		);
 		const host: FaultyHost = new FaultyHost(place, {
 			clock: this.clock,
 			...view,
@@ -169,8 +181,8 @@
 					)
 					.map(({key}) => key),
 			peers: {
-				listLinks: () => this.#network.listLinks(host),
-				findLink: (key) => this.#network.findLink(host, key),
+				listLinks: () => this.#system.network.listLinks(host),
+				findLink: (key) => this.#system.network.findLink(host, key),
 				listIncarnations: (key) =>
 					this.#hosts
 						.filter((other) => other.key === key && other.isAlive)
@@ -245,138 +257,10 @@
 	#schedule(fault: PlannedFault): void {
 		this.clock.schedule(fault.at, () => {
 			this.log(`${this.clock.now} fault ${JSON.stringify(fault)}`);
-			const end = this.#begin(fault);
+			const end = beginFault(fault, this.#system);
 			this.clock.schedule(fault.forMs, end);
 		});
 	}
-
-	/** Begins a fault; gives what ends it. */
-	#begin(fault: PlannedFault): () => void {
-		switch (fault.kind) {
-			case 'kill':
-			case 'freeze':
-			case 'plan-stop':
-			case 'reset-callers': {
-				return this.#disturbHost(fault, this.#hosts[fault.host]!);
-			}
-
-			case 'hand-over': {
-				const holder = this.#hosts.find(
-					({isHolder, dataCentre}) => isHolder && dataCentre === dataCentres[0],
-				);
-				holder?.planStop(true);
-				return () => {
-					holder?.planStop(false);
-				};
-			}
-
-			case 'cut':
-			case 'hold-up': {
-				return this.#disturbLink(fault);
-			}
-
-			case 'store': {
-				const host = this.#hosts[fault.host]!;
-				this.#moods.set(host, fault.how);
-				return () => {
-					this.#moods.set(host, 'well');
-				};
-			}
-
-			case 'unlist':
-			case 'silence': {
-				return this.#disturbExecutor(fault);
-			}
-
-			case 'orders': {
-				const rule = {...fault, seen: 0};
-				this.#orderFaults.add(rule);
-				return () => {
-					this.#orderFaults.delete(rule);
-				};
-			}
-		}
-	}
-
-	#disturbHost(
-		{
-			kind,
-			forMs,
-		}: {kind: 'kill' | 'freeze' | 'plan-stop' | 'reset-callers'; forMs: number},
-		host: FaultyHost,
-	): () => void {
-		switch (kind) {
-			case 'kill': {
-				this.#resendAll(host.kill());
-				this.#network.closeAll(host);
-				return () => {
-					if (!host.isAlive) {
-						host.start();
-						this.#network.connect();
-					}
-				};
-			}
-
-			case 'freeze': {
-				host.freeze(forMs);
-				return doNothing;
-			}
-
-			case 'plan-stop': {
-				host.planStop(true);
-				return () => {
-					host.planStop(false);
-				};
-			}
-
-			case 'reset-callers': {
-				this.#resendAll(host.resetCallers());
-				return doNothing;
-			}
-		}
-	}
-
-	#disturbLink({
-		kind,
-		host,
-		peer,
-		forMs,
-	}: Extract<PlannedFault, {kind: 'cut' | 'hold-up'}>): () => void {
-		const from = this.#hosts[host]!;
-		const to = this.#hosts[peer]!;
-		if (from === to) {
-			return doNothing;
-		}
-
-		if (kind === 'hold-up') {
-			this.#network.holdUp(from, to, this.clock.now + forMs);
-			return doNothing;
-		}
-
-		this.#network.cut(from, to, true);
-		return () => {
-			this.#network.cut(from, to, false);
-		};
-	}
-
-	#disturbExecutor({
-		kind,
-		executor,
-	}: Extract<PlannedFault, {kind: 'unlist' | 'silence'}>): () => void {
-		const fake = this.#executors.fakes[executor]!;
-		const {id} = fake.executor;
-		if (kind === 'unlist') {
-			this.#store.setListed(id, false);
-			return () => {
-				this.#store.setListed(id, true);
-			};
-		}
-
-		fake.cutFrom = 'all';
-		return () => {
-			fake.cutFrom = new Set();
-		};
-	}
 }
 
 /** Plays the plan; gives the promises that were broken. */
