Log who had each task started, and how a job's caller was connected

The hosts' lines named executors of starts that failed only, so whether two runs of a task were of one group or two, of one entry or two, had to be guessed.

--- a/packages/host/src/scheduling/faulty/play-plan.fixture.ts
+++ b/packages/host/src/scheduling/faulty/play-plan.fixture.ts
@@ -251,6 +251,7 @@
 			demand: {cpu: 14_000, memoryMb: 64, accelerators: 0},
 			declaredMs: runMs,
 			timeLeftMs,
+			requestsBefore: 1,
 		};
 	}
 
--- a/packages/host/src/scheduling/start-scheduling-host.ts
+++ b/packages/host/src/scheduling/start-scheduling-host.ts
@@ -273,6 +273,7 @@
 			job: job.request.id,
 			queue: job.request.queue.name,
 			tasks: job.tasks.length,
+			requestsBefore: job.request.requestsBefore,
 			tookMs: Math.round(tookMs),
 			firstStartMs:
 				startToldAt === undefined
--- a/packages/scheduling/src/entry-job.ts
+++ b/packages/scheduling/src/entry-job.ts
@@ -17,6 +17,8 @@
 	declaredMs: number;
 	/** How long the caller waits from now. */
 	timeLeftMs: number;
+	/** Requests that came before this one on the caller's connection: 0 for the first one. */
+	requestsBefore: number;
 };
 
 /**
--- a/packages/scheduling/src/entry-jobs.test.ts
+++ b/packages/scheduling/src/entry-jobs.test.ts
@@ -58,6 +58,7 @@
 		demand: {cpu: 14_000, memoryMb: 64, accelerators: 0},
 		declaredMs: 100,
 		timeLeftMs: 3000,
+		requestsBefore: 1,
 		...request,
 	};
 }
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -37,6 +37,7 @@
 import {countFits} from './room.js';
 import {type Run, type RunOutcome} from './run.js';
 import {type RunTimes} from './run-times.js';
+import {createStartLog, type StartLog} from './start-log.js';
 import {
 	clockSlackMs,
 	dropStopMs,
@@ -84,6 +85,7 @@
 	readonly #jobs = new Map<string, GroupJob>();
 	readonly #entries = createEntryContacts();
 	readonly #outbox = createEndsOutbox();
+	readonly #startLog: StartLog;
 	readonly #openedAt: number;
 	#updatedAt = 0;
 	#isClosed = false;
@@ -91,6 +93,7 @@
 
 	constructor(private readonly ports: GroupPorts) {
 		this.#openedAt = ports.now();
+		this.#startLog = createStartLog(ports);
 		this.#executors = createExecutorSet({
 			...ports,
 			getToken: () => ports.token,
@@ -217,6 +220,13 @@
 		}
 
 		// Its caller came again at another host: the runs of the first copy are stopped.
+		this.ports.log('a copy of the job at another entry replaces this one', {
+			job: job.id,
+			entry: entry.key,
+			formerEntry: job.entry.key,
+			group: this.ports.group,
+			token: this.ports.token,
+		});
 		this.#drop(job, this.ports.now() + dropStopMs);
 		return undefined;
 	}
@@ -259,6 +269,15 @@
 			task.startedAt = run.startedAt;
 			task.nextAttempt = Math.max(task.nextAttempt, run.attempt + 1);
 			job.isStarted = true;
+			this.ports.log('run of an earlier holder is claimed', {
+				job: job.id,
+				entry: job.entry.key,
+				group: this.ports.group,
+				token: this.ports.token,
+				task: task.index,
+				attempt: run.attempt,
+				executor,
+			});
 		}
 	}
 
@@ -315,6 +334,7 @@
 			},
 		);
 		this.#isPlacing = false;
+		this.#startLog.write();
 		this.#outbox.flush();
 	}
 
@@ -348,6 +368,7 @@
 		task.state = 'started';
 		task.executor = session.id;
 		task.startedAt = this.ports.now();
+		this.#startLog.add(job, task, attempt);
 		if (!job.isStarted) {
 			job.isStarted = true;
 			this.#outbox.tellStarted(job);
--- a/packages/scheduling/src/load-system.fixture.ts
+++ b/packages/scheduling/src/load-system.fixture.ts
@@ -355,6 +355,7 @@
 		demand: {cpu: 14_000, memoryMb: 64, accelerators: 0},
 		declaredMs,
 		timeLeftMs: queueDefaults.timeoutMs - callerMs,
+		requestsBefore: 1,
 	};
 }
 
--- /dev/null
+++ b/packages/scheduling/src/start-log.test.ts
@@ -0,0 +1,49 @@
+/**
+What the log tells of starts, so that two runs of one task can be traced to who had them started.
+*/
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {createGroupJob} from './group-job.js';
+import {createEntry, makePart} from './group-scheduler.fixture.js';
+import {createStartLog} from './start-log.js';
+import {VirtualClock} from './virtual-clock.fixture.js';
+
+test('the starts of a round are told in one line a job, with group, token and entry', () => {
+	const lines: Array<Record<string, unknown>> = [];
+	const startLog = createStartLog({
+		group: 'mieres',
+		token: 7,
+		log(message, fields) {
+			lines.push({message, ...fields});
+		},
+	});
+	const job = createGroupJob(makePart(new VirtualClock()), createEntry(), 0);
+	const task = {
+		placement: 1,
+		nextAttempt: 2,
+		state: 'started' as const,
+		failures: 0,
+		shifts: 0,
+		moves: 0,
+		avoid: new Set<string>(),
+		startedAt: 0,
+	};
+	startLog.add(job, {...task, index: 0, executor: 'e1'}, 1);
+	startLog.add(job, {...task, index: 1, executor: 'e2'}, 1);
+	startLog.write();
+	startLog.write();
+	assert.deepEqual(lines, [
+		{
+			message: 'tasks started',
+			job: 'job1',
+			entry: 'mieres_m1.0',
+			group: 'mieres',
+			token: 7,
+			isMoved: false,
+			starts: [
+				{task: 0, attempt: 1, executor: 'e1'},
+				{task: 1, attempt: 1, executor: 'e2'},
+			],
+		},
+	]);
+});
