Let a caller that leaves end only its own wait for a job

What callers saw: nothing yet; found while reading for the task that ran twice. A caller whose connection breaks sends its job again, and the copy may come to the same host, where it joins the job. When the host then reads that the first connection is gone, it cancelled the job for both, and the second caller was told 410. Once a job had no answer and was no longer here, the same word was passed on to all other hosts and cancelled the copy there.

Cause: leaving was told by the job's id, like a cancellation.

Change: submitting a job gives what tells that this caller has left. The job ends when nobody else waits for it; no other host is told.

Evidence: the test of entry-jobs fails before (the job was gone after the first caller left, by its id) and passes after.

--- a/packages/host/src/scheduling/host-roles.ts
+++ b/packages/host/src/scheduling/host-roles.ts
@@ -92,9 +92,13 @@
 		};
 	}
 
-	submit(request: JobRequest, onAnswer: (answer: JobAnswer) => void): void {
+	/** Gives what tells that the caller has left. */
+	submit(
+		request: JobRequest,
+		onAnswer: (answer: JobAnswer) => void,
+	): () => void {
 		this.#refreshOwnState();
-		this.entry.submit(request, onAnswer);
+		return this.entry.submit(request, onAnswer);
 	}
 
 	/** What time alone brings about; to be called each 50 ms or so. */
--- a/packages/host/src/scheduling/start-scheduling-host.ts
+++ b/packages/host/src/scheduling/start-scheduling-host.ts
@@ -60,7 +60,11 @@
 };
 
 export type SchedulingHost = {
-	submit: (request: JobRequest, onAnswer: (answer: JobAnswer) => void) => void;
+	/** Gives what tells that the caller has left. */
+	submit: (
+		request: JobRequest,
+		onAnswer: (answer: JobAnswer) => void,
+	) => () => void;
 	/** True when the job was here; else the other hosts are told. */
 	cancel: (id: string) => boolean;
 	getTable: () => QueueTable | undefined;
@@ -159,8 +163,11 @@
 		}, updateEveryMs);
 	}
 
-	submit(request: JobRequest, onAnswer: (answer: JobAnswer) => void): void {
-		this.#roles.submit(request, onAnswer);
+	submit(
+		request: JobRequest,
+		onAnswer: (answer: JobAnswer) => void,
+	): () => void {
+		return this.#roles.submit(request, onAnswer);
 	}
 
 	cancel(id: string): boolean {
--- a/packages/scheduling/src/entry-job.ts
+++ b/packages/scheduling/src/entry-job.ts
@@ -68,7 +68,7 @@
 	isHandedOver: boolean;
 	/** When a scheduler first told of a start; undefined: none did. */
 	startToldAt?: number;
-	waiters: Array<(answer: JobAnswer) => void>;
+	waiters: Set<(answer: JobAnswer) => void>;
 };
 
 /**
@@ -114,7 +114,7 @@
 			shifts: 0,
 			nextAttempt: 1,
 		})),
-		waiters: [],
+		waiters: new Set(),
 	};
 }
 
--- a/packages/scheduling/src/entry-jobs.test.ts
+++ b/packages/scheduling/src/entry-jobs.test.ts
@@ -328,3 +328,19 @@
 		['given-up'],
 	);
 });
+
+// Guards against a job that is cancelled for the caller's broken connection although the caller has come again over another one.
+test('a caller that leaves ends a job only if nobody else waits for it', () => {
+	const {entry, groups, clock} = createEntryJobs();
+	groups.update('mieres_m1', makeState('mieres'), clock.now);
+	const answers: JobAnswer[] = [];
+	const leave = entry.submit(makeRequest(), () => undefined);
+	const leaveAgain = entry.submit(makeRequest(), (answer) => {
+		answers.push(answer);
+	});
+	leave();
+	assert.equal(entry.size, 1);
+	assert.deepEqual(answers, []);
+	leaveAgain();
+	assert.equal(entry.size, 0);
+});
--- a/packages/scheduling/src/entry-jobs.ts
+++ b/packages/scheduling/src/entry-jobs.ts
@@ -82,24 +82,36 @@
 		return count;
 	}
 
-	/** Takes a job; `onAnswer` is called once. A job that is here already is joined. */
-	submit(request: JobRequest, onAnswer: (answer: JobAnswer) => void): void {
+	/**
+	Takes a job; `onAnswer` is called once. A job that is here already is joined.
+
+	Gives what tells that the caller has left: the job is cancelled when nobody else waits for it.
+	*/
+	submit(
+		request: JobRequest,
+		onAnswer: (answer: JobAnswer) => void,
+	): () => void {
 		const known = this.#jobs.get(request.id);
 		if (known) {
-			known.waiters.push(onAnswer);
-			return;
+			known.waiters.add(onAnswer);
+			return () => {
+				this.#abandon(known, onAnswer);
+			};
 		}
 
 		this.#holders.forgetDrop(request.id);
 		const {queue, declaredMs} = request;
 		const estimateMs = this.#ports.runTimes.estimate(queue.name, declaredMs);
 		const job = createEntryJob(request, estimateMs, this.#ports.now());
-		job.waiters.push(onAnswer);
+		job.waiters.add(onAnswer);
 		this.#jobs.set(request.id, job);
 		this.#placeTasks(job, job.tasks);
+		return () => {
+			this.#abandon(job, onAnswer);
+		};
 	}
 
-	/** The caller has left, or cancelled: nothing more is started. */
+	/** The caller has cancelled: nothing more is started. */
 	cancel(id: string): boolean {
 		const job = this.#jobs.get(id);
 		if (job) {
@@ -190,6 +202,13 @@
 		}
 	}
 
+	#abandon(job: EntryJob, onAnswer: (answer: JobAnswer) => void): void {
+		job.waiters.delete(onAnswer);
+		if (job.waiters.size === 0) {
+			this.#answer(job, {type: 'cancelled'});
+		}
+	}
+
 	#receiveEnd(
 		job: EntryJob,
 		end: TaskEnd,
