Count an entry as silent by its own words, also when the scheduler was paused meanwhile

What callers would see: a task at work twice at the same time after a scheduler wakes from a freeze.

Cause: a holder is frozen for two seconds. An entry counts it as silent, waits until what runs there is over, and places its task at another group. The holder wakes; its task waits to be started anew. It looks for silent entries only at its second update, as what was sent to it in the pause has yet to be read; before that the entry speaks again, for another job. So the entry looks as if it had waited all the time, and the task is started beside the other group's. Class: a belief that is out of date is refreshed by a word that does not confirm it.

Ruled out: the lease's cap, which had held the task back until that word came.

Change: a word that comes more than `entrySilenceMs` after the one before, by the times at which the entry sent them, tells that the entry was silent in between: what it had handed over before is dropped and given back, then the new word is taken.

Evidence: the new test of group-scheduler fails before (two starts of the task, one allowed).

--- a/packages/scheduling/src/entry-contacts.ts
+++ b/packages/scheduling/src/entry-contacts.ts
@@ -5,8 +5,11 @@
 import {entrySilenceMs, orphanLimitMs} from './timing.js';
 
 export type EntryContacts = {
-	/** The entry still waits, as of that moment on this host's clock. */
-	note: (entry: Entry, sentAt: number) => void;
+	/**
+	The entry still waits, as of that moment on this host's clock. True: it did not wait all the time since its word before,
+	whether or not this host was awake to notice.
+	*/
+	note: (entry: Entry, sentAt: number) => boolean;
 	/** Entries that have been silent for too long; each is given once. */
 	takeSilent: (now: number) => string[];
 	/** Until when what the entry handed over may run at the latest. */
@@ -17,7 +20,9 @@
 	const heardAt = new Map<string, number>();
 	return {
 		note({key}, sentAt) {
-			heardAt.set(key, Math.max(heardAt.get(key) ?? -Infinity, sentAt));
+			const lastAt = heardAt.get(key);
+			heardAt.set(key, Math.max(lastAt ?? -Infinity, sentAt));
+			return lastAt !== undefined && sentAt - lastAt > entrySilenceMs;
 		},
 		takeSilent(now) {
 			const silent = [...heardAt]
--- a/packages/scheduling/src/group-scheduler.test.ts
+++ b/packages/scheduling/src/group-scheduler.test.ts
@@ -501,3 +501,28 @@
 	assert.deepEqual(listOutcomes(entry), ['done', 'done']);
 	assert.equal(executors.runs.length, 2);
 });
+
+// Guards against a holder that wakes from a freeze and starts a task that its entry has placed elsewhere meanwhile: the entry's
+// word on another job makes it look as if the entry had waited all the time.
+test('a task is not started for an entry that was silent in between', async () => {
+	const {clock, executors, scheduler, entry} = await openScheduler({
+		count: 1,
+		taskMs: 5000,
+	});
+	scheduler.receivePart(
+		entry,
+		makePart(clock, {estimateMs: 5000, timeLeftMs: 20_000}),
+		clock.now,
+	);
+	await runFor(clock, 100, [[scheduler, entry]]);
+	await clock.run(1900);
+	assert.equal(executors.runs[0]!.outcome, 'ended');
+	const other = makePart(clock, {job: 'other', timeLeftMs: 20_000});
+	scheduler.receivePart(entry, other, clock.now);
+	scheduler.update();
+	await runFor(clock, 1000, [[scheduler, entry]]);
+	const started = executors.runs.filter(({job}) => job === 'job1');
+	assert.equal(started.length, 1);
+	const returned = entry.told.findLast(({job}) => job === 'job1');
+	assert.equal(returned?.ends[0]?.outcome, 'returned');
+});
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -208,9 +208,14 @@
 		}
 	}
 
-	/** An entry still waits for what it handed over, as of that moment on this host's clock. */
+	/**
+	An entry still waits for what it handed over, as of that moment on this host's clock. One that speaks again after a silence may have
+	placed its tasks elsewhere, although this host, paused meanwhile, has not counted it as silent yet.
+	*/
 	keepEntry(entry: Entry, sentAt: number): void {
-		this.#entries.note(entry, sentAt);
+		if (this.#entries.note(entry, sentAt)) {
+			this.#dropEntry(entry.key, this.ports.now() + orphanStopMs);
+		}
 	}
 
 	/** What time alone brings about; to be called each 50 ms or so. */
