Let a new holder hear which copies are replaced before it starts tasks that moved

What callers would see: a task at work twice at the same time as a group changes hands within some tenths of a second of a broken connection.

Cause: the former holder was told that a later copy has the job, and stopped the earlier one. The host that takes the group over is the entry of the earlier copy and has not read yet that its caller's connection is broken. It hands its tasks to itself as moved ones and starts them when all executors have reported that nothing runs, before the other entry has told it. Class: state of a former holder that the next one acts without.

Change: an entry that hears of a new holder tells it what it replaces and hands over, and then that it waits, also if it has nothing there. Tasks that moved are started when every host that this one connects to has spoken, or 100 ms after the group was taken. Runs that executors report are claimed as before.

Ruled out: hosts that are connected only (the first form): the new holder's own connections had just been reset, so that there were none to wait for; the list of replaced copies told with the group's state, as it is 150 ms old.

The new test of takeover fails without the wait (one start, none allowed).

--- a/packages/bench/src/slopes-schedulers.ts
+++ b/packages/bench/src/slopes-schedulers.ts
@@ -144,6 +144,7 @@
 			takeElsewhere: () => 0,
 			isListComplete: () => true,
 			isListFresh: () => true,
+			listPeers: () => [],
 			isLeaving: () => false,
 			getSuccessor: () => undefined,
 			getStoreAgeMs: () => 0,
--- a/packages/host/src/scheduling/faulty/faulty-host.fixture.ts
+++ b/packages/host/src/scheduling/faulty/faulty-host.fixture.ts
@@ -32,7 +32,7 @@
 	control: ExecutorControl;
 	/** Hosts of the data centre, in the order of takeover. */
 	listOrder: () => readonly string[];
-	peers: Pick<Peers, 'listLinks' | 'findLink' | 'listIncarnations'>;
+	peers: Omit<Peers, 'listOrder' | 'getCores'>;
 	log: (message: string, fields: Record<string, unknown>) => void;
 };
 
--- a/packages/host/src/scheduling/faulty/play-plan.fixture.ts
+++ b/packages/host/src/scheduling/faulty/play-plan.fixture.ts
@@ -184,6 +184,8 @@
 					.map(({key}) => key),
 			peers: {
 				listLinks: () => this.#system.network.listLinks(host),
+				listKeys: () =>
+					this.#hosts.filter((other) => other !== host).map(({key}) => key),
 				findLink: (key) => this.#system.network.findLink(host, key),
 				listIncarnations: (key) =>
 					this.#hosts
--- a/packages/host/src/scheduling/group-holding.test.ts
+++ b/packages/host/src/scheduling/group-holding.test.ts
@@ -90,6 +90,7 @@
 			takeElsewhere: () => 0,
 			isListComplete: () => true,
 			isListFresh: () => true,
+			listPeers: () => [],
 			isLeaving: () => false,
 			getSuccessor: () => undefined,
 			getStoreAgeMs: () => 0,
--- a/packages/host/src/scheduling/host-roles.ts
+++ b/packages/host/src/scheduling/host-roles.ts
@@ -46,6 +46,8 @@
 /** The other hosts, as far as they are known and connected. */
 export type Peers = {
 	listLinks: () => readonly Link[];
+	/** Also those to which there is no connection now. */
+	listKeys: () => readonly string[];
 	findLink: (key: string) => Link | undefined;
 	/** Processes of that host that are connected to this one. */
 	listIncarnations: (key: string) => readonly string[];
@@ -166,6 +168,7 @@
 					this.groups.takeElsewhere({home: dataCentre, cpu, tasks}, now()),
 				isListComplete: () => executors.isComplete(),
 				isListFresh: () => executors.isFresh(),
+				listPeers: peers.listKeys,
 				isLeaving: () => this.isStopping,
 				getSuccessor: () => this.#successor,
 				getStoreAgeMs: () => measureStoreAge(store, now()),
--- a/packages/host/src/scheduling/start-scheduling-host.ts
+++ b/packages/host/src/scheduling/start-scheduling-host.ts
@@ -253,6 +253,7 @@
 			executors: this.#executors,
 			peers: {
 				listLinks: () => this.#mesh.listLinks(),
+				listKeys: () => this.#mesh.listPeers(),
 				findLink: (peer) => this.#mesh.findLink(peer),
 				listIncarnations: (peer) => this.#mesh.listIncarnations(peer),
 				listOrder: () =>
--- a/packages/protocol/src/mesh.ts
+++ b/packages/protocol/src/mesh.ts
@@ -138,6 +138,11 @@
 		this.#dialDue(performance.now());
 	}
 
+	/** Keys of the peers to hold links to, whether or not there is one now. */
+	listPeers(): string[] {
+		return [...this.#peers.keys()];
+	}
+
 	findLink(key: string): Link | undefined {
 		return this.#peers.get(key)?.link;
 	}
--- a/packages/scheduling/src/entry-contacts.ts
+++ b/packages/scheduling/src/entry-contacts.ts
@@ -10,6 +10,8 @@
 	whether or not this host was awake to notice.
 	*/
 	note: (entry: Entry, sentAt: number) => boolean;
+	/** An entry of this host has been heard. */
+	hasSpoken: (host: string) => boolean;
 	/** Entries that have been silent for too long; each is given once. */
 	takeSilent: (now: number) => string[];
 	/** Until when what the entry handed over may run at the latest. */
@@ -18,12 +20,15 @@
 
 export function createEntryContacts(): EntryContacts {
 	const heardAt = new Map<string, number>();
+	const hosts = new Set<string>();
 	return {
 		note({key}, sentAt) {
+			hosts.add(key.slice(0, key.lastIndexOf('.')));
 			const lastAt = heardAt.get(key);
 			heardAt.set(key, Math.max(lastAt ?? -Infinity, sentAt));
 			return lastAt !== undefined && sentAt - lastAt > entrySilenceMs;
 		},
+		hasSpoken: (host) => hosts.has(host),
 		takeSilent(now) {
 			const silent = [...heardAt]
 				.filter(([, at]) => now - at > entrySilenceMs)
--- a/packages/scheduling/src/entry-jobs.test.ts
+++ b/packages/scheduling/src/entry-jobs.test.ts
@@ -378,7 +378,7 @@
 	const told = sent.filter(({holder}) => holder === 'mieres_m2');
 	assert.deepEqual(
 		told.map(({message}) => message.t),
-		['replace', 'part'],
+		['replace', 'part', 'keep'],
 	);
 });
 
--- a/packages/scheduling/src/entry-jobs.ts
+++ b/packages/scheduling/src/entry-jobs.ts
@@ -207,6 +207,11 @@
 				this.#sendPart(job, group, tasks, true);
 			}
 		}
+
+		const holder = this.#ports.groups.findGroup(group)?.holder;
+		if (holder !== undefined) {
+			this.#holders.sendHandedOver(holder, now);
+		}
 	}
 
 	/** A connection to a holder is back: what was sent meanwhile is sent again. */
--- a/packages/scheduling/src/group-scheduler.fixture.ts
+++ b/packages/scheduling/src/group-scheduler.fixture.ts
@@ -35,8 +35,17 @@
 	clock: VirtualClock,
 	{control, executors}: FakeExecutors,
 	token: number,
-	fitsElsewhere = 0,
-	isListComplete = true,
+	{
+		fitsElsewhere = 0,
+		isListComplete = true,
+		peers = [],
+	}: {
+		/** Tasks for which other groups have room. */
+		fitsElsewhere?: number;
+		isListComplete?: boolean;
+		/** Keys of the other hosts. */
+		peers?: readonly string[];
+	} = {},
 ): GroupScheduler {
 	let leftElsewhere = fitsElsewhere;
 	const scheduler = new GroupScheduler({
@@ -57,6 +66,7 @@
 			leftElsewhere -= taken;
 			return taken;
 		},
+		listPeers: () => peers,
 		isLeaving: () => false,
 		getSuccessor: () => undefined,
 		isListComplete: () => isListComplete,
--- a/packages/scheduling/src/group-scheduler.test.ts
+++ b/packages/scheduling/src/group-scheduler.test.ts
@@ -194,13 +194,9 @@
 	await runFor(clock, 200, [[first, entry]]);
 	const [run] = executors.runs;
 	const listed = executors.executors.filter(({id}) => id !== run?.executor);
-	const second = createScheduler(
-		clock,
-		{...executors, executors: listed},
-		2,
-		0,
-		false,
-	);
+	const second = createScheduler(clock, {...executors, executors: listed}, 2, {
+		isListComplete: false,
+	});
 	await clock.run(50);
 	second.receivePart(
 		entry,
@@ -392,7 +388,9 @@
 test('tasks that find no room go back while another group has room for them', async () => {
 	const clock = new VirtualClock();
 	const executors = createFakeExecutors(clock, {count: 1});
-	const scheduler = createScheduler(clock, executors, 1, 3);
+	const scheduler = createScheduler(clock, executors, 1, {
+		fitsElsewhere: 3,
+	});
 	const entry = createEntry();
 	await clock.run(10);
 	const tasks = Array.from({length: 8}, (_, i): [number, number, number] => [
@@ -429,7 +427,9 @@
 test('a part that comes again does not start a task that was given back', async () => {
 	const clock = new VirtualClock();
 	const executors = createFakeExecutors(clock, {count: 1});
-	const scheduler = createScheduler(clock, executors, 1, 1);
+	const scheduler = createScheduler(clock, executors, 1, {
+		fitsElsewhere: 1,
+	});
 	const entry = createEntry();
 	await clock.run(10);
 	const full = makePart(clock, {
@@ -494,7 +494,9 @@
 	const part = makePart(clock, {tasks, remaining: 2, estimateMs: 600});
 	first.receivePart(entry, part, clock.now);
 	await runFor(clock, 200, [[first, entry]]);
-	const second = createScheduler(clock, executors, 2, 5);
+	const second = createScheduler(clock, executors, 2, {
+		fitsElsewhere: 5,
+	});
 	const moved = {...part, at: clock.now, isMoved: true, admitInMs: 100};
 	second.receivePart(entry, moved, clock.now);
 	await runFor(clock, 1000, [[second, entry]]);
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -44,6 +44,7 @@
 import {
 	clockSlackMs,
 	dropStopMs,
+	entryWordLimitMs,
 	orphanLimitMs,
 	orphanStopMs,
 } from './timing.js';
@@ -71,6 +72,8 @@
 	isListComplete: () => boolean;
 	/** The list was read as it is now, and is not one that may lack executors that have come since. */
 	isListFresh: () => boolean;
+	/** Hosts that this one is connected to, or tries to be; their entries speak as `<host>.<incarnation>`. */
+	listPeers: () => readonly string[];
 	/** This host is being stopped. */
 	isLeaving: () => boolean;
 	/** The host that is asked to take the group over; undefined: this one keeps it. */
@@ -370,7 +373,19 @@
 	it, an executor may be missing; then only the time counts.
 	*/
 	#isSettled({movedAt}: GroupJob): boolean {
-		return movedAt === undefined || this.#isReportedSince(movedAt);
+		return (
+			movedAt === undefined ||
+			(this.#isReportedSince(movedAt) && this.#haveEntriesSpoken())
+		);
+	}
+
+	/** Entries have told this holder which copies they replace, or have had the time to. */
+	#haveEntriesSpoken(): boolean {
+		const {now, listPeers} = this.ports;
+		return (
+			now() - this.#openedAt > entryWordLimitMs ||
+			listPeers().every((host) => this.#entries.hasSpoken(host))
+		);
 	}
 
 	/** What an earlier holder started is known, or over as of that moment. */
--- a/packages/scheduling/src/holder-contacts.ts
+++ b/packages/scheduling/src/holder-contacts.ts
@@ -19,6 +19,8 @@
 	sendPart: (holder: string, part: Part, now: number) => void;
 	/** Tells the holder that this entry waits, if it is time to. */
 	sendKeep: (holder: string, now: number) => void;
+	/** Tells a new holder that it has been told all that this entry wants of it. */
+	sendHandedOver: (holder: string, now: number) => void;
 	sendReplace: (holder: string, message: Replace) => void;
 	sendDrop: (holder: string, job: string, now: number) => void;
 	/** A connection to the holder is back: what may have been lost with the last one is told again. */
@@ -55,6 +57,10 @@
 				send(holder, {t: 'keep', at: now});
 			}
 		},
+		sendHandedOver(holder, now) {
+			toldAt.set(holder, now);
+			send(holder, {t: 'keep', at: now});
+		},
 		sendReplace(holder, message) {
 			send(holder, message);
 		},
--- a/packages/scheduling/src/load-system.fixture.ts
+++ b/packages/scheduling/src/load-system.fixture.ts
@@ -217,6 +217,7 @@
 			directory.takeElsewhere({home: name, cpu, tasks}, clock.now),
 		isListComplete: () => true,
 		isListFresh: () => true,
+		listPeers: () => [],
 		isLeaving: () => false,
 		getSuccessor: () => undefined,
 		getStoreAgeMs: () => 0,
--- a/packages/scheduling/src/takeover.test.ts
+++ b/packages/scheduling/src/takeover.test.ts
@@ -18,6 +18,7 @@
 	openScheduler,
 	runFor,
 } from './group-scheduler.fixture.js';
+import {entryWordLimitMs} from './timing.js';
 import {VirtualClock} from './virtual-clock.fixture.js';
 
 /** After its last word a job's caller may have come again elsewhere: nothing of the first copy may run then. */
@@ -213,3 +214,47 @@
 	assert.deepEqual(findOverlaps(executors.runs), []);
 	assert.deepEqual(listOutcomes(entry), ['done']);
 });
+
+// Guards against a new holder that starts a copy of a job which a later one has replaced, as only the former holder was told. The
+// entry of the earlier copy has not read yet that its caller's connection is broken.
+test('a task that moved waits until other hosts have said which copies they replace', async () => {
+	const {clock, executors, scheduler, entry} = await openScheduler({
+		count: 2,
+		taskMs: 1000,
+	});
+	scheduler.close();
+	const second = createScheduler(clock, executors, 2, {
+		peers: ['mieres_m1', 'langreo_l1'],
+	});
+	const later = createEntry('langreo_l1.0');
+	const part = makePart(clock, {isMoved: true, timeLeftMs: 10_000});
+	second.receivePart(entry, part, clock.now);
+	await runFor(clock, 50, [[second, entry]]);
+	assert.equal(executors.runs.length, 0);
+	const replace = {
+		t: 'replace',
+		job: part.job,
+		arrivedAtMs: 1000,
+		timeLeftMs: 3000,
+	} as const;
+	second.receive(later, replace, clock.now);
+	await runFor(clock, 200, [
+		[second, entry],
+		[second, later],
+	]);
+	assert.equal(executors.runs.length, 0);
+	assert.equal(later.replaced[0]?.isRefused, false);
+});
+
+// Guards against a host that is gone holding up a group that has changed hands.
+test('a task that moved waits no longer than an exchange for hosts that say nothing', async () => {
+	const {clock, executors, scheduler, entry} = await openScheduler({count: 1});
+	scheduler.close();
+	const second = createScheduler(clock, executors, 2, {
+		peers: ['mieres_m1', 'langreo_l1'],
+	});
+	const part = makePart(clock, {isMoved: true, timeLeftMs: 10_000});
+	second.receivePart(entry, part, clock.now);
+	await runFor(clock, entryWordLimitMs + 100, [[second, entry]]);
+	assert.equal(executors.runs.length, 1);
+});
--- a/packages/scheduling/src/timing.ts
+++ b/packages/scheduling/src/timing.ts
@@ -44,6 +44,8 @@
 and a stop, stay below the time after which the caller comes again. An entry that lives tells its parts within one exchange.
 */
 export const claimLimitMs = 200;
+/** Entries that hear of a new holder answer within this time: an exchange between data centres, and a busy host's pause. */
+export const entryWordLimitMs = 100;
 /** Two clocks that differ by 2% over the longest span counted here, and a timer's lateness. */
 export const clockSlackMs = 60;
 /** Longest time after which an order without an answer counts as unanswered: 20 round trips between data centres, and a busy host's pause. */
