--- a/packages/host/src/scheduling/faulty/no-task-twice.test.ts
+++ b/packages/host/src/scheduling/faulty/no-task-twice.test.ts
@@ -94,6 +94,52 @@
 			faults: [{at: 2, forMs: 0, kind: 'reset-requests', host: 3, noticeMs: 9}],
 		},
 	},
+	{
+		cause:
+			'a group counted as out of reach although the connection to its holder was back',
+		plan: {
+			jobs: [
+				{at: 0, host: 0, tasks: 1, runMs: 1500, allowanceMs: 60},
+				{at: 0, host: 0, tasks: 1, runMs: 60, allowanceMs: 60},
+			],
+			faults: [
+				{at: 195, forMs: 206, kind: 'reset-requests', host: 0, noticeMs: 0},
+				{at: 0, forMs: 400, kind: 'silence', executor: 0},
+			],
+		},
+	},
+	{
+		cause:
+			'a new holder started an earlier copy that only the former one knew to be replaced',
+		plan: {
+			jobs: [
+				{at: 0, host: 0, tasks: 1, runMs: 1500, allowanceMs: 60},
+				{at: 0, host: 0, tasks: 1, runMs: 60, allowanceMs: 60},
+			],
+			faults: [
+				{at: 1431, forMs: 133, kind: 'reset-requests', host: 1, noticeMs: 133},
+				{at: 800, forMs: 630, kind: 'hand-over'},
+				{at: 0, forMs: 0, kind: 'reset-requests', host: 0, noticeMs: 0},
+			],
+		},
+	},
+	{
+		cause:
+			'a holder that woke up took the word of an entry that had given up on it for one that had waited',
+		plan: {
+			jobs: [
+				{at: 0, host: 2, tasks: 1, runMs: 2500, allowanceMs: 60},
+				{at: 0, host: 0, tasks: 1, runMs: 2500, allowanceMs: 60},
+				{at: 1600, host: 3, tasks: 3, runMs: 1500, allowanceMs: 60},
+			],
+			faults: [
+				{at: 2405, forMs: 1896, kind: 'freeze', host: 0},
+				{at: 0, forMs: 1331, kind: 'silence', executor: 2},
+				{at: 0, forMs: 50, kind: 'kill', host: 0},
+				{at: 890, forMs: 411, kind: 'hand-over'},
+			],
+		},
+	},
 ];
 
 for (const {cause, plan} of brokenOnce) {
