Bind a copy's precedence to its entry's word, and wait for groups that appear meanwhile

- A host takes a job as the first request of a connection and dies.
Its caller comes again 1,300 ms later on another connection; the groups took the dead host's copy for the later one and had the job answered 504 until the first caller's time was over (completed after 4.6 s instead of 2 s).
Now a copy counts while its entry is heard: entries tell all groups that they wait, also where none of the job's tasks are.
- The copy stopped counting as soon as its entry dropped the job, while its runs at other groups may take a second to be stopped.
Now it counts so long.
- A group, or a holder, that an entry first hears of while it waits for answers was told, but not waited for.
- An answer, or the word that a copy is replaced, could be for an earlier taking of the job by the same entry; both name the taking now.
- After a takeover with one silent executor every first request of a connection waited for up to 1,060 ms.
Now a holder waits for reports only for a job that an entry handed it as moved.
- A group that never answers is waited for 1,060 ms at most, and its entry logs which group did not confirm.

Drawn plans: jobs of all plans may be first requests; those that are sent again after 1,300 ms come on either kind of connection.

--- a/packages/bench/src/slopes-schedulers.ts
+++ b/packages/bench/src/slopes-schedulers.ts
@@ -227,6 +227,7 @@
 	return {
 		t: 'part',
 		job,
+		takenAtMs: now,
 		at: now,
 		queue: 'menu',
 		service: 'meals',
--- a/packages/host/src/scheduling/faulty/fault-plan.fixture.ts
+++ b/packages/host/src/scheduling/faulty/fault-plan.fixture.ts
@@ -17,7 +17,7 @@
 	runMs: number;
 	/** What the objective allows beyond the run: with little, tasks are given back. */
 	allowanceMs: number;
-	/** It comes as the first request on its caller's connection; if not, only copies that are sent again do. */
+	/** It comes as the first request on its caller's connection; if not, only copies that are sent again at once do. */
 	isOnNewConnection?: boolean;
 };
 
@@ -77,6 +77,7 @@
 	tasks: fc.integer({min: 1, max: 3}),
 	runMs: fc.constantFrom(60, 600, 1500, 2500),
 	allowanceMs: fc.constantFrom(60, 1000),
+	isOnNewConnection: fc.boolean(),
 });
 
 const hostFault = fc.record({
--- a/packages/host/src/scheduling/faulty/play-plan.fixture.ts
+++ b/packages/host/src/scheduling/faulty/play-plan.fixture.ts
@@ -54,6 +54,8 @@
 	id: string;
 	answers: Array<JobAnswer['type']>;
 	sends: number;
+	/** It is sent again right after its connection broke. */
+	isAtOnce: boolean;
 };
 
 /** The system while a plan is played. */
@@ -93,7 +95,13 @@
 		this.#system.network.connect();
 		await this.clock.run(settleMs);
 		for (const [i, job] of jobs.entries()) {
-			const played = {...job, id: `job${i}`, answers: [], sends: 0};
+			const played = {
+				...job,
+				id: `job${i}`,
+				answers: [],
+				sends: 0,
+				isAtOnce: false,
+			};
 			this.#jobs.push(played);
 			this.#taskMs.set(played.id, job.runMs);
 			this.clock.schedule(job.at, () => {
@@ -224,6 +232,7 @@
 
 	#resend(job: PlayedJob, afterMs = resendMs): void {
 		this.clock.schedule(afterMs, () => {
+			job.isAtOnce = afterMs === resendAtOnceMs;
 			this.#send(job);
 		});
 	}
@@ -241,7 +250,7 @@
 		tasks,
 		runMs,
 		allowanceMs,
-		sends,
+		isAtOnce,
 		isOnNewConnection = false,
 	}: PlayedJob): JobRequest {
 		return {
@@ -262,7 +271,7 @@
 			demand: {cpu: 14_000, memoryMb: 64, accelerators: 0},
 			declaredMs: runMs,
 			timeLeftMs,
-			requestsBefore: sends > 1 || isOnNewConnection ? 0 : 1,
+			requestsBefore: isAtOnce || isOnNewConnection ? 0 : 1,
 		};
 	}
 
--- a/packages/host/src/scheduling/scheduling-handlers.ts
+++ b/packages/host/src/scheduling/scheduling-handlers.ts
@@ -131,7 +131,11 @@
 
 	/** When the message was sent, on this host's clock. */
 	function readSendTime(session: Session, message: Message): number {
-		if (message.t !== 'part' && message.t !== 'keep') {
+		if (
+			message.t !== 'part' &&
+			message.t !== 'keep' &&
+			message.t !== 'replace'
+		) {
 			return now();
 		}
 
--- a/packages/protocol/src/scheduling-messages.ts
+++ b/packages/protocol/src/scheduling-messages.ts
@@ -17,6 +17,9 @@
 */
 const sentAt = z.number();
 
+/** When the entry took the job, milliseconds since 1970 by its clock: tells one taking of a job from the next. */
+const takenAtMs = z.number();
+
 /** What one task needs of an executor while it runs. */
 export const taskDemandSchema = z.object({
 	/** Thousandths of a core. */
@@ -43,6 +46,7 @@
 export const partSchema = z.object({
 	t: z.literal('part'),
 	job: jobId,
+	takenAtMs,
 	at: sentAt,
 	queue: z.string(),
 	service: z.string(),
@@ -79,16 +83,18 @@
 export const replaceSchema = z.object({
 	t: z.literal('replace'),
 	job: jobId,
-	/** When the caller's request came, milliseconds since 1970 by the entry's clock: of two copies the later one counts. */
-	arrivedAtMs: z.number(),
+	at: sentAt,
+	/** Of two copies the later one counts. */
+	takenAtMs,
 	/** Until the caller no longer waits. */
 	timeLeftMs: duration,
 });
 
-/** The answer: nothing of other copies runs any more, or a later copy has the job. */
+/** Nothing of other copies runs any more, or (`isRefused`) another entry has a later copy: this one is not started. */
 export const replacedSchema = z.object({
 	t: z.literal('replaced'),
 	job: jobId,
+	takenAtMs,
 	isRefused: z.boolean(),
 });
 
@@ -118,11 +124,9 @@
 	ends: z.array(taskEndSchema),
 	/**
 	Why tasks were returned: `full`: not let in; `hopeless`: no longer in time; `elsewhere`: another
-	group has room; `released`: the group has another holder; `replaced`: another entry has a later copy of the job.
+	group has room; `released`: the group has another holder.
 	*/
-	reason: z
-		.enum(['full', 'hopeless', 'elsewhere', 'released', 'replaced'])
-		.optional(),
+	reason: z.enum(['full', 'hopeless', 'elsewhere', 'released']).optional(),
 });
 
 /** A holder's state, told to all hosts: who schedules the group, and its room. */
--- a/packages/scheduling/src/copy-replacement.ts
+++ b/packages/scheduling/src/copy-replacement.ts
@@ -8,81 +8,112 @@
 import {type Replace} from '@gentianshift/protocol';
 import {type EntryJob} from './entry-job.js';
 import {isSilent, type GroupDirectory} from './group-directory.js';
+import {clockSlackMs, orphanLimitMs} from './timing.js';
 
-export type ReplacementPorts = {
+export type CopyReplacementPorts = {
 	groups: GroupDirectory;
-	/** Milliseconds since 1970. */
-	readWallClock: () => number;
 	send: (holder: string, message: Replace) => void;
+	log: (message: string, fields: Record<string, unknown>) => void;
 };
 
 export type CopyReplacement = {
-	/** The job's tasks may be placed. Asks the groups when it is called for the job first. */
-	isOver: (job: EntryJob, now: number) => boolean;
-	/** A holder's answer: it runs no other copy. */
-	receiveAnswer: (job: EntryJob, holder: string) => void;
+	/** Asks all groups in reach; once for each job, and only for one that may be a copy. */
+	ask: (job: EntryJob, now: number) => void;
 	/** The group has another holder, or the connection to it is back. */
 	askAgain: (job: EntryJob, group: string, now: number) => void;
+	/** A holder's answer: it runs no other copy. */
+	confirm: (job: EntryJob, holder: string) => void;
+	/** All groups that were asked and are in reach have answered, or have had the time to end what runs there. */
+	isConfirmed: (job: EntryJob, now: number) => boolean;
 };
 
 export function createCopyReplacement({
 	groups,
-	readWallClock,
 	send,
-}: ReplacementPorts): CopyReplacement {
-	function ask(job: EntryJob, group: string, now: number): void {
+	log,
+}: CopyReplacementPorts): CopyReplacement {
+	function sendTo(job: EntryJob, group: string, now: number): void {
 		const holder = groups.findGroup(group)?.holder;
 		if (holder !== undefined) {
 			send(holder, {
 				t: 'replace',
 				job: job.request.id,
-				arrivedAtMs: readWallClock() - (now - job.arrivedAt),
+				at: now,
+				takenAtMs: job.takenAtMs,
 				timeLeftMs: job.endsAt - now,
 			});
 		}
 	}
 
-	function start(job: EntryJob, now: number): Set<string> {
-		const inReach = groups
-			.list()
-			.filter((known) => !isSilent(known, now))
-			.map(({state}) => state.group);
-		const unanswered = new Set(inReach);
-		job.unreplacedAt = unanswered;
-		for (const group of inReach) {
-			ask(job, group, now);
+	function isInReach(group: string, now: number): boolean {
+		const known = groups.findGroup(group);
+		return known !== undefined && !isSilent(known, now);
+	}
+
+	/** Why the group is not waited for any longer; undefined: it is. */
+	function findObstacle(
+		job: EntryJob,
+		group: string,
+		now: number,
+	): string | undefined {
+		if (!isInReach(group, now)) {
+			return 'out of reach';
 		}
 
-		return unanswered;
+		return now - (job.copiesAskedAt ?? now) > orphanLimitMs + clockSlackMs
+			? 'no answer'
+			: undefined;
 	}
 
 	return {
-		isOver(job, now) {
-			if (job.request.requestsBefore > 0) {
-				return true;
+		ask(job, now) {
+			if (job.groupsToConfirm || job.request.requestsBefore > 0) {
+				return;
 			}
 
-			const unanswered = job.unreplacedAt ?? start(job, now);
-			for (const group of unanswered) {
-				const known = groups.findGroup(group);
-				if (!known || isSilent(known, now)) {
-					unanswered.delete(group);
-				}
+			const inReach = groups
+				.list()
+				.map(({state}) => state.group)
+				.filter((group) => isInReach(group, now));
+			job.groupsToConfirm = new Set(inReach);
+			job.copiesAskedAt = now;
+			for (const group of inReach) {
+				sendTo(job, group, now);
+			}
+		},
+		askAgain(job, group, now) {
+			if (!job.groupsToConfirm) {
+				return;
+			}
+
+			if (job.tasks.every(({placement}) => placement === 0)) {
+				job.groupsToConfirm.add(group);
 			}
 
-			return unanswered.size === 0;
+			sendTo(job, group, now);
 		},
-		receiveAnswer(job, holder) {
-			for (const group of job.unreplacedAt ?? []) {
+		confirm({groupsToConfirm}, holder) {
+			for (const group of groupsToConfirm ?? []) {
 				if (groups.findGroup(group)?.holder === holder) {
-					job.unreplacedAt?.delete(group);
+					groupsToConfirm?.delete(group);
 				}
 			}
 		},
-		askAgain(job, group, now) {
-			if (job.unreplacedAt) {
-				ask(job, group, now);
+		isConfirmed(job, now) {
+			for (const group of job.groupsToConfirm ?? []) {
+				const obstacle = findObstacle(job, group, now);
+				if (obstacle !== undefined) {
+					job.groupsToConfirm?.delete(group);
+					log('a group does not confirm that no other copy runs', {
+						job: job.request.id,
+						group,
+						reason: obstacle,
+						waitedMs: Math.round(now - (job.copiesAskedAt ?? now)),
+					});
+				}
 			}
+
+			return (job.groupsToConfirm?.size ?? 0) === 0;
 		},
 	};
 }
--- a/packages/scheduling/src/entry-job.ts
+++ b/packages/scheduling/src/entry-job.ts
@@ -66,8 +66,12 @@
 	"nothing has run" would not be true any more.
 	*/
 	isHandedOver: boolean;
+	/** When this entry took it, milliseconds since 1970. */
+	takenAtMs: number;
 	/** Groups that have yet to say that no other copy of the job runs there; undefined: none was asked. */
-	unreplacedAt?: Set<string>;
+	groupsToConfirm?: Set<string>;
+	/** When they were asked. */
+	copiesAskedAt?: number;
 	/** When a scheduler first told of a start; undefined: none did. */
 	startToldAt?: number;
 	waiters: Set<(answer: JobAnswer) => void>;
@@ -94,7 +98,7 @@
 export function createEntryJob(
 	request: JobRequest,
 	estimateMs: number,
-	now: number,
+	{now, takenAtMs}: {now: number; takenAtMs: number},
 ): EntryJob {
 	const {queue, count, timeLeftMs} = request;
 	const objectiveMs = queue.slackFactor * estimateMs + queue.allowanceMs;
@@ -102,6 +106,7 @@
 		request,
 		estimateMs,
 		arrivedAt: now,
+		takenAtMs,
 		dueAt: now + objectiveMs,
 		admitUntil: now + Math.min(timeLeftMs, admitFactor * objectiveMs),
 		uselessAt: now + Math.min(timeLeftMs, uselessFactor * objectiveMs),
--- a/packages/scheduling/src/entry-jobs.test.ts
+++ b/packages/scheduling/src/entry-jobs.test.ts
@@ -3,7 +3,7 @@
 */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {type Part} from '@gentianshift/protocol';
+import {type Part, type Replaced} from '@gentianshift/protocol';
 import {type EntryJob, type JobAnswer, type JobRequest} from './entry-job.js';
 import {EntryJobs} from './entry-jobs.js';
 import {createGroupDirectory} from './group-directory.js';
@@ -19,7 +19,7 @@
 	const entry = new EntryJobs({
 		home: 'mieres',
 		now: () => clock.now,
-		readWallClock: () => clock.now,
+		readWallClock: () => startsAtMs + clock.now - 1000,
 		groups,
 		runTimes: createRunTimes(),
 		send(holder, message) {
@@ -41,6 +41,19 @@
 	return {clock, sent, answered, groups, entry, listParts};
 }
 
+/** Time of day when the tests begin. */
+const startsAtMs = 1_700_000_000_000;
+
+/** A holder's word that it runs no other copy of the job that was taken so long after the begin. */
+function makeConfirmation(takenAfterMs = 0): Replaced {
+	return {
+		t: 'replaced',
+		job: 'job1',
+		takenAtMs: startsAtMs + takenAfterMs,
+		isRefused: false,
+	};
+}
+
 function makeRequest(request: Partial<JobRequest> = {}): JobRequest {
 	return {
 		id: 'job1',
@@ -343,13 +356,66 @@
 		asked.map(({holder}) => holder),
 		['mieres_m1', 'langreo_l1'],
 	);
-	entry.receive('mieres_m1', {t: 'replaced', job: 'job1', isRefused: false});
+	entry.receive('mieres_m1', makeConfirmation());
 	entry.update();
 	assert.equal(listParts('mieres_m1').length, 0);
-	entry.receive('langreo_l1', {t: 'replaced', job: 'job1', isRefused: false});
+	entry.receive('langreo_l1', makeConfirmation());
 	assert.equal(listParts('mieres_m1').length, 1);
 });
 
+// Guards against a copy that runs where the entry did not ask: it heard of the group, or of its new holder, only while it waited.
+test('a group that comes into reach meanwhile, and a new holder, are waited for as well', () => {
+	const {entry, groups, clock, listParts} = createEntryJobs();
+	groups.update('mieres_m1', makeState('mieres'), clock.now);
+	entry.submit(makeRequest({requestsBefore: 0}), () => undefined);
+	groups.update('langreo_l1', makeState('langreo'), clock.now);
+	entry.handOver('langreo');
+	groups.update('mieres_m2', makeState('mieres', {token: 9}), clock.now);
+	entry.receive('mieres_m1', makeConfirmation());
+	entry.handOver('mieres');
+	entry.receive('langreo_l1', makeConfirmation());
+	assert.equal(listParts('mieres_m2').length, 0);
+	entry.receive('mieres_m2', makeConfirmation());
+	assert.equal(listParts('mieres_m2').length, 1);
+});
+
+// Guards against a job that is refused for want of room although executors are free: it has spent the time until which it would be let
+// in on waiting for a group's answer.
+test('a job that has waited for an answer is let in as if it had not', () => {
+	const {entry, groups, clock, listParts} = createEntryJobs();
+	groups.update('mieres_m1', makeState('mieres'), clock.now);
+	entry.submit(makeRequest({requestsBefore: 0}), () => undefined);
+	clock.now += 200;
+	groups.update('mieres_m1', makeState('mieres'), clock.now);
+	entry.receive('mieres_m1', makeConfirmation());
+	assert.equal(listParts('mieres_m1').length, 1);
+});
+
+// Guards against an answer to an earlier taking of the job at this entry, which says nothing of copies since.
+test('an answer that is for an earlier taking of the job does not count', () => {
+	const {entry, groups, clock, listParts} = createEntryJobs();
+	groups.update('mieres_m1', makeState('mieres'), clock.now);
+	const leave = entry.submit(makeRequest({requestsBefore: 0}), () => undefined);
+	leave();
+	clock.now += 10;
+	entry.submit(makeRequest({requestsBefore: 0}), () => undefined);
+	entry.receive('mieres_m1', makeConfirmation());
+	assert.equal(listParts('mieres_m1').length, 0);
+});
+
+// Guards against a scheduler that takes the entry for dead, and lets an earlier copy start: the job's tasks are all at other groups.
+test('groups are told that the entry waits while its copy is the one that counts', () => {
+	const {entry, groups, clock, sent} = createEntryJobs();
+	groups.update('mieres_m1', makeState('mieres'), clock.now);
+	groups.update('langreo_l1', makeState('langreo'), clock.now);
+	entry.submit(makeRequest({requestsBefore: 0}), () => undefined);
+	entry.receive('mieres_m1', makeConfirmation());
+	entry.receive('langreo_l1', makeConfirmation());
+	entry.update();
+	const kept = sent.filter(({message}) => message.t === 'keep');
+	assert.ok(kept.some(({holder}) => holder === 'langreo_l1'));
+});
+
 // Guards against a data centre that is cut off holding up the jobs of all others.
 test('a group that falls silent is not waited for', () => {
 	const {entry, groups, clock, listParts} = createEntryJobs();
@@ -360,7 +426,7 @@
 		makeRequest({requestsBefore: 0, declaredMs: 1000, timeLeftMs: 9000}),
 		() => undefined,
 	);
-	entry.receive('mieres_m1', {t: 'replaced', job: 'job1', isRefused: false});
+	entry.receive('mieres_m1', makeConfirmation(stateStaleMs - 100));
 	assert.equal(listParts('mieres_m1').length, 0);
 	clock.now += 150;
 	entry.update();
@@ -372,7 +438,7 @@
 	const {entry, groups, clock, sent} = createEntryJobs();
 	groups.update('mieres_m1', makeState('mieres'), clock.now);
 	entry.submit(makeRequest({requestsBefore: 0}), () => undefined);
-	entry.receive('mieres_m1', {t: 'replaced', job: 'job1', isRefused: false});
+	entry.receive('mieres_m1', makeConfirmation());
 	groups.update('mieres_m2', makeState('mieres', {token: 9}), clock.now);
 	entry.handOver('mieres');
 	const told = sent.filter(({holder}) => holder === 'mieres_m2');
@@ -390,13 +456,7 @@
 	entry.submit(makeRequest(), (answer) => {
 		answers.push(answer);
 	});
-	entry.receive('mieres_m1', {
-		t: 'ends',
-		job: 'job1',
-		isStarted: true,
-		ends: [],
-		reason: 'replaced',
-	});
+	entry.receive('mieres_m1', {...makeConfirmation(), isRefused: true});
 	assert.equal(answers[0]?.type, 'given-up');
 	assert.equal(sent.at(-1)?.message.t, 'drop');
 });
--- a/packages/scheduling/src/entry-jobs.ts
+++ b/packages/scheduling/src/entry-jobs.ts
@@ -74,10 +74,10 @@
 		this.#holders = createHolderContacts(ports.send);
 		this.#replacement = createCopyReplacement({
 			groups: ports.groups,
-			readWallClock: ports.readWallClock,
 			send: (holder, message) => {
 				this.#holders.sendReplace(holder, message);
 			},
+			log: ports.log,
 		});
 		this.#reachedAt = ports.now();
 	}
@@ -116,7 +116,10 @@
 		this.#holders.forgetDrop(request.id);
 		const {queue, declaredMs} = request;
 		const estimateMs = this.#ports.runTimes.estimate(queue.name, declaredMs);
-		const job = createEntryJob(request, estimateMs, this.#ports.now());
+		const job = createEntryJob(request, estimateMs, {
+			now: this.#ports.now(),
+			takenAtMs: this.#ports.readWallClock(),
+		});
 		job.waiters.add(onAnswer);
 		this.#jobs.set(request.id, job);
 		this.#placeTasks(job, job.tasks);
@@ -145,9 +148,10 @@
 	}
 
 	/** A holder has stopped what it had of other copies of a job, or has a later one. */
-	receiveReplaced(holder: string, {job: id, isRefused}: Replaced): void {
+	receiveReplaced(holder: string, message: Replaced): void {
+		const {job: id, takenAtMs, isRefused} = message;
 		const job = this.#jobs.get(id);
-		if (!job) {
+		if (job?.takenAtMs !== takenAtMs) {
 			return;
 		}
 
@@ -156,7 +160,7 @@
 			return;
 		}
 
-		this.#replacement.receiveAnswer(job, holder);
+		this.#replacement.confirm(job, holder);
 		if (this.#waiting.delete(job)) {
 			this.#placeUnplaced(job);
 		}
@@ -169,11 +173,6 @@
 			return;
 		}
 
-		if (message.reason === 'replaced') {
-			this.#giveUpReplaced(job);
-			return;
-		}
-
 		if (message.isStarted) {
 			job.isStarted = true;
 			job.startToldAt ??= this.#ports.now();
@@ -348,8 +347,9 @@
 			return;
 		}
 
-		if (!this.#replacement.isOver(job, now)) {
-			this.#waitForReplacement(job, now);
+		this.#replacement.ask(job, now);
+		if (!this.#replacement.isConfirmed(job, now)) {
+			this.#waitForConfirmation(job, now);
 			return;
 		}
 
@@ -399,12 +399,14 @@
 		this.#waiting.add(job);
 	}
 
-	#waitForReplacement(job: EntryJob, now: number): void {
+	#waitForConfirmation(job: EntryJob, now: number): void {
 		if (now + job.estimateMs >= job.uselessAt) {
 			this.#giveUp(job, 'a group does not say whether another copy runs');
 			return;
 		}
 
+		// It has waited for want of an answer, not of room.
+		job.isLetIn = true;
 		this.#waiting.add(job);
 	}
 
@@ -446,15 +448,16 @@
 	/** Tells the holders of groups that have tasks of this entry's jobs that it still waits. */
 	#sendKeeps(now: number): void {
 		for (const known of this.#ports.groups.list()) {
-			if (!isSilent(known, now) && this.#hasTasksAt(known.state.group)) {
+			if (!isSilent(known, now) && this.#isConcerned(known.state.group)) {
 				this.#holders.sendKeep(known.holder, now);
 			}
 		}
 	}
 
-	#hasTasksAt(group: string): boolean {
+	/** It has tasks of a job, or knows that this entry's copy is the one that counts. */
+	#isConcerned(group: string): boolean {
 		return [...this.#jobs.values()].some(
-			(job) => listTasksAt(job, group).length > 0,
+			(job) => job.groupsToConfirm ?? listTasksAt(job, group).length > 0,
 		);
 	}
 
@@ -531,7 +534,7 @@
 	/** Groups that keep something of the job: tasks, or that this entry's copy is the one that counts. */
 	#listGroupsOf(job: EntryJob): Set<string> {
 		const groups = new Set(
-			job.unreplacedAt
+			job.groupsToConfirm
 				? this.#ports.groups.list().map(({state}) => state.group)
 				: [],
 		);
--- a/packages/scheduling/src/group-job.ts
+++ b/packages/scheduling/src/group-job.ts
@@ -37,6 +37,8 @@
 
 export type GroupJob = RankedJob & {
 	id: string;
+	/** Which taking of the job by its entry this is. */
+	takenAtMs: number;
 	entry: Entry;
 	queue: string;
 	service: string;
@@ -77,6 +79,7 @@
 ): GroupJob {
 	return {
 		id: part.job,
+		takenAtMs: part.takenAtMs,
 		entry,
 		queue: part.queue,
 		service: part.service,
--- a/packages/scheduling/src/group-scheduler.fixture.ts
+++ b/packages/scheduling/src/group-scheduler.fixture.ts
@@ -95,6 +95,7 @@
 	return {
 		t: 'part',
 		job: 'job1',
+		takenAtMs: clock.now,
 		at: clock.now,
 		queue: 'menu',
 		service: 'meals',
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -103,11 +103,11 @@
 		this.#startLog = createStartLog(ports);
 		this.#copies = createJobCopies({
 			now: ports.now,
-			mayRun: (job) =>
-				!this.#isReportedSince(this.#openedAt) || this.#executors.hasRunOf(job),
-			dropOthers: (job, entry) => {
-				this.#dropOthers(job, entry);
-			},
+			dropOthers: (job, entry) => this.#dropOthers(job, entry),
+			mayRun: (job, isMoved) =>
+				this.#executors.hasRunOf(job) ||
+				!this.#haveEntriesSpoken() ||
+				(isMoved && !this.#isReportedSince(this.#openedAt)),
 		});
 		this.#executors = createExecutorSet({
 			...ports,
@@ -144,7 +144,7 @@
 			}
 
 			case 'replace': {
-				this.replaceCopies(entry, message);
+				this.replaceCopies(entry, message, sentAt);
 				break;
 			}
 
@@ -173,7 +173,7 @@
 		}
 
 		if (this.#copies.isReplaced(part.job, entry)) {
-			this.#tellReplaced(part.job, entry);
+			this.#tellReplaced(entry, part.job, part.takenAtMs);
 			return;
 		}
 
@@ -197,9 +197,9 @@
 	}
 
 	/** Has an entry's copy of a job take the place of all others; the entry is answered when nothing of them runs. */
-	replaceCopies(entry: Entry, message: Replace): void {
+	replaceCopies(entry: Entry, message: Replace, sentAt: number): void {
+		this.keepEntry(entry, sentAt);
 		this.#copies.replace(entry, message);
-		this.#place();
 	}
 
 	dropJob(entry: Entry, id: string): void {
@@ -280,11 +280,11 @@
 		return undefined;
 	}
 
-	/** The job's caller came again at another host: the runs of the first copy are stopped. */
-	#dropOthers(id: string, entry: Entry): void {
+	/** The job's caller came again at another host: the runs of the first copy are stopped. True: it came from an earlier holder. */
+	#dropOthers(id: string, entry: Entry): boolean {
 		const job = this.#jobs.get(id);
 		if (!job || job.isDropped || job.entry.key === entry.key) {
-			return;
+			return job?.movedAt !== undefined;
 		}
 
 		this.ports.log('a copy of the job at another entry replaces this one', {
@@ -294,19 +294,14 @@
 			group: this.ports.group,
 			token: this.ports.token,
 		});
-		this.#tellReplaced(id, job.entry);
+		this.#tellReplaced(job.entry, id, job.takenAtMs);
 		this.#drop(job, this.ports.now() + dropStopMs);
+		return job.movedAt !== undefined;
 	}
 
 	/** An entry whose copy no longer counts has nothing to wait for. */
-	#tellReplaced(job: string, entry: Entry): void {
-		entry.send({
-			t: 'ends',
-			job,
-			isStarted: true,
-			ends: [],
-			reason: 'replaced',
-		});
+	#tellReplaced(entry: Entry, job: string, takenAtMs: number): void {
+		entry.send({t: 'replaced', job, takenAtMs, isRefused: true});
 	}
 
 	/**
@@ -607,6 +602,7 @@
 	after all, it is told of each task when nothing of it runs any more.
 	*/
 	#dropEntry(key: string, stopBy: number): void {
+		this.#copies.releaseAll(key);
 		for (const job of this.#jobs.values()) {
 			if (job.entry.key === key && !job.isDropped) {
 				this.ports.log('entry is silent: stopping its job', {
--- a/packages/scheduling/src/job-copies.test.ts
+++ b/packages/scheduling/src/job-copies.test.ts
@@ -17,7 +17,8 @@
 	return {
 		t: 'replace',
 		job: 'job1',
-		arrivedAtMs: 1000,
+		at: 0,
+		takenAtMs: 1000,
 		timeLeftMs: 3000,
 		...message,
 	};
@@ -28,9 +29,7 @@
 	const copies = createJobCopies({
 		now: () => clock.now,
 		mayRun: () => false,
-		dropOthers() {
-			// Nothing runs.
-		},
+		dropOthers: () => false,
 	});
 	return {clock, copies};
 }
@@ -54,7 +53,7 @@
 	await runFor(clock, 400, [[scheduler, entry]]);
 	assert.equal(executors.runs[0]!.outcome, 'ended');
 	assert.equal(later.replaced[0]?.isRefused, false);
-	assert.equal(entry.told.at(-1)?.reason, 'replaced');
+	assert.equal(entry.replaced.at(-1)?.isRefused, true);
 });
 
 // Guards against a first copy that its entry reads late, from a connection that has broken since, and hands over beside the second.
@@ -73,10 +72,11 @@
 	assert.deepEqual(findOverlaps(executors.runs), []);
 	assert.equal(executors.runs.length, 1);
 	assert.equal(executors.runs[0]!.outcome, 'done');
-	assert.equal(entry.told.at(-1)?.reason, 'replaced');
+	assert.equal(entry.replaced.at(-1)?.isRefused, true);
 });
 
-// Guards against a job that is turned away for a copy that is over: its caller was answered 504 and comes again on the same connection.
+// Guards against a job that is turned away for a copy that is over: its caller was answered 504, and comes again 1,300 ms later on the
+// same connection.
 test('a job comes again once the entry that replaced its copies has dropped it', async () => {
 	const {clock, executors, scheduler, entry} = await openScheduler({
 		count: 1,
@@ -86,6 +86,25 @@
 	scheduler.receive(earlier, makeReplace(), clock.now);
 	scheduler.dropJob(earlier, 'job1');
 	scheduler.receivePart(entry, makePart(clock), clock.now);
+	await runFor(clock, 50, [[scheduler, entry]]);
+	assert.equal(executors.runs.length, 0, 'runs of the copy may be stopped');
+	await runFor(clock, 1250, [[scheduler, entry]]);
+	scheduler.receivePart(entry, makePart(clock), clock.now);
+	await runFor(clock, 200, [[scheduler, entry]]);
+	assert.equal(executors.runs[0]?.outcome, 'done');
+});
+
+// Guards against a job that is turned away because the host that took it first is dead: its caller comes again 1,300 ms after that, on a
+// connection that it has to another host.
+test('a copy whose entry is dead does not hold up the one that its caller sends again', async () => {
+	const {clock, executors, scheduler, entry} = await openScheduler({
+		count: 1,
+		taskMs: 50,
+	});
+	const dead = createEntry('langreo_l1.0');
+	scheduler.receive(dead, makeReplace(), clock.now);
+	await runFor(clock, 1300, [[scheduler, entry]]);
+	scheduler.receivePart(entry, makePart(clock), clock.now);
 	await runFor(clock, 200, [[scheduler, entry]]);
 	assert.equal(executors.runs[0]?.outcome, 'done');
 });
@@ -94,8 +113,8 @@
 test('of two entries that replace each other the same one is refused by all schedulers', () => {
 	const first = createEntry('mieres_m1.0');
 	const second = createEntry('langreo_l1.0');
-	const ofFirst = makeReplace({arrivedAtMs: 1000});
-	const ofSecond = makeReplace({arrivedAtMs: 1009});
+	const ofFirst = makeReplace({takenAtMs: 1000});
+	const ofSecond = makeReplace({takenAtMs: 1009});
 	const {copies: here} = createCopies();
 	here.replace(first, ofFirst);
 	here.replace(second, ofSecond);
--- a/packages/scheduling/src/job-copies.ts
+++ b/packages/scheduling/src/job-copies.ts
@@ -3,19 +3,20 @@
 
 What goes wrong: a caller's connection is reset while its request is on the way, and its HTTP library sends the request again at once
 over a new connection, to another entry. The first entry has not read of the reset yet, and both hand the same tasks to
-schedulers: one task runs twice at a time. So the second entry has its job confirmed by every scheduler before it places
+schedulers: one task runs twice at a time. So the second entry has its copy confirmed by every scheduler before it places
 tasks. Each of them stops what it has of other copies, answers when nothing of the job runs, and starts no other copy
 that reaches it later.
 */
 import {type Replace} from '@gentianshift/protocol';
 import {type Entry} from './group-job.js';
+import {dropStopMs, orphanStopMs} from './timing.js';
 
 export type CopyPorts = {
 	now: () => number;
-	/** A task of the job runs here, or may under an earlier holder of the group. */
-	mayRun: (job: string) => boolean;
-	/** Stops what an entry other than this one has of the job. */
-	dropOthers: (job: string, entry: Entry) => void;
+	/** Stops what an entry other than this one has of the job; true: it came from an earlier holder of the group. */
+	dropOthers: (job: string, entry: Entry) => boolean;
+	/** A task of the job runs here, or may under an earlier holder. `isMoved`: the copy that was dropped came from one. */
+	mayRun: (job: string, isMoved: boolean) => boolean;
 };
 
 export type JobCopies = {
@@ -24,6 +25,8 @@
 	isReplaced: (job: string, entry: Entry) => boolean;
 	/** The entry's copy has ended. */
 	release: (job: string, entry: Entry) => void;
+	/** The entry is silent: none of its copies holds up another any longer. */
+	releaseAll: (entryKey: string) => void;
 	/** Answers the entries whose jobs no longer run in another copy; to be called when runs have ended. */
 	answerSettled: () => void;
 	forgetOld: () => void;
@@ -31,18 +34,19 @@
 
 type Copy = {
 	entry: Entry;
-	arrivedAtMs: number;
-	/** Its caller no longer waits from then on; this host's clock. */
+	takenAtMs: number;
+	/** It holds up others until then; this host's clock. */
 	endsAt: number;
-	isAnswered: boolean;
+	isMoved: boolean;
 };
 
 export function createJobCopies({
 	now,
-	mayRun,
 	dropOthers,
+	mayRun,
 }: CopyPorts): JobCopies {
 	const copies = new Map<string, Copy>();
+	/** Jobs whose entries have yet to be answered. */
 	const unanswered = new Set<string>();
 
 	function find(job: string): Copy | undefined {
@@ -50,38 +54,48 @@
 		return copy && copy.endsAt > now() ? copy : undefined;
 	}
 
-	function answer(job: string, copy: Copy): void {
-		copy.isAnswered = true;
-		copy.entry.send({t: 'replaced', job, isRefused: false});
+	function answer(
+		job: string,
+		{entry, takenAtMs}: Copy,
+		isRefused: boolean,
+	): void {
+		entry.send({t: 'replaced', job, takenAtMs, isRefused});
 	}
 
 	function answerIfSettled(job: string): void {
 		const copy = find(job);
-		if (!copy || copy.isAnswered) {
-			unanswered.delete(job);
-		} else if (!mayRun(job)) {
-			unanswered.delete(job);
-			answer(job, copy);
+		if (copy && mayRun(job, copy.isMoved)) {
+			return;
+		}
+
+		unanswered.delete(job);
+		if (copy) {
+			answer(job, copy, false);
 		}
 	}
 
+	/** What the copy has at other groups may take as long to be stopped. */
+	function endSoon(copy: Copy, afterMs: number): void {
+		copy.endsAt = Math.min(copy.endsAt, now() + afterMs);
+	}
+
 	return {
-		replace(entry, {job, arrivedAtMs, timeLeftMs}) {
+		replace(entry, {job, takenAtMs, timeLeftMs}) {
 			const known = find(job);
-			const copy = {
+			const copy: Copy = {
 				entry,
-				arrivedAtMs,
+				takenAtMs,
 				endsAt: now() + timeLeftMs,
-				isAnswered: false,
+				isMoved: known?.isMoved ?? false,
 			};
 			if (known && isLater(known, copy)) {
-				entry.send({t: 'replaced', job, isRefused: true});
+				answer(job, copy, true);
 				return;
 			}
 
 			copies.set(job, copy);
 			unanswered.add(job);
-			dropOthers(job, entry);
+			copy.isMoved = dropOthers(job, entry) || copy.isMoved;
 			answerIfSettled(job);
 		},
 		isReplaced(job, entry) {
@@ -89,8 +103,16 @@
 			return copy !== undefined && copy.entry.key !== entry.key;
 		},
 		release(job, entry) {
-			if (copies.get(job)?.entry.key === entry.key) {
-				copies.delete(job);
+			const copy = copies.get(job);
+			if (copy?.entry.key === entry.key) {
+				endSoon(copy, dropStopMs);
+			}
+		},
+		releaseAll(entryKey) {
+			for (const copy of copies.values()) {
+				if (copy.entry.key === entryKey) {
+					endSoon(copy, orphanStopMs);
+				}
 			}
 		},
 		answerSettled() {
@@ -114,7 +136,7 @@
 		return false;
 	}
 
-	return known.arrivedAtMs === copy.arrivedAtMs
+	return known.takenAtMs === copy.takenAtMs
 		? known.entry.key > copy.entry.key
-		: known.arrivedAtMs > copy.arrivedAtMs;
+		: known.takenAtMs > copy.takenAtMs;
 }
--- a/packages/scheduling/src/make-part.ts
+++ b/packages/scheduling/src/make-part.ts
@@ -14,6 +14,7 @@
 	return {
 		t: 'part',
 		job: id,
+		takenAtMs: job.takenAtMs,
 		at: now,
 		queue: queue.name,
 		service: queue.service,
--- a/packages/scheduling/src/takeover.test.ts
+++ b/packages/scheduling/src/takeover.test.ts
@@ -234,7 +234,8 @@
 	const replace = {
 		t: 'replace',
 		job: part.job,
-		arrivedAtMs: 1000,
+		at: clock.now,
+		takenAtMs: 1000,
 		timeLeftMs: 3000,
 	} as const;
 	second.receive(later, replace, clock.now);
