--- a/packages/scheduling/src/copy-replacement.ts
+++ b/packages/scheduling/src/copy-replacement.ts
@@ -67,7 +67,8 @@
 
 	return {
 		ask(job, now) {
-			if (job.groupsToConfirm || job.request.requestsBefore > 0) {
+			const isAsked = job.groupsToConfirm !== undefined;
+			if (isAsked || job.request.requestsBefore > 0) {
 				return;
 			}
 
