--- a/packages/protocol/src/mesh.ts
+++ b/packages/protocol/src/mesh.ts
@@ -390,7 +390,7 @@
 		if (link && performance.now() - peer.dialledAt > redialMs) {
 			this.#dialBroken(peer);
 		} else {
-			this.#delayDial(peer);
+			this.#scheduleDial(peer);
 		}
 
 		if (link) {
@@ -407,7 +407,7 @@
 		});
 	}
 
-	#delayDial(peer: Peer): void {
+	#scheduleDial(peer: Peer): void {
 		peer.failures += 1;
 		const pause = Math.min(
 			redialCapMs,
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -106,7 +106,7 @@
 			dropOthers: (job, entry) => this.#dropOthers(job, entry),
 			mayRun: (job, isMoved) =>
 				this.#executors.hasRunOf(job) ||
-				!this.#haveEntriesSpoken() ||
+				!this.#hasHeardEntries() ||
 				(isMoved && !this.#isReportedSince(this.#openedAt)),
 		});
 		this.#executors = createExecutorSet({
@@ -370,12 +370,12 @@
 	#isSettled({movedAt}: GroupJob): boolean {
 		return (
 			movedAt === undefined ||
-			(this.#isReportedSince(movedAt) && this.#haveEntriesSpoken())
+			(this.#isReportedSince(movedAt) && this.#hasHeardEntries())
 		);
 	}
 
 	/** Entries have told this holder which copies they replace, or have had the time to. */
-	#haveEntriesSpoken(): boolean {
+	#hasHeardEntries(): boolean {
 		const {now, listPeers} = this.ports;
 		return (
 			now() - this.#openedAt > entryWordLimitMs ||
