Play the plans of callers that send again at once in a test file of their own

Drawing and playing is shared; each property keeps its 2,000 plans, and the plans that once broke it.

--- a/packages/host/src/scheduling/faulty/no-task-twice.test.ts
+++ b/packages/host/src/scheduling/faulty/no-task-twice.test.ts
@@ -3,41 +3,20 @@
 holdings and handlers of four hosts on a virtual clock, with plans of jobs and faults drawn by fast-check.
 */
 import assert from 'node:assert/strict';
-import process from 'node:process';
 import {test} from 'node:test';
 import fc from 'fast-check';
-import {faultPlans, resendPlans, type FaultPlan} from './fault-plan.fixture.js';
+import {faultPlans, type FaultPlan} from './fault-plan.fixture.js';
 import {playPlan} from './play-plan.fixture.js';
-
-/** More plans, or others: `PLANS=20000 PLAN_SEED=7 npm test -- no-task-twice`. */
-const plans = Number(process.env.PLANS ?? 2000);
-const seed = Number(process.env.PLAN_SEED ?? 20_261_203);
+import {playPlans} from './play-plans.fixture.js';
 
 // Played before the tests begin: within a test the runner follows each promise, which takes three times as long.
 const played = await playPlans(faultPlans);
-const resendsPlayed = await playPlans(resendPlans);
 
 // When a promise is broken, the plan is made as small as it can be and printed.
 test('no plan of faults makes a task run twice, a refusal untrue or an answer partial', () => {
 	assert.ok(!played.failed, fc.defaultReportMessage(played));
 });
 
-// Guards against two copies of a job at two entries that hand its tasks to two groups at the same time.
-test('no task runs twice when callers whose connection breaks send again at once', () => {
-	assert.ok(!resendsPlayed.failed, fc.defaultReportMessage(resendsPlayed));
-});
-
-async function playPlans(
-	arbitrary: fc.Arbitrary<FaultPlan>,
-): Promise<fc.RunDetails<[FaultPlan]>> {
-	return fc.check(
-		fc.asyncProperty(arbitrary, async (plan) => {
-			assert.deepEqual(await playPlan(plan), []);
-		}),
-		{seed, numRuns: plans},
-	);
-}
-
 /** Plans that once broke a promise, each with what went wrong. */
 const brokenOnce: ReadonlyArray<{cause: string; plan: FaultPlan}> = [
 	{
@@ -83,46 +62,6 @@
 			],
 		},
 	},
-	{
-		cause:
-			'two entries handed the copies of a job to two groups, as its caller sent it again at once',
-		plan: {
-			jobs: [
-				{at: 0, host: 3, tasks: 1, runMs: 60, allowanceMs: 60},
-				{at: 0, host: 0, tasks: 1, runMs: 60, allowanceMs: 60},
-			],
-			faults: [{at: 2, forMs: 0, kind: 'reset-requests', host: 3, noticeMs: 9}],
-		},
-	},
-	{
-		cause:
-			'a group counted as out of reach although the connection to its holder was back',
-		plan: {
-			jobs: [
-				{at: 0, host: 0, tasks: 1, runMs: 1500, allowanceMs: 60},
-				{at: 0, host: 0, tasks: 1, runMs: 60, allowanceMs: 60},
-			],
-			faults: [
-				{at: 195, forMs: 206, kind: 'reset-requests', host: 0, noticeMs: 0},
-				{at: 0, forMs: 400, kind: 'silence', executor: 0},
-			],
-		},
-	},
-	{
-		cause:
-			'a new holder started an earlier copy that only the former one knew to be replaced',
-		plan: {
-			jobs: [
-				{at: 0, host: 0, tasks: 1, runMs: 1500, allowanceMs: 60},
-				{at: 0, host: 0, tasks: 1, runMs: 60, allowanceMs: 60},
-			],
-			faults: [
-				{at: 1431, forMs: 133, kind: 'reset-requests', host: 1, noticeMs: 133},
-				{at: 800, forMs: 630, kind: 'hand-over'},
-				{at: 0, forMs: 0, kind: 'reset-requests', host: 0, noticeMs: 0},
-			],
-		},
-	},
 	{
 		cause:
 			'a holder that woke up took the word of an entry that had given up on it for one that had waited',
