--- a/packages/host/src/scheduling/faulty/no-copy-twice.test.ts
+++ b/packages/host/src/scheduling/faulty/no-copy-twice.test.ts
@@ -59,6 +59,32 @@
 			],
 		},
 	},
+	{
+		cause: 'a holder died just before it was asked for other copies',
+		plan: {
+			jobs: [
+				{at: 0, host: 2, tasks: 2, runMs: 60, allowanceMs: 3000},
+				{at: 5, host: 3, tasks: 1, runMs: 1500, allowanceMs: 3000},
+			],
+			faults: [
+				{at: 100, forMs: 4000, kind: 'kill', host: 0},
+				{at: 110, forMs: 0, kind: 'reset-requests', host: 3, noticeMs: 300},
+			],
+		},
+	},
+	{
+		cause:
+			'a holder that did not know its successor was asked for other copies',
+		plan: {
+			jobs: [{at: 2163, host: 1, tasks: 1, runMs: 600, allowanceMs: 1000}],
+			faults: [
+				{at: 1800, forMs: 4000, kind: 'hand-over'},
+				{at: 1805, forMs: 700, kind: 'cut', host: 0, peer: 1},
+				{at: 1805, forMs: 700, kind: 'cut', host: 2, peer: 1},
+				{at: 2166, forMs: 0, kind: 'reset-requests', host: 1, noticeMs: 200},
+			],
+		},
+	},
 ];
 
 for (const {cause, plan} of brokenOnce) {
