--- a/packages/scheduling/src/entry-jobs.ts
+++ b/packages/scheduling/src/entry-jobs.ts
@@ -456,9 +456,10 @@
 
 	/** It has tasks of a job, or knows that this entry's copy is the one that counts. */
 	#isConcerned(group: string): boolean {
-		return [...this.#jobs.values()].some(
-			(job) => job.groupsToConfirm ?? listTasksAt(job, group).length > 0,
-		);
+		return [...this.#jobs.values()].some((job) => {
+			const isReplacing = job.groupsToConfirm !== undefined;
+			return isReplacing || listTasksAt(job, group).length > 0;
+		});
 	}
 
 	/**
