Ask for a lease once, not for each job that comes before its answer

What callers saw: nothing yet. It would be a stall: each new job of a target whose lease is not valid asked for the lease again, and with each request the demand of every waiting job was told again.

Cause: new work asks anew as long as the lease is invalid, although a request is on its way.

Ruled out: asking only when a lease is opened. A request that finds no keeper would then be repeated by the timer alone, 350 ms later, where now the next job does it.

Change: new work asks again only when no request of the last 50 ms is unanswered; the renewal each 350 ms is as before.

Conclusion: a late answer costs one round of demands, not one for each new job.

--- a/packages/slots/src/borrower.ts
+++ b/packages/slots/src/borrower.ts
@@ -229,12 +229,17 @@
 		}
 	}
 
+	/**
+	With a request goes each waiting job's demand. Sent for each new job until the first answer, that
+	would take seconds of the loop where hundreds come at once to a host on which a thousand wait.
+	*/
 	#openLeases(target: string): void {
+		const now = this.#ports.now();
 		for (const dataCentre of this.#ports.listDataCentres(target)) {
 			const place = {target, dataCentre};
 			const keeper = this.#ports.findKeeper(target, dataCentre);
 			const lease = this.#leases.get(place) ?? this.#leases.open(place, keeper);
-			if (!lease.isValid(this.#ports.now())) {
+			if (!lease.isValid(now) && !lease.isAwaited(now)) {
 				this.#renewLease(place, lease);
 			}
 		}
--- /dev/null
+++ b/packages/slots/src/exchange.fixture.ts
@@ -0,0 +1,102 @@
+/**
+The slots of one host with everything around them replaced by what a test sets or keeps.
+*/
+import assert from 'node:assert/strict';
+import {type TestContext} from 'node:test';
+import {type JobDemand, type UsableSlot} from '@gentianshift/jobs';
+import {type Message} from '@gentianshift/protocol';
+import {type Executor} from '@gentianshift/resources';
+import {leaseRenewMs, leaseTermMs, type SlotPorts} from './ports.js';
+import {SlotExchange} from './slot-exchange.js';
+
+const executor: Executor = {
+	name: 'e1',
+	address: '127.0.0.1:1',
+	dataCentre: 'mieres',
+	slots: 2,
+	connections: 60,
+	state: 'active',
+};
+
+/** A host and the slots that `keeper`, else itself, lends it as the only borrower; its timers fire when a test says so. */
+export function openExchange(context: TestContext, keeper = 'mieres_m1') {
+	context.mock.timers.enable({apis: ['setInterval', 'setTimeout']});
+	const clock = {now: 1000};
+	const news = {isLeaving: false};
+	const sent: Message[] = [];
+	const starts: Array<{slot: UsableSlot; at: number}> = [];
+	const ports: SlotPorts = {
+		hostKey: 'mieres_m1',
+		ownerId: 'mieres_m1.a',
+		dataCentre: 'mieres',
+		now: () => clock.now,
+		random: () => 0.5,
+		sendToHost(_hostKey, message) {
+			sent.push(message);
+			return true;
+		},
+		sendToOwner: () => false,
+		findKeeper: () => keeper,
+		listExecutors: () => [executor],
+		listDataCentres: () => ['mieres'],
+		findActive: () => (news.isLeaving ? undefined : executor),
+		isLeaving: () => news.isLeaving,
+		listShares: () => new Map(),
+		listPeers: () => [],
+		countWasted() {
+			// Not of interest here.
+		},
+	};
+	const exchange = new SlotExchange({ports, listTargets: () => ['kitchens']});
+	const source = exchange.createSource({
+		onSlot(_job, slot) {
+			if (slot.isUsable()) {
+				starts.push({slot, at: clock.now});
+			} else {
+				slot.release({result: 'unused', runMs: 0});
+			}
+		},
+		onRefusal() {
+			assert.fail('there is room and time');
+		},
+	});
+	exchange.refresh();
+	context.after(() => {
+		exchange.stop();
+	});
+	const submit = (job: number, queued = 1) => {
+		source.demandSlots(makeDemand(job, queued, clock.now));
+	};
+
+	/** The host is frozen for longer than its leases; its clock goes on. */
+	const freeze = () => {
+		clock.now += 4 * leaseTermMs;
+	};
+
+	/** The change that was sent during the pause is read. */
+	const readLeaving = () => {
+		news.isLeaving = true;
+		exchange.refresh();
+	};
+
+	const fireTimers = () => {
+		context.mock.timers.tick(leaseRenewMs);
+	};
+
+	return {starts, sent, clock, submit, freeze, readLeaving, fireTimers};
+}
+
+function makeDemand(job: number, queued: number, now: number): JobDemand {
+	return {
+		job,
+		target: 'kitchens',
+		service: 'meals',
+		team: 'cooks',
+		remaining: queued,
+		queued,
+		taskMs: 100,
+		hasStarted: false,
+		deadlineAt: now + 60_000,
+		submittedAt: now,
+	};
+}
--- a/packages/slots/src/lease.ts
+++ b/packages/slots/src/lease.ts
@@ -8,6 +8,9 @@
 */
 import {leaseTermMs} from './ports.js';
 
+/** An answer that takes longer than this is no longer waited for before the next request, milliseconds. */
+const answerMs = 50;
+
 export class Lease {
 	/** Host key of the keeper it is with. */
 	keeper: string | undefined;
@@ -62,6 +65,13 @@
 		return isSame;
 	}
 
+	/** Asked for a moment ago, and not answered yet. */
+	isAwaited(now: number): boolean {
+		return [...this.#askedAt.values()].some(
+			(askedAt) => now - askedAt < answerMs,
+		);
+	}
+
 	isValid(now: number): boolean {
 		return now < this.#until;
 	}
