Answer a lease after reading what came during a pause of the host

Cause, of one way: the host is the keeper of the executor's slots and a borrower of them. After the thaw its late timer asks its own keeper for the lease anew (or a new job does, found in the loop turn that the freeze cut in two). The keeper answered within the call, with the list of leaving executors of before the freeze, so that the lapsed lease was good for another second from then on. The answer of a task that ended on a kept slot, read before the change in the same turn, then started the next task there. Decisions by the keeper's late timer led to the same by way of the slots that wait for a lease.

Ruled out, by reading: leases answered before the pause (counted from when they were asked for, they have lapsed); keepers of other hosts (their word is of now). Noticing the pause by a late timer: a freeze amid a loop turn lets work start before any timer fires, and a limit would be one more figure to choose. Answering at the end of the same turn: it fails two of the tests below, as that turn's reading may have begun before the freeze.

Change: a keeper answers a lease after one whole loop turn has passed since the request. Until then a lease that lapsed in the pause stays lapsed, and nothing starts.

Suspected next, not shown: a request handed to the executor's pool right before the freeze is written to its connection after the thaw. Also open, by reading only: a change that was sent after the peers had hung up on the frozen host (2 s) is not among what came; unless the host reads the store itself, it learns of it by the next digests after its links are back.

--- a/packages/slots/src/keeper.ts
+++ b/packages/slots/src/keeper.ts
@@ -14,6 +14,7 @@
 	type LendingDecisions,
 } from '@gentianshift/decisions';
 import {type MessageOf} from '@gentianshift/protocol';
+import {runAfterReading} from './after-reading.js';
 import {leaseTermMs, type SlotPorts} from './ports.js';
 
 /** Soonest that "free" or "none free" is told again to other data centres. */
@@ -86,6 +87,10 @@
 		this.#schedule();
 	}
 
+	/**
+	The answer waits until all that has come is read. After a pause of this host, that an executor is
+	leaving may lie unread: its owner here, asking by a late timer, would start a task there.
+	*/
 	receiveLease(ownerId: string, message: MessageOf<'lease'>): void {
 		if (message.held) {
 			this.#lender.restoreSlots(ownerId, message.held, this.#ports.now());
@@ -95,13 +100,8 @@
 			this.#lender.report(slot, {result, runMs}, this.#ports.now());
 		}
 
-		this.#ports.sendToOwner(ownerId, {
-			t: 'leased',
-			target: this.target,
-			sequence: message.sequence,
-			term: this.#term,
-			leaving: this.#listLeaving(),
-			isHungry: this.#tellHunger(ownerId),
+		runAfterReading(() => {
+			this.#answerLease(ownerId, message.sequence);
 		});
 	}
 
@@ -281,6 +281,21 @@
 		}
 	}
 
+	#answerLease(ownerId: string, sequence: number): void {
+		if (this.#isStopped) {
+			return;
+		}
+
+		this.#ports.sendToOwner(ownerId, {
+			t: 'leased',
+			target: this.target,
+			sequence,
+			term: this.#term,
+			leaving: this.#listLeaving(),
+			isHungry: this.#tellHunger(ownerId),
+		});
+	}
+
 	/** Asks the data centre with the most known free slots; at most once in a while where none was. */
 	#shift(owner: string, job: number, count: number, now: number): void {
 		const demand = this.#lender.readDemand(owner, job);
