Let a job that waited for an answer in as much later, and not in any case

Cause: the first job of a connection waits for the groups' answers, and counted as let in from then on, whatever the wait.

Change: the time until which such a job is let in moves on by what it has waited; it is judged like others otherwise.

Evidence: the new test of entry-jobs fails before (the job is placed at a full group).

--- a/packages/scheduling/src/entry-job.ts
+++ b/packages/scheduling/src/entry-job.ts
@@ -70,7 +70,7 @@
 	takenAtMs: number;
 	/** Groups that have yet to say that no other copy of the job runs there; undefined: none was asked. */
 	groupsToConfirm?: Set<string>;
-	/** When they were asked. */
+	/** When they were asked, until the job's tasks are first placed. */
 	copiesAskedAt?: number;
 	/** When a scheduler first told of a start; undefined: none did. */
 	startToldAt?: number;
--- a/packages/scheduling/src/entry-jobs.test.ts
+++ b/packages/scheduling/src/entry-jobs.test.ts
@@ -391,6 +391,22 @@
 	assert.equal(listParts('mieres_m1').length, 1);
 });
 
+// Guards against a flood that is let in because each of its jobs is the first one of a connection: all of them would be late.
+test('a job that has waited for an answer is refused where all groups are full, like others', () => {
+	const {entry, groups, clock} = createEntryJobs();
+	const full = makeState('mieres', {
+		free: [0, 0],
+		backlog: [64_000 * 150, 0, 0, 0],
+	});
+	groups.update('mieres_m1', full, clock.now);
+	const answers: JobAnswer[] = [];
+	entry.submit(makeRequest({requestsBefore: 0}), (answer) => {
+		answers.push(answer);
+	});
+	entry.receive('mieres_m1', makeConfirmation());
+	assert.equal(answers[0]?.type, 'refused');
+});
+
 // Guards against an answer to an earlier taking of the job at this entry, which says nothing of copies since.
 test('an answer that is for an earlier taking of the job does not count', () => {
 	const {entry, groups, clock, listParts} = createEntryJobs();
--- a/packages/scheduling/src/entry-jobs.ts
+++ b/packages/scheduling/src/entry-jobs.ts
@@ -353,6 +353,8 @@
 			return;
 		}
 
+		this.#extendAdmission(job, now);
+
 		const spread = placeJob(rooms, {
 			count: tasks.length,
 			demand,
@@ -405,11 +407,18 @@
 			return;
 		}
 
-		// It has waited for want of an answer, not of room.
-		job.isLetIn = true;
 		this.#waiting.add(job);
 	}
 
+	/** A job that has waited for want of an answer, not of room, is let in as much later, and judged like others otherwise. */
+	#extendAdmission(job: EntryJob, now: number): void {
+		if (job.copiesAskedAt !== undefined) {
+			const waitedMs = now - job.copiesAskedAt;
+			job.admitUntil = Math.min(job.uselessAt, job.admitUntil + waitedMs);
+			job.copiesAskedAt = undefined;
+		}
+	}
+
 	#handTo(job: EntryJob, group: string, tasks: EntryTask[]): void {
 		if (tasks.length === 0) {
 			return;
