Have entries give up their copies of a job where groups can't tell whether one runs

Callers saw, in plans: a task that ran in two copies at a time, after their connection broke and they sent the request again at once.

Cause, one for both: the second entry asked groups what runs. A holder that has just died can't tell, and one that was replaced without hearing of it tells of its own book. The first entry lived in both plans and knew who was handed the tasks, and nobody asked it.

Change: while a holder is silent, or a known host is out of reach, the second entry asks all entries for their copies. One that has a copy gives it up and names the groups and the tokens of the holders that were told of its tasks; hosts pass the question on to those that the asker has no connection to. The asker waits for a holder that is not outdated by these tokens, which treats the job as moved, or for the time after which nothing of it can run.

Ruled out: waiting for every dead holder with every first request, which holds up callers whose jobs had no copy there; a holder that asks its executors before it confirms, as an executor that its successor has not reached yet proves nothing.

--- a/packages/host/src/scheduling/faulty/begin-fault.fixture.ts
+++ b/packages/host/src/scheduling/faulty/begin-fault.fixture.ts
@@ -36,6 +36,7 @@
 	const {hosts, moods, orderRules} = system;
 	switch (fault.kind) {
 		case 'kill':
+		case 'kill-requests':
 		case 'freeze':
 		case 'plan-stop':
 		case 'reset-callers': {
@@ -90,14 +91,17 @@
 		forMs,
 	}: Extract<
 		PlannedFault,
-		{kind: 'kill' | 'freeze' | 'plan-stop' | 'reset-callers'}
+		{
+			kind: 'kill' | 'kill-requests' | 'freeze' | 'plan-stop' | 'reset-callers';
+		}
 	>,
 	host: FaultyHost,
 	{network, resend}: FaultySystem,
 ): () => void {
 	switch (kind) {
-		case 'kill': {
-			resend(host.kill());
+		case 'kill':
+		case 'kill-requests': {
+			resend(host.kill(), kind === 'kill' ? undefined : 'at-once');
 			network.closeAll(host);
 			return () => {
 				if (!host.isAlive) {
--- a/packages/host/src/scheduling/faulty/fault-plan.fixture.ts
+++ b/packages/host/src/scheduling/faulty/fault-plan.fixture.ts
@@ -24,6 +24,8 @@
 /** Acts from `at` for `forMs`, milliseconds from the begin of the play. */
 export type PlannedFault = {at: number; forMs: number} & (
 	| {kind: 'kill' | 'freeze' | 'plan-stop' | 'reset-callers'; host: number}
+	/** The host dies, and its callers send again at once. */
+	| {kind: 'kill-requests'; host: number}
 	/**
 	Connections of the host's callers break under their requests. The callers send again at once, over new connections; the host
 	reads of it only afterwards, and its own connections to others are broken for `forMs`.
@@ -150,19 +152,21 @@
 	faults: fc.array(fault, {maxLength: 6}),
 });
 
+const resendJobs = fc.array(
+	fc.record({
+		at: fc.nat(spanMs),
+		host,
+		tasks: fc.integer({min: 1, max: 4}),
+		runMs: fc.constantFrom(60, 600, 1500),
+		allowanceMs: fc.constantFrom(60, 1000),
+		isOnNewConnection: fc.boolean(),
+	}),
+	{minLength: 1, maxLength: 8},
+);
+
 /** Callers that send again at once, while groups change hands and orders are lost; hosts that live are in reach of one another. */
 export const resendPlans: fc.Arbitrary<FaultPlan> = fc.record({
-	jobs: fc.array(
-		fc.record({
-			at: fc.nat(spanMs),
-			host,
-			tasks: fc.integer({min: 1, max: 4}),
-			runMs: fc.constantFrom(60, 600, 1500),
-			allowanceMs: fc.constantFrom(60, 1000),
-			isOnNewConnection: fc.boolean(),
-		}),
-		{minLength: 1, maxLength: 8},
-	),
+	jobs: resendJobs,
 	faults: fc.array(
 		fc.oneof(
 			{weight: 5, arbitrary: resetRequests},
@@ -173,3 +177,32 @@
 		{minLength: 1, maxLength: 6},
 	),
 });
+
+const lostHost = fc.record({
+	...span,
+	kind: fc.constant('kill-requests' as const),
+	host,
+});
+
+const lostLink = fc.record({
+	...span,
+	kind: fc.constant('cut' as const),
+	host,
+	peer: host,
+});
+
+/** The same where hosts die as well, or lose the connection to one another. */
+export const lossPlans: fc.Arbitrary<FaultPlan> = fc.record({
+	jobs: resendJobs,
+	faults: fc.array(
+		fc.oneof(
+			{weight: 4, arbitrary: resetRequests},
+			{weight: 2, arbitrary: lostHost},
+			{weight: 2, arbitrary: lostLink},
+			{weight: 1, arbitrary: handOver},
+			{weight: 1, arbitrary: orderFault},
+			{weight: 1, arbitrary: executorFault},
+		),
+		{minLength: 1, maxLength: 6},
+	),
+});
--- a/packages/host/src/scheduling/host-roles.ts
+++ b/packages/host/src/scheduling/host-roles.ts
@@ -7,10 +7,12 @@
 	createRunTimes,
 	createSuccession,
 	EntryJobs,
+	parseProcessId,
 	stateEveryMs,
 	type CoordinationStore,
 	type Entry,
 	type EntryJob,
+	type EntryPeers,
 	type EntryPorts,
 	type ExecutorControl,
 	type JobAnswer,
@@ -78,6 +80,8 @@
 		this.#options = options;
 		this.holding = this.#createHolding();
 		this.entry = new EntryJobs({
+			self: options.ownerId,
+			peers: this.#createEntryPeers(),
 			home: options.dataCentre,
 			now: options.now,
 			readWallClock: options.readWallClock,
@@ -141,6 +145,19 @@
 		}
 	}
 
+	#createEntryPeers(): EntryPeers {
+		const {listKeys, findLink} = this.#options.peers;
+		return {
+			listHosts: listKeys,
+			isLinked: (host) => findLink(host) !== undefined,
+			send(host, message) {
+				const link = findLink(host);
+				link?.send(message);
+				return link !== undefined;
+			},
+		};
+	}
+
 	#createHolding(): GroupHolding {
 		const {dataCentre, key, ownerId, store, now, peers, executors, control} =
 			this.#options;
@@ -183,13 +200,9 @@
 
 	/** That host speaks to this one as another incarnation: the one named is gone. */
 	#isOver(processId: string): boolean {
-		const at = processId.lastIndexOf('.');
-		const incarnations = this.#options.peers.listIncarnations(
-			processId.slice(0, at),
-		);
-		return (
-			incarnations.length > 0 && !incarnations.includes(processId.slice(at + 1))
-		);
+		const {host, incarnation} = parseProcessId(processId);
+		const incarnations = this.#options.peers.listIncarnations(host);
+		return incarnations.length > 0 && !incarnations.includes(incarnation);
 	}
 
 	/** A holder asks a stronger host to take its group; told with the group's state. */
--- a/packages/host/src/scheduling/scheduling-handlers.ts
+++ b/packages/host/src/scheduling/scheduling-handlers.ts
@@ -2,6 +2,8 @@
 Hands each message between scheduling hosts to the part it is for.
 */
 import {
+	silenceMs,
+	silentReason,
 	type Ends,
 	type Message,
 	type MeshHandlers,
@@ -54,6 +56,7 @@
 			// The first message of a connection tells the peer this host's clock.
 			link.send({t: 'keep', at: now()});
 			roles.tellStateTo(link);
+			entry.markLinkUp(link.key, link.hello.incarnation);
 			entry.sendAgain(link.key);
 			tables.tell((message) => {
 				link.send(message);
@@ -61,6 +64,8 @@
 		},
 		onLinkDown(link, reason) {
 			log('link down', {peer: link.key, reason});
+			const silentMs = reason === silentReason ? silenceMs : 0;
+			entry.markLinkDown(link.key, link.hello.incarnation, now() - silentMs);
 			directory.markLinkDown(link, reason);
 		},
 		onReply(link, message) {
@@ -108,6 +113,16 @@
 				break;
 			}
 
+			case 'recall-copy': {
+				entry.receiveRecall(session.key, message);
+				break;
+			}
+
+			case 'copy-recalled': {
+				entry.receiveRecalled(message);
+				break;
+			}
+
 			case 'cancel-job': {
 				entry.cancel(message.job);
 				break;
--- a/packages/protocol/src/mesh.ts
+++ b/packages/protocol/src/mesh.ts
@@ -18,6 +18,8 @@
 const ticksPerPing = 5;
 /** A peer that sent nothing for this long is hung up on. */
 export const silenceMs = 2000;
+/** Why a connection was closed that nothing came on for that long. */
+export const silentReason = 'silent';
 /** How long a dial may take. */
 const dialTimeoutMs = 1500;
 /** Pause before a peer is dialled again; doubled up to the cap, with jitter. */
@@ -264,7 +266,7 @@
 	#closeSilent(now: number): void {
 		for (const connection of this.#listConnections()) {
 			if (now - connection.lastHeardAt > silenceMs) {
-				connection.close('silent');
+				connection.close(silentReason);
 			}
 		}
 	}
--- a/packages/protocol/src/scheduling-messages.ts
+++ b/packages/protocol/src/scheduling-messages.ts
@@ -20,6 +20,12 @@
 /** When the entry took the job, milliseconds since 1970 by its clock: tells one taking of a job from the next. */
 const takenAtMs = z.number();
 
+/** Tokens of the first and of the last holder of a group that was told of tasks. */
+const tokens = z.tuple([count, count]);
+
+/** Of the holders that another entry had handed tasks to, where it is known that one did. */
+const formerTokens = tokens.optional();
+
 /** What one task needs of an executor while it runs. */
 export const taskDemandSchema = z.object({
 	/** Thousandths of a core. */
@@ -88,6 +94,7 @@
 	takenAtMs,
 	/** Until the caller no longer waits. */
 	timeLeftMs: duration,
+	formerTokens,
 });
 
 /** Nothing of other copies runs any more, or (`isRefused`) another entry has a later copy: this one is not started. */
@@ -96,6 +103,48 @@
 	job: jobId,
 	takenAtMs,
 	isRefused: z.boolean(),
+	/** As asked: what a holder of these or of later tokens confirms. */
+	formerTokens,
+});
+
+/**
+An entry takes over a job, and not every scheduler can say whether another copy runs: entries are asked for theirs. One that
+has a copy gives it up.
+*/
+export const recallCopySchema = z.object({
+	t: z.literal('recall-copy'),
+	job: jobId,
+	takenAtMs,
+	/** The process that asks: `<host key>.<incarnation>`. */
+	entry: z.string(),
+	/** Hosts that it has no connection to: the receiver passes the question on to those that it has one to. */
+	passTo: z.array(z.string()),
+});
+
+/** An entry's answer to `recall-copy`; a host that it is not for passes it on. */
+export const copyRecalledSchema = z.object({
+	t: z.literal('copy-recalled'),
+	job: jobId,
+	takenAtMs,
+	/** The process that asked. */
+	entry: z.string(),
+	/** The host that answers. */
+	host: z.string(),
+	/** It has a later copy, which counts. */
+	isRefused: z.boolean(),
+	/** Hosts that the question was passed on to: they answer as well. */
+	passedTo: z.array(z.string()),
+	/** Groups where tasks of another copy may still run. */
+	places: z.array(
+		z.object({
+			group: nameSchema,
+			tokens,
+			/** From now on until nothing of it runs, whatever becomes of the group's holder. */
+			overInMs: duration,
+			/** The answering entry handed tasks there; else one that it has lost may have. */
+			isSure: z.boolean(),
+		}),
+	),
 });
 
 /** The entry still waits for all that it handed to this scheduler. */
@@ -180,6 +229,8 @@
 	keepSchema,
 	replaceSchema,
 	replacedSchema,
+	recallCopySchema,
+	copyRecalledSchema,
 	endsSchema,
 	groupStateSchema,
 	cancelJobSchema,
@@ -190,6 +241,10 @@
 export type Part = z.infer<typeof partSchema>;
 export type Replace = z.infer<typeof replaceSchema>;
 export type Replaced = z.infer<typeof replacedSchema>;
+export type RecallCopy = z.infer<typeof recallCopySchema>;
+export type CopyRecalled = z.infer<typeof copyRecalledSchema>;
+/** First and last. */
+export type TokenRange = z.infer<typeof tokens>;
 export type Ends = z.infer<typeof endsSchema>;
 export type TaskEnd = z.infer<typeof taskEndSchema>;
 export type GroupState = z.infer<typeof groupStateSchema>;
--- a/packages/scheduling/src/copy-replacement.ts
+++ b/packages/scheduling/src/copy-replacement.ts
@@ -2,36 +2,78 @@
 Makes sure, before an entry places a job's tasks, that no copy of the job runs that the caller may have sent to another entry.
 
 Only a request that is the first one on its connection can follow a copy so closely that both would run: a caller sends a
-job again at once when a connection breaks under its request, and over a new one. Every group in reach is asked. One that is not
-is not waited for: a data centre that is cut off must not hold up what is served elsewhere.
+job again at once when a connection breaks under its request, and over a new one. Every group is asked. Where a holder is out
+of reach, or a host that may have replaced it, the other entries are asked as well, and a group is waited for only if a copy was
+there: a data centre that is cut off must not hold up what is served elsewhere.
 */
-import {type Replace} from '@gentianshift/protocol';
+import {type Replace, type Replaced} from '@gentianshift/protocol';
+import {createCopyCheck, joinPlaces, type CopyPlace} from './copy-check.js';
+import {type CopyRecall} from './copy-recall.js';
 import {type EntryJob} from './entry-job.js';
 import {isSilent, type GroupDirectory} from './group-directory.js';
-import {clockSlackMs, orphanLimitMs} from './timing.js';
+import {type LostHolders} from './lost-holders.js';
+import {clockSlackMs, orphanLimitMs, stateStaleMs} from './timing.js';
+
+/** Silent for longer than this, a group runs nothing more of what the entries in reach had handed to it. */
+const longSilenceMs = stateStaleMs + orphanLimitMs + clockSlackMs;
 
 export type CopyReplacementPorts = {
 	groups: GroupDirectory;
+	recall: CopyRecall;
+	lostHolders: LostHolders;
 	send: (holder: string, message: Replace) => void;
 	log: (message: string, fields: Record<string, unknown>) => void;
 };
 
+/** What a job still waits for. */
+export type CopyObstacle = {
+	reason: string;
+	/** No sooner than then; undefined: an answer may come at any time. */
+	clearAt?: number;
+};
+
 export type CopyReplacement = {
-	/** Asks all groups in reach; once for each job, and only for one that may be a copy. */
+	/** Asks all groups; once for each job, and only for one that may be a copy. */
 	ask: (job: EntryJob, now: number) => void;
 	/** The group has another holder, or the connection to it is back. */
 	askAgain: (job: EntryJob, group: string, now: number) => void;
 	/** A holder's answer: it runs no other copy. */
-	confirm: (job: EntryJob, holder: string) => void;
-	/** All groups that were asked and are in reach have answered, or have had the time to end what runs there. */
-	isConfirmed: (job: EntryJob, now: number) => boolean;
+	confirm: (
+		job: EntryJob,
+		holder: string,
+		{message, now}: {message: Replaced; now: number},
+	) => void;
+	/** Another entry has given its copy up, and tasks of it may run there. */
+	addPlaces: (job: EntryJob, places: readonly CopyPlace[], now: number) => void;
+	/** Where tasks of another copy may run, as far as this job's check has come. */
+	findPlace: (
+		job: EntryJob,
+		group: string,
+		now: number,
+	) => CopyPlace | undefined;
+	/** Undefined: no other copy runs, as far as it can be known. */
+	findObstacle: (job: EntryJob, now: number) => CopyObstacle | undefined;
 };
 
 export function createCopyReplacement({
 	groups,
+	recall,
+	lostHolders,
 	send,
 	log,
 }: CopyReplacementPorts): CopyReplacement {
+	function findPlace(
+		{copyCheck, arrivedAt}: EntryJob,
+		group: string,
+		now: number,
+	): CopyPlace | undefined {
+		const place = joinPlaces(
+			copyCheck?.places.get(group),
+			lostHolders.findPlace(group, arrivedAt),
+		);
+		return place && now < place.overAt ? place : undefined;
+	}
+
 	function sendTo(job: EntryJob, group: string, now: number): void {
 		const holder = groups.findGroup(group)?.holder;
 		if (holder !== undefined) {
@@ -41,6 +83,7 @@
 				at: now,
 				takenAtMs: job.takenAtMs,
 				timeLeftMs: job.endsAt - now,
+				formerTokens: findPlace(job, group, now)?.tokens,
 			});
 		}
 	}
@@ -50,9 +93,22 @@
 		return known !== undefined && !isSilent(known, now);
 	}
 
-	/** Why the group is not waited for any longer; undefined: it is. */
-	function findObstacle(
-		job: EntryJob,
+	/** A copy that an entry in reach has handed over may run where no holder can tell. */
+	function isDoubtful(now: number): boolean {
+		return (
+			recall.hasUnknownHosts() ||
+			groups
+				.list()
+				.some(
+					(known) =>
+						isSilent(known, now) && now - known.heardAt <= longSilenceMs,
+				)
+		);
+	}
+
+	/** Why the group's holder is not waited for any longer; undefined: it is. */
+	function findDefect(
+		{copyCheck}: EntryJob,
 		group: string,
 		now: number,
 	): string | undefined {
@@ -60,61 +116,125 @@
 			return 'out of reach';
 		}
 
-		return now - (job.copiesAskedAt ?? now) > orphanLimitMs + clockSlackMs
+		return now - (copyCheck?.askedAt ?? now) > orphanLimitMs + clockSlackMs
 			? 'no answer'
 			: undefined;
 	}
 
+	/** What the group holds up, or undefined: it need not confirm any more. */
+	function findGroupObstacle(
+		job: EntryJob,
+		group: string,
+		now: number,
+	): CopyObstacle | undefined {
+		const place = findPlace(job, group, now);
+		if (place) {
+			const isReached =
+				isInReach(group, now) && !lostHolders.isLost(group, now);
+			return {
+				reason: 'another copy may run where its scheduler is out of reach',
+				clearAt: isReached ? undefined : place.overAt,
+			};
+		}
+
+		const defect = findDefect(job, group, now);
+		if (defect === undefined) {
+			return {
+				reason: 'a group does not say whether another copy runs',
+			};
+		}
+
+		if (defect === 'no answer') {
+			recall.ask(job);
+		}
+
+		if (!recall.isAnswered(job)) {
+			return {
+				reason: 'an entry does not say whether it has a copy',
+			};
+		}
+
+		log('a group does not confirm that no other copy runs', {
+			job: job.request.id,
+			group,
+			reason: defect,
+			wasCopyThere: job.copyCheck?.places.has(group),
+			waitedMs: Math.round(now - (job.copyCheck?.askedAt ?? now)),
+		});
+		return undefined;
+	}
+
 	return {
 		ask(job, now) {
-			const isAsked = job.groupsToConfirm !== undefined;
-			if (isAsked || job.request.requestsBefore > 0) {
+			const isChecked = job.copyCheck !== undefined;
+			if (isChecked || job.request.requestsBefore > 0) {
 				return;
 			}
 
-			const inReach = groups
-				.list()
-				.map(({state}) => state.group)
-				.filter((group) => isInReach(group, now));
-			job.groupsToConfirm = new Set(inReach);
-			job.copiesAskedAt = now;
-			for (const group of inReach) {
-				sendTo(job, group, now);
+			job.copyCheck = createCopyCheck(now);
+			for (const {state} of groups.list()) {
+				job.copyCheck.groupsToConfirm.add(state.group);
+				sendTo(job, state.group, now);
 			}
 		},
 		askAgain(job, group, now) {
-			if (!job.groupsToConfirm) {
+			if (!job.copyCheck) {
 				return;
 			}
 
 			if (job.tasks.every(({placement}) => placement === 0)) {
-				job.groupsToConfirm.add(group);
+				job.copyCheck.groupsToConfirm.add(group);
 			}
 
 			sendTo(job, group, now);
 		},
-		confirm({groupsToConfirm}, holder) {
-			for (const group of groupsToConfirm ?? []) {
-				if (groups.findGroup(group)?.holder === holder) {
-					groupsToConfirm?.delete(group);
+		confirm(job, holder, {message: {formerTokens}, now}) {
+			for (const group of job.copyCheck?.groupsToConfirm ?? []) {
+				const place = findPlace(job, group, now);
+				const isOutdated =
+					place !== undefined && (formerTokens?.[1] ?? -1) < place.tokens[1];
+				if (groups.findGroup(group)?.holder === holder && !isOutdated) {
+					job.copyCheck?.groupsToConfirm.delete(group);
 				}
 			}
 		},
-		isConfirmed(job, now) {
-			for (const group of job.groupsToConfirm ?? []) {
-				const obstacle = findObstacle(job, group, now);
-				if (obstacle !== undefined) {
-					job.groupsToConfirm?.delete(group);
-					log('a group does not confirm that no other copy runs', {
-						job: job.request.id,
-						group,
-						reason: obstacle,
-						waitedMs: Math.round(now - (job.copiesAskedAt ?? now)),
-					});
+		addPlaces(job, places, now) {
+			for (const place of places) {
+				const {group} = place;
+				const known = job.copyCheck?.places.get(group);
+				job.copyCheck?.places.set(group, joinPlaces(known, place) ?? place);
+				job.copyCheck?.groupsToConfirm.add(group);
+				sendTo(job, group, now);
+			}
+		},
+		findPlace: (job, group, now) =>
+			job.copyCheck?.groupsToConfirm.has(group)
+				? findPlace(job, group, now)
+				: undefined,
+		findObstacle(job, now) {
+			const {copyCheck} = job;
+			if (copyCheck?.askedAt === undefined) {
+				return undefined;
+			}
+
+			if (isDoubtful(now)) {
+				recall.ask(job);
+			}
+
+			for (const group of copyCheck.groupsToConfirm) {
+				const obstacle = findGroupObstacle(job, group, now);
+				if (obstacle) {
+					return obstacle;
 				}
+
+				copyCheck.groupsToConfirm.delete(group);
 			}
 
-			return (job.groupsToConfirm?.size ?? 0) === 0;
+			return recall.isAnswered(job)
+				? undefined
+				: {
+						reason: 'an entry does not say whether it has a copy',
+					};
 		},
 	};
 }
--- a/packages/scheduling/src/entry-contacts.ts
+++ b/packages/scheduling/src/entry-contacts.ts
@@ -2,6 +2,7 @@
 When a scheduler last heard from each entry whose jobs it has.
 */
 import {type Entry} from './group-job.js';
+import {parseProcessId} from './process-id.js';
 import {entrySilenceMs, orphanLimitMs} from './timing.js';
 
 export type EntryContacts = {
@@ -23,7 +24,7 @@
 	const hosts = new Set<string>();
 	return {
 		note({key}, sentAt) {
-			hosts.add(key.slice(0, key.lastIndexOf('.')));
+			hosts.add(parseProcessId(key).host);
 			const lastAt = heardAt.get(key);
 			heardAt.set(key, Math.max(lastAt ?? -Infinity, sentAt));
 			return lastAt !== undefined && sentAt - lastAt > entrySilenceMs;
--- a/packages/scheduling/src/entry-job.ts
+++ b/packages/scheduling/src/entry-job.ts
@@ -2,6 +2,7 @@
 A caller's job at the host that took it, the entry.
 */
 import {type TaskDemand} from '@gentianshift/protocol';
+import {type CopyCheck} from './copy-check.js';
 import {type Queue} from './queue-table.js';
 
 export type JobRequest = {
@@ -36,6 +37,8 @@
 	index: number;
 	/** The group it was handed to; undefined: nowhere now. */
 	group?: string;
+	/** The token of the holder that it was first handed to in this group. */
+	token?: number;
 	isDone: boolean;
 	/** Rises each time that the task is placed. */
 	placement: number;
@@ -68,10 +71,8 @@
 	isHandedOver: boolean;
 	/** When this entry took it, milliseconds since 1970. */
 	takenAtMs: number;
-	/** Groups that have yet to say that no other copy of the job runs there; undefined: none was asked. */
-	groupsToConfirm?: Set<string>;
-	/** When they were asked, until the job's tasks are first placed. */
-	copiesAskedAt?: number;
+	/** Undefined: the job can't have another copy that runs. */
+	copyCheck?: CopyCheck;
 	/** When a scheduler first told of a start; undefined: none did. */
 	startToldAt?: number;
 	waiters: Set<(answer: JobAnswer) => void>;
--- a/packages/scheduling/src/entry-jobs.test.ts
+++ b/packages/scheduling/src/entry-jobs.test.ts
@@ -17,6 +17,8 @@
 	const answered: EntryJob[] = [];
 	const groups = createGroupDirectory();
 	const entry = new EntryJobs({
+		self: 'mieres_m9.p1',
+		peers: {listHosts: () => [], isLinked: () => false, send: () => false},
 		home: 'mieres',
 		now: () => clock.now,
 		readWallClock: () => startsAtMs + clock.now - 1000,
--- a/packages/scheduling/src/entry-jobs.ts
+++ b/packages/scheduling/src/entry-jobs.ts
@@ -5,9 +5,22 @@
 The entry is the one that knows a job. A scheduler that dies, or loses its group, takes nothing
 with it that the entry could not hand to the next one.
 */
-import {type Ends, type Replaced, type TaskEnd} from '@gentianshift/protocol';
+import {
+	type Ends,
+	type RecallCopy,
+	type CopyRecalled,
+	type Replaced,
+	type TaskEnd,
+} from '@gentianshift/protocol';
+import {type CopyPlace} from './copy-check.js';
+import {
+	createCopyRecall,
+	type CopyRecall,
+	type EntryPeers,
+} from './copy-recall.js';
 import {
 	createCopyReplacement,
+	type CopyObstacle,
 	type CopyReplacement,
 } from './copy-replacement.js';
 import {
@@ -19,14 +32,20 @@
 	type JobAnswer,
 	type JobRequest,
 } from './entry-job.js';
-import {isSilent, type GroupDirectory} from './group-directory.js';
+import {
+	isSilent,
+	type GroupDirectory,
+	type KnownGroup,
+} from './group-directory.js';
 import {
 	createHolderContacts,
 	type HolderContacts,
 	type HolderMessage,
 } from './holder-contacts.js';
+import {createLostHolders, type LostHolders} from './lost-holders.js';
 import {findLostTasks} from './lost-tasks.js';
 import {type RunTimes} from './run-times.js';
+import {clockSlackMs, orphanLimitMs} from './timing.js';
 import {makePart} from './make-part.js';
 import {placeJob} from './place-job.js';
 import {isLate} from './rank-jobs.js';
@@ -46,6 +65,9 @@
 const mostRetryMs = 10_000;
 
 export type EntryPorts = {
+	/** This process: `<host key>.<incarnation>`. */
+	self: string;
+	peers: EntryPeers;
 	/** This host's data centre. */
 	home: string;
 	now: () => number;
@@ -63,6 +85,8 @@
 	readonly #ports: EntryPorts;
 	readonly #jobs = new Map<string, EntryJob>();
 	readonly #holders: HolderContacts;
+	readonly #lostHolders: LostHolders;
+	readonly #recall: CopyRecall;
 	readonly #replacement: CopyReplacement;
 	/** Jobs with tasks that wait for a scheduler to be in reach, or for other copies to be over. */
 	readonly #waiting = new Set<EntryJob>();
@@ -72,8 +96,12 @@
 	constructor(ports: EntryPorts) {
 		this.#ports = ports;
 		this.#holders = createHolderContacts(ports.send);
+		this.#lostHolders = createLostHolders(ports.groups, ports.now());
+		this.#recall = this.#createRecall();
 		this.#replacement = createCopyReplacement({
 			groups: ports.groups,
+			recall: this.#recall,
+			lostHolders: this.#lostHolders,
 			send: (holder, message) => {
 				this.#holders.sendReplace(holder, message);
 			},
@@ -160,10 +188,33 @@
 			return;
 		}
 
-		this.#replacement.confirm(job, holder);
-		if (this.#waiting.delete(job)) {
-			this.#placeUnplaced(job);
+		this.#replacement.confirm(job, holder, {
+			message,
+			now: this.#ports.now(),
+		});
+		this.#placeIfWaiting(job);
+	}
+
+	/** Another entry asks for this one's copy of a job; `from` is the host that the question came from. */
+	receiveRecall(from: string, message: RecallCopy): void {
+		this.#recall.receiveRecall(from, message);
+	}
+
+	/** An entry has given its copy of a job up, or has none, or a later one. */
+	receiveRecalled(message: CopyRecalled): void {
+		const job = this.#jobs.get(message.job);
+		const places = this.#recall.receiveRecalled(message, job);
+		if (!job || !places) {
+			return;
+		}
+
+		if (message.isRefused) {
+			this.#giveUpReplaced(job);
+			return;
 		}
+
+		this.#replacement.addPlaces(job, places, this.#ports.now());
+		this.#placeIfWaiting(job);
 	}
 
 	receiveEnds(holder: string, message: Ends): void {
@@ -213,6 +264,20 @@
 		}
 	}
 
+	/** The connection to a host's process broke; `heardAt`: when that host was last there for sure. */
+	markLinkDown(host: string, incarnation: string, heardAt: number): void {
+		this.#lostHolders.markBroken(host, incarnation, heardAt);
+	}
+
+	/** A connection to a host's process is made. */
+	markLinkUp(host: string, incarnation: string): void {
+		this.#lostHolders.markBack(host, incarnation);
+		this.#recall.passUnsent(host);
+		for (const job of this.#jobs.values()) {
+			this.#recall.askAgain(job, host);
+		}
+	}
+
 	/** A connection to a holder is back: what was sent meanwhile is sent again. */
 	sendAgain(holder: string): void {
 		this.#holders.sendDropsAgain(holder, this.#ports.now());
@@ -251,6 +316,31 @@
 		}
 	}
 
+	#createRecall(): CopyRecall {
+		const {self, now, peers, log} = this.#ports;
+		return createCopyRecall({
+			self,
+			now,
+			peers,
+			lostHolders: this.#lostHolders,
+			giveUp: (id) => {
+				const job = this.#jobs.get(id);
+				if (job) {
+					this.#giveUpReplaced(job);
+				}
+			},
+			findTakenAt: (id) => this.#jobs.get(id)?.takenAtMs,
+			listPlaces: (id) => this.#holders.listPlaces(id, now()),
+			log,
+		});
+	}
+
+	#placeIfWaiting(job: EntryJob): void {
+		if (this.#waiting.delete(job)) {
+			this.#placeUnplaced(job);
+		}
+	}
+
 	#abandon(job: EntryJob, onAnswer: (answer: JobAnswer) => void): void {
 		job.waiters.delete(onAnswer);
 		if (job.waiters.size === 0) {
@@ -348,8 +438,9 @@
 		}
 
 		this.#replacement.ask(job, now);
-		if (!this.#replacement.isConfirmed(job, now)) {
-			this.#waitForConfirmation(job, now);
+		const obstacle = this.#replacement.findObstacle(job, now);
+		if (obstacle) {
+			this.#waitForConfirmation(job, obstacle);
 			return;
 		}
 
@@ -401,9 +492,14 @@
 		this.#waiting.add(job);
 	}
 
-	#waitForConfirmation(job: EntryJob, now: number): void {
-		if (now + job.estimateMs >= job.uselessAt) {
-			this.#giveUp(job, 'a group does not say whether another copy runs');
+	#waitForConfirmation(job: EntryJob, {reason, clearAt}: CopyObstacle): void {
+		const now = this.#ports.now();
+		const startsAt = Math.max(now, clearAt ?? now);
+		if (startsAt + job.estimateMs >= job.uselessAt) {
+			// Where another copy has been started, that nothing ran would not be true.
+			const places = [...(job.copyCheck?.places.values() ?? [])];
+			job.isStarted ||= places.some(({isSure}) => isSure);
+			this.#giveUp(job, reason, startsAt - now);
 			return;
 		}
 
@@ -412,10 +508,11 @@
 
 	/** A job that has waited for want of an answer, not of room, is let in as much later, and judged like others otherwise. */
 	#extendAdmission(job: EntryJob, now: number): void {
-		if (job.copiesAskedAt !== undefined) {
-			const waitedMs = now - job.copiesAskedAt;
+		const {copyCheck} = job;
+		if (copyCheck?.askedAt !== undefined) {
+			const waitedMs = now - copyCheck.askedAt;
 			job.admitUntil = Math.min(job.uselessAt, job.admitUntil + waitedMs);
-			job.copiesAskedAt = undefined;
+			copyCheck.askedAt = undefined;
 		}
 	}
 
@@ -424,8 +521,10 @@
 			return;
 		}
 
+		const token = this.#ports.groups.findGroup(group)?.state.token;
 		for (const task of tasks) {
 			task.group = group;
+			task.token = token;
 			task.placement += 1;
 		}
 
@@ -466,7 +565,7 @@
 	/** It has tasks of a job, or knows that this entry's copy is the one that counts. */
 	#isConcerned(group: string): boolean {
 		return [...this.#jobs.values()].some((job) => {
-			const isReplacing = job.groupsToConfirm !== undefined;
+			const isReplacing = job.copyCheck !== undefined;
 			return isReplacing || listTasksAt(job, group).length > 0;
 		});
 	}
@@ -526,16 +625,22 @@
 			return;
 		}
 
+		const now = this.#ports.now();
 		this.#jobs.delete(id);
 		this.#waiting.delete(job);
 		for (const group of this.#listGroupsOf(job)) {
-			const holder = this.#ports.groups.findGroup(group)?.holder;
-			if (holder !== undefined) {
-				this.#holders.sendDrop(holder, id, this.#ports.now());
+			const known = this.#ports.groups.findGroup(group);
+			if (known) {
+				this.#holders.sendDrop(known.holder, id, {
+					place:
+						findPlace(job, known, now) ??
+						this.#replacement.findPlace(job, group, now),
+					now,
+				});
 			}
 		}
 
-		this.#ports.onAnswer(job, answer, this.#ports.now() - job.arrivedAt);
+		this.#ports.onAnswer(job, answer, now - job.arrivedAt);
 		for (const waiter of job.waiters) {
 			waiter(answer);
 		}
@@ -544,7 +649,7 @@
 	/** Groups that keep something of the job: tasks, or that this entry's copy is the one that counts. */
 	#listGroupsOf(job: EntryJob): Set<string> {
 		const groups = new Set(
-			job.groupsToConfirm
+			job.copyCheck
 				? this.#ports.groups.list().map(({state}) => state.group)
 				: [],
 		);
@@ -557,3 +662,20 @@
 		return groups;
 	}
 }
+
+/** The group has tasks of the job, which are stopped; undefined: it has none. */
+function findPlace(
+	job: EntryJob,
+	{state: {group, token}}: KnownGroup,
+	now: number,
+): CopyPlace | undefined {
+	const firstTokens = listTasksAt(job, group).map((task) => task.token ?? 0);
+	return firstTokens.length === 0
+		? undefined
+		: {
+				group,
+				tokens: [Math.min(...firstTokens), token],
+				overAt: now + orphanLimitMs + clockSlackMs,
+				isSure: true,
+			};
+}
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -199,7 +199,19 @@
 	/** Has an entry's copy of a job take the place of all others; the entry is answered when nothing of them runs. */
 	replaceCopies(entry: Entry, message: Replace, sentAt: number): void {
 		this.keepEntry(entry, sentAt);
-		this.#copies.replace(entry, message);
+		const [first = Infinity, last = -Infinity] = message.formerTokens ?? [];
+		const {token, log} = this.ports;
+		if (last > token) {
+			log('asked for a copy that a later holder of the group has', {
+				job: message.job,
+				entry: entry.key,
+				token,
+				laterToken: last,
+			});
+			return;
+		}
+
+		this.#copies.replace(entry, message, first < token);
 	}
 
 	dropJob(entry: Entry, id: string): void {
--- a/packages/scheduling/src/holder-contacts.ts
+++ b/packages/scheduling/src/holder-contacts.ts
@@ -7,6 +7,7 @@
 on each new connection.
 */
 import {type Part, type Replace} from '@gentianshift/protocol';
+import {type CopyPlace} from './copy-check.js';
 import {keepEveryMs, orphanLimitMs} from './timing.js';
 
 /** By then a holder that did not get the word has stopped the job, or has been told on a new connection. */
@@ -15,6 +16,8 @@
 export type HolderMessage =
 	Part | Replace | {t: 'drop'; job: string} | {t: 'keep'; at: number};
 
+type Drop = {holder: string; job: string; place?: CopyPlace; at: number};
+
 export type HolderContacts = {
 	sendPart: (holder: string, part: Part, now: number) => void;
 	/** Tells the holder that this entry waits, if it is time to. */
@@ -22,7 +25,14 @@
 	/** Tells a new holder that it has been told all that this entry wants of it. */
 	sendHandedOver: (holder: string, now: number) => void;
 	sendReplace: (holder: string, message: Replace) => void;
-	sendDrop: (holder: string, job: string, now: number) => void;
+	/** `place`: tasks of the job may run in the holder's group. */
+	sendDrop: (
+		holder: string,
+		job: string,
+		{place, now}: {place?: CopyPlace; now: number},
+	) => void;
+	/** Where tasks of the job may run since it was dropped. */
+	listPlaces: (job: string, now: number) => CopyPlace[];
 	/** A connection to the holder is back: what may have been lost with the last one is told again. */
 	sendDropsAgain: (holder: string, now: number) => void;
 	/** The job is wanted again. */
@@ -36,9 +46,9 @@
 	send: (holder: string, message: HolderMessage) => boolean,
 ): HolderContacts {
 	const toldAt = new Map<string, number>();
-	const dropped: Array<{holder: string; job: string; at: number}> = [];
+	const dropped: Drop[] = [];
 
-	function remove(isOver: (drop: {job: string; at: number}) => boolean): void {
+	function remove(isOver: (drop: Drop) => boolean): void {
 		for (let i = dropped.length - 1; i >= 0; i -= 1) {
 			if (isOver(dropped[i]!)) {
 				dropped.splice(i, 1);
@@ -64,10 +74,16 @@
 		sendReplace(holder, message) {
 			send(holder, message);
 		},
-		sendDrop(holder, job, now) {
-			dropped.push({holder, job, at: now});
+		sendDrop(holder, job, {place, now}) {
+			dropped.push({holder, job, place, at: now});
 			send(holder, {t: 'drop', job});
 		},
+		listPlaces: (job, now) =>
+			dropped.flatMap((drop) =>
+				drop.job === job && drop.place && now < drop.place.overAt
+					? drop.place
+					: [],
+			),
 		sendDropsAgain(holder, now) {
 			for (const drop of dropped) {
 				if (drop.holder === holder && now - drop.at <= dropMemoryMs) {
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -1,4 +1,6 @@
 export {type Executor} from './executor.js';
+export {type EntryPeers} from './copy-recall.js';
+export * from './process-id.js';
 export * from './entry-job.js';
 export * from './entry-jobs.js';
 export type * from './executor-control.js';
--- a/packages/scheduling/src/job-copies.ts
+++ b/packages/scheduling/src/job-copies.ts
@@ -7,7 +7,8 @@
 tasks. Each of them stops what it has of other copies, answers when nothing of the job runs, and starts no other copy
 that reaches it later.
 */
-import {type Replace} from '@gentianshift/protocol';
+import {type Replace, type TokenRange} from '@gentianshift/protocol';
+import {isLaterCopy, type CopyStamp} from './copy-order.js';
 import {type Entry} from './group-job.js';
 import {dropStopMs, orphanStopMs} from './timing.js';
 
@@ -20,7 +21,8 @@
 };
 
 export type JobCopies = {
-	replace: (entry: Entry, message: Replace) => void;
+	/** `isMoved`: an earlier holder of the group had tasks of another copy. */
+	replace: (entry: Entry, message: Replace, isMoved?: boolean) => void;
 	/** Another entry has a later copy of the job. */
 	isReplaced: (job: string, entry: Entry) => boolean;
 	/** The entry's copy has ended. */
@@ -38,8 +40,13 @@
 	/** It holds up others until then; this host's clock. */
 	endsAt: number;
 	isMoved: boolean;
+	formerTokens: TokenRange | undefined;
 };
 
+function toStamp({entry, takenAtMs}: Copy): CopyStamp {
+	return {entry: entry.key, takenAtMs};
+}
+
 export function createJobCopies({
 	now,
 	dropOthers,
@@ -56,10 +63,10 @@
 
 	function answer(
 		job: string,
-		{entry, takenAtMs}: Copy,
+		{entry, takenAtMs, formerTokens}: Copy,
 		isRefused: boolean,
 	): void {
-		entry.send({t: 'replaced', job, takenAtMs, isRefused});
+		entry.send({t: 'replaced', job, takenAtMs, isRefused, formerTokens});
 	}
 
 	function answerIfSettled(job: string): void {
@@ -80,15 +87,17 @@
 	}
 
 	return {
-		replace(entry, {job, takenAtMs, timeLeftMs}) {
+		replace(entry, message, isMoved = false) {
+			const {job, takenAtMs, timeLeftMs, formerTokens} = message;
 			const known = find(job);
 			const copy: Copy = {
 				entry,
 				takenAtMs,
 				endsAt: now() + timeLeftMs,
-				isMoved: known?.isMoved ?? false,
+				isMoved: isMoved || (known?.isMoved ?? false),
+				formerTokens,
 			};
-			if (known && isLater(known, copy)) {
+			if (known && isLaterCopy(toStamp(known), toStamp(copy))) {
 				answer(job, copy, true);
 				return;
 			}
@@ -129,14 +138,3 @@
 		},
 	};
 }
-
-/** The same order at all schedulers: two entries that replace one another's copy must not both be confirmed. */
-function isLater(known: Copy, copy: Copy): boolean {
-	if (known.entry.key === copy.entry.key) {
-		return false;
-	}
-
-	return known.takenAtMs === copy.takenAtMs
-		? known.entry.key > copy.entry.key
-		: known.takenAtMs > copy.takenAtMs;
-}
--- a/packages/scheduling/src/load-system.fixture.ts
+++ b/packages/scheduling/src/load-system.fixture.ts
@@ -235,6 +235,8 @@
 ): EntryJobs {
 	const {directory, runTimes, name} = home;
 	const entry: EntryJobs = new EntryJobs({
+		self: `${name}.p1`,
+		peers: {listHosts: () => [], isLinked: () => false, send: () => false},
 		home: name,
 		now: () => clock.now,
 		readWallClock: () => clock.now,
