Name the taking of a job in the word to drop it, and stop what is left of a former one

Cause: the host gave the job up and its word to drop it was lost with the connection to the holder. As the job came again, the host no longer repeated that word, so that it would not drop what is wanted; and the holder took the new taking for the one that it had, as it compared entries only. The former taking was still waiting there, and started beside the new one elsewhere.

Change: a drop names the taking that it ends, so it is repeated whatever comes later; a holder stops a former taking of the same entry as it stops another entry's copy; an entry that takes a job again waits for the groups that may still run what it gave up, also where the request is not the first one on its connection. Takings of one entry are told apart also where the time of day steps back.

The test that a job taken again is not dropped counted the words; now what they name is checked, which guards against the same loss, and a scheduler's test shows that the later taking stays.

--- a/packages/protocol/src/scheduling-messages.ts
+++ b/packages/protocol/src/scheduling-messages.ts
@@ -80,7 +80,12 @@
 });
 
 /** The entry no longer wants the job: it ended, its caller left, or its time is up. */
-export const dropSchema = z.object({t: z.literal('drop'), job: jobId});
+export const dropSchema = z.object({
+	t: z.literal('drop'),
+	job: jobId,
+	/** A later taking of the job by the same entry stays. */
+	takenAtMs,
+});
 
 /**
 An entry takes over a job that its caller may have sent to another entry before. Copies of other entries are stopped, and none
@@ -241,6 +246,7 @@
 export type Part = z.infer<typeof partSchema>;
 export type Replace = z.infer<typeof replaceSchema>;
 export type Replaced = z.infer<typeof replacedSchema>;
+export type Drop = z.infer<typeof dropSchema>;
 export type RecallCopy = z.infer<typeof recallCopySchema>;
 export type CopyRecalled = z.infer<typeof copyRecalledSchema>;
 /** First and last. */
--- a/packages/scheduling/src/copy-recall.ts
+++ b/packages/scheduling/src/copy-recall.ts
@@ -220,7 +220,7 @@
 				}
 			}
 
-			return message.places.map(({overInMs, ...place}) => ({
+			const places = message.places.map(({overInMs, ...place}) => ({
 				...place,
 				overAt: now() + overInMs,
 			}));
--- a/packages/scheduling/src/copy-replacement.ts
+++ b/packages/scheduling/src/copy-replacement.ts
@@ -33,8 +33,10 @@
 };
 
 export type CopyReplacement = {
-	/** Asks all groups; once for each job, and only for one that may be a copy. */
-	ask: (job: EntryJob, now: number) => void;
+	/**
+	Asks the groups where another copy may run; once for each job. `ownPlaces`: where this entry itself had the job before.
+	*/
+	ask: (job: EntryJob, ownPlaces: readonly CopyPlace[], now: number) => void;
 	/** The group has another holder, or the connection to it is back. */
 	askAgain: (job: EntryJob, group: string, now: number) => void;
 	/** A holder's answer: it runs no other copy. */
@@ -164,18 +166,36 @@
 		return undefined;
 	}
 
+	function addPlaces(
+		job: EntryJob,
+		places: readonly CopyPlace[],
+		now: number,
+	): void {
+		for (const place of places) {
+			const {group} = place;
+			const known = job.copyCheck?.places.get(group);
+			job.copyCheck?.places.set(group, joinPlaces(known, place) ?? place);
+			job.copyCheck?.groupsToConfirm.add(group);
+			sendTo(job, group, now);
+		}
+	}
+
 	return {
-		ask(job, now) {
+		ask(job, ownPlaces, now) {
 			const isChecked = job.copyCheck !== undefined;
-			if (isChecked || job.request.requestsBefore > 0) {
+			const isFirst = job.request.requestsBefore === 0;
+			const mayBeCopy = isFirst || ownPlaces.length > 0;
+			if (isChecked || !mayBeCopy) {
 				return;
 			}
 
 			job.copyCheck = createCopyCheck(now);
-			for (const {state} of groups.list()) {
+			for (const {state} of isFirst ? groups.list() : []) {
 				job.copyCheck.groupsToConfirm.add(state.group);
 				sendTo(job, state.group, now);
 			}
+
+			addPlaces(job, ownPlaces, now);
 		},
 		askAgain(job, group, now) {
 			if (!job.copyCheck) {
@@ -198,15 +218,7 @@
 				}
 			}
 		},
-		addPlaces(job, places, now) {
-			for (const place of places) {
-				const {group} = place;
-				const known = job.copyCheck?.places.get(group);
-				job.copyCheck?.places.set(group, joinPlaces(known, place) ?? place);
-				job.copyCheck?.groupsToConfirm.add(group);
-				sendTo(job, group, now);
-			}
-		},
+		addPlaces,
 		findPlace: (job, group, now) =>
 			job.copyCheck?.groupsToConfirm.has(group)
 				? findPlace(job, group, now)
--- a/packages/scheduling/src/entry-jobs.test.ts
+++ b/packages/scheduling/src/entry-jobs.test.ts
@@ -3,7 +3,12 @@
 */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {type Part, type Replaced} from '@gentianshift/protocol';
+import {
+	type Drop,
+	type Part,
+	type Replace,
+	type Replaced,
+} from '@gentianshift/protocol';
 import {type EntryJob, type JobAnswer, type JobRequest} from './entry-job.js';
 import {EntryJobs} from './entry-jobs.js';
 import {createGroupDirectory} from './group-directory.js';
@@ -311,15 +316,32 @@
 	groups.update('mieres_m1', makeState('mieres'), clock.now);
 	entry.submit(makeRequest(), () => undefined);
 	entry.cancel('job1');
-	const countDrops = () =>
-		sent.filter(({message}) => message.t === 'drop').length;
-	assert.equal(countDrops(), 1);
+	const listDrops = () =>
+		sent.flatMap(({message}) =>
+			message.t === 'drop' ? (message as Drop).takenAtMs : [],
+		);
+	assert.equal(listDrops().length, 1);
 	clock.now += 300;
 	entry.sendAgain('mieres_m1');
-	assert.equal(countDrops(), 2);
+	assert.equal(listDrops().length, 2);
 	entry.submit(makeRequest(), () => undefined);
 	entry.sendAgain('mieres_m1');
-	assert.equal(countDrops(), 2, 'it is wanted again');
+	assert.deepEqual(
+		new Set(listDrops()),
+		new Set([startsAtMs]),
+		'what is wanted again is not dropped',
+	);
+});
+
+// Guards against a job that is dropped although its caller came again: the word to drop it names a taking that is as late.
+test('a job that is taken again at the same moment is a later taking', () => {
+	const {entry, groups, clock, sent} = createEntryJobs();
+	groups.update('mieres_m1', makeState('mieres'), clock.now);
+	entry.submit(makeRequest(), () => undefined);
+	entry.cancel('job1');
+	entry.submit(makeRequest(), () => undefined);
+	const asked = sent.find(({message}) => message.t === 'replace');
+	assert.equal((asked?.message as Replace).takenAtMs, startsAtMs + 1);
 });
 
 // A holder starts a job's tasks, and its word of that is lost with the connection. The group changes hands, and the next holder, which knows of no run,
--- a/packages/scheduling/src/entry-jobs.ts
+++ b/packages/scheduling/src/entry-jobs.ts
@@ -141,12 +141,11 @@
 			};
 		}
 
-		this.#holders.forgetDrop(request.id);
 		const {queue, declaredMs} = request;
 		const estimateMs = this.#ports.runTimes.estimate(queue.name, declaredMs);
 		const job = createEntryJob(request, estimateMs, {
 			now: this.#ports.now(),
-			takenAtMs: this.#ports.readWallClock(),
+			takenAtMs: this.#chooseTakenAt(request.id),
 		});
 		job.waiters.add(onAnswer);
 		this.#jobs.set(request.id, job);
@@ -316,6 +315,12 @@
 		}
 	}
 
+	/** Each taking of a job by this entry is later than the one before, also where the time of day steps back. */
+	#chooseTakenAt(id: string): number {
+		const formerAt = this.#holders.findTakenAt(id) ?? -Infinity;
+		return Math.max(this.#ports.readWallClock(), formerAt + 1);
+	}
+
 	#createRecall(): CopyRecall {
 		const {self, now, peers, log} = this.#ports;
 		return createCopyRecall({
@@ -437,7 +442,8 @@
 			return;
 		}
 
-		this.#replacement.ask(job, now);
+		const ownPlaces = this.#holders.listPlaces(job.request.id, now);
+		this.#replacement.ask(job, ownPlaces, now);
 		const obstacle = this.#replacement.findObstacle(job, now);
 		if (obstacle) {
 			this.#waitForConfirmation(job, obstacle);
@@ -631,11 +637,13 @@
 		for (const group of this.#listGroupsOf(job)) {
 			const known = this.#ports.groups.findGroup(group);
 			if (known) {
-				this.#holders.sendDrop(known.holder, id, {
+				this.#holders.sendDrop({
+					holder: known.holder,
+					message: {t: 'drop', job: id, takenAtMs: job.takenAtMs},
 					place:
 						findPlace(job, known, now) ??
 						this.#replacement.findPlace(job, group, now),
-					now,
+					at: now,
 				});
 			}
 		}
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -103,7 +103,7 @@
 		this.#startLog = createStartLog(ports);
 		this.#copies = createJobCopies({
 			now: ports.now,
-			dropOthers: (job, entry) => this.#dropOthers(job, entry),
+			dropOthers: (entry, message) => this.#dropOthers(entry, message),
 			mayRun: (job, isMoved) =>
 				this.#executors.hasRunOf(job) ||
 				!this.#hasHeardEntries() ||
@@ -149,7 +149,7 @@
 			}
 
 			case 'drop': {
-				this.dropJob(entry, message.job);
+				this.dropJob(entry, message.job, message.takenAtMs);
 				break;
 			}
 
@@ -214,10 +214,11 @@
 		this.#copies.replace(entry, message, first < token);
 	}
 
-	dropJob(entry: Entry, id: string): void {
-		this.#copies.release(id, entry);
+	/** The entry wants nothing more of what it took until then. */
+	dropJob(entry: Entry, id: string, takenAtMs = Infinity): void {
+		this.#copies.release(id, entry, takenAtMs);
 		const job = this.#jobs.get(id);
-		if (job?.entry.key === entry.key) {
+		if (job?.entry.key === entry.key && job.takenAtMs <= takenAtMs) {
 			this.#drop(job, this.ports.now() + dropStopMs);
 			this.#place();
 		}
@@ -284,18 +285,21 @@
 	/** A job that the same entry handed over before, or one whose caller has come again elsewhere. */
 	#findJob(entry: Entry, part: Part): GroupJob | undefined {
 		const job = this.#jobs.get(part.job);
-		if (!job || job.entry.key === entry.key) {
+		if (!job || isOwnCopy(job, entry, part.takenAtMs)) {
 			return job?.isDropped ? undefined : job;
 		}
 
-		this.#dropOthers(part.job, entry);
+		this.#dropOthers(entry, part);
 		return undefined;
 	}
 
 	/** The job's caller came again at another host: the runs of the first copy are stopped. True: it came from an earlier holder. */
-	#dropOthers(id: string, entry: Entry): boolean {
+	#dropOthers(
+		entry: Entry,
+		{job: id, takenAtMs}: Pick<Part, 'job' | 'takenAtMs'>,
+	): boolean {
 		const job = this.#jobs.get(id);
-		if (!job || job.isDropped || job.entry.key === entry.key) {
+		if (!job || job.isDropped || isOwnCopy(job, entry, takenAtMs)) {
 			return job?.movedAt !== undefined;
 		}
 
@@ -635,3 +639,8 @@
 		}
 	}
 }
+
+/** An entry that takes a job anew, having dropped it, has another copy: its word to drop the former one may have been lost. */
+function isOwnCopy(job: GroupJob, entry: Entry, takenAtMs: number): boolean {
+	return job.entry.key === entry.key && job.takenAtMs === takenAtMs;
+}
--- a/packages/scheduling/src/holder-contacts.ts
+++ b/packages/scheduling/src/holder-contacts.ts
@@ -6,17 +6,22 @@
 runs on while its caller comes again elsewhere. Therefore jobs that were dropped lately are named again
 on each new connection.
 */
-import {type Part, type Replace} from '@gentianshift/protocol';
+import {type Drop, type Part, type Replace} from '@gentianshift/protocol';
 import {type CopyPlace} from './copy-check.js';
 import {keepEveryMs, orphanLimitMs} from './timing.js';
 
 /** By then a holder that did not get the word has stopped the job, or has been told on a new connection. */
 const dropMemoryMs = 2 * orphanLimitMs;
 
-export type HolderMessage =
-	Part | Replace | {t: 'drop'; job: string} | {t: 'keep'; at: number};
+export type HolderMessage = Part | Replace | Drop | {t: 'keep'; at: number};
 
-type Drop = {holder: string; job: string; place?: CopyPlace; at: number};
+type SentDrop = {
+	holder: string;
+	message: Drop;
+	/** Tasks of the job may run in the holder's group. */
+	place: CopyPlace | undefined;
+	at: number;
+};
 
 export type HolderContacts = {
 	sendPart: (holder: string, part: Part, now: number) => void;
@@ -25,18 +30,13 @@
 	/** Tells a new holder that it has been told all that this entry wants of it. */
 	sendHandedOver: (holder: string, now: number) => void;
 	sendReplace: (holder: string, message: Replace) => void;
-	/** `place`: tasks of the job may run in the holder's group. */
-	sendDrop: (
-		holder: string,
-		job: string,
-		{place, now}: {place?: CopyPlace; now: number},
-	) => void;
+	sendDrop: (drop: SentDrop) => void;
+	/** When the job was taken that was dropped last; undefined: it was not dropped lately. */
+	findTakenAt: (job: string) => number | undefined;
 	/** Where tasks of the job may run since it was dropped. */
 	listPlaces: (job: string, now: number) => CopyPlace[];
 	/** A connection to the holder is back: what may have been lost with the last one is told again. */
 	sendDropsAgain: (holder: string, now: number) => void;
-	/** The job is wanted again. */
-	forgetDrop: (job: string) => void;
 	/** When the holder was last told that this entry waits; undefined: never. */
 	getToldAt: (holder: string) => number | undefined;
 	forgetOld: (now: number) => void;
@@ -46,15 +46,7 @@
 	send: (holder: string, message: HolderMessage) => boolean,
 ): HolderContacts {
 	const toldAt = new Map<string, number>();
-	const dropped: Drop[] = [];
-
-	function remove(isOver: (drop: Drop) => boolean): void {
-		for (let i = dropped.length - 1; i >= 0; i -= 1) {
-			if (isOver(dropped[i]!)) {
-				dropped.splice(i, 1);
-			}
-		}
-	}
+	let dropped: SentDrop[] = [];
 
 	return {
 		sendPart(holder, part, now) {
@@ -74,29 +66,26 @@
 		sendReplace(holder, message) {
 			send(holder, message);
 		},
-		sendDrop(holder, job, {place, now}) {
-			dropped.push({holder, job, place, at: now});
-			send(holder, {t: 'drop', job});
+		sendDrop(drop) {
+			dropped.push(drop);
+			send(drop.holder, drop.message);
 		},
+		findTakenAt: (job) =>
+			dropped.findLast(({message}) => message.job === job)?.message.takenAtMs,
 		listPlaces: (job, now) =>
-			dropped.flatMap((drop) =>
-				drop.job === job && drop.place && now < drop.place.overAt
-					? drop.place
-					: [],
+			dropped.flatMap(({message, place}) =>
+				message.job === job && place && now < place.overAt ? place : [],
 			),
 		sendDropsAgain(holder, now) {
 			for (const drop of dropped) {
 				if (drop.holder === holder && now - drop.at <= dropMemoryMs) {
-					send(holder, {t: 'drop', job: drop.job});
+					send(holder, drop.message);
 				}
 			}
 		},
-		forgetDrop(job) {
-			remove((drop) => drop.job === job);
-		},
 		getToldAt: (holder) => toldAt.get(holder),
 		forgetOld(now) {
-			remove(({at}) => now - at > dropMemoryMs);
+			dropped = dropped.filter(({at}) => now - at <= dropMemoryMs);
 		},
 	};
 }
--- a/packages/scheduling/src/job-copies.test.ts
+++ b/packages/scheduling/src/job-copies.test.ts
@@ -133,6 +133,34 @@
 	assert.ok(there.isReplaced('job1', first));
 });
 
+// Guards against a first taking that runs on beside the second one: the entry's word to drop it was lost with a connection.
+test('a job that its entry takes anew ends what is left of the former taking', async () => {
+	const {clock, executors, scheduler, entry} = await openScheduler({
+		count: 1,
+		taskMs: 500,
+	});
+	scheduler.receivePart(entry, makePart(clock, {estimateMs: 500}), clock.now);
+	await runFor(clock, 50, [[scheduler, entry]]);
+	scheduler.receive(entry, makeReplace({takenAtMs: clock.now}), clock.now);
+	assert.equal(entry.replaced.at(-1)?.isRefused, true);
+	await runFor(clock, 100, [[scheduler, entry]]);
+	assert.equal(executors.runs[0]!.outcome, 'ended');
+	assert.equal(entry.replaced.at(-1)?.isRefused, false);
+});
+
+// Guards against a job that is lost although its caller waits: the word to drop it came late, after it was taken again.
+test('a word to drop a former taking leaves the later one', async () => {
+	const {clock, executors, scheduler, entry} = await openScheduler({
+		count: 1,
+		taskMs: 100,
+	});
+	const part = makePart(clock);
+	scheduler.receivePart(entry, part, clock.now);
+	scheduler.dropJob(entry, part.job, part.takenAtMs - 1);
+	await runFor(clock, 200, [[scheduler, entry]]);
+	assert.equal(executors.runs[0]?.outcome, 'done');
+});
+
 test('of copies that came at the same time one is refused by all schedulers', () => {
 	const first = createEntry('mieres_m1.0');
 	const second = createEntry('langreo_l1.0');
--- a/packages/scheduling/src/job-copies.ts
+++ b/packages/scheduling/src/job-copies.ts
@@ -14,8 +14,8 @@
 
 export type CopyPorts = {
 	now: () => number;
-	/** Stops what an entry other than this one has of the job; true: it came from an earlier holder of the group. */
-	dropOthers: (job: string, entry: Entry) => boolean;
+	/** Stops other copies of the job than this one of the entry; true: one came from an earlier holder of the group. */
+	dropOthers: (entry: Entry, message: Replace) => boolean;
 	/** A task of the job runs here, or may under an earlier holder. `isMoved`: the copy that was dropped came from one. */
 	mayRun: (job: string, isMoved: boolean) => boolean;
 };
@@ -25,8 +25,8 @@
 	replace: (entry: Entry, message: Replace, isMoved?: boolean) => void;
 	/** Another entry has a later copy of the job. */
 	isReplaced: (job: string, entry: Entry) => boolean;
-	/** The entry's copy has ended. */
-	release: (job: string, entry: Entry) => void;
+	/** The entry's copy has ended, if it was taken by then. */
+	release: (job: string, entry: Entry, takenAtMs: number) => void;
 	/** The entry is silent: none of its copies holds up another any longer. */
 	releaseAll: (entryKey: string) => void;
 	/** Answers the entries whose jobs no longer run in another copy; to be called when runs have ended. */
@@ -104,16 +104,16 @@
 
 			copies.set(job, copy);
 			unanswered.add(job);
-			copy.isMoved = dropOthers(job, entry) || copy.isMoved;
+			copy.isMoved = dropOthers(entry, message) || copy.isMoved;
 			answerIfSettled(job);
 		},
 		isReplaced(job, entry) {
 			const copy = find(job);
 			return copy !== undefined && copy.entry.key !== entry.key;
 		},
-		release(job, entry) {
+		release(job, entry, takenAtMs) {
 			const copy = copies.get(job);
-			if (copy?.entry.key === entry.key) {
+			if (copy?.entry.key === entry.key && copy.takenAtMs <= takenAtMs) {
 				endSoon(copy, dropStopMs);
 			}
 		},
