Wait for a later holder that only others know, where an entry has died

Their entry died while the holder of the job's tasks had been replaced by a host that the second entry had no connection to; the second entry was the former holder itself.

Cause: what a lost entry may have handed out was looked for only in groups that the second entry knew to be out of reach. It knew an earlier holder of this one, in reach, and that it was confirmed by it proves nothing.

Change: an entry that is asked for a copy tells the tokens of the groups that it knows; a group with a later one than the asker knows counts as out of reach since the last host was lost.

Before: the plan fails.

--- a/packages/host/src/scheduling/faulty/no-copy-lost.test.ts
+++ b/packages/host/src/scheduling/faulty/no-copy-lost.test.ts
@@ -112,6 +112,44 @@
 			],
 		},
 	},
+	{
+		cause: 'an entry took a job again while its word to drop it was lost',
+		plan: {
+			jobs: [
+				{at: 1801, host: 1, tasks: 1, runMs: 60, allowanceMs: 1000},
+				{at: 0, host: 1, tasks: 2, runMs: 1500, allowanceMs: 60},
+				{
+					at: 1798,
+					host: 1,
+					tasks: 4,
+					runMs: 600,
+					allowanceMs: 60,
+					isOnNewConnection: true,
+				},
+			],
+			faults: [
+				{at: 2387, forMs: 12, kind: 'reset-requests', host: 2, noticeMs: 0},
+				{at: 800, forMs: 1001, kind: 'kill-requests', host: 1},
+			],
+		},
+	},
+	{
+		cause:
+			'an entry died that had tasks at a later holder than the one its successor knew',
+		plan: {
+			jobs: [
+				{at: 0, host: 3, tasks: 1, runMs: 1500, allowanceMs: 60},
+				{at: 0, host: 2, tasks: 2, runMs: 60, allowanceMs: 60},
+				{at: 4, host: 0, tasks: 4, runMs: 600, allowanceMs: 60},
+			],
+			faults: [
+				{at: 1600, forMs: 898, kind: 'cut', host: 0, peer: 1},
+				{at: 693, forMs: 0, kind: 'reset-requests', host: 1, noticeMs: 0},
+				{at: 2400, forMs: 50, kind: 'kill-requests', host: 3},
+				{at: 656, forMs: 0, kind: 'reset-requests', host: 0, noticeMs: 0},
+			],
+		},
+	},
 ];
 
 for (const {cause, plan} of brokenOnce) {
--- a/packages/protocol/src/scheduling-messages.ts
+++ b/packages/protocol/src/scheduling-messages.ts
@@ -139,6 +139,8 @@
 	isRefused: z.boolean(),
 	/** Hosts that the question was passed on to: they answer as well. */
 	passedTo: z.array(z.string()),
+	/** The groups that it knows, and the tokens of their holders. */
+	groups: z.array(z.tuple([nameSchema, count])),
 	/** Groups where tasks of another copy may still run. */
 	places: z.array(
 		z.object({
@@ -244,9 +246,9 @@
 
 export type TaskDemand = z.infer<typeof taskDemandSchema>;
 export type Part = z.infer<typeof partSchema>;
+export type Drop = z.infer<typeof dropSchema>;
 export type Replace = z.infer<typeof replaceSchema>;
 export type Replaced = z.infer<typeof replacedSchema>;
-export type Drop = z.infer<typeof dropSchema>;
 export type RecallCopy = z.infer<typeof recallCopySchema>;
 export type CopyRecalled = z.infer<typeof copyRecalledSchema>;
 /** First and last. */
--- a/packages/scheduling/src/copy-recall.ts
+++ b/packages/scheduling/src/copy-recall.ts
@@ -31,6 +31,8 @@
 	/** Gives a job of this entry up for a later copy, if it is here. */
 	giveUp: (job: string) => void;
 	findTakenAt: (job: string) => number | undefined;
+	/** The groups that are known here, and the tokens of their holders. */
+	listTokens: () => Array<[group: string, token: number]>;
 	/** Where tasks of a job that this entry has given up may run. */
 	listPlaces: (job: string) => CopyPlace[];
 	log: (message: string, fields: Record<string, unknown>) => void;
@@ -188,6 +190,7 @@
 				host: parseProcessId(self).host,
 				isRefused,
 				passedTo,
+				groups: ports.listTokens(),
 				places: places.map(({overAt, ...place}) => ({
 					...place,
 					overInMs: overAt - now(),
@@ -224,6 +227,10 @@
 				...place,
 				overAt: now() + overInMs,
 			}));
+			return [
+				...places,
+				...lostHolders.listOutdated(message.groups, job.arrivedAt),
+			];
 		},
 	};
 }
--- a/packages/scheduling/src/entry-jobs.ts
+++ b/packages/scheduling/src/entry-jobs.ts
@@ -322,7 +322,7 @@
 	}
 
 	#createRecall(): CopyRecall {
-		const {self, now, peers, log} = this.#ports;
+		const {self, now, peers, groups, log} = this.#ports;
 		return createCopyRecall({
 			self,
 			now,
@@ -334,6 +334,8 @@
 					this.#giveUpReplaced(job);
 				}
 			},
+			listTokens: () =>
+				groups.list().map(({state: {group, token}}) => [group, token]),
 			findTakenAt: (id) => this.#jobs.get(id)?.takenAtMs,
 			listPlaces: (id) => this.#holders.listPlaces(id, now()),
 			log,
--- a/packages/scheduling/src/lost-holders.ts
+++ b/packages/scheduling/src/lost-holders.ts
@@ -4,6 +4,7 @@
 What goes wrong: the process that dies is a job's entry and the holder of a group in one, or the entry dies while the holder can't be reached.
 The caller sends the job again at once, and nobody is left who knows that tasks of it run under leases that have just been renewed.
 */
+import {type TokenRange} from '@gentianshift/protocol';
 import {joinPlaces, type CopyPlace} from './copy-check.js';
 import {isSilent, type GroupDirectory} from './group-directory.js';
 import {clockSlackMs, orphanLimitMs} from './timing.js';
@@ -32,10 +33,24 @@
 	isLost: (group: string, now: number) => boolean;
 	/** Where lost hosts may have had tasks of a job that came at that time. */
 	listPlaces: (arrivedAt: number) => CopyPlace[];
+	/** Likewise in groups that others know to have a later holder, by its token: the one that is known here can't tell. */
+	listOutdated: (
+		tokens: ReadonlyArray<[group: string, token: number]>,
+		arrivedAt: number,
+	) => CopyPlace[];
 	/** Where a lost host may have had tasks of a job that came at that time; undefined: not in this group. */
 	findPlace: (group: string, arrivedAt: number) => CopyPlace | undefined;
 };
 
+function makePlace(
+	group: string,
+	tokens: TokenRange,
+	lostAt: number,
+): CopyPlace {
+	const overAt = lostAt + orphanLimitMs + clockSlackMs;
+	return {group, tokens, overAt, isSure: false};
+}
+
 export function createLostHolders(
 	groups: GroupDirectory,
 	startedAt: number,
@@ -47,12 +62,7 @@
 		return groups
 			.list()
 			.filter((known) => known.holder === lostHost || isSilent(known, at))
-			.map(({state: {group, token}}) => ({
-				group,
-				tokens: [token, token],
-				overAt: at + orphanLimitMs + clockSlackMs,
-				isSure: false,
-			}));
+			.map(({state: {group, token}}) => makePlace(group, [token, token], at));
 	}
 
 	/** Where lost hosts may have had tasks of a job that came at that time. */
@@ -85,6 +95,17 @@
 			);
 		},
 		listPlaces,
+		listOutdated(tokens, arrivedAt) {
+			const lostAt = losses
+				.map(({at}) => at)
+				.findLast((at) => arrivedAt - at <= resendLimitMs);
+			return tokens.flatMap(([group, token]) => {
+				const known = groups.findGroup(group)?.state.token ?? token;
+				return lostAt === undefined || known >= token
+					? []
+					: makePlace(group, [known, token], lostAt);
+			});
+		},
 		findPlace(group, arrivedAt) {
 			let found: CopyPlace | undefined;
 			for (const place of listPlaces(arrivedAt)) {
