Log what a keeper waits for: hosts that hold slots, and slots of a lost owner

No line said why a job's tasks were not started: whether the keeper had just begun and asked hosts what they hold, or kept the slots of a lost owner back, and for how long.

--- a/packages/decisions/src/lender.ts
+++ b/packages/decisions/src/lender.ts
@@ -21,6 +21,7 @@
 	type LenderState,
 	type LendingDecisions,
 	type LentExecutor,
+	type QuarantinedSlots,
 	type SlotOutcome,
 	type TeamShare,
 } from './lending.js';
@@ -116,16 +117,21 @@
 	two tasks on it, and the executor would queue or refuse one. So its slots stay out for the
 	lease, in which it may still start tasks, and the time nearly all tasks end in.
 	*/
-	dropOwner(owner: string, now: number): void {
+	dropOwner(owner: string, now: number): QuarantinedSlots {
 		const {jobs, slots, estimates, leaseMs} = this.#state;
 		for (const job of jobs.listOwned(owner)) {
 			this.withdraw(owner, job.job);
 		}
 
+		const quarantined = {slots: 0, forMs: 0};
 		for (const lent of slots.listOwned(owner)) {
-			const runMs = estimates.get(lent.service)?.p99Ms ?? 0;
-			slots.quarantine(lent, now + leaseMs + runMs);
+			const forMs = leaseMs + (estimates.get(lent.service)?.p99Ms ?? 0);
+			slots.quarantine(lent, now + forMs);
+			quarantined.slots += 1;
+			quarantined.forMs = Math.max(quarantined.forMs, forMs);
 		}
+
+		return quarantined;
 	}
 
 	/** Starts as a new keeper: until all borrowers have told what they hold, nothing is lent. */
--- a/packages/decisions/src/lending.ts
+++ b/packages/decisions/src/lending.ts
@@ -62,6 +62,9 @@
 /** Demand that other data centres may serve from free slots. */
 export type Shortage = {owner: string; job: number; count: number};
 
+/** Slots of a lost owner, and how long none of them is lent for, milliseconds. */
+export type QuarantinedSlots = {slots: number; forMs: number};
+
 export type LendingDecisions = {
 	grants: Grant[];
 	refusals: Refusal[];
--- a/packages/host/src/slot-ports.ts
+++ b/packages/host/src/slot-ports.ts
@@ -18,6 +18,7 @@
 	directory: Directory;
 	lookup: ResourceLookup;
 	metrics: Metrics;
+	log: (message: string, fields: Record<string, unknown>) => void;
 };
 
 export function createSlotPorts({
@@ -28,6 +29,7 @@
 	directory,
 	lookup,
 	metrics,
+	log,
 }: SlotParts): SlotPorts {
 	const {key, ownerId, dataCentre} = identity;
 	return {
@@ -53,6 +55,7 @@
 			getMesh()
 				.listLinks()
 				.map((link) => link.key),
+		log,
 		countWasted(reason, count = 1) {
 			metrics.wasted.inc({reason}, count);
 		},
--- a/packages/host/src/start-host.ts
+++ b/packages/host/src/start-host.ts
@@ -247,6 +247,9 @@
 				directory: this.#directory,
 				lookup: this.#lookup,
 				metrics: this.#metrics,
+				log: (message, fields) => {
+					this.#logger.info(fields, message);
+				},
 			}),
 		});
 	}
--- a/packages/slots/src/exchange.fixture.ts
+++ b/packages/slots/src/exchange.fixture.ts
@@ -43,6 +43,9 @@
 		isLeaving: () => news.isLeaving,
 		listShares: () => new Map(),
 		listPeers: () => [],
+		log() {
+			// Not read.
+		},
 		countWasted() {
 			// Not of interest here.
 		},
--- a/packages/slots/src/keeper.test.ts
+++ b/packages/slots/src/keeper.test.ts
@@ -39,6 +39,9 @@
 		isLeaving: () => false,
 		listShares: () => new Map(),
 		listPeers: () => [],
+		log() {
+			// Not read.
+		},
 		countWasted() {
 			// Not of interest here.
 		},
--- a/packages/slots/src/keeper.ts
+++ b/packages/slots/src/keeper.ts
@@ -30,6 +30,7 @@
 	readonly #lender;
 	readonly #remotes = new Map<string, Remote>();
 	readonly #awaited: Set<string>;
+	readonly #startedAt: number;
 	#recoveryTimer: NodeJS.Timeout | undefined;
 	#timer: NodeJS.Timeout | undefined;
 	#timerAt = Infinity;
@@ -50,6 +51,7 @@
 		this.#term = Math.floor(ports.random() * 2 ** 40);
 		this.#lender = createLender({firstSlot: this.#term, leaseMs: leaseTermMs});
 		this.#awaited = new Set(ports.listPeers());
+		this.#startedAt = ports.now();
 		this.refreshResources();
 		this.#startRecovery();
 	}
@@ -159,7 +161,15 @@
 	/** The owner's process is gone, or its connection: its slots are quarantined. */
 	dropOwner(ownerId: string, hostKey: string): void {
 		this.#sated.delete(ownerId);
-		this.#lender.dropOwner(ownerId, this.#ports.now());
+		const {slots, forMs} = this.#lender.dropOwner(ownerId, this.#ports.now());
+		if (slots > 0) {
+			this.#log('slots of a lost owner are not lent for a while', {
+				owner: ownerId,
+				slots,
+				forMs: Math.round(forMs),
+			});
+		}
+
 		if (this.#awaited.delete(hostKey) && this.#awaited.size === 0) {
 			this.#finishRecovery();
 		}
@@ -177,8 +187,17 @@
 		clearTimeout(this.#recoveryTimer);
 	}
 
+	#log(message: string, fields: Record<string, unknown>): void {
+		const {target} = this;
+		const {dataCentre, log} = this.#ports;
+		log(message, {target, dataCentre, term: this.#term, ...fields});
+	}
+
 	#startRecovery(): void {
 		this.#lender.startRecovery(this.#ports.now());
+		this.#log('keeper begins: asking hosts what they hold', {
+			hosts: this.#awaited.size,
+		});
 		const {dataCentre, sendToHost} = this.#ports;
 		for (const peer of this.#awaited) {
 			sendToHost(peer, {t: 'ask-held', target: this.target, dataCentre});
@@ -196,6 +215,10 @@
 
 	#finishRecovery(): void {
 		clearTimeout(this.#recoveryTimer);
+		this.#log('keeper lends', {
+			waitedMs: Math.round(this.#ports.now() - this.#startedAt),
+			unanswered: [...this.#awaited],
+		});
 		this.#lender.finishRecovery(this.#ports.now());
 		this.#schedule();
 	}
--- a/packages/slots/src/ports.ts
+++ b/packages/slots/src/ports.ts
@@ -34,6 +34,8 @@
 	/** Other live hosts. */
 	listPeers: () => readonly string[];
 	countWasted: (reason: string, count?: number) => void;
+	/** A line for each change of what a keeper or borrower believes. */
+	log: (message: string, fields: Record<string, unknown>) => void;
 };
 
 /** How long a borrower may start tasks after it asked for its lease. */
