Lend a lost owner's slots without its lease once its host runs another process

Cause: a keeper keeps the slots of a lost owner back for the lease, in which it might still start tasks, and the time that nearly all tasks end in. Where the lost process had all slots, which it mostly has, its successor's jobs wait for the same clock, though nobody knows better than the successor that the former process starts nothing more.

Change: a keeper that hears another process of the host takes the lease's part off, whichever it hears first, the loss or the successor. Tasks that may still run keep their slots as before.

Before: both tests of the keeper fail.

--- a/packages/decisions/src/lender.test.ts
+++ b/packages/decisions/src/lender.test.ts
@@ -71,6 +71,19 @@
 	assert.equal(lender.decide(3000).grants.length, 1);
 });
 
+// Guards against callers that wait for slots of a process that is known to start nothing any more: its host has been restarted.
+test('slots of a dead owner are lent once its tasks must have ended, if its host runs another process', () => {
+	const lender = makeLender({slots: 1});
+	lender.demand(makeDemand(), 0);
+	lender.decide(0);
+	const {forMs} = lender.dropOwner('mieres_m1.a', 10);
+	const runMs = forMs - 1000;
+	lender.confirmGone('mieres_m1.a');
+	lender.demand(makeDemand({owner: 'mieres_m1.b', deadlineInMs: 60_000}), 10);
+	assert.equal(lender.decide(10 + runMs - 1).grants.length, 0);
+	assert.equal(lender.decide(10 + runMs + 1).grants.length, 1);
+});
+
 test('a new keeper lends nothing until it knows what is lent', () => {
 	// The keeper died and another host takes over while tasks run on slots that it doesn't know.
 	const lender = makeLender({slots: 1});
--- a/packages/decisions/src/lender.ts
+++ b/packages/decisions/src/lender.ts
@@ -113,11 +113,12 @@
 	}
 
 	/**
-	The owner died. Its tasks may still run at the executors: a slot lent again at once would put
-	two tasks on it, and the executor would queue or refuse one. So its slots stay out for the
-	lease, in which it may still start tasks, and the time nearly all tasks end in.
+	The owner died, or its connection did. Its tasks may still run at the executors: a slot lent again at
+	once would put two tasks on it, and the executor would queue or refuse one. So its slots stay out for
+	the lease, in which it may still start tasks unless its process is known to be gone, and the time
+	nearly all tasks end in.
 	*/
-	dropOwner(owner: string, now: number): QuarantinedSlots {
+	dropOwner(owner: string, now: number, isGone = false): QuarantinedSlots {
 		const {jobs, slots, estimates, leaseMs} = this.#state;
 		for (const job of jobs.listOwned(owner)) {
 			this.withdraw(owner, job.job);
@@ -125,7 +126,8 @@
 
 		const quarantined = {slots: 0, forMs: 0};
 		for (const lent of slots.listOwned(owner)) {
-			const forMs = leaseMs + (estimates.get(lent.service)?.p99Ms ?? 0);
+			const runMs = estimates.get(lent.service)?.p99Ms ?? 0;
+			const forMs = isGone ? runMs : leaseMs + runMs;
 			slots.quarantine(lent, now + forMs);
 			quarantined.slots += 1;
 			quarantined.forMs = Math.max(quarantined.forMs, forMs);
@@ -134,6 +136,14 @@
 		return quarantined;
 	}
 
+	/** A lost owner's process is known to be gone: it has started nothing more since it was dropped. Call once for an owner. */
+	confirmGone(owner: string): void {
+		const {slots, leaseMs} = this.#state;
+		for (const lent of slots.listOwned(owner)) {
+			slots.shortenQuarantine(lent, leaseMs);
+		}
+	}
+
 	/** Starts as a new keeper: until all borrowers have told what they hold, nothing is lent. */
 	startRecovery(_now: number): void {
 		this.#state.isRecovering = true;
--- a/packages/decisions/src/slot-book.ts
+++ b/packages/decisions/src/slot-book.ts
@@ -126,6 +126,12 @@
 		this.#quarantined.add(lent);
 	}
 
+	shortenQuarantine(lent: LentSlot, byMs: number): void {
+		if (lent.quarantinedUntil !== undefined) {
+			lent.quarantinedUntil -= byMs;
+		}
+	}
+
 	/**
 	Compares with all that a borrower says it holds. One whose connection broke and that is back as
 	the same process holds what it names as before. What it doesn't name is free at once if it was
--- a/packages/slots/src/keeper.test.ts
+++ b/packages/slots/src/keeper.test.ts
@@ -70,6 +70,35 @@
 	waitedMs: 0,
 };
 
+// Guards against a restarted host whose callers wait a lease term for the slots of the process before.
+for (const order of ['dropped first', 'heard first']) {
+	test(`slots of a former process of a host wait only for its tasks (${order})`, async (context) => {
+		const {keeper, clock, take} = openKeeper(context);
+		const steps = [
+			() => {
+				keeper.dropOwner('mieres_m2.a', 'mieres_m2');
+			},
+			() => {
+				keeper.noteOwner('mieres_m2.b', 'mieres_m2');
+			},
+		];
+		keeper.noteOwner('mieres_m2.a', 'mieres_m2');
+		keeper.receiveDemand('mieres_m2.a', demand);
+		await nextTurn();
+		assert.equal(take('grant')[0]!.slots.length, 3);
+		for (const step of order === 'dropped first' ? steps : steps.toReversed()) {
+			step();
+		}
+
+		keeper.receiveDemand('mieres_m2.b', demand);
+		// Tasks of 100 ms, nearly all of which end in a few times that.
+		clock.now += 700;
+		keeper.refreshResources();
+		await nextTurn();
+		assert.equal(take('grant')[0]?.slots.length, 3);
+	});
+}
+
 test('slots lent to another data centre are told as free again when they are back', async (context) => {
 	// The other keeper counts what it asks for as gone. If it never hears that the same number is
 	// free again, it leaves these slots idle while its own jobs wait.
--- a/packages/slots/src/keeper.ts
+++ b/packages/slots/src/keeper.ts
@@ -31,6 +31,10 @@
 	readonly #remotes = new Map<string, Remote>();
 	readonly #awaited: Set<string>;
 	readonly #startedAt: number;
+	/** The process that each host was last heard as. */
+	readonly #processes = new Map<string, string>();
+	/** By host: a process whose slots are kept back as it may still start tasks. */
+	readonly #lostOwners = new Map<string, string>();
 	#recoveryTimer: NodeJS.Timeout | undefined;
 	#timer: NodeJS.Timeout | undefined;
 	#timerAt = Infinity;
@@ -161,15 +165,7 @@
 	/** The owner's process is gone, or its connection: its slots are quarantined. */
 	dropOwner(ownerId: string, hostKey: string): void {
 		this.#sated.delete(ownerId);
-		const {slots, forMs} = this.#lender.dropOwner(ownerId, this.#ports.now());
-		if (slots > 0) {
-			this.#log('slots of a lost owner are not lent for a while', {
-				owner: ownerId,
-				slots,
-				forMs: Math.round(forMs),
-			});
-		}
-
+		this.#quarantine(ownerId, hostKey);
 		if (this.#awaited.delete(hostKey) && this.#awaited.size === 0) {
 			this.#finishRecovery();
 		}
@@ -177,6 +173,26 @@
 		this.#schedule();
 	}
 
+	/**
+	A host speaks as this process. Another one that it ran before is gone, and starts nothing under its lease any more: its
+	slots are not kept back for that long.
+	*/
+	noteOwner(ownerId: string, hostKey: string): void {
+		this.#processes.set(hostKey, ownerId);
+		const lost = this.#lostOwners.get(hostKey);
+		if (lost === undefined || lost === ownerId) {
+			return;
+		}
+
+		this.#lostOwners.delete(hostKey);
+		this.#lender.confirmGone(lost);
+		this.#log('a lost owner is gone: its host runs another process', {
+			owner: lost,
+			successor: ownerId,
+		});
+		this.#schedule();
+	}
+
 	readState() {
 		return this.#lender.readState(this.#ports.now());
 	}
@@ -193,6 +209,30 @@
 		log(message, {target, dataCentre, term: this.#term, ...fields});
 	}
 
+	#quarantine(ownerId: string, hostKey: string): void {
+		const process = this.#processes.get(hostKey);
+		const isGone = process !== undefined && process !== ownerId;
+		const {slots, forMs} = this.#lender.dropOwner(
+			ownerId,
+			this.#ports.now(),
+			isGone,
+		);
+		if (slots === 0) {
+			return;
+		}
+
+		if (!isGone) {
+			this.#lostOwners.set(hostKey, ownerId);
+		}
+
+		this.#log('slots of a lost owner are not lent for a while', {
+			owner: ownerId,
+			slots,
+			forMs: Math.round(forMs),
+			isGone,
+		});
+	}
+
 	#startRecovery(): void {
 		this.#lender.startRecovery(this.#ports.now());
 		this.#log('keeper begins: asking hosts what they hold', {
--- a/packages/slots/src/slot-exchange.ts
+++ b/packages/slots/src/slot-exchange.ts
@@ -113,6 +113,13 @@
 		);
 	}
 
+	/** A host's process has opened a session. */
+	noteOwner(ownerId: string, hostKey: string): void {
+		for (const keeper of this.#keepers.values()) {
+			keeper.noteOwner(ownerId, hostKey);
+		}
+	}
+
 	/** A borrower's session ended. */
 	dropOwner(ownerId: string, hostKey: string): void {
 		for (const keeper of this.#keepers.values()) {
