Withhold a request whose slot can't be used any more when it is about to be written

Cause: a task's slot is checked when its request is handed to the connections to the executor. A request that has to wait for a new connection there, as each one beyond the host's share does, is written when the connection is made: after a freeze, seconds later, when the lease of the slot has passed.

Change: the connections ask again right before they write; a request that is withheld counts as not run, its task waits for another slot and the executor is not blamed.

--- /dev/null
+++ b/packages/executors/src/executor-pool.test.ts
@@ -0,0 +1,62 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {createServer} from 'node:http';
+import {type AddressInfo} from 'node:net';
+import {test, type TestContext} from 'node:test';
+import {ExecutorPool} from './executor-pool.js';
+import {type TaskOutcome, type TaskRequest} from './outcome.js';
+
+/** An executor that counts the tasks that reach it, and a pool of connections to it. */
+async function openPool(context: TestContext, share: number) {
+	const taskIds: unknown[] = [];
+	const server = createServer((request, response) => {
+		taskIds.push(request.headers['gentianshift-task']);
+		response.end('done');
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const {port} = server.address() as AddressInfo;
+	const pool = new ExecutorPool({
+		address: `127.0.0.1:${port}`,
+		share,
+		slots: 8,
+	});
+	context.after(async () => {
+		await pool.destroy();
+		server.close();
+	});
+	const sendTask = async (request: Partial<TaskRequest>) =>
+		new Promise<TaskOutcome>((resolve) => {
+			pool.sendTask(
+				{
+					taskId: 'job1/0',
+					path: '/run',
+					payload: '{}',
+					limitMs: 5000,
+					deadlineMs: 5000,
+					isUsable: () => true,
+					...request,
+				},
+				resolve,
+			);
+		});
+	return {taskIds, sendTask};
+}
+
+for (const [kind, share] of [
+	['kept', 1],
+	['closed after each request', 0],
+] as const) {
+	// Guards against a host that wakes from a freeze and sends, on a connection that is made only now, a task to an executor that has been told to leave.
+	test(`a request that waited for a connection (${kind}) is not written once its slot can't be used`, async (context) => {
+		const {taskIds, sendTask} = await openPool(context, share);
+		let isUsable = true;
+		const withheld = sendTask({isUsable: () => isUsable});
+		isUsable = false;
+		const outcome = await withheld;
+		assert.equal(outcome.result, 'withheld');
+		const next = await sendTask({taskId: 'job1/1'});
+		assert.equal(next.result, 'done');
+		assert.deepEqual(taskIds, ['job1/1']);
+	});
+}
--- a/packages/executors/src/executor-pool.ts
+++ b/packages/executors/src/executor-pool.ts
@@ -125,7 +125,7 @@
 	#ended = false;
 
 	constructor(
-		request: TaskRequest,
+		private readonly request: TaskRequest,
 		private readonly onEnd: (outcome: TaskOutcome) => void,
 	) {
 		const limit =
@@ -136,10 +136,16 @@
 	}
 
 	onRequestStart(controller: Dispatcher.DispatchController): void {
-		this.#controller = controller;
+		if (!this.#ended && !this.request.isUsable()) {
+			this.#end({result: 'withheld', runMs: this.#measure()});
+		}
+
 		if (this.#ended) {
 			controller.abort(new Error('given up before it was sent'));
+			return;
 		}
+
+		this.#controller = controller;
 	}
 
 	onResponseStart(
--- a/packages/jobs/src/owner.test.ts
+++ b/packages/jobs/src/owner.test.ts
@@ -83,6 +83,7 @@
 for (const outcome of [
 	{result: 'unreachable', detail: 'refused', runMs: 1},
 	{result: 'refused', runMs: 1},
+	{result: 'withheld', runMs: 1},
 ] as const) {
 	test(`a task that certainly did not run (${outcome.result}) is placed again`, () => {
 		const {submit, grant, sent, demands} = buildOwner();
--- a/packages/jobs/src/owner.ts
+++ b/packages/jobs/src/owner.ts
@@ -313,6 +313,7 @@
 			limitMs: service.taskLimitMs,
 			deadlineMs: Math.min(service.taskLimitMs, leftMs),
 			traceparent: span.traceparent,
+			isUsable: slot.isUsable,
 		};
 		this.#options.sendTask(slot.executor, request, (outcome) => {
 			span.end(outcome);
@@ -369,7 +370,8 @@
 			}
 
 			case 'refused':
-			case 'unreachable': {
+			case 'unreachable':
+			case 'withheld': {
 				record.requeueTask(index);
 				break;
 			}
@@ -459,8 +461,18 @@
 }
 
 function toSlotOutcome(outcome: TaskOutcome): SlotOutcome {
-	return {
-		result: outcome.result === 'unreachable' ? 'refused' : outcome.result,
-		runMs: outcome.runMs,
-	};
+	const {result, runMs} = outcome;
+	switch (result) {
+		case 'unreachable': {
+			return {result: 'refused', runMs};
+		}
+
+		case 'withheld': {
+			return {result: 'unused', runMs: 0};
+		}
+
+		default: {
+			return {result, runMs};
+		}
+	}
 }
