Keep the hosts' output of a trial that fails

Two entries of KNOWN-RED.txt could not be traced because the output had been removed with the system (store, at-most-once). It stays now, and the place is printed. Seen with a test that fails on purpose, in both kinds of systems; a passing one leaves nothing behind.

--- a/packages/trials/src/harness.ts
+++ b/packages/trials/src/harness.ts
@@ -12,11 +12,14 @@
 import {mkdtemp, rm} from 'node:fs/promises';
 import os from 'node:os';
 import path from 'node:path';
+import process from 'node:process';
+import {afterEach} from 'node:test';
 import {fetchIssuer, makeJobId} from './caller.js';
 import {createTargetSpec, declare, declareAll} from './declarations.js';
 import {findProgram, startHosts} from './hosts.js';
 import {defaultLayout, placeHosts, type SystemLayout} from './layout.js';
 import {ProcessGroup} from './processes.js';
+import {hasPassed} from './test-result.js';
 import {
 	startExecutorProcesses,
 	startPlatformProcess,
@@ -58,6 +61,15 @@
 	heal: 'ok',
 } as const;
 
+/** A test of this process has failed. */
+let hasFailed = false;
+const isTestRun = process.env.NODE_TEST_CONTEXT !== undefined;
+if (isTestRun) {
+	afterEach((context) => {
+		hasFailed ||= !hasPassed(context);
+	});
+}
+
 /** Starts everything and declares the resources; ends everything again when that fails. */
 export async function startSystem(options: SystemOptions = {}) {
 	const layout: SystemLayout = {...defaultLayout, ...options};
@@ -176,9 +188,14 @@
 				platform.setFault({dataCentre, mode: platformModes[fault]}),
 			]);
 		},
-		/** Ends all processes and removes their files. */
+		/** Ends all processes and removes their files, unless a test of the process has failed: its cause is to be found in them. */
 		async end(): Promise<void> {
 			await processes.endAll();
+			if (hasFailed) {
+				process.stdout.write(`the output of the hosts is in ${dir}\n`);
+				return;
+			}
+
 			await rm(dir, {recursive: true, force: true});
 		},
 	};
--- a/packages/trials/src/scheduling/system.ts
+++ b/packages/trials/src/scheduling/system.ts
@@ -18,6 +18,7 @@
 	workspaceRoot,
 	type TrialProcess,
 } from '../processes.js';
+import {hasPassed} from '../test-result.js';
 
 export const service = 'meals';
 export const queueHost = 'kitchen.example';
@@ -241,12 +242,20 @@
 		);
 	}
 
-	async end(): Promise<void> {
+	/** `keepsOutput`: what the hosts wrote stays, to trace a failure. */
+	async end({keepsOutput = false} = {}): Promise<void> {
 		await this.#group.endAll();
 		await Promise.all(this.hosts.map(async ({relay}) => relay?.close()));
 		await Promise.all(this.listPresent().map(async (one) => one.stop()));
 		await this.store.stop();
-		rmSync(this.#dir, {recursive: true});
+		if (!keepsOutput) {
+			rmSync(this.#dir, {recursive: true});
+		}
+	}
+
+	/** Where the hosts' output is. */
+	get outputDir(): string {
+		return this.#dir;
 	}
 
 	/** What a host has written. */
@@ -379,6 +388,13 @@
 	options?: SchedulingSystemOptions,
 ): Promise<SchedulingSystem> {
 	const system = await startSchedulingSystem(options);
-	context.after(async () => system.end());
+	context.after(async () => {
+		const keepsOutput = !hasPassed(context);
+		if (keepsOutput) {
+			context.diagnostic(`the hosts' output is in ${system.outputDir}`);
+		}
+
+		await system.end({keepsOutput});
+	});
 	return system;
 }
