--- a/packages/scheduling/src/copy-recall.ts
+++ b/packages/scheduling/src/copy-recall.ts
@@ -98,6 +98,7 @@
 
 		const isRedialled = lostHolders.isRedialled(host, now());
 		if (isRedialled) {
+			unsent = unsent.filter(({until}) => now() <= until);
 			unsent.push({host, message, until: now() + entryWordLimitMs});
 		}
 
--- a/packages/scheduling/src/copy-replacement.ts
+++ b/packages/scheduling/src/copy-replacement.ts
@@ -123,7 +123,7 @@
 			: undefined;
 	}
 
-	/** What the group holds up, or undefined: it need not confirm any more. */
+	/** Why the group still holds the job up; undefined: it need not confirm any more. */
 	function findGroupObstacle(
 		job: EntryJob,
 		group: string,
@@ -134,7 +134,7 @@
 			const isReached =
 				isInReach(group, now) && !lostHolders.isLost(group, now);
 			return {
-				reason: 'another copy may run where its scheduler is out of reach',
+				reason: 'another copy may still run',
 				clearAt: isReached ? undefined : place.overAt,
 			};
 		}
