--- a/packages/decisions/src/lender.ts
+++ b/packages/decisions/src/lender.ts
@@ -137,10 +137,10 @@
 	}
 
 	/** A lost owner's process is known to be gone: it has started nothing more since it was dropped. Call once for an owner. */
-	confirmGone(owner: string): void {
+	noteGone(owner: string): void {
 		const {slots, leaseMs} = this.#state;
 		for (const lent of slots.listOwned(owner)) {
-			slots.shortenQuarantine(lent, leaseMs);
+			slots.releaseSooner(lent, leaseMs);
 		}
 	}
 
--- a/packages/decisions/src/slot-book.ts
+++ b/packages/decisions/src/slot-book.ts
@@ -126,7 +126,7 @@
 		this.#quarantined.add(lent);
 	}
 
-	shortenQuarantine(lent: LentSlot, byMs: number): void {
+	releaseSooner(lent: LentSlot, byMs: number): void {
 		if (lent.quarantinedUntil !== undefined) {
 			lent.quarantinedUntil -= byMs;
 		}
--- a/packages/slots/src/keeper.ts
+++ b/packages/slots/src/keeper.ts
@@ -185,8 +185,8 @@
 		}
 
 		this.#lostOwners.delete(hostKey);
-		this.#lender.confirmGone(lost);
-		this.#log('a lost owner is gone: its host runs another process', {
+		this.#lender.noteGone(lost);
+		this.#writeLog('a lost owner is gone: its host runs another process', {
 			owner: lost,
 			successor: ownerId,
 		});
@@ -203,7 +203,7 @@
 		clearTimeout(this.#recoveryTimer);
 	}
 
-	#log(message: string, fields: Record<string, unknown>): void {
+	#writeLog(message: string, fields: Record<string, unknown>): void {
 		const {target} = this;
 		const {dataCentre, log} = this.#ports;
 		log(message, {target, dataCentre, term: this.#term, ...fields});
@@ -225,7 +225,7 @@
 			this.#lostOwners.set(hostKey, ownerId);
 		}
 
-		this.#log('slots of a lost owner are not lent for a while', {
+		this.#writeLog('slots of a lost owner are not lent for a while', {
 			owner: ownerId,
 			slots,
 			forMs: Math.round(forMs),
@@ -235,7 +235,7 @@
 
 	#startRecovery(): void {
 		this.#lender.startRecovery(this.#ports.now());
-		this.#log('keeper begins: asking hosts what they hold', {
+		this.#writeLog('keeper begins: asking hosts what they hold', {
 			hosts: this.#awaited.size,
 		});
 		const {dataCentre, sendToHost} = this.#ports;
@@ -255,7 +255,7 @@
 
 	#finishRecovery(): void {
 		clearTimeout(this.#recoveryTimer);
-		this.#log('keeper lends', {
+		this.#writeLog('keeper lends', {
 			waitedMs: Math.round(this.#ports.now() - this.#startedAt),
 			unanswered: [...this.#awaited],
 		});
