Play a task that is moved while words for other jobs reach its former holder; listed as known red

A holder's state does not reach an entry for 3 s while all that the entry says arrives. The entry moves the task; requests to replace copies of other jobs go on and renew it where it was.

--- a/packages/host/src/scheduling/faulty/no-task-twice.test.ts
+++ b/packages/host/src/scheduling/faulty/no-task-twice.test.ts
@@ -79,6 +79,24 @@
 			],
 		},
 	},
+	{
+		cause:
+			'words for other jobs reached a holder that the entry counted as silent',
+		plan: {
+			jobs: [
+				{at: 0, host: 1, tasks: 1, runMs: 2200, allowanceMs: 1000},
+				...Array.from({length: 15}, (_, i) => ({
+					at: 150 * (i + 1),
+					host: 1,
+					tasks: 1,
+					runMs: 60,
+					allowanceMs: 60,
+					isOnNewConnection: true,
+				})),
+			],
+			faults: [{at: 10, forMs: 3000, kind: 'hold-up', host: 0, peer: 1}],
+		},
+	},
 ];
 
 for (const {cause, plan} of brokenOnce) {
