--- a/packages/bench/src/slopes-schedulers.ts
+++ b/packages/bench/src/slopes-schedulers.ts
@@ -31,6 +31,8 @@
 const taskMs = 200;
 const steps = 1500;
 const updateEveryMs = 50;
+/** One entry hands everything over under one claim. */
+const claim = 1;
 /** Longer than any run of this measurement. */
 const longMs = 1e9;
 
@@ -174,7 +176,10 @@
 		await nextTurn();
 		if (this.#now - this.#updatedAt >= updateEveryMs) {
 			this.#updatedAt = this.#now;
-			this.scheduler.keepEntry(this.#entry, this.#now);
+			this.scheduler.keepClaims(this.#entry, {
+				stateAt: this.#now,
+				claims: [claim],
+			});
 			this.scheduler.update();
 		}
 	}
@@ -203,7 +208,6 @@
 		this.scheduler.receivePart(
 			this.#entry,
 			makePart(id, this.#size.tasks, this.#now),
-			this.#now,
 		);
 	}
 }
@@ -228,7 +232,9 @@
 		t: 'part',
 		job,
 		takenAtMs: now,
-		at: now,
+		token: 1,
+		stateAt: now,
+		claim,
 		queue: 'menu',
 		service: 'meals',
 		priority: 1,
@@ -275,7 +281,6 @@
 			busy.scheduler.receivePart(
 				{key: 'mieres_m2.a1', send: doNothing},
 				makePart(`waiting${i}`, usual.tasks, 0),
-				0,
 			);
 		}
 
--- a/packages/host/src/scheduling/faulty/fault-plan.fixture.ts
+++ b/packages/host/src/scheduling/faulty/fault-plan.fixture.ts
@@ -206,3 +206,59 @@
 		{minLength: 1, maxLength: 6},
 	),
 });
+
+/** What hosts tell the entry is held up, while the entry is heard; now and then another pair. */
+function drawHeldUpLink(entry: number) {
+	return fc.record({
+		at: fc.nat(spreadMs),
+		forMs: fc.integer({min: 500, max: 3500}),
+		kind: fc.constant('hold-up' as const),
+		host,
+		peer: fc.oneof({weight: 3, arbitrary: fc.constant(entry)}, host),
+	});
+}
+
+/** Callers on new connections, one after the other: their entry says something to all groups all the time. */
+function drawBusyJobs(entry: number) {
+	return fc.integer({min: 80, max: 400}).map((everyMs) =>
+		Array.from({length: Math.floor(spanMs / everyMs)}, (_, i) => ({
+			at: (i + 1) * everyMs,
+			host: entry,
+			tasks: 1,
+			runMs: 60,
+			allowanceMs: 60,
+			isOnNewConnection: true,
+		})),
+	);
+}
+
+function drawLongJobs(entry: number) {
+	const longJob = fc.record({
+		at: fc.nat(spreadMs),
+		host: fc.constant(entry),
+		tasks: fc.integer({min: 1, max: 3}),
+		runMs: fc.constantFrom(600, 1500, 2200),
+		allowanceMs: fc.constant(1000),
+		isOnNewConnection: fc.boolean(),
+	});
+	return fc.array(longJob, {minLength: 1, maxLength: 2});
+}
+
+/** Long jobs beside many short ones at one entry, while what hosts tell one another is held up, mostly one way. */
+export const heldUpPlans: fc.Arbitrary<FaultPlan> = host.chain((entry) =>
+	fc.record({
+		jobs: fc
+			.tuple(drawLongJobs(entry), drawBusyJobs(entry))
+			.map((jobs) => jobs.flat()),
+		faults: fc.array(
+			fc.oneof(
+				{weight: 5, arbitrary: drawHeldUpLink(entry)},
+				{weight: 1, arbitrary: lostLink},
+				{weight: 1, arbitrary: hostFault},
+				{weight: 1, arbitrary: handOver},
+				{weight: 1, arbitrary: orderFault},
+			),
+			{minLength: 1, maxLength: 5},
+		),
+	}),
+);
--- a/packages/host/src/scheduling/group-holding.test.ts
+++ b/packages/host/src/scheduling/group-holding.test.ts
@@ -109,6 +109,7 @@
 		t: 'group-state',
 		group: 'mieres',
 		token: 1,
+		at: 0,
 		isLeaving: false,
 		isReleased: false,
 		storeAgeMs: 0,
--- a/packages/host/src/scheduling/host-roles.ts
+++ b/packages/host/src/scheduling/host-roles.ts
@@ -249,7 +249,7 @@
 			return false;
 		}
 
-		scheduler.receive(this.#localEntry, message, this.#options.now());
+		scheduler.receive(this.#localEntry, message);
 		return true;
 	}
 
--- a/packages/host/src/scheduling/scheduling-handlers.ts
+++ b/packages/host/src/scheduling/scheduling-handlers.ts
@@ -10,11 +10,7 @@
 	type Part,
 	type Session,
 } from '@gentianshift/protocol';
-import {
-	createClockOffset,
-	type ClockOffset,
-	type Entry,
-} from '@gentianshift/scheduling';
+import {type Entry} from '@gentianshift/scheduling';
 import {type Directory} from '../directory.js';
 import {type HostRoles} from './host-roles.js';
 import {type QueueTables} from './queue-tables.js';
@@ -45,7 +41,6 @@
 	log,
 }: SchedulingParts): MeshHandlers {
 	const {entry, groups, holding} = roles;
-	const offsets = new WeakMap<Session, ClockOffset>();
 	return {
 		onBeat() {
 			// Nothing is told with the heartbeat: holders tell their state more often.
@@ -53,8 +48,6 @@
 		onLinkUp(link) {
 			log('link up', {peer: link.key});
 			directory.markLinkUp(link, findAddress(link.key));
-			// The first message of a connection tells the peer this host's clock.
-			link.send({t: 'keep', at: now()});
 			roles.tellStateTo(link);
 			entry.markLinkUp(link.key, link.hello.incarnation);
 			entry.sendAgain(link.key);
@@ -109,7 +102,7 @@
 					entry.handOver(message.group);
 				}
 
-				entry.placeWaiting();
+				entry.receiveState(message.group);
 				break;
 			}
 
@@ -144,27 +137,11 @@
 		}
 	}
 
-	/** When the message was sent, on this host's clock. */
-	function readSendTime(session: Session, message: Message): number {
-		if (
-			message.t !== 'part' &&
-			message.t !== 'keep' &&
-			message.t !== 'replace'
-		) {
-			return now();
-		}
-
-		const offset = offsets.get(session) ?? createClockOffset();
-		offsets.set(session, offset);
-		return offset.toOwnClock(message.at, now());
-	}
-
 	function receiveWork(
 		session: Session,
 		message: Extract<Message, {t: 'part' | 'replace' | 'drop' | 'keep'}>,
 	): void {
 		const {scheduler} = holding;
-		const sentAt = readSendTime(session, message);
 		const from: Entry = {
 			key: `${session.key}.${session.hello.incarnation}`,
 			send(word) {
@@ -179,7 +156,7 @@
 			return;
 		}
 
-		scheduler.receive(from, message, sentAt);
+		scheduler.receive(from, message);
 	}
 }
 
--- a/packages/protocol/src/scheduling-messages.ts
+++ b/packages/protocol/src/scheduling-messages.ts
@@ -11,11 +11,18 @@
 const jobId = z.string().max(64);
 
 /**
-The sender's steady clock when it sent this. What goes wrong: a message waits in a connection
-through a cut and arrives seconds late as if it were new. The receiver notices by comparing with
-the least difference of the two clocks seen so far.
+The state of the group that the entry read last: the holder's token and its steady clock when it told that state.
+
+What goes wrong: a message waits in a connection through a cut and arrives seconds late as if it were new. As it names a moment on the
+holder's own clock, it renews nothing beyond what that moment allows, however late it comes.
+*/
+const answeredState = {token: count, stateAt: z.number()};
+
+/**
+What a job's entry lets a group do with its tasks, by a number that the entry never uses again. A task that the entry takes away from
+a silent holder and later hands to the same group comes under another claim.
 */
-const sentAt = z.number();
+const claim = count;
 
 /** When the entry took the job, milliseconds since 1970 by its clock: tells one taking of a job from the next. */
 const takenAtMs = z.number();
@@ -53,7 +60,8 @@
 	t: z.literal('part'),
 	job: jobId,
 	takenAtMs,
-	at: sentAt,
+	...answeredState,
+	claim,
 	queue: z.string(),
 	service: z.string(),
 	/** 0 goes first. */
@@ -94,7 +102,6 @@
 export const replaceSchema = z.object({
 	t: z.literal('replace'),
 	job: jobId,
-	at: sentAt,
 	/** Of two copies the later one counts. */
 	takenAtMs,
 	/** Until the caller no longer waits. */
@@ -154,8 +161,15 @@
 	),
 });
 
-/** The entry still waits for all that it handed to this scheduler. */
-export const keepSchema = z.object({t: z.literal('keep'), at: sentAt});
+/**
+The entry's answer to a state of the group: it still wants what it handed over under these claims, and nothing else. No other message
+renews a claim, so that words for one job never keep another one alive.
+*/
+export const keepSchema = z.object({
+	t: z.literal('keep'),
+	...answeredState,
+	claims: z.array(claim),
+});
 
 /**
 How a task ended at a scheduler: `done`, `failed` (its attempts are used up), `returned` (not
@@ -192,6 +206,8 @@
 	group: nameSchema,
 	/** Rises with each holder. */
 	token: count,
+	/** The holder's steady clock when it told this, milliseconds; entries answer with it. */
+	at: z.number(),
 	/**
 	The holder is being stopped: another takes the group over. Told here, and not only with the
 	heartbeat, whose word may come on another connection and be older than the state.
@@ -246,6 +262,7 @@
 
 export type TaskDemand = z.infer<typeof taskDemandSchema>;
 export type Part = z.infer<typeof partSchema>;
+export type Keep = z.infer<typeof keepSchema>;
 export type Drop = z.infer<typeof dropSchema>;
 export type Replace = z.infer<typeof replaceSchema>;
 export type Replaced = z.infer<typeof replacedSchema>;
--- a/packages/scheduling/src/copy-replacement.ts
+++ b/packages/scheduling/src/copy-replacement.ts
@@ -82,7 +82,6 @@
 			send(holder, {
 				t: 'replace',
 				job: job.request.id,
-				at: now,
 				takenAtMs: job.takenAtMs,
 				timeLeftMs: job.endsAt - now,
 				formerTokens: findPlace(job, group, now)?.tokens,
--- a/packages/scheduling/src/entry-job.ts
+++ b/packages/scheduling/src/entry-job.ts
@@ -62,6 +62,8 @@
 	endsAt: number;
 	/** A scheduler let it in and gave it back for room elsewhere: it is not judged anew as late. */
 	isLetIn: boolean;
+	/** By group: the claim under which it was handed there, until this entry takes its tasks away. */
+	claims: Map<string, number>;
 	/** A scheduler has started a task of it, or may have. */
 	isStarted: boolean;
 	/**
@@ -113,6 +115,7 @@
 		uselessAt: now + Math.min(timeLeftMs, uselessFactor * objectiveMs),
 		endsAt: now + timeLeftMs,
 		isLetIn: false,
+		claims: new Map(),
 		isStarted: false,
 		isHandedOver: false,
 		tasks: Array.from({length: count}, (_, index) => ({
--- a/packages/scheduling/src/entry-jobs.test.ts
+++ b/packages/scheduling/src/entry-jobs.test.ts
@@ -5,6 +5,7 @@
 import {test} from 'node:test';
 import {
 	type Drop,
+	type Keep,
 	type Part,
 	type Replace,
 	type Replaced,
@@ -516,3 +517,53 @@
 	leaveAgain();
 	assert.equal(entry.size, 0);
 });
+
+// Guards against an entry whose machine was suspended, or whose clock is far from the holder's: its words would look old, or new, for ever.
+test('what an entry says names the time of the holder, not its own', () => {
+	const {entry, groups, clock, sent, listParts} = createEntryJobs();
+	groups.update('mieres_m1', makeState('mieres', {at: 5_000_000}), clock.now);
+	entry.submit(makeRequest(), () => undefined);
+	groups.update('mieres_m1', makeState('mieres', {at: 5_000_150}), clock.now);
+	entry.receiveState('mieres');
+	const [part] = listParts('mieres_m1');
+	assert.equal(part?.stateAt, 5_000_000);
+	const keep = sent.at(-1)?.message;
+	assert.deepEqual(keep, {
+		t: 'keep',
+		token: 1,
+		stateAt: 5_000_150,
+		claims: [part.claim],
+	});
+});
+
+// Guards against a task that is kept alive where it was taken away: what its former holder told meanwhile comes late, in a row.
+test('a claim on a silent holder is not named again once its tasks were moved', () => {
+	const {entry, groups, clock, sent, listParts} = createEntryJobs();
+	groups.update('mieres_m1', makeState('mieres'), clock.now);
+	entry.submit(
+		makeRequest({declaredMs: 1000, timeLeftMs: 9000}),
+		() => undefined,
+	);
+	for (let passed = 0; passed < 1100; passed += 50) {
+		clock.now += 50;
+		groups.update('langreo_l1', makeState('langreo'), clock.now);
+		entry.update();
+	}
+
+	const [former] = listParts('mieres_m1');
+	const [moved] = listParts('langreo_l1');
+	assert.equal(moved?.tasks.length, 2);
+	assert.notEqual(moved.claim, former?.claim);
+	sent.length = 0;
+	for (const at of [150, 300, 450]) {
+		groups.update('mieres_m1', makeState('mieres', {at}), clock.now);
+		entry.receiveState('mieres');
+	}
+
+	const named = sent.flatMap(({holder, message}) =>
+		holder === 'mieres_m1' && message.t === 'keep'
+			? (message as Keep).claims
+			: [],
+	);
+	assert.deepEqual(named, []);
+});
--- a/packages/scheduling/src/entry-jobs.ts
+++ b/packages/scheduling/src/entry-jobs.ts
@@ -32,11 +32,7 @@
 	type JobAnswer,
 	type JobRequest,
 } from './entry-job.js';
-import {
-	isSilent,
-	type GroupDirectory,
-	type KnownGroup,
-} from './group-directory.js';
+import {type GroupDirectory, type KnownGroup} from './group-directory.js';
 import {
 	createHolderContacts,
 	type HolderContacts,
@@ -90,6 +86,7 @@
 	readonly #replacement: CopyReplacement;
 	/** Jobs with tasks that wait for a scheduler to be in reach, or for other copies to be over. */
 	readonly #waiting = new Set<EntryJob>();
+	#lastClaim = 0;
 	/** When a scheduler was last in reach; at first: when this host started. */
 	#reachedAt: number;
 
@@ -257,12 +254,18 @@
 			}
 		}
 
-		const holder = this.#ports.groups.findGroup(group)?.holder;
-		if (holder !== undefined) {
-			this.#holders.sendHandedOver(holder, now);
+		const known = this.#ports.groups.findGroup(group);
+		if (known) {
+			this.#holders.sendKeep(known, this.#listClaims(group));
 		}
 	}
 
+	/** A holder has told its state: jobs that wait for a scheduler are placed, and what this entry has there is renewed. */
+	receiveState(group: string): void {
+		this.placeWaiting();
+		this.#answerState(group);
+	}
+
 	/** The connection to a host's process broke; `heardAt`: when that host was last there for sure. */
 	markLinkDown(host: string, incarnation: string, heardAt: number): void {
 		this.#lostHolders.markBroken(host, incarnation, heardAt);
@@ -304,7 +307,10 @@
 		}
 
 		this.placeWaiting();
-		this.#sendKeeps(now);
+		for (const {state} of this.#ports.groups.list()) {
+			this.#answerState(state.group);
+		}
+
 		this.#holders.forgetOld(now);
 		for (const job of this.#jobs.values()) {
 			if (now >= job.endsAt) {
@@ -536,6 +542,11 @@
 			task.placement += 1;
 		}
 
+		if (!job.claims.has(group)) {
+			this.#lastClaim += 1;
+			job.claims.set(group, this.#lastClaim);
+		}
+
 		this.#ports.groups.take(group, job.request.demand.cpu, tasks.length);
 		this.#sendPart(job, group, tasks, false);
 	}
@@ -547,13 +558,15 @@
 		isMoved: boolean,
 	): void {
 		const known = this.#ports.groups.findGroup(group);
-		if (!known) {
+		const claim = job.claims.get(group);
+		if (!known || claim === undefined) {
 			return;
 		}
 
 		const now = this.#ports.now();
-		const part = makePart(job, tasks, {isMoved, now});
-		this.#holders.sendPart(known.holder, part, now);
+		const {holder, state} = known;
+		const part = makePart(job, tasks, {isMoved, claim, state, now});
+		this.#holders.sendPart(holder, part);
 	}
 
 	#findGroupOf(holder: string): string | undefined {
@@ -561,30 +574,43 @@
 			?.state.group;
 	}
 
-	/** Tells the holders of groups that have tasks of this entry's jobs that it still waits. */
-	#sendKeeps(now: number): void {
-		for (const known of this.#ports.groups.list()) {
-			if (!isSilent(known, now) && this.#isConcerned(known.state.group)) {
-				this.#holders.sendKeep(known.holder, now);
-			}
+	/** Renews what this entry has at the group; once for each state that its holder tells. */
+	#answerState(group: string): void {
+		const known = this.#ports.groups.findGroup(group);
+		if (!known || !this.#holders.hasNewState(known)) {
+			return;
+		}
+
+		const claims = this.#listClaims(group);
+		if (claims.length > 0 || this.#isReplacing()) {
+			this.#holders.sendKeep(known, claims);
 		}
 	}
 
-	/** It has tasks of a job, or knows that this entry's copy is the one that counts. */
-	#isConcerned(group: string): boolean {
-		return [...this.#jobs.values()].some((job) => {
-			const isReplacing = job.copyCheck !== undefined;
-			return isReplacing || listTasksAt(job, group).length > 0;
+	/** Under which the group has tasks that this entry still wants. */
+	#listClaims(group: string): number[] {
+		return [...this.#jobs.values()].flatMap((job) => {
+			const claim = job.claims.get(group);
+			const isWanted =
+				claim !== undefined && listTasksAt(job, group).length > 0;
+			return isWanted ? claim : [];
 		});
 	}
 
+	/** All groups know of a job that this entry's copy is the one that counts, while they hear this entry. */
+	#isReplacing(): boolean {
+		return [...this.#jobs.values()].some(
+			({copyCheck}) => copyCheck !== undefined,
+		);
+	}
+
 	/**
 	Tasks of a group whose holder is silent are placed elsewhere once it has stopped them. Where that
 	would be too late for the caller, it is told now rather than at the end of its time.
 	*/
 	#moveLost(job: EntryJob, now: number): void {
 		const {groups, log} = this.#ports;
-		const lost = findLostTasks(job, groups, this.#holders.getToldAt, now);
+		const lost = findLostTasks(job, groups, now);
 		if (!lost) {
 			return;
 		}
@@ -603,6 +629,7 @@
 			tasks: lost.tasks.length,
 		});
 		for (const task of lost.tasks) {
+			job.claims.delete(task.group!);
 			task.group = undefined;
 			task.nextAttempt += lostAttempts;
 		}
--- a/packages/scheduling/src/group-directory.test.ts
+++ b/packages/scheduling/src/group-directory.test.ts
@@ -41,3 +41,14 @@
 	assert.deepEqual(choosePlace(groups, 400), ['mieres']);
 	assert.deepEqual(choosePlace(groups, stateStaleMs + 1), []);
 });
+
+// Guards against a host that takes an old word for a sign of life: it came on a connection that has broken since.
+test('a word that a newer one has overtaken changes nothing', () => {
+	const groups = createGroupDirectory();
+	groups.update('mieres_m1', makeState('mieres', {at: 300}), 0);
+	const late = makeState('mieres', {at: 150, isReleased: true});
+	assert.equal(groups.update('mieres_m1', late, 1000), false);
+	const known = groups.findGroup('mieres');
+	assert.equal(known?.readAt, 0);
+	assert.equal(known.state.isReleased, false);
+});
--- a/packages/scheduling/src/group-directory.ts
+++ b/packages/scheduling/src/group-directory.ts
@@ -10,14 +10,16 @@
 	state: GroupState;
 	/** The holder's host. */
 	holder: string;
-	/** When it last told its state. */
+	/** When it last told its state; earlier where its connection has broken since. */
 	heardAt: number;
+	/** When this host read the state: later than the holder told it. */
+	readAt: number;
 	/** Free processor, less what was sent there since. */
 	free: number[];
 };
 
 export type GroupDirectory = {
-	/** Takes a holder's word; true when the holder is another, or its token rose. */
+	/** Takes a holder's word, unless a newer one is known; true when the holder is another, or its token rose. */
 	update: (holder: string, state: GroupState, now: number) => boolean;
 	findGroup: (group: string) => KnownGroup | undefined;
 	list: () => KnownGroup[];
@@ -45,12 +47,19 @@
 	return now - heardAt > stateStaleMs;
 }
 
+/** Told by an earlier holder, or overtaken by a word that came on a newer connection. */
+function isOlder(state: GroupState, known: GroupState): boolean {
+	return state.token === known.token
+		? state.at < known.at
+		: state.token < known.token;
+}
+
 export function createGroupDirectory(): GroupDirectory {
 	const groups = new Map<string, KnownGroup>();
 	const directory: GroupDirectory = {
 		update(holder, state, now) {
 			const known = groups.get(state.group);
-			if (known && known.state.token > state.token) {
+			if (known && isOlder(state, known.state)) {
 				return false;
 			}
 
@@ -60,6 +69,7 @@
 				state,
 				holder,
 				heardAt: now,
+				readAt: now,
 				free: [...state.free],
 			});
 			return isNew;
--- a/packages/scheduling/src/group-job.ts
+++ b/packages/scheduling/src/group-job.ts
@@ -8,6 +8,7 @@
 	type TaskDemand,
 } from '@gentianshift/protocol';
 import {type RankedJob} from './rank-jobs.js';
+import {entrySilenceMs} from './timing.js';
 
 /** Who handed a job over: one incarnation of a host, and how to answer it. */
 export type Entry = {
@@ -39,6 +40,10 @@
 	id: string;
 	/** Which taking of the job by its entry this is. */
 	takenAtMs: number;
+	/** Which claim of the entry its tasks are here under. */
+	claim: number;
+	/** When this scheduler told the state that the entry has last answered for the claim; this host's clock. */
+	renewedAt: number;
 	entry: Entry;
 	queue: string;
 	service: string;
@@ -54,7 +59,7 @@
 	isStarted: boolean;
 	/** The entry wants nothing more of it: it is kept until its runs have ended. */
 	isDropped: boolean;
-	/** Dropped because the entry was silent. */
+	/** Dropped because the entry no longer renewed its claim. */
 	isOrphaned?: boolean;
 	/** When it came from an earlier holder of the group, under which tasks may run; undefined: it did not. */
 	movedAt?: number;
@@ -80,6 +85,8 @@
 	return {
 		id: part.job,
 		takenAtMs: part.takenAtMs,
+		claim: part.claim,
+		renewedAt: part.stateAt,
 		entry,
 		queue: part.queue,
 		service: part.service,
@@ -99,6 +106,14 @@
 	};
 }
 
+/** Whether its entry may have placed its tasks elsewhere. */
+export function isLapsed(
+	{renewedAt}: Pick<GroupJob, 'renewedAt'>,
+	now: number,
+): boolean {
+	return now - renewedAt > entrySilenceMs;
+}
+
 /** Adds the tasks of a part that are new here; those that are known by this placement stay as they are. */
 export function addTasks(job: GroupJob, part: Part): GroupTask[] {
 	const added: GroupTask[] = [];
--- a/packages/scheduling/src/group-scheduler.fixture.ts
+++ b/packages/scheduling/src/group-scheduler.fixture.ts
@@ -96,7 +96,9 @@
 		t: 'part',
 		job: 'job1',
 		takenAtMs: clock.now,
-		at: clock.now,
+		token: 1,
+		stateAt: clock.now,
+		claim: 1,
 		queue: 'menu',
 		service: 'meals',
 		priority: 0,
@@ -120,15 +122,23 @@
 	return Array.from({length: count}, (_, index) => [index, 1, 1]);
 }
 
-/** Time passes with the scheduler's own clock ticks and an entry that still waits. */
+/** A scheduler, an entry that answers its states, and the claims that it wants; else those of all parts of `makePart`. */
+export type Waiting = readonly [
+	scheduler: GroupScheduler,
+	entry: Entry,
+	claims?: number[],
+];
+
+/** Time passes with the scheduler's own clock ticks and entries that still wait. */
 export async function runFor(
 	clock: VirtualClock,
 	ms: number,
-	waiting: ReadonlyArray<readonly [GroupScheduler, Entry]>,
+	waiting: readonly Waiting[],
 ): Promise<void> {
 	for (let passed = 0; passed < ms; passed += 50) {
-		for (const [scheduler, entry] of waiting) {
-			scheduler.keepEntry(entry, clock.now);
+		for (const [scheduler, entry, claims = [1]] of waiting) {
+			const {token, at} = scheduler.describeState();
+			scheduler.receive(entry, {t: 'keep', token, stateAt: at, claims});
 			scheduler.update();
 		}
 
--- a/packages/scheduling/src/group-scheduler.test.ts
+++ b/packages/scheduling/src/group-scheduler.test.ts
@@ -24,7 +24,6 @@
 		makePart(clock, {
 			tasks: makeTasks(5),
 		}),
-		clock.now,
 	);
 	await runFor(clock, 400, [[scheduler, entry]]);
 	assert.deepEqual(
@@ -48,7 +47,7 @@
 		timeLeftMs: 10_000,
 		estimateMs: 3000,
 	});
-	scheduler.receivePart(entry, others, clock.now);
+	scheduler.receivePart(entry, others);
 	await runFor(clock, 50, [[scheduler, entry]]);
 	for (const fake of executors.fakes) {
 		fake.lateStartMs = 2000;
@@ -57,7 +56,6 @@
 	scheduler.receivePart(
 		entry,
 		makePart(clock, {timeLeftMs: 10_000, estimateMs: 3000}),
-		clock.now,
 	);
 	await runFor(clock, 50, [[scheduler, entry]]);
 	for (const fake of executors.fakes) {
@@ -76,11 +74,7 @@
 		count: 1,
 		taskMs: 5000,
 	});
-	scheduler.receivePart(
-		entry,
-		makePart(clock, {timeLeftMs: 10_000}),
-		clock.now,
-	);
+	scheduler.receivePart(entry, makePart(clock, {timeLeftMs: 10_000}));
 	await runFor(clock, 300, [[scheduler, entry]]);
 	const lastWordAt = clock.now - 50;
 	for (let i = 0; i < 30; i += 1) {
@@ -103,11 +97,7 @@
 		count: 1,
 		taskMs: 5000,
 	});
-	scheduler.receivePart(
-		entry,
-		makePart(clock, {timeLeftMs: 10_000}),
-		clock.now,
-	);
+	scheduler.receivePart(entry, makePart(clock, {timeLeftMs: 10_000}));
 	await runFor(clock, 500, [[scheduler, entry]]);
 	const lastWordAt = clock.now - 50;
 	for (let i = 0; i < 15; i += 1) {
@@ -133,15 +123,11 @@
 		scheduler: first,
 		entry,
 	} = await openScheduler({count: 2, taskMs: 1000});
-	first.receivePart(entry, makePart(clock, {estimateMs: 1000}), clock.now);
+	first.receivePart(entry, makePart(clock, {estimateMs: 1000}));
 	await runFor(clock, 200, [[first, entry]]);
 	const second = createScheduler(clock, executors, 2);
 	await clock.run(10);
-	second.receivePart(
-		entry,
-		makePart(clock, {isMoved: true, estimateMs: 1000}),
-		clock.now,
-	);
+	second.receivePart(entry, makePart(clock, {isMoved: true, estimateMs: 1000}));
 	await runFor(clock, 1500, [[second, entry]]);
 	assert.equal(executors.runs.length, 1);
 	assert.deepEqual(listOutcomes(entry), ['done']);
@@ -157,7 +143,7 @@
 		scheduler: first,
 		entry,
 	} = await openScheduler({count: 2, taskMs: 4000});
-	first.receivePart(entry, makePart(clock, {timeLeftMs: 10_000}), clock.now);
+	first.receivePart(entry, makePart(clock, {timeLeftMs: 10_000}));
 	await runFor(clock, 200, [[first, entry]]);
 	const [run] = executors.runs;
 	const reached = executors.executors.filter(({id}) => id !== run?.executor);
@@ -169,7 +155,6 @@
 	second.receivePart(
 		entry,
 		makePart(clock, {isMoved: true, timeLeftMs: 10_000}),
-		clock.now,
 	);
 	for (let i = 0; i < 60; i += 1) {
 		first.update();
@@ -190,7 +175,7 @@
 		scheduler: first,
 		entry,
 	} = await openScheduler({count: 2, taskMs: 4000});
-	first.receivePart(entry, makePart(clock, {timeLeftMs: 10_000}), clock.now);
+	first.receivePart(entry, makePart(clock, {timeLeftMs: 10_000}));
 	await runFor(clock, 200, [[first, entry]]);
 	const [run] = executors.runs;
 	const listed = executors.executors.filter(({id}) => id !== run?.executor);
@@ -201,7 +186,6 @@
 	second.receivePart(
 		entry,
 		makePart(clock, {isMoved: true, timeLeftMs: 10_000}),
-		clock.now,
 	);
 	for (let i = 0; i < 60; i += 1) {
 		first.update();
@@ -243,7 +227,6 @@
 				tasks: makeTasks(2),
 				remaining: 2,
 			}),
-			clock.now,
 		);
 		await runFor(clock, 100, [[scheduler, entry]]);
 		readTold();
@@ -283,8 +266,8 @@
 	executors.fakes[0]!.slowness = Infinity;
 	const stuck = makePart(clock, {job: 'stuck', estimateMs: 100});
 	const long = makePart(clock, {job: 'long', estimateMs: 600});
-	scheduler.receivePart(entry, stuck, clock.now);
-	scheduler.receivePart(entry, long, clock.now);
+	scheduler.receivePart(entry, stuck);
+	scheduler.receivePart(entry, long);
 	await runFor(clock, 550, [[scheduler, entry]]);
 	assert.deepEqual(listOutcomes(entry), []);
 	await runFor(clock, 1000, [[scheduler, entry]]);
@@ -305,7 +288,7 @@
 		tasks: [0, 1, 2, 3, 4, 5, 6].map((index) => [index, 1, 1]),
 		remaining: 7,
 	});
-	scheduler.receivePart(entry, part, clock.now);
+	scheduler.receivePart(entry, part);
 	await runFor(clock, 2800, [[scheduler, entry]]);
 	assert.deepEqual(
 		listOutcomes(entry),
@@ -322,7 +305,7 @@
 		taskMs: 600,
 	});
 	const part = makePart(clock, {estimateMs: 200, timeLeftMs: 640});
-	scheduler.receivePart(entry, part, clock.now);
+	scheduler.receivePart(entry, part);
 	await runFor(clock, 700, [[scheduler, entry]]);
 	assert.deepEqual(listOutcomes(entry), ['done']);
 	assert.equal(executors.runs.length, 1);
@@ -342,7 +325,7 @@
 		remaining: 12,
 		tasks: Array.from({length: 12}, (_, index) => [index, 1, 1]),
 	});
-	scheduler.receivePart(entry, wide, clock.now);
+	scheduler.receivePart(entry, wide);
 	await runFor(clock, 100, [[scheduler, entry]]);
 	const small = makePart(clock, {
 		job: 'small',
@@ -350,7 +333,7 @@
 		dueInMs: 500,
 		admitInMs: 500,
 	});
-	scheduler.receivePart(entry, small, clock.now);
+	scheduler.receivePart(entry, small);
 	await runFor(clock, 400, [[scheduler, entry]]);
 	const ends = entry.told
 		.filter(({job}) => job === 'small')
@@ -398,11 +381,7 @@
 		1,
 		1,
 	]);
-	scheduler.receivePart(
-		entry,
-		makePart(clock, {tasks, remaining: 8}),
-		clock.now,
-	);
+	scheduler.receivePart(entry, makePart(clock, {tasks, remaining: 8}));
 	assert.equal(
 		listOutcomes(entry).filter((one) => one === 'returned').length,
 		3,
@@ -410,7 +389,6 @@
 	scheduler.receivePart(
 		entry,
 		makePart(clock, {job: 'job2', shifts: 2, remaining: 1}),
-		clock.now,
 	);
 	assert.equal(
 		listOutcomes(entry).filter((one) => one === 'returned').length,
@@ -436,20 +414,16 @@
 		job: 'job0',
 		tasks: makeTasks(2),
 	});
-	scheduler.receivePart(entry, full, clock.now);
+	scheduler.receivePart(entry, full);
 	const part = makePart(clock, {tasks: [[0, 1, 1]]});
-	scheduler.receivePart(entry, part, clock.now);
+	scheduler.receivePart(entry, part);
 	assert.deepEqual(listOutcomes(entry), ['returned']);
 	await runFor(clock, 300, [[scheduler, entry]]);
-	scheduler.receivePart(entry, part, clock.now);
+	scheduler.receivePart(entry, part);
 	await runFor(clock, 300, [[scheduler, entry]]);
 	assert.equal(executors.runs.filter(({job}) => job === 'job1').length, 0);
 	assert.equal(listOutcomes(entry).at(-1), 'returned');
-	scheduler.receivePart(
-		entry,
-		makePart(clock, {tasks: [[0, 1, 2]]}),
-		clock.now,
-	);
+	scheduler.receivePart(entry, makePart(clock, {tasks: [[0, 1, 2]]}));
 	await runFor(clock, 300, [[scheduler, entry]]);
 	assert.equal(executors.runs.filter(({job}) => job === 'job1').length, 1);
 });
@@ -466,7 +440,6 @@
 		scheduler.receivePart(
 			entry,
 			makePart(clock, {job: `job${i}`, tasks, remaining: 2, admitInMs: 300}),
-			clock.now,
 		);
 	}
 
@@ -492,20 +465,20 @@
 		[1, 1, 1],
 	];
 	const part = makePart(clock, {tasks, remaining: 2, estimateMs: 600});
-	first.receivePart(entry, part, clock.now);
+	first.receivePart(entry, part);
 	await runFor(clock, 200, [[first, entry]]);
 	const second = createScheduler(clock, executors, 2, {
 		fitsElsewhere: 5,
 	});
-	const moved = {...part, at: clock.now, isMoved: true, admitInMs: 100};
-	second.receivePart(entry, moved, clock.now);
+	const moved = {...part, stateAt: clock.now, isMoved: true, admitInMs: 100};
+	second.receivePart(entry, moved);
 	await runFor(clock, 1000, [[second, entry]]);
 	assert.deepEqual(listOutcomes(entry), ['done', 'done']);
 	assert.equal(executors.runs.length, 2);
 });
 
-// Guards against a holder that wakes from a freeze and starts a task that its entry has placed elsewhere meanwhile: the entry's
-// word on another job makes it look as if the entry had waited all the time.
+// Guards against a holder that wakes from a freeze and starts a task that its entry has placed elsewhere meanwhile: the entry
+// still waits for another job.
 test('a task is not started for an entry that was silent in between', async () => {
 	const {clock, executors, scheduler, entry} = await openScheduler({
 		count: 1,
@@ -514,15 +487,14 @@
 	scheduler.receivePart(
 		entry,
 		makePart(clock, {estimateMs: 5000, timeLeftMs: 20_000}),
-		clock.now,
 	);
 	await runFor(clock, 100, [[scheduler, entry]]);
 	await clock.run(1900);
 	assert.equal(executors.runs[0]!.outcome, 'ended');
-	const other = makePart(clock, {job: 'other', timeLeftMs: 20_000});
-	scheduler.receivePart(entry, other, clock.now);
+	const other = makePart(clock, {job: 'other', claim: 2, timeLeftMs: 20_000});
+	scheduler.receivePart(entry, other);
 	scheduler.update();
-	await runFor(clock, 1000, [[scheduler, entry]]);
+	await runFor(clock, 1000, [[scheduler, entry, [2]]]);
 	const started = executors.runs.filter(({job}) => job === 'job1');
 	assert.equal(started.length, 1);
 	const returned = entry.told.findLast(({job}) => job === 'job1');
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -2,12 +2,13 @@
 The scheduler of a group of executors: one queue, one book of free room, and the only one that
 calls these executors while it holds the group.
 
-Parts of jobs come from entries. A task is started when an executor has room; its end goes to its
-entry at once. A job whose entry is silent, or that is dropped, has its runs stopped. What
+Parts of jobs come from entries, under claims that these renew by name. A task is started when an executor has room; its end goes to
+its entry at once. A job whose claim has ended, or that is dropped, has its runs stopped. What
 can't be served in time is returned at once, so that its entry can place it elsewhere or refuse it.
 */
 import {
 	type GroupState,
+	type Keep,
 	type Part,
 	type Replace,
 	type TaskEnd,
@@ -24,6 +25,7 @@
 	addTasks,
 	createGroupJob,
 	hasWaiting,
+	isLapsed,
 	listWaiting,
 	type Entry,
 	type GroupJob,
@@ -83,9 +85,6 @@
 	log: (message: string, fields: Record<string, unknown>) => void;
 };
 
-/** A part that spent longer than this on its way is not started: its caller may have come again elsewhere. */
-const stalePartMs = 400;
-
 export class GroupScheduler {
 	readonly #executors: ExecutorSet;
 	readonly #jobs = new Map<string, GroupJob>();
@@ -135,16 +134,20 @@
 		this.#place();
 	}
 
-	/** A message of an entry; `sentAt`: when the entry sent it, on this host's clock. */
-	receive(entry: Entry, message: HolderMessage, sentAt: number): void {
+	/** A message of an entry. One that answers another holder's state is not for this one: its entry hands over anew when it knows this one. */
+	receive(entry: Entry, message: HolderMessage): void {
+		this.#entries.note(entry, this.ports.now());
 		switch (message.t) {
 			case 'part': {
-				this.receivePart(entry, message, sentAt);
+				if (message.token === this.ports.token) {
+					this.receivePart(entry, message);
+				}
+
 				break;
 			}
 
 			case 'replace': {
-				this.replaceCopies(entry, message, sentAt);
+				this.replaceCopies(entry, message);
 				break;
 			}
 
@@ -154,30 +157,38 @@
 			}
 
 			case 'keep': {
-				this.keepEntry(entry, sentAt);
+				if (message.token === this.ports.token) {
+					this.keepClaims(entry, message);
+				}
+
 				break;
 			}
 		}
 	}
 
-	receivePart(entry: Entry, part: Part, sentAt: number): void {
+	receivePart(entry: Entry, part: Part): void {
 		const now = this.ports.now();
-		this.keepEntry(entry, sentAt);
-		if (now - sentAt > stalePartMs) {
-			this.ports.log('part came too late', {
-				job: part.job,
-				entry: entry.key,
-				ageMs: now - sentAt,
-			});
+		if (this.#copies.isReplaced(part.job, entry)) {
+			this.#tellReplaced(entry, part.job, part.takenAtMs);
 			return;
 		}
 
-		if (this.#copies.isReplaced(part.job, entry)) {
-			this.#tellReplaced(entry, part.job, part.takenAtMs);
+		const former = this.#jobs.get(part.job);
+		if (former && isLaterClaim(former, entry, part)) {
 			return;
 		}
 
 		const job = this.#findJob(entry, part) ?? createGroupJob(part, entry, now);
+		renewClaim(job, part.stateAt);
+		if (isLapsed(job, now)) {
+			this.ports.log('part came too late', {
+				job: part.job,
+				entry: entry.key,
+				claim: part.claim,
+				ageMs: Math.round(now - part.stateAt),
+			});
+		}
+
 		if (part.isMoved) {
 			job.movedAt ??= now;
 		}
@@ -197,8 +208,7 @@
 	}
 
 	/** Has an entry's copy of a job take the place of all others; the entry is answered when nothing of them runs. */
-	replaceCopies(entry: Entry, message: Replace, sentAt: number): void {
-		this.keepEntry(entry, sentAt);
+	replaceCopies(entry: Entry, message: Replace): void {
 		const [first = Infinity, last = -Infinity] = message.formerTokens ?? [];
 		const {token, log} = this.ports;
 		if (last > token) {
@@ -224,13 +234,17 @@
 		}
 	}
 
-	/**
-	An entry still waits for what it handed over, as of that moment on this host's clock. One that speaks again after a silence may have
-	placed its tasks elsewhere, although this host, paused meanwhile, has not counted it as silent yet.
-	*/
-	keepEntry(entry: Entry, sentAt: number): void {
-		if (this.#entries.note(entry, sentAt)) {
-			this.#dropEntry(entry.key, this.ports.now() + orphanStopMs);
+	/** An entry still waits for what it handed over under these claims, as of the state of this scheduler that it has read. */
+	keepClaims(
+		entry: Entry,
+		{stateAt, claims}: Pick<Keep, 'stateAt' | 'claims'>,
+	): void {
+		this.#entries.markAnswered(entry);
+		const wanted = new Set(claims);
+		for (const job of this.#jobs.values()) {
+			if (job.entry.key === entry.key && wanted.has(job.claim)) {
+				renewClaim(job, stateAt);
+			}
 		}
 	}
 
@@ -241,7 +255,7 @@
 		const isPaused = now - this.#updatedAt > pauseMs;
 		this.#updatedAt = now;
 		if (!isPaused) {
-			this.#dropSilentEntries(now);
+			this.#dropLapsed(now);
 			moveOverdue(this.#jobs.values(), this.#executors.sessions, {
 				now,
 				log: this.ports.log,
@@ -266,6 +280,7 @@
 			t: 'group-state',
 			group: this.ports.group,
 			token: this.ports.token,
+			at: this.ports.now(),
 			isLeaving: this.ports.isLeaving(),
 			successor: this.ports.getSuccessor(),
 			isReleased: this.#isClosed,
@@ -285,12 +300,30 @@
 	/** A job that the same entry handed over before, or one whose caller has come again elsewhere. */
 	#findJob(entry: Entry, part: Part): GroupJob | undefined {
 		const job = this.#jobs.get(part.job);
-		if (!job || isOwnCopy(job, entry, part.takenAtMs)) {
-			return job?.isDropped ? undefined : job;
+		if (job && !isOwnCopy(job, entry, part.takenAtMs)) {
+			this.#dropOthers(entry, part);
+			return undefined;
+		}
+
+		if (job && job.claim !== part.claim) {
+			this.#dropFormerClaim(job, part.claim);
+			return undefined;
 		}
 
-		this.#dropOthers(entry, part);
-		return undefined;
+		return job?.isDropped ? undefined : job;
+	}
+
+	/** The entry had taken the job's tasks away and hands them over again. */
+	#dropFormerClaim(job: GroupJob, claim: number): void {
+		if (!job.isDropped) {
+			this.ports.log('a later claim of its entry ends an earlier one', {
+				job: job.id,
+				entry: job.entry.key,
+				claim,
+				formerClaim: job.claim,
+			});
+			this.#drop(job, this.ports.now() + orphanStopMs);
+		}
 	}
 
 	/** The job's caller came again at another host: the runs of the first copy are stopped. True: it came from an earlier holder. */
@@ -370,11 +403,12 @@
 		}
 	}
 
-	/** A run may go on no longer than its silent entry's caller may take to come again elsewhere. */
+	/** A run may go on no longer than its claim allows. */
 	#getLeaseCap(runs: Iterable<Run>): number {
-		return computeLeaseCap(runs, (job) =>
-			this.#entries.computeLimit(this.#jobs.get(job)?.entry.key ?? ''),
-		);
+		return computeLeaseCap(runs, (id) => {
+			const job = this.#jobs.get(id);
+			return job === undefined ? Infinity : job.renewedAt + orphanLimitMs;
+		});
 	}
 
 	/**
@@ -395,7 +429,7 @@
 		const {now, listPeers} = this.ports;
 		return (
 			now() - this.#openedAt > entryWordLimitMs ||
-			listPeers().every((host) => this.#entries.hasSpoken(host))
+			listPeers().every((host) => this.#entries.hasAnswered(host))
 		);
 	}
 
@@ -417,7 +451,7 @@
 		this.#isPlacing = true;
 		const now = this.ports.now();
 		const wanted = [...this.#jobs.values()].filter(
-			(job) => !job.isDropped && hasWaiting(job),
+			(job) => !job.isDropped && hasWaiting(job) && !isLapsed(job, now),
 		);
 		for (const job of wanted) {
 			this.#claimReported(job);
@@ -607,27 +641,28 @@
 		this.#forgetIfOver(job);
 	}
 
-	#dropSilentEntries(now: number): void {
-		for (const key of this.#entries.takeSilent(now)) {
-			this.#dropEntry(key, now + orphanStopMs);
-		}
-	}
-
 	/**
-	The entry is gone, or cut off, and its callers may come again elsewhere. Should it hear of it
+	The entry of a claim that it no longer renews is gone, or cut off, or has taken the tasks away. Should it wait for them
 	after all, it is told of each task when nothing of it runs any more.
 	*/
-	#dropEntry(key: string, stopBy: number): void {
-		this.#copies.releaseAll(key);
+	#dropLapsed(now: number): void {
+		for (const key of this.#entries.takeSilent(now)) {
+			this.#copies.releaseAll(key);
+		}
+
 		for (const job of this.#jobs.values()) {
-			if (job.entry.key === key && !job.isDropped) {
-				this.ports.log('entry is silent: stopping its job', {
+			if (!job.isDropped && isLapsed(job, now)) {
+				this.ports.log('claim has ended: stopping its job', {
 					job: job.id,
-					entry: key,
+					entry: job.entry.key,
+					claim: job.claim,
+					group: this.ports.group,
+					token: this.ports.token,
+					ageMs: Math.round(now - job.renewedAt),
 				});
 				this.#giveBack(job, 'elsewhere');
 				job.isOrphaned = true;
-				this.#drop(job, stopBy);
+				this.#drop(job, now + orphanStopMs);
 			}
 		}
 	}
@@ -640,6 +675,20 @@
 	}
 }
 
+/** A state that was answered earlier renews nothing. */
+function renewClaim(job: GroupJob, stateAt: number): void {
+	job.renewedAt = Math.max(job.renewedAt, stateAt);
+}
+
+/** The part was held up on its way: the entry has handed the job over again since. */
+function isLaterClaim(
+	job: GroupJob,
+	entry: Entry,
+	{takenAtMs, claim}: Part,
+): boolean {
+	return isOwnCopy(job, entry, takenAtMs) && job.claim > claim;
+}
+
 /** An entry that takes a job anew, having dropped it, has another copy: its word to drop the former one may have been lost. */
 function isOwnCopy(job: GroupJob, entry: Entry, takenAtMs: number): boolean {
 	return job.entry.key === entry.key && job.takenAtMs === takenAtMs;
--- a/packages/scheduling/src/group-state.fixture.ts
+++ b/packages/scheduling/src/group-state.fixture.ts
@@ -11,6 +11,7 @@
 		t: 'group-state',
 		group,
 		token: 1,
+		at: 0,
 		isLeaving: false,
 		isReleased: false,
 		storeAgeMs: 0,
--- a/packages/scheduling/src/holder-contacts.ts
+++ b/packages/scheduling/src/holder-contacts.ts
@@ -1,19 +1,23 @@
 /**
-What an entry tells the holders of groups: that it still waits, and which jobs it no longer wants.
+What an entry tells the holders of groups: which claims it still wants, as an answer to each of their states, and which jobs it wants no more.
 
-What goes wrong: the connection to a holder breaks just when a job is given up, and the word to drop it is lost. The connection
-is back before the holder counts the entry as silent, and the entry's other jobs keep it from that afterwards; so the job
-runs on while its caller comes again elsewhere. Therefore jobs that were dropped lately are named again
-on each new connection.
+What goes wrong: the connection to a holder breaks just when a job is given up, and the word to drop it is lost. Its claim ends by
+itself, but its runs take room until then. Therefore jobs that were dropped lately are named again on each new connection.
 */
-import {type Drop, type Part, type Replace} from '@gentianshift/protocol';
+import {
+	type Drop,
+	type Keep,
+	type Part,
+	type Replace,
+} from '@gentianshift/protocol';
 import {type CopyPlace} from './copy-check.js';
-import {keepEveryMs, orphanLimitMs} from './timing.js';
+import {type KnownGroup} from './group-directory.js';
+import {orphanLimitMs} from './timing.js';
 
 /** By then a holder that did not get the word has stopped the job, or has been told on a new connection. */
 const dropMemoryMs = 2 * orphanLimitMs;
 
-export type HolderMessage = Part | Replace | Drop | {t: 'keep'; at: number};
+export type HolderMessage = Part | Replace | Drop | Keep;
 
 type SentDrop = {
 	holder: string;
@@ -24,11 +28,11 @@
 };
 
 export type HolderContacts = {
-	sendPart: (holder: string, part: Part, now: number) => void;
-	/** Tells the holder that this entry waits, if it is time to. */
-	sendKeep: (holder: string, now: number) => void;
-	/** Tells a new holder that it has been told all that this entry wants of it. */
-	sendHandedOver: (holder: string, now: number) => void;
+	sendPart: (holder: string, part: Part) => void;
+	/** Whether the group's holder has told a state that this entry has not answered. */
+	hasNewState: (known: KnownGroup) => boolean;
+	/** Answers the state: these claims are wanted, and no others. */
+	sendKeep: (known: KnownGroup, claims: number[]) => void;
 	sendReplace: (holder: string, message: Replace) => void;
 	sendDrop: (drop: SentDrop) => void;
 	/** When the job was taken that was dropped last; undefined: it was not dropped lately. */
@@ -37,31 +41,27 @@
 	listPlaces: (job: string, now: number) => CopyPlace[];
 	/** A connection to the holder is back: what may have been lost with the last one is told again. */
 	sendDropsAgain: (holder: string, now: number) => void;
-	/** When the holder was last told that this entry waits; undefined: never. */
-	getToldAt: (holder: string) => number | undefined;
 	forgetOld: (now: number) => void;
 };
 
 export function createHolderContacts(
 	send: (holder: string, message: HolderMessage) => boolean,
 ): HolderContacts {
-	const toldAt = new Map<string, number>();
+	/** By group. */
+	const answered = new Map<string, {token: number; at: number}>();
 	let dropped: SentDrop[] = [];
 
 	return {
-		sendPart(holder, part, now) {
-			toldAt.set(holder, now);
+		sendPart(holder, part) {
 			send(holder, part);
 		},
-		sendKeep(holder, now) {
-			if (now - (toldAt.get(holder) ?? -Infinity) >= keepEveryMs) {
-				toldAt.set(holder, now);
-				send(holder, {t: 'keep', at: now});
-			}
+		hasNewState({state: {group, token, at}}) {
+			const last = answered.get(group);
+			return last?.token !== token || at > last.at;
 		},
-		sendHandedOver(holder, now) {
-			toldAt.set(holder, now);
-			send(holder, {t: 'keep', at: now});
+		sendKeep({holder, state: {group, token, at}}, claims) {
+			answered.set(group, {token, at});
+			send(holder, {t: 'keep', token, stateAt: at, claims});
 		},
 		sendReplace(holder, message) {
 			send(holder, message);
@@ -83,7 +83,6 @@
 				}
 			}
 		},
-		getToldAt: (holder) => toldAt.get(holder),
 		forgetOld(now) {
 			dropped = dropped.filter(({at}) => now - at <= dropMemoryMs);
 		},
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -14,4 +14,3 @@
 export * from './succession.js';
 export type * from './coordination-store.js';
 export * from './fencing-token.js';
-export * from './clock-offset.js';
--- a/packages/scheduling/src/job-copies.test.ts
+++ b/packages/scheduling/src/job-copies.test.ts
@@ -17,7 +17,6 @@
 	return {
 		t: 'replace',
 		job: 'job1',
-		at: 0,
 		takenAtMs: 1000,
 		timeLeftMs: 3000,
 		...message,
@@ -41,11 +40,11 @@
 		taskMs: 3000,
 	});
 	const part = makePart(clock, {estimateMs: 3000, timeLeftMs: 10_000});
-	scheduler.receivePart(entry, part, clock.now);
+	scheduler.receivePart(entry, part);
 	await runFor(clock, 50, [[scheduler, entry]]);
 	const later = createEntry('langreo_l1.0');
 	executors.fakes[0]!.cutFrom = 'all';
-	scheduler.receive(later, makeReplace(), clock.now);
+	scheduler.receive(later, makeReplace());
 	await runFor(clock, 200, [[scheduler, entry]]);
 	assert.equal(executors.runs[0]!.endedAt, undefined);
 	assert.equal(later.replaced.length, 0);
@@ -63,11 +62,11 @@
 		taskMs: 500,
 	});
 	const later = createEntry('langreo_l1.0');
-	scheduler.receive(later, makeReplace(), clock.now);
+	scheduler.receive(later, makeReplace());
 	const part = makePart(clock, {estimateMs: 500});
-	scheduler.receivePart(later, part, clock.now);
+	scheduler.receivePart(later, part);
 	await runFor(clock, 100, [[scheduler, later]]);
-	scheduler.receivePart(entry, {...part, at: clock.now}, clock.now);
+	scheduler.receivePart(entry, {...part, stateAt: clock.now});
 	await runFor(clock, 600, [[scheduler, later]]);
 	assert.deepEqual(findOverlaps(executors.runs), []);
 	assert.equal(executors.runs.length, 1);
@@ -83,13 +82,13 @@
 		taskMs: 50,
 	});
 	const earlier = createEntry('langreo_l1.0');
-	scheduler.receive(earlier, makeReplace(), clock.now);
+	scheduler.receive(earlier, makeReplace());
 	scheduler.dropJob(earlier, 'job1');
-	scheduler.receivePart(entry, makePart(clock), clock.now);
+	scheduler.receivePart(entry, makePart(clock));
 	await runFor(clock, 50, [[scheduler, entry]]);
 	assert.equal(executors.runs.length, 0, 'runs of the copy may be stopped');
 	await runFor(clock, 1250, [[scheduler, entry]]);
-	scheduler.receivePart(entry, makePart(clock), clock.now);
+	scheduler.receivePart(entry, makePart(clock));
 	await runFor(clock, 200, [[scheduler, entry]]);
 	assert.equal(executors.runs[0]?.outcome, 'done');
 });
@@ -102,9 +101,9 @@
 		taskMs: 50,
 	});
 	const dead = createEntry('langreo_l1.0');
-	scheduler.receive(dead, makeReplace(), clock.now);
+	scheduler.receive(dead, makeReplace());
 	await runFor(clock, 1300, [[scheduler, entry]]);
-	scheduler.receivePart(entry, makePart(clock), clock.now);
+	scheduler.receivePart(entry, makePart(clock));
 	await runFor(clock, 200, [[scheduler, entry]]);
 	assert.equal(executors.runs[0]?.outcome, 'done');
 });
@@ -139,9 +138,9 @@
 		count: 1,
 		taskMs: 500,
 	});
-	scheduler.receivePart(entry, makePart(clock, {estimateMs: 500}), clock.now);
+	scheduler.receivePart(entry, makePart(clock, {estimateMs: 500}));
 	await runFor(clock, 50, [[scheduler, entry]]);
-	scheduler.receive(entry, makeReplace({takenAtMs: clock.now}), clock.now);
+	scheduler.receive(entry, makeReplace({takenAtMs: clock.now}));
 	assert.equal(entry.replaced.at(-1)?.isRefused, true);
 	await runFor(clock, 100, [[scheduler, entry]]);
 	assert.equal(executors.runs[0]!.outcome, 'ended');
@@ -155,7 +154,7 @@
 		taskMs: 100,
 	});
 	const part = makePart(clock);
-	scheduler.receivePart(entry, part, clock.now);
+	scheduler.receivePart(entry, part);
 	scheduler.dropJob(entry, part.job, part.takenAtMs - 1);
 	await runFor(clock, 200, [[scheduler, entry]]);
 	assert.equal(executors.runs[0]?.outcome, 'done');
--- a/packages/scheduling/src/lease-cap.ts
+++ b/packages/scheduling/src/lease-cap.ts
@@ -9,14 +9,14 @@
 import {type Run} from './run.js';
 import {claimLimitMs, stopLimitMs} from './timing.js';
 
-/** `getEntryLimit`: until when what the job's entry handed over may run; `Infinity`: no entry is known. */
+/** `getClaimLimit`: until when the job's claim allows runs; `Infinity`: the job is not known. */
 export function computeLeaseCap(
 	runs: Iterable<Run>,
-	getEntryLimit: (job: string) => number,
+	getClaimLimit: (job: string) => number,
 ): number {
 	let cap = Infinity;
 	for (const run of runs) {
-		cap = Math.min(cap, computeRunCap(run, getEntryLimit));
+		cap = Math.min(cap, computeRunCap(run, getClaimLimit));
 	}
 
 	return cap;
@@ -24,11 +24,11 @@
 
 function computeRunCap(
 	{job, isFound, startedAt, stopBy}: Run,
-	getEntryLimit: (job: string) => number,
+	getClaimLimit: (job: string) => number,
 ): number {
 	if (stopBy !== undefined) {
 		return stopBy;
 	}
 
-	return isFound ? startedAt + claimLimitMs + stopLimitMs : getEntryLimit(job);
+	return isFound ? startedAt + claimLimitMs + stopLimitMs : getClaimLimit(job);
 }
--- a/packages/scheduling/src/load-system.fixture.ts
+++ b/packages/scheduling/src/load-system.fixture.ts
@@ -245,9 +245,8 @@
 		send(holder, message) {
 			const target = groups.find((group) => group.name === holder)!;
 			const delayMs = target === home ? 0 : linkMs;
-			const sentAt = clock.now;
 			clock.schedule(delayMs, () => {
-				deliver(target, message, sentAt);
+				deliver(target, message);
 			});
 			return true;
 		},
@@ -255,11 +254,7 @@
 		onAnswer: doNothing,
 	});
 
-	function deliver(
-		target: Group,
-		message: HolderMessage,
-		sentAt: number,
-	): void {
+	function deliver(target: Group, message: HolderMessage): void {
 		const delayMs = target === home ? 0 : linkMs;
 		const caller = {
 			key: `${name}.0`,
@@ -269,7 +264,7 @@
 				});
 			},
 		};
-		target.scheduler.receive(caller, message, sentAt);
+		target.scheduler.receive(caller, message);
 	}
 
 	return entry;
--- a/packages/scheduling/src/lost-answers.test.ts
+++ b/packages/scheduling/src/lost-answers.test.ts
@@ -53,7 +53,7 @@
 			remaining: 2,
 			estimateMs: runMs,
 		});
-		scheduler.receivePart(noting, part, clock.now);
+		scheduler.receivePart(noting, part);
 		await runFor(clock, 100, [[scheduler, noting]]);
 	}
 
--- a/packages/scheduling/src/lost-tasks.ts
+++ b/packages/scheduling/src/lost-tasks.ts
@@ -1,9 +1,13 @@
 /**
-Tasks of a job at a group whose holder is silent, and when they may be placed elsewhere: the silent one stops them, as
-the entry no longer tells it that it waits.
+Tasks of a job at a group whose holder is silent, and when they may be placed elsewhere: the claims that the silent one has end by
+themselves, as no word of this entry can answer a state that was not read.
 */
 import {type EntryJob, type EntryTask} from './entry-job.js';
-import {isSilent, type GroupDirectory} from './group-directory.js';
+import {
+	isSilent,
+	type GroupDirectory,
+	type KnownGroup,
+} from './group-directory.js';
 import {clockSlackMs, orphanLimitMs} from './timing.js';
 
 export type LostTasks = {
@@ -12,33 +16,32 @@
 	movableAt: number;
 };
 
-/** Undefined: none is lost. `getToldAt`: when a holder was last told that the entry waits. */
+/** Undefined: none is lost. */
 export function findLostTasks(
 	{tasks}: EntryJob,
 	groups: GroupDirectory,
-	getToldAt: (holder: string) => number | undefined,
 	now: number,
 ): LostTasks | undefined {
 	const lost: EntryTask[] = [];
 	let movableAt = now;
 	for (const task of tasks) {
-		const holder = findSilentHolder(task, groups, now);
-		if (holder !== undefined) {
+		const silent = findSilentGroup(task, groups, now);
+		if (silent) {
 			lost.push(task);
-			const stopsAt = (getToldAt(holder) ?? now) + orphanLimitMs + clockSlackMs;
-			movableAt = Math.max(movableAt, stopsAt);
+			const endsAt = silent.readAt + orphanLimitMs + clockSlackMs;
+			movableAt = Math.max(movableAt, endsAt);
 		}
 	}
 
 	return lost.length === 0 ? undefined : {tasks: lost, movableAt};
 }
 
-function findSilentHolder(
+function findSilentGroup(
 	{group, isDone}: EntryTask,
 	groups: GroupDirectory,
 	now: number,
-): string | undefined {
+): KnownGroup | undefined {
 	const known =
 		group === undefined || isDone ? undefined : groups.findGroup(group);
-	return known && isSilent(known, now) ? known.holder : undefined;
+	return known && isSilent(known, now) ? known : undefined;
 }
--- a/packages/scheduling/src/make-part.ts
+++ b/packages/scheduling/src/make-part.ts
@@ -1,21 +1,31 @@
 /**
 What an entry tells a scheduler of a job whose tasks it hands over.
 */
-import {type Part} from '@gentianshift/protocol';
+import {type GroupState, type Part} from '@gentianshift/protocol';
 import {getLimit, type EntryJob, type EntryTask} from './entry-job.js';
 
-/** `isMoved`: tasks may run under an earlier holder of the group. */
+export type PartContext = {
+	/** Tasks may run under an earlier holder of the group. */
+	isMoved: boolean;
+	claim: number;
+	/** The newest state of the group that this entry has read. */
+	state: GroupState;
+	now: number;
+};
+
 export function makePart(
 	job: EntryJob,
 	tasks: readonly EntryTask[],
-	{isMoved, now}: {isMoved: boolean; now: number},
+	{isMoved, claim, state, now}: PartContext,
 ): Part {
 	const {queue, id, spec, demand} = job.request;
 	return {
 		t: 'part',
 		job: id,
 		takenAtMs: job.takenAtMs,
-		at: now,
+		token: state.token,
+		stateAt: state.at,
+		claim,
 		queue: queue.name,
 		service: queue.service,
 		priority: queue.priority,
--- a/packages/scheduling/src/takeover.test.ts
+++ b/packages/scheduling/src/takeover.test.ts
@@ -33,14 +33,14 @@
 		taskMs: 3000,
 	});
 	const part = makePart(clock, {estimateMs: 3000, timeLeftMs: 10_000});
-	scheduler.receivePart(entry, part, clock.now);
+	scheduler.receivePart(entry, part);
 	await runFor(clock, 100, [[scheduler, entry]]);
 	const fake = executors.fakes.find(
 		({executor}) => executor.id === executors.runs[0]!.executor,
 	)!;
 	fake.cutFrom = new Set([2]);
 	const second = createScheduler(clock, executors, 2);
-	second.receivePart(entry, {...part, at: clock.now, isMoved: true}, clock.now);
+	second.receivePart(entry, {...part, stateAt: clock.now, isMoved: true});
 	await runFor(clock, 160, [[second, entry]]);
 	fake.cutFrom = new Set();
 	await runFor(clock, 3500, [[second, entry]]);
@@ -57,15 +57,15 @@
 		taskMs: 700,
 	});
 	const part = makePart(clock, {estimateMs: 700, timeLeftMs: 10_000});
-	scheduler.receivePart(entry, part, clock.now);
+	scheduler.receivePart(entry, part);
 	await runFor(clock, 100, [[scheduler, entry]]);
 	const other = executors.fakes.find(
 		({executor}) => executor.id !== executors.runs[0]!.executor,
 	)!;
 	other.cutFrom = 'all';
 	const second = createScheduler(clock, executors, 2);
-	const moved = {...part, at: clock.now, isMoved: true};
-	second.receivePart(entry, moved, clock.now);
+	const moved = {...part, stateAt: clock.now, isMoved: true};
+	second.receivePart(entry, moved);
 	await runFor(clock, 900, [[second, entry]]);
 	assert.deepEqual(listOutcomes(entry), ['done']);
 	assert.equal(executors.runs.length, 1);
@@ -78,7 +78,7 @@
 		count: 1,
 		taskMs: 5000,
 	});
-	scheduler.receivePart(entry, makePart(clock, {timeLeftMs: 9000}), clock.now);
+	scheduler.receivePart(entry, makePart(clock, {timeLeftMs: 9000}));
 	await runFor(clock, 300, [[scheduler, entry]]);
 	const diedAt = clock.now - 50;
 	for (let i = 0; i < 16; i += 1) {
@@ -111,8 +111,8 @@
 	});
 	const dying = {...createEntry(), key: 'mieres_m2.0'};
 	const other = makePart(clock, {job: 'other', timeLeftMs: 9000});
-	scheduler.receivePart(dying, makePart(clock, {timeLeftMs: 9000}), clock.now);
-	scheduler.receivePart(entry, other, clock.now);
+	scheduler.receivePart(dying, makePart(clock, {timeLeftMs: 9000}));
+	scheduler.receivePart(entry, other);
 	await runFor(clock, 300, [
 		[scheduler, entry],
 		[scheduler, dying],
@@ -139,7 +139,7 @@
 	});
 	lateMs = 4000;
 	const part = makePart(clock, {estimateMs: 6000, timeLeftMs: 20_000});
-	scheduler.receivePart(entry, part, clock.now);
+	scheduler.receivePart(entry, part);
 	await clock.run(10);
 	lateMs = 0;
 	const [silent, other] = executors.fakes;
@@ -157,7 +157,7 @@
 		],
 	});
 	await runFor(clock, 200, [[scheduler, entry]]);
-	scheduler.receivePart(entry, filler, clock.now);
+	scheduler.receivePart(entry, filler);
 	await runFor(clock, 6000, [[scheduler, entry]]);
 	assert.deepEqual(findOverlaps(executors.runs), []);
 });
@@ -170,7 +170,7 @@
 		taskMs: 2000,
 	});
 	const part = makePart(clock, {estimateMs: 2000, timeLeftMs: 10_000});
-	scheduler.receivePart(entry, part, clock.now);
+	scheduler.receivePart(entry, part);
 	await runFor(clock, 100, [[scheduler, entry]]);
 	const [run] = executors.runs;
 	scheduler.setExecutors(
@@ -186,7 +186,7 @@
 			[2, 1, 1],
 		],
 	});
-	scheduler.receivePart(entry, more, clock.now);
+	scheduler.receivePart(entry, more);
 	await runFor(clock, 100, [[scheduler, entry]]);
 	const later = executors.runs.filter((one) => one !== run);
 	assert.ok(later.every(({executor}) => executor !== run!.executor));
@@ -201,13 +201,13 @@
 		taskMs: 3000,
 	});
 	const part = makePart(clock, {estimateMs: 3000, timeLeftMs: 10_000});
-	scheduler.receivePart(entry, part, clock.now);
+	scheduler.receivePart(entry, part);
 	await runFor(clock, 200, [[scheduler, entry]]);
 	const fake = executors.fakes.find(
 		({executor}) => executor.id === executors.runs[0]!.executor,
 	)!;
 	const second = createScheduler(clock, executors, 2);
-	second.receivePart(entry, {...part, at: clock.now, isMoved: true}, clock.now);
+	second.receivePart(entry, {...part, stateAt: clock.now, isMoved: true});
 	await clock.run(0);
 	fake.cutFrom = 'all';
 	await runFor(clock, 4500, [[second, entry]]);
@@ -228,17 +228,16 @@
 	});
 	const later = createEntry('langreo_l1.0');
 	const part = makePart(clock, {isMoved: true, timeLeftMs: 10_000});
-	second.receivePart(entry, part, clock.now);
+	second.receivePart(entry, part);
 	await runFor(clock, 50, [[second, entry]]);
 	assert.equal(executors.runs.length, 0);
 	const replace = {
 		t: 'replace',
 		job: part.job,
-		at: clock.now,
 		takenAtMs: 1000,
 		timeLeftMs: 3000,
 	} as const;
-	second.receive(later, replace, clock.now);
+	second.receive(later, replace);
 	await runFor(clock, 200, [
 		[second, entry],
 		[second, later],
@@ -255,7 +254,7 @@
 		peers: ['mieres_m1', 'langreo_l1'],
 	});
 	const part = makePart(clock, {isMoved: true, timeLeftMs: 10_000});
-	second.receivePart(entry, part, clock.now);
+	second.receivePart(entry, part);
 	await runFor(clock, entryWordLimitMs + 100, [[second, entry]]);
 	assert.equal(executors.runs.length, 1);
 });
--- a/packages/scheduling/src/timing.ts
+++ b/packages/scheduling/src/timing.ts
@@ -4,11 +4,12 @@
 A caller sends a lost job again 1,300 ms after it lost its connection, at any host. All that the
 first copy started has to be gone by then:
 
-- An entry that dies stops telling its schedulers that it waits. A scheduler counts an entry as
-  gone `entrySilenceMs` after it last heard of it, and stops its tasks.
+- An entry hands tasks to a scheduler under a claim, which it renews by name with its answer to each state that the scheduler
+  tells. A scheduler stops the tasks of a claim `entrySilenceMs` after the state that was answered last, by its own clock.
 - A scheduler that dies renews no lease: its runs end within `leaseMs` of the last renewal.
-- Both at once: leases of executors that run a silent entry's tasks are renewed no further than
-  `entrySilenceMs + stopMarginMs` after the entry was last heard, so the two do not add up.
+- Both at once: leases of executors that run a claim's tasks are renewed no further than
+  `entrySilenceMs + stopMarginMs` after that state, so the two do not add up.
+- An entry that reads no state of a scheduler can't renew anything there, and counts the same span from the last one that it read.
 */
 
 /** How far ahead of the executor's clock a lease is renewed. */
@@ -21,15 +22,13 @@
 export const renewWaitFactor = 1.5;
 /** An idle executor is asked this often, to know its clock and that it lives. */
 export const idleLookMs = 1000;
-/** How often an entry tells its schedulers that it still waits. */
-export const keepEveryMs = 200;
-/** An entry not heard for this long is gone: four of its messages are missing. */
+/** A claim that was not renewed for this long has ended: the answers to four states are missing. */
 export const entrySilenceMs = 850;
 /** Time for stops to be carried out before the capped lease ends. */
 export const stopMarginMs = 150;
 /** An executor carries out a stop in this time. */
 export const stopLimitMs = 50;
-/** Bound on what a silent entry's tasks may still run, counted from its last message. */
+/** Bound on what a claim's tasks may still run, counted from the state that its entry answered last. */
 export const orphanLimitMs = entrySilenceMs + stopMarginMs;
 /**
 Runs of a silent entry whose stop has no answer go on no longer than this after they were to be stopped: with the
