Count suspensions in the clock that claims go by, and let entries answer before claims are judged after a pause

What callers saw: a task ran twice after the machine of a group's holder had been suspended for 0.9 s. A plan with this one fault broke each time (twice: job0/0 on e3 and e1).

Cause: the steady clock of a suspended machine stands still. After it, the holder took what entries had granted it before for fresh, and started tasks that their entries had moved meanwhile.

Change: a boot clock adds what the time of day has gained on the steady clock. Only claims and the time in a holder's state go by it: a time of day that is set forward ends claims too early, never too late, and entries renew them with their next answer. What waits for others goes by the steady clock as before. After a pause of any kind claims are not judged for two states, so that a host that was frozen no longer stops jobs whose entries still wait.

Ruled out: the boot clock for leases of executors. Set forward it would take runs for over that go on.

The fake executors tell their clock with refusals, as the real ones do.

--- a/packages/bench/src/slopes-schedulers.ts
+++ b/packages/bench/src/slopes-schedulers.ts
@@ -138,6 +138,7 @@
 			group: 'mieres',
 			token: 1,
 			now: readNow,
+			readBootTime: readNow,
 			wait: async () => nextTurn(),
 			control: this.#executors.control,
 			runTimes: createRunTimes(),
--- a/packages/host/src/scheduling/faulty/begin-fault.fixture.ts
+++ b/packages/host/src/scheduling/faulty/begin-fault.fixture.ts
@@ -38,6 +38,7 @@
 		case 'kill':
 		case 'kill-requests':
 		case 'freeze':
+		case 'suspend':
 		case 'plan-stop':
 		case 'reset-callers': {
 			return disturbHost(fault, hosts[fault.host]!, system);
@@ -92,7 +93,13 @@
 	}: Extract<
 		PlannedFault,
 		{
-			kind: 'kill' | 'kill-requests' | 'freeze' | 'plan-stop' | 'reset-callers';
+			kind:
+				| 'kill'
+				| 'kill-requests'
+				| 'freeze'
+				| 'suspend'
+				| 'plan-stop'
+				| 'reset-callers';
 		}
 	>,
 	host: FaultyHost,
@@ -116,6 +123,11 @@
 			return doNothing;
 		}
 
+		case 'suspend': {
+			host.suspend(forMs);
+			return doNothing;
+		}
+
 		case 'plan-stop': {
 			host.planStop(true);
 			return () => {
--- a/packages/host/src/scheduling/faulty/fault-plan.fixture.ts
+++ b/packages/host/src/scheduling/faulty/fault-plan.fixture.ts
@@ -23,7 +23,12 @@
 
 /** Acts from `at` for `forMs`, milliseconds from the begin of the play. */
 export type PlannedFault = {at: number; forMs: number} & (
-	| {kind: 'kill' | 'freeze' | 'plan-stop' | 'reset-callers'; host: number}
+	| {
+			kind: 'kill' | 'freeze' | 'plan-stop' | 'reset-callers';
+			host: number;
+	  }
+	/** The host's machine stands still, and its steady clock with it. */
+	| {kind: 'suspend'; host: number}
 	/** The host dies, and its callers send again at once. */
 	| {kind: 'kill-requests'; host: number}
 	/**
@@ -87,6 +92,7 @@
 	kind: fc.constantFrom(
 		'kill' as const,
 		'freeze' as const,
+		'suspend' as const,
 		'plan-stop' as const,
 		'reset-callers' as const,
 	),
--- a/packages/host/src/scheduling/faulty/faulty-host.fixture.ts
+++ b/packages/host/src/scheduling/faulty/faulty-host.fixture.ts
@@ -48,6 +48,8 @@
 	#process: Process | undefined;
 	#incarnation = 0;
 	#frozenUntil = 0;
+	/** For how long its steady clock has stood still. */
+	#suspendedMs = 0;
 	/** What came while the host was frozen, and is read when it thaws. */
 	#unread: Array<() => void> = [];
 	/** Jobs whose callers wait on a connection to this host, and what tells it that the connection has broken. */
@@ -137,6 +139,11 @@
 		});
 	}
 
+	suspend(forMs: number): void {
+		this.#suspendedMs += forMs;
+		this.freeze(forMs);
+	}
+
 	submit(request: JobRequest, onAnswer: (answer: JobAnswer) => void): void {
 		let abandon: () => void = doNothing;
 		const leave = () => {
@@ -177,6 +184,10 @@
 		});
 	}
 
+	#readSteadyClock(): number {
+		return this.surroundings.clock.now - this.#suspendedMs;
+	}
+
 	#takeCallers(): string[] {
 		const ids = [...this.#callers.keys()];
 		this.#callers.clear();
@@ -228,7 +239,7 @@
 			onList(list) {
 				roles.holding.setExecutors(list);
 			},
-			now: () => clock.now,
+			now: () => this.#readSteadyClock(),
 			wait,
 			random: () => 0.5,
 			log,
@@ -242,7 +253,8 @@
 			executors: lists,
 			peers: {...peers, listOrder, getCores: () => 1},
 			getLeaseId: () => 1,
-			now: () => clock.now,
+			now: () => this.#readSteadyClock(),
+			readBootTime: () => clock.now,
 			readWallClock: () => clock.now + this.place.clockAheadMs,
 			wait,
 			defer(work) {
@@ -264,7 +276,7 @@
 			roles,
 			tables: {tell: doNothing, receive: doNothing},
 			findAddress: () => '',
-			now: () => clock.now,
+			now: () => this.#readSteadyClock(),
 			log,
 		});
 		lists.start(ending.signal);
--- a/packages/host/src/scheduling/faulty/no-task-twice.test.ts
+++ b/packages/host/src/scheduling/faulty/no-task-twice.test.ts
@@ -97,6 +97,14 @@
 			faults: [{at: 10, forMs: 3000, kind: 'hold-up', host: 0, peer: 1}],
 		},
 	},
+	{
+		cause:
+			'a holder whose machine was suspended took what entries had granted it before for fresh',
+		plan: {
+			jobs: [{at: 0, host: 1, tasks: 1, runMs: 2500, allowanceMs: 60}],
+			faults: [{at: 0, forMs: 901, kind: 'suspend', host: 0}],
+		},
+	},
 ];
 
 for (const {cause, plan} of brokenOnce) {
--- a/packages/host/src/scheduling/group-holding.test.ts
+++ b/packages/host/src/scheduling/group-holding.test.ts
@@ -92,6 +92,7 @@
 			isListFresh: () => true,
 			listPeers: () => [],
 			isLeaving: () => false,
+			readBootTime: () => clock.now,
 			getSuccessor: () => undefined,
 			getStoreAgeMs: () => 0,
 		},
--- a/packages/host/src/scheduling/host-roles.ts
+++ b/packages/host/src/scheduling/host-roles.ts
@@ -35,6 +35,8 @@
 	peers: Peers;
 	getLeaseId: () => number | undefined;
 	now: () => number;
+	/** Like `now`, but counts the time for which this machine was suspended. */
+	readBootTime: () => number;
 	/** Milliseconds since 1970. */
 	readWallClock: () => number;
 	wait: (ms: number, signal?: AbortSignal) => Promise<void>;
@@ -176,6 +178,7 @@
 			readExecutors: async () => executors.readNow(),
 			ports: {
 				wait: this.#options.wait,
+				readBootTime: this.#options.readBootTime,
 				control,
 				runTimes: this.#runTimes,
 				onChange: () => {
--- a/packages/host/src/scheduling/start-scheduling-host.ts
+++ b/packages/host/src/scheduling/start-scheduling-host.ts
@@ -12,6 +12,7 @@
 	type QueueTable,
 } from '@gentianshift/scheduling';
 import {type Metrics} from '@gentianshift/telemetry';
+import {createBootClock} from '../boot-clock.js';
 import {Directory} from '../directory.js';
 import {createIdentity} from '../identity.js';
 import {createMeter} from '../meter.js';
@@ -262,6 +263,10 @@
 			},
 			getLeaseId: () => this.#presence.getLeaseId(),
 			now: readNow,
+			readBootTime: createBootClock({
+				readSteadyClock: readNow,
+				readWallClock: Date.now,
+			}),
 			readWallClock: Date.now,
 			wait: waitFor,
 			defer(work) {
--- a/packages/scheduling/src/fake-executors.fixture.ts
+++ b/packages/scheduling/src/fake-executors.fixture.ts
@@ -140,16 +140,16 @@
 		const {job, index, attempt, token, leaseUntilMs} = request;
 		const key = `${job}/${index}`;
 		if (token < fake.token) {
-			return refuse('fenced');
+			return refuse('fenced', clock.now);
 		}
 
 		fake.token = token;
 		if (attempt <= (fake.highest.get(key) ?? 0)) {
-			return refuse('outdated');
+			return refuse('outdated', clock.now);
 		}
 
 		if (leaseUntilMs <= clock.now && fake.leaseEndsAt <= clock.now) {
-			return refuse('lease-passed');
+			return refuse('lease-passed', clock.now);
 		}
 
 		fake.highest.set(key, attempt);
@@ -259,7 +259,7 @@
 		{job, index, attempt, token}: StopRequest,
 	): Result<{clockMs: number}, CallFailure> {
 		if (token < fake.token) {
-			return refuse('fenced');
+			return refuse('fenced', clock.now);
 		}
 
 		const key = `${job}/${index}`;
@@ -293,7 +293,7 @@
 	): Promise<Result<LeaseReply, CallFailure>> {
 		const {token, acknowledged, leaseUntilMs, waitMs} = request;
 		if (token < fake.token) {
-			return refuse('fenced');
+			return refuse('fenced', clock.now);
 		}
 
 		fake.token = token;
@@ -342,8 +342,11 @@
 	};
 }
 
-function refuse(code: CallFailure['code']): Result<never, CallFailure> {
-	return err({code, message: code});
+function refuse(
+	code: CallFailure['code'],
+	clockMs: number,
+): Result<never, CallFailure> {
+	return err({code, message: code, clockMs});
 }
 
 /** Pairs of runs of one task that overlap. */
--- a/packages/scheduling/src/group-job.ts
+++ b/packages/scheduling/src/group-job.ts
@@ -42,7 +42,7 @@
 	takenAtMs: number;
 	/** Which claim of the entry its tasks are here under. */
 	claim: number;
-	/** When this scheduler told the state that the entry has last answered for the claim; this host's clock. */
+	/** When this scheduler told the state that the entry has last answered for the claim; this host's boot time. */
 	renewedAt: number;
 	entry: Entry;
 	queue: string;
@@ -109,9 +109,9 @@
 /** Whether its entry may have placed its tasks elsewhere. */
 export function isLapsed(
 	{renewedAt}: Pick<GroupJob, 'renewedAt'>,
-	now: number,
+	bootTime: number,
 ): boolean {
-	return now - renewedAt > entrySilenceMs;
+	return bootTime - renewedAt > entrySilenceMs;
 }
 
 /** Adds the tasks of a part that are new here; those that are known by this placement stay as they are. */
--- a/packages/scheduling/src/group-scheduler.fixture.ts
+++ b/packages/scheduling/src/group-scheduler.fixture.ts
@@ -52,6 +52,7 @@
 		group: 'mieres',
 		token,
 		now: () => clock.now,
+		readBootTime: () => clock.now,
 		wait: clock.wait,
 		control,
 		runTimes: createRunTimes(),
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -49,18 +49,23 @@
 	entryWordLimitMs,
 	orphanLimitMs,
 	orphanStopMs,
+	stateEveryMs,
 } from './timing.js';
 
 /** A start that an executor calls outdated is made again with a number this much higher: past what another copy of the job used. */
 const attemptStep = 16;
 /** Updates come each 50 ms; one that is this late means that this host was paused. */
 const pauseMs = 150;
+/** After a pause, entries that still wait have answered a state of this host by then. */
+const pauseAnswerMs = 2 * stateEveryMs;
 
 export type GroupPorts = {
 	/** The data centre whose executors these are. */
 	group: string;
 	token: number;
 	now: () => number;
+	/** Like `now`, but counts the time for which this machine was suspended: claims go by it. */
+	readBootTime: () => number;
 	wait: (ms: number, signal: AbortSignal) => Promise<void>;
 	control: ExecutorControl;
 	runTimes: RunTimes;
@@ -94,11 +99,14 @@
 	readonly #copies: JobCopies;
 	readonly #openedAt: number;
 	#updatedAt = 0;
+	/** After a pause, no claim is taken for ended before. */
+	#judgesFrom = 0;
 	#isClosed = false;
 	#isPlacing = false;
 
 	constructor(private readonly ports: GroupPorts) {
 		this.#openedAt = ports.now();
+		this.#updatedAt = ports.readBootTime();
 		this.#startLog = createStartLog(ports);
 		this.#copies = createJobCopies({
 			now: ports.now,
@@ -180,12 +188,12 @@
 
 		const job = this.#findJob(entry, part) ?? createGroupJob(part, entry, now);
 		renewClaim(job, part.stateAt);
-		if (isLapsed(job, now)) {
+		if (isLapsed(job, this.ports.readBootTime())) {
 			this.ports.log('part came too late', {
 				job: part.job,
 				entry: entry.key,
 				claim: part.claim,
-				ageMs: Math.round(now - part.stateAt),
+				ageMs: Math.round(this.ports.readBootTime() - part.stateAt),
 			});
 		}
 
@@ -251,10 +259,8 @@
 	/** What time alone brings about; to be called each 50 ms or so. */
 	update(): void {
 		const now = this.ports.now();
-		// After a pause of this host, what was sent to it meanwhile has yet to be read.
-		const isPaused = now - this.#updatedAt > pauseMs;
-		this.#updatedAt = now;
-		if (!isPaused) {
+		this.#notePause();
+		if (now >= this.#judgesFrom) {
 			this.#dropLapsed(now);
 			moveOverdue(this.#jobs.values(), this.#executors.sessions, {
 				now,
@@ -280,7 +286,7 @@
 			t: 'group-state',
 			group: this.ports.group,
 			token: this.ports.token,
-			at: this.ports.now(),
+			at: this.ports.readBootTime(),
 			isLeaving: this.ports.isLeaving(),
 			successor: this.ports.getSuccessor(),
 			isReleased: this.#isClosed,
@@ -405,9 +411,13 @@
 
 	/** A run may go on no longer than its claim allows. */
 	#getLeaseCap(runs: Iterable<Run>): number {
+		const now = this.ports.now();
+		const bootTime = this.ports.readBootTime();
 		return computeLeaseCap(runs, (id) => {
 			const job = this.#jobs.get(id);
-			return job === undefined ? Infinity : job.renewedAt + orphanLimitMs;
+			return job === undefined
+				? Infinity
+				: now + job.renewedAt + orphanLimitMs - bootTime;
 		});
 	}
 
@@ -450,8 +460,9 @@
 
 		this.#isPlacing = true;
 		const now = this.ports.now();
+		const bootTime = this.ports.readBootTime();
 		const wanted = [...this.#jobs.values()].filter(
-			(job) => !job.isDropped && hasWaiting(job) && !isLapsed(job, now),
+			(job) => !job.isDropped && hasWaiting(job) && !isLapsed(job, bootTime),
 		);
 		for (const job of wanted) {
 			this.#claimReported(job);
@@ -650,15 +661,16 @@
 			this.#copies.releaseAll(key);
 		}
 
+		const bootTime = this.ports.readBootTime();
 		for (const job of this.#jobs.values()) {
-			if (!job.isDropped && isLapsed(job, now)) {
+			if (!job.isDropped && isLapsed(job, bootTime)) {
 				this.ports.log('claim has ended: stopping its job', {
 					job: job.id,
 					entry: job.entry.key,
 					claim: job.claim,
 					group: this.ports.group,
 					token: this.ports.token,
-					ageMs: Math.round(now - job.renewedAt),
+					ageMs: Math.round(bootTime - job.renewedAt),
 				});
 				this.#giveBack(job, 'elsewhere');
 				job.isOrphaned = true;
@@ -667,6 +679,25 @@
 		}
 	}
 
+	/**
+	After a pause of this host, what was sent to it meanwhile has yet to be read, and entries have yet to answer a state of after it.
+	Until they do, nothing of what they had handed over is started or renewed.
+	*/
+	#notePause(): void {
+		const bootTime = this.ports.readBootTime();
+		const pausedMs = bootTime - this.#updatedAt;
+		this.#updatedAt = bootTime;
+		if (pausedMs > pauseMs) {
+			this.#judgesFrom = this.ports.now() + pauseAnswerMs;
+			this.ports.log('this host was paused', {
+				group: this.ports.group,
+				token: this.ports.token,
+				pausedMs: Math.round(pausedMs),
+				jobs: this.#jobs.size,
+			});
+		}
+	}
+
 	#forgetIfOver(job: GroupJob): void {
 		const isOver = [...job.tasks.values()].every(({state}) => state === 'over');
 		if (isOver && this.#jobs.get(job.id) === job) {
--- a/packages/scheduling/src/load-system.fixture.ts
+++ b/packages/scheduling/src/load-system.fixture.ts
@@ -208,6 +208,7 @@
 		group: name,
 		token: 1,
 		now: () => clock.now,
+		readBootTime: () => clock.now,
 		wait: clock.wait,
 		control: executors.control,
 		runTimes,
