Show tasks that run twice after suspensions, late ends and tokens made twice

Machines that are suspended, single connections that hold messages up or fall silent, and callers' resets that are read late can be played. Fake executors give each report its own list of ends: ends that came later had shown up in reports that were made before.

--- a/packages/host/src/scheduling/faulty/begin-fault.fixture.ts
+++ b/packages/host/src/scheduling/faulty/begin-fault.fixture.ts
@@ -38,6 +38,7 @@
 		case 'kill':
 		case 'kill-requests':
 		case 'freeze':
+		case 'suspend':
 		case 'plan-stop':
 		case 'reset-callers': {
 			return disturbHost(fault, hosts[fault.host]!, system);
@@ -58,7 +59,9 @@
 		}
 
 		case 'cut':
-		case 'hold-up': {
+		case 'hold-up':
+		case 'hold-up-connection':
+		case 'silent-connection': {
 			return disturbLink(fault, system);
 		}
 
@@ -86,19 +89,23 @@
 }
 
 function disturbHost(
-	{
-		kind,
-		forMs,
-	}: Extract<
+	fault: Extract<
 		PlannedFault,
 		{
-			kind: 'kill' | 'kill-requests' | 'freeze' | 'plan-stop' | 'reset-callers';
+			kind:
+				| 'kill'
+				| 'kill-requests'
+				| 'freeze'
+				| 'suspend'
+				| 'plan-stop'
+				| 'reset-callers';
 		}
 	>,
 	host: FaultyHost,
 	{network, resend}: FaultySystem,
 ): () => void {
-	switch (kind) {
+	const {kind, forMs} = fault;
+	switch (fault.kind) {
 		case 'kill':
 		case 'kill-requests': {
 			resend(host.kill(), kind === 'kill' ? undefined : 'at-once');
@@ -116,6 +123,11 @@
 			return doNothing;
 		}
 
+		case 'suspend': {
+			host.suspend(forMs);
+			return doNothing;
+		}
+
 		case 'plan-stop': {
 			host.planStop(true);
 			return () => {
@@ -124,7 +136,7 @@
 		}
 
 		case 'reset-callers': {
-			resend(host.resetCallers());
+			resend(host.resetCallers(fault.noticeMs));
 			return doNothing;
 		}
 	}
@@ -143,17 +155,31 @@
 }
 
 function disturbLink(
-	{kind, host, peer, forMs}: Extract<PlannedFault, {kind: 'cut' | 'hold-up'}>,
+	fault: Extract<
+		PlannedFault,
+		{kind: 'cut' | 'hold-up' | 'hold-up-connection' | 'silent-connection'}
+	>,
 	{hosts, network, clock}: FaultySystem,
 ): () => void {
-	const from = hosts[host]!;
-	const to = hosts[peer]!;
+	const from = hosts[fault.host]!;
+	const to = hosts[fault.peer]!;
+	const until = clock.now + fault.forMs;
 	if (from === to) {
 		return doNothing;
 	}
 
-	if (kind === 'hold-up') {
-		network.holdUp(from, to, clock.now + forMs);
+	if (fault.kind === 'hold-up') {
+		network.holdUp(from, to, until);
+		return doNothing;
+	}
+
+	if (fault.kind === 'hold-up-connection') {
+		network.holdUpConnection(from, to, {way: fault.way, until});
+		return doNothing;
+	}
+
+	if (fault.kind === 'silent-connection') {
+		network.silence(from, to);
 		return doNothing;
 	}
 
--- a/packages/host/src/scheduling/faulty/fault-plan.fixture.ts
+++ b/packages/host/src/scheduling/faulty/fault-plan.fixture.ts
@@ -23,7 +23,11 @@
 
 /** Acts from `at` for `forMs`, milliseconds from the begin of the play. */
 export type PlannedFault = {at: number; forMs: number} & (
-	| {kind: 'kill' | 'freeze' | 'plan-stop' | 'reset-callers'; host: number}
+	| {kind: 'kill' | 'freeze' | 'plan-stop'; host: number}
+	/** Connections of the host's callers break, which it reads so much later. */
+	| {kind: 'reset-callers'; host: number; noticeMs?: number}
+	/** The host stands still, and its steady clock with it: afterwards it has no trace of that time but its time of day. */
+	| {kind: 'suspend'; host: number}
 	/** The host dies, and its callers send again at once. */
 	| {kind: 'kill-requests'; host: number}
 	/**
@@ -37,6 +41,15 @@
 	| {kind: 'cut'; host: number; peer: number}
 	/** Messages one way arrive only afterwards; the connection stays open. */
 	| {kind: 'hold-up'; host: number; peer: number}
+	/** The same on one connection only, the one that the host has made to its peer: what it asks there, or what it is answered. */
+	| {
+			kind: 'hold-up-connection';
+			host: number;
+			peer: number;
+			way: 'asked' | 'answered';
+	  }
+	/** The connection that the host has made to its peer carries nothing more; both notice by its silence. */
+	| {kind: 'silent-connection'; host: number; peer: number}
 	/** The store turns a host away, or loses the answers of what it does for it. */
 	| {kind: 'store'; host: number; how: 'refuses' | 'loses-answers'}
 	/** The store has no entry of the executor. */
@@ -137,6 +150,12 @@
 	noticeMs: fc.integer({min: 0, max: 300}),
 });
 
+const suspension = fc.record({
+	...span,
+	kind: fc.constant('suspend' as const),
+	host,
+});
+
 /** A group that changes hands while orders are lost is where most goes wrong. */
 const fault: fc.Arbitrary<PlannedFault> = fc.oneof(
 	{weight: 3, arbitrary: handOver},
@@ -262,3 +281,50 @@
 		),
 	}),
 );
+
+/** Machines that are suspended while hosts die, and while links between hosts break or hold messages up. */
+export const suspendPlans: fc.Arbitrary<FaultPlan> = fc.record({
+	jobs: fc.array(job, {minLength: 1, maxLength: 6}),
+	faults: fc.array(
+		fc.oneof(
+			{weight: 4, arbitrary: suspension},
+			{weight: 2, arbitrary: hostFault},
+			{weight: 2, arbitrary: linkFault},
+			{weight: 1, arbitrary: handOver},
+			{weight: 1, arbitrary: storeFault},
+			{weight: 1, arbitrary: executorFault},
+		),
+		{minLength: 1, maxLength: 6},
+	),
+});
+
+const connectionFault = fc.oneof(
+	fc.record({
+		...span,
+		kind: fc.constant('hold-up-connection' as const),
+		host,
+		peer: host,
+		way: fc.constantFrom('asked' as const, 'answered' as const),
+	}),
+	fc.record({
+		...span,
+		kind: fc.constant('silent-connection' as const),
+		host,
+		peer: host,
+	}),
+);
+
+/** Single connections that hold messages up or fall silent, while the others between the same hosts go on. */
+export const connectionPlans: fc.Arbitrary<FaultPlan> = fc.record({
+	jobs: fc.array(job, {minLength: 1, maxLength: 6}),
+	faults: fc.array(
+		fc.oneof(
+			{weight: 5, arbitrary: connectionFault},
+			{weight: 3, arbitrary: handOver},
+			{weight: 1, arbitrary: hostFault},
+			{weight: 1, arbitrary: orderFault},
+			{weight: 1, arbitrary: executorFault},
+		),
+		{minLength: 1, maxLength: 6},
+	),
+});
--- a/packages/host/src/scheduling/faulty/faulty-host.fixture.ts
+++ b/packages/host/src/scheduling/faulty/faulty-host.fixture.ts
@@ -48,6 +48,10 @@
 	#process: Process | undefined;
 	#incarnation = 0;
 	#frozenUntil = 0;
+	/** When the machine was suspended; undefined: its steady clock runs. */
+	#suspendedAt: number | undefined;
+	/** Time that its steady clock has not counted before. */
+	#uncountedMs = 0;
 	/** What came while the host was frozen, and is read when it thaws. */
 	#unread: Array<() => void> = [];
 	/** Jobs whose callers wait on a connection to this host, and what tells it that the connection has broken. */
@@ -137,6 +141,19 @@
 		});
 	}
 
+	/** Frozen, and the machine's steady clock does not count the time. */
+	suspend(forMs: number): void {
+		const {clock} = this.surroundings;
+		this.#suspendedAt ??= clock.now;
+		clock.schedule(forMs, () => {
+			if (this.#suspendedAt !== undefined && !this.#isFrozen()) {
+				this.#uncountedMs += clock.now - this.#suspendedAt;
+				this.#suspendedAt = undefined;
+			}
+		});
+		this.freeze(forMs);
+	}
+
 	submit(request: JobRequest, onAnswer: (answer: JobAnswer) => void): void {
 		let abandon: () => void = doNothing;
 		const leave = () => {
@@ -177,6 +194,15 @@
 		});
 	}
 
+	/** The machine's steady clock. */
+	#readSteadyClock(): number {
+		return this.#toSteadyTime(this.surroundings.clock.now);
+	}
+
+	#toSteadyTime(at: number): number {
+		return Math.min(at, this.#suspendedAt ?? Infinity) - this.#uncountedMs;
+	}
+
 	#takeCallers(): string[] {
 		const ids = [...this.#callers.keys()];
 		this.#callers.clear();
@@ -215,8 +241,13 @@
 				})(),
 			);
 		const wait = async (ms: number, signal?: AbortSignal): Promise<void> => {
+			const endsAt = this.#readSteadyClock() + ms;
 			await clock.wait(ms, signal);
 			await this.#waitAwake(incarnation);
+			while (!signal?.aborted && this.#readSteadyClock() < endsAt) {
+				await clock.wait(endsAt - this.#readSteadyClock(), signal);
+				await this.#waitAwake(incarnation);
+			}
 		};
 
 		const lists = createExecutorLists({
@@ -228,7 +259,7 @@
 			onList(list) {
 				roles.holding.setExecutors(list);
 			},
-			now: () => clock.now,
+			now: () => this.#readSteadyClock(),
 			wait,
 			random: () => 0.5,
 			log,
@@ -237,12 +268,14 @@
 			dataCentre: this.dataCentre,
 			key: this.key,
 			ownerId: `${this.key}.${this.incarnation}`,
-			store: wrapStore(this.surroundings.store, hold),
+			store: wrapStore(this.surroundings.store, hold, (at) =>
+				this.#toSteadyTime(at),
+			),
 			control: wrapControl(this.surroundings.control, hold),
 			executors: lists,
 			peers: {...peers, listOrder, getCores: () => 1},
 			getLeaseId: () => 1,
-			now: () => clock.now,
+			now: () => this.#readSteadyClock(),
 			readWallClock: () => clock.now + this.place.clockAheadMs,
 			wait,
 			defer(work) {
@@ -264,7 +297,7 @@
 			roles,
 			tables: {tell: doNothing, receive: doNothing},
 			findAddress: () => '',
-			now: () => clock.now,
+			now: () => this.#readSteadyClock(),
 			log,
 		});
 		lists.start(ending.signal);
@@ -288,9 +321,17 @@
 
 type Hold = <T, E>(call: ResultAsync<T, E>) => ResultAsync<T, E>;
 
-function wrapStore(store: CoordinationStore, hold: Hold): CoordinationStore {
+function wrapStore(
+	store: CoordinationStore,
+	hold: Hold,
+	toSteadyTime: (at: number) => number,
+): CoordinationStore {
 	return {
 		...store,
+		getAnsweredAt() {
+			const answeredAt = store.getAnsweredAt();
+			return answeredAt === undefined ? undefined : toSteadyTime(answeredAt);
+		},
 		readKey: (key) => hold(store.readKey(key)),
 		commit: (change) => hold(store.commit(change)),
 	};
--- a/packages/host/src/scheduling/faulty/faulty-network.fixture.ts
+++ b/packages/host/src/scheduling/faulty/faulty-network.fixture.ts
@@ -1,11 +1,23 @@
 /**
 Connections between hosts on a virtual clock: one each way, in order, a millisecond; they break, and hold messages up.
 */
-import {type Link, type Message, type Session} from '@gentianshift/protocol';
+import {
+	silenceMs,
+	silentReason,
+	type Link,
+	type Message,
+	type Session,
+} from '@gentianshift/protocol';
 import {type VirtualClock} from '@gentianshift/scheduling/fixtures';
 import {type FaultyHost} from './faulty-host.fixture.js';
 
 const linkMs = 1;
+/** Connections are looked at this often, and dialled anew after this long. */
+const noticeMs = 180;
+const redialMs = 100;
+
+/** From the host that made a connection, or to it. */
+type Way = 'asked' | 'answered';
 
 export class FaultyNetwork {
 	readonly clock: VirtualClock;
@@ -61,6 +73,30 @@
 		this.#heldUntil.set(makePair(from, to), until);
 	}
 
+	holdUpConnection(
+		from: FaultyHost,
+		to: FaultyHost,
+		{way, until}: {way: Way; until: number},
+	): void {
+		this.#connections.get(makePair(from, to))?.holdUp(way, until);
+	}
+
+	/** The connection is lost without a word, and made anew when that has been noticed. */
+	silence(from: FaultyHost, to: FaultyHost): void {
+		const connection = this.#connections.get(makePair(from, to));
+		if (!connection?.isOpen) {
+			return;
+		}
+
+		connection.isSilent = true;
+		this.clock.schedule(silenceMs + noticeMs, () => {
+			connection.close(silentReason);
+			this.clock.schedule(redialMs, () => {
+				this.connect();
+			});
+		});
+	}
+
 	closeAll(host: FaultyHost): void {
 		for (const connection of this.#connections.values()) {
 			if (connection.from === host || connection.to === host) {
@@ -87,6 +123,8 @@
 
 class Connection {
 	isOpen = false;
+	/** Nothing gets through any more. */
+	isSilent = false;
 	readonly link: Link;
 	readonly session: Session;
 	/** When the last message of each way arrives: none overtakes another. */
@@ -114,6 +152,15 @@
 		};
 	}
 
+	/** No message of that way that is sent from now on arrives before then. */
+	holdUp(way: Way, until: number): void {
+		if (way === 'asked') {
+			this.#askedAt = Math.max(this.#askedAt, until);
+		} else {
+			this.#repliedAt = Math.max(this.#repliedAt, until);
+		}
+	}
+
 	open(): void {
 		this.isOpen = true;
 		this.to.run(({handlers}) => {
@@ -144,6 +191,10 @@
 		lastAt: number,
 	): number {
 		const {clock} = this.network;
+		if (this.isSilent) {
+			return lastAt;
+		}
+
 		const at = Math.max(this.network.getArrival(from, to), lastAt);
 		clock.schedule(at - clock.now, () => {
 			if (!this.isOpen) {
--- /dev/null
+++ b/packages/host/src/scheduling/faulty/no-token-twice.test.ts
@@ -0,0 +1,45 @@
+/**
+No two holders of a group have the same token: executors obey both, and neither gives way. Real hosts on a virtual clock.
+*/
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {makeStorelessToken} from '@gentianshift/scheduling';
+import {playPlan} from './play-plan.fixture.js';
+
+// Guards against two hosts that hold one group under one token for good, each stopping and starting anew what the other runs.
+test('two hosts that are cut off from each other and the store do not hold a group under one token', async () => {
+	const taken: string[] = [];
+	const broken = await playPlan(
+		{
+			jobs: Array.from({length: 40}, (_, i) => ({
+				at: 100 + i * 200,
+				host: i % 4,
+				tasks: 2,
+				runMs: 600,
+				allowanceMs: 1000,
+			})),
+			faults: [
+				{at: 0, forMs: 9000, kind: 'store', host: 0, how: 'refuses'},
+				{at: 0, forMs: 9000, kind: 'store', host: 1, how: 'refuses'},
+				{at: 100, forMs: 8000, kind: 'cut', host: 0, peer: 1},
+			],
+		},
+		(line) => {
+			const [, token] =
+				/ group taken .*"group":"mieres","token":(\d+)/v.exec(line) ?? [];
+			taken.push(...(token === undefined ? [] : [token]));
+		},
+	);
+	assert.deepEqual(taken, [...new Set(taken)]);
+	assert.deepEqual(broken, []);
+});
+
+// Guards against a host that has heard of one takeover without the store more than another, and makes that one's token anew.
+test('hosts that know different last tokens do not make the same one', () => {
+	const lastToken = 6464;
+	const heard = makeStorelessToken(lastToken, 0);
+	assert.notEqual(
+		makeStorelessToken(heard, 0),
+		makeStorelessToken(lastToken, 1),
+	);
+});
--- a/packages/scheduling/src/claims.test.ts
+++ b/packages/scheduling/src/claims.test.ts
@@ -3,8 +3,10 @@
 */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {silenceMs} from '@gentianshift/protocol';
 import {findOverlaps} from './fake-executors.fixture.js';
 import {
+	createEntry,
 	listOutcomes,
 	makePart,
 	openScheduler,
@@ -145,3 +147,87 @@
 	assert.equal(run?.outcome, 'ended');
 	assert.ok(run.endedAt! - answeredAt <= orphanLimitMs);
 });
+
+// Guards against a task that starts again after it has ended done: its end was lost with a connection that fell silent, and is told again
+// only to an entry that comes again sooner than such a connection is noticed and made anew.
+test('an end is remembered until a silent connection is replaced', async () => {
+	const {clock, executors, scheduler, entry} = await openScheduler({
+		count: 1,
+		taskMs: 100,
+	});
+	const part = makePart(clock, long);
+	scheduler.receivePart(entry, part);
+	await runFor(clock, 150, [[scheduler, entry]]);
+	assert.deepEqual(listOutcomes(entry), ['done']);
+	await runFor(clock, silenceMs + 200, [[scheduler, entry, []]]);
+	scheduler.receivePart(entry, {...part, stateAt: clock.now, isMoved: true});
+	await runFor(clock, 300, [[scheduler, entry]]);
+	assert.equal(executors.runs.length, 1);
+});
+
+// Guards against an entry that lives and waits until its caller's time is over for a task that nobody has any more.
+test('a task that ends done while its claim has ended is told to its entry', async () => {
+	const {clock, executors, scheduler, entry} = await openScheduler({
+		count: 1,
+		taskMs: 895,
+	});
+	const [fake] = executors.fakes;
+	scheduler.receivePart(entry, makePart(clock, long));
+	await runFor(clock, 850, [[scheduler, entry, []]]);
+	fake!.cutFrom = 'all';
+	await runFor(clock, 100, [[scheduler, entry, []]]);
+	fake!.cutFrom = new Set();
+	await runFor(clock, 1000, [[scheduler, entry]]);
+	assert.equal(executors.runs[0]?.outcome, 'done');
+	assert.deepEqual(listOutcomes(entry), ['done']);
+});
+
+// Guards against the same for the other tasks of a job, where one is given back and comes again before their runs are stopped.
+test('a claim that has ended and is used again does not hide what is left of it', async () => {
+	const {clock, executors, scheduler, entry} = await openScheduler({
+		count: 2,
+		taskMs: 5000,
+	});
+	const demand = {cpu: 20_000, memoryMb: 64, accelerators: 0};
+	const part = makePart(clock, {
+		...long,
+		demand,
+		tasks: [
+			[0, 1, 1],
+			[1, 1, 1],
+		],
+	});
+	scheduler.receivePart(entry, part);
+	await runFor(clock, 100, [[scheduler, entry]]);
+	const other = executors.fakes.find(
+		({executor}) => executor.id === executors.runs[1]?.executor,
+	);
+	other!.cutFrom = 'all';
+	await runFor(clock, 1000, [[scheduler, entry, []]]);
+	other!.cutFrom = new Set();
+	scheduler.receivePart(entry, {
+		...part,
+		stateAt: clock.now,
+		tasks: [[0, 2, 2]],
+	});
+	await runFor(clock, 2000, [[scheduler, entry]]);
+	const indices = entry.told.flatMap(({ends}) => ends.map(({index}) => index));
+	assert.ok(indices.includes(1), `told of ${indices.join(', ')}`);
+});
+
+// Guards against a later copy of a job that is stopped for a part which is not started either: its entry has just thawed.
+test('a part that answers an old state does not replace a later copy', async () => {
+	const {clock, executors, scheduler, entry} = await openScheduler({
+		count: 1,
+		taskMs: 5000,
+	});
+	const late = makePart(clock, long);
+	await runFor(clock, entrySilenceMs + 50, [[scheduler, entry, []]]);
+	const second = createEntry('mieres_m2.0');
+	scheduler.receivePart(second, makePart(clock, {...long, claim: 7}));
+	await runFor(clock, 100, [[scheduler, second, [7]]]);
+	scheduler.receivePart(entry, late);
+	await runFor(clock, 300, [[scheduler, second, [7]]]);
+	assert.deepEqual(second.replaced, []);
+	assert.equal(executors.runs[0]?.endedAt, undefined);
+});
--- a/packages/scheduling/src/entry-jobs.test.ts
+++ b/packages/scheduling/src/entry-jobs.test.ts
@@ -567,3 +567,98 @@
 	);
 	assert.deepEqual(named, []);
 });
+
+// Guards against a task that is placed a second time for the end of an earlier taking: it took a slow connection, and came after the job was handed over anew.
+test('a word that gives back a task of an earlier taking does not move the task of this one', () => {
+	const {entry, groups, clock, listParts} = createEntryJobs();
+	const request = makeRequest({
+		count: 1,
+		declaredMs: 1000,
+		timeLeftMs: 9000,
+	});
+	const tellStates = () => {
+		for (const [holder, group] of [
+			['mieres_m1', 'mieres'],
+			['langreo_l1', 'langreo'],
+		] as const) {
+			groups.update(holder, makeState(group, {at: clock.now}), clock.now);
+		}
+
+		entry.update();
+	};
+
+	tellStates();
+	const leave = entry.submit(request, () => undefined);
+	leave();
+	for (let passed = 0; passed < 1300; passed += 50) {
+		clock.now += 50;
+		tellStates();
+	}
+
+	entry.submit(request, () => undefined);
+	assert.equal(listParts('mieres_m1').length, 2);
+	entry.receive('mieres_m1', {
+		t: 'ends',
+		job: 'job1',
+		isStarted: false,
+		reason: 'elsewhere',
+		ends: [{index: 0, outcome: 'returned', attempt: 0, placement: 1}],
+	});
+	assert.equal(listParts('langreo_l1').length, 0);
+});
+
+// Guards against a task that is placed beside its run: its group has changed hands twice, and the first holding's word took a slow connection.
+test('a word that gives back a task under an earlier holding of the same host does not move it', () => {
+	const {entry, groups, clock, listParts} = createEntryJobs();
+	groups.update('mieres_m1', makeState('mieres', {token: 5}), clock.now);
+	groups.update('langreo_l1', makeState('langreo'), clock.now);
+	entry.submit(
+		makeRequest({count: 1, declaredMs: 1000, timeLeftMs: 9000}),
+		() => undefined,
+	);
+	for (const [holder, token] of [
+		['mieres_m2', 6],
+		['mieres_m1', 7],
+	] as const) {
+		clock.now += 10;
+		groups.update(holder, makeState('mieres', {token}), clock.now);
+		entry.handOver('mieres');
+	}
+
+	assert.equal(listParts('mieres_m1').length, 2);
+	entry.receive('mieres_m1', {
+		t: 'ends',
+		job: 'job1',
+		isStarted: false,
+		reason: 'elsewhere',
+		ends: [{index: 0, outcome: 'returned', attempt: 0, placement: 1}],
+	});
+	assert.equal(listParts('langreo_l1').length, 0);
+});
+
+// Guards against a task that starts, or runs on, at another group after its end was taken note of here.
+test('a task that ends where it was moved from is taken away from where it was moved to', () => {
+	const {entry, groups, clock, sent, listParts} = createEntryJobs();
+	groups.update('mieres_m1', makeState('mieres'), clock.now);
+	entry.submit(
+		makeRequest({count: 1, declaredMs: 1000, timeLeftMs: 9000}),
+		() => undefined,
+	);
+	for (let passed = 0; passed < 1100; passed += 50) {
+		clock.now += 50;
+		groups.update('langreo_l1', makeState('langreo'), clock.now);
+		entry.update();
+	}
+
+	assert.equal(listParts('langreo_l1').length, 1);
+	entry.receive('mieres_m1', {
+		t: 'ends',
+		job: 'job1',
+		isStarted: true,
+		ends: [{index: 0, outcome: 'done', attempt: 1, placement: 1}],
+	});
+	const dropped = sent.filter(
+		({holder, message}) => holder === 'langreo_l1' && message.t === 'drop',
+	);
+	assert.equal(dropped.length, 1);
+});
--- a/packages/scheduling/src/fake-executors.fixture.ts
+++ b/packages/scheduling/src/fake-executors.fixture.ts
@@ -316,7 +316,7 @@
 						index,
 						attempt,
 					})),
-					ended: fake.ended,
+					ended: [...fake.ended],
 					hasMoreEnds: false,
 				});
 	}
