--- a/packages/host/src/scheduling/faulty/faulty-host.fixture.ts
+++ b/packages/host/src/scheduling/faulty/faulty-host.fixture.ts
@@ -48,8 +48,10 @@
 	#process: Process | undefined;
 	#incarnation = 0;
 	#frozenUntil = 0;
-	/** For how long its steady clock has stood still. */
-	#suspendedMs = 0;
+	/** When the machine was suspended; undefined: its steady clock runs. */
+	#suspendedAt: number | undefined;
+	/** Time that its steady clock has not counted before. */
+	#uncountedMs = 0;
 	/** What came while the host was frozen, and is read when it thaws. */
 	#unread: Array<() => void> = [];
 	/** Jobs whose callers wait on a connection to this host, and what tells it that the connection has broken. */
@@ -139,8 +141,16 @@
 		});
 	}
 
+	/** Frozen, and the machine's steady clock does not count the time. */
 	suspend(forMs: number): void {
-		this.#suspendedMs += forMs;
+		const {clock} = this.surroundings;
+		this.#suspendedAt ??= clock.now;
+		clock.schedule(forMs, () => {
+			if (this.#suspendedAt !== undefined && !this.#isFrozen()) {
+				this.#uncountedMs += clock.now - this.#suspendedAt;
+				this.#suspendedAt = undefined;
+			}
+		});
 		this.freeze(forMs);
 	}
 
@@ -184,8 +194,13 @@
 		});
 	}
 
+	/** The machine's steady clock. */
 	#readSteadyClock(): number {
-		return this.surroundings.clock.now - this.#suspendedMs;
+		return this.#toSteadyTime(this.surroundings.clock.now);
+	}
+
+	#toSteadyTime(at: number): number {
+		return Math.min(at, this.#suspendedAt ?? Infinity) - this.#uncountedMs;
 	}
 
 	#takeCallers(): string[] {
@@ -226,8 +241,13 @@
 				})(),
 			);
 		const wait = async (ms: number, signal?: AbortSignal): Promise<void> => {
+			const endsAt = this.#readSteadyClock() + ms;
 			await clock.wait(ms, signal);
 			await this.#waitAwake(incarnation);
+			while (!signal?.aborted && this.#readSteadyClock() < endsAt) {
+				await clock.wait(endsAt - this.#readSteadyClock(), signal);
+				await this.#waitAwake(incarnation);
+			}
 		};
 
 		const lists = createExecutorLists({
@@ -248,7 +268,9 @@
 			dataCentre: this.dataCentre,
 			key: this.key,
 			ownerId: `${this.key}.${this.incarnation}`,
-			store: wrapStore(this.surroundings.store, hold),
+			store: wrapStore(this.surroundings.store, hold, (at) =>
+				this.#toSteadyTime(at),
+			),
 			control: wrapControl(this.surroundings.control, hold),
 			executors: lists,
 			peers: {...peers, listOrder, getCores: () => 1},
@@ -300,9 +322,17 @@
 
 type Hold = <T, E>(call: ResultAsync<T, E>) => ResultAsync<T, E>;
 
-function wrapStore(store: CoordinationStore, hold: Hold): CoordinationStore {
+function wrapStore(
+	store: CoordinationStore,
+	hold: Hold,
+	toSteadyTime: (at: number) => number,
+): CoordinationStore {
 	return {
 		...store,
+		getAnsweredAt() {
+			const answeredAt = store.getAnsweredAt();
+			return answeredAt === undefined ? undefined : toSteadyTime(answeredAt);
+		},
 		readKey: (key) => hold(store.readKey(key)),
 		commit: (change) => hold(store.commit(change)),
 	};
