Have a holder's words name the claim and the token that they are of

A holder gave a task back, and its word was held up on the entry's connection. The group changed hands twice, so that the same host ran the task again under a later token; the old word came then, and the entry placed the task elsewhere beside that run. The same with a word of an earlier taking of the job.

Cause: the entry compared the host and the number of the placement, and both come again: a host can hold a group twice, and each taking counts its placements from 1.

Change: ends carry the holder's token and the claim. "Returned" and "failed" count only from the holder that has the task now, under its present claim.

Tests of the entry name both in the words that they make up.

--- a/packages/host/src/scheduling/scheduling-handlers.ts
+++ b/packages/host/src/scheduling/scheduling-handlers.ts
@@ -150,7 +150,7 @@
 		};
 		if (!scheduler) {
 			if (message.t === 'part') {
-				session.send(makeReleased(message.job, message.tasks));
+				session.send(makeReleased(message));
 			}
 
 			return;
@@ -161,10 +161,12 @@
 }
 
 /** This host does not hold the group: nothing of the part runs here. */
-function makeReleased(job: string, tasks: Part['tasks']): Ends {
+function makeReleased({job, token, claim, tasks}: Part): Ends {
 	return {
 		t: 'ends',
 		job,
+		token,
+		claim,
 		isStarted: false,
 		ends: tasks.map(([index, , placement]) => ({
 			index,
--- a/packages/protocol/src/scheduling-messages.ts
+++ b/packages/protocol/src/scheduling-messages.ts
@@ -189,6 +189,9 @@
 export const endsSchema = z.object({
 	t: z.literal('ends'),
 	job: jobId,
+	/** Of the holder that tells them, and the claim that they are of: a word of before the tasks came here anew gives nothing back. */
+	token: count,
+	claim,
 	/** The first task of the job has been started here. */
 	isStarted: z.boolean(),
 	ends: z.array(taskEndSchema),
--- a/packages/scheduling/src/ends-outbox.ts
+++ b/packages/scheduling/src/ends-outbox.ts
@@ -27,7 +27,8 @@
 	forgetOld: (now: number) => void;
 };
 
-export function createEndsOutbox(): EndsOutbox {
+/** `token`: of the holder that tells. */
+export function createEndsOutbox(token: number): EndsOutbox {
 	const told = createToldEnds();
 	const waiting = new Map<GroupJob, TaskEnd[]>();
 
@@ -54,11 +55,11 @@
 			}
 
 			if (ends.length > 0) {
-				send(job, {ends, reason});
+				send(job, {token, ends, reason});
 			}
 		},
 		tellStarted(job) {
-			send(job, {ends: []});
+			send(job, {token, ends: []});
 		},
 		tellAgain(job, {tasks}) {
 			for (const [index, , placement] of tasks) {
@@ -73,7 +74,7 @@
 		flush() {
 			for (const [job, ends] of waiting) {
 				if (!job.isDropped) {
-					send(job, {ends});
+					send(job, {token, ends});
 				}
 			}
 
@@ -84,8 +85,8 @@
 }
 
 function send(
-	{id, entry, isStarted}: GroupJob,
-	ends: Pick<Ends, 'ends' | 'reason'>,
+	{id, claim, entry, isStarted}: GroupJob,
+	ends: Pick<Ends, 'token' | 'ends' | 'reason'>,
 ): void {
-	entry.send({t: 'ends', job: id, isStarted, ...ends});
+	entry.send({t: 'ends', job: id, claim, isStarted, ...ends});
 }
--- a/packages/scheduling/src/entry-jobs.test.ts
+++ b/packages/scheduling/src/entry-jobs.test.ts
@@ -96,6 +96,8 @@
 	for (const index of [0, 1]) {
 		entry.receiveEnds('mieres_m1', {
 			t: 'ends',
+			token: 1,
+			claim: 1,
 			job: 'job1',
 			isStarted: true,
 			ends: [{index, outcome: 'done', attempt: 1, placement: 1}],
@@ -110,7 +112,13 @@
 	const {entry, groups, clock, answered} = createEntryJobs();
 	groups.update('mieres_m1', makeState('mieres'), clock.now);
 	entry.submit(makeRequest({count: 1}), () => undefined);
-	const message = {t: 'ends', job: 'job1', isStarted: true} as const;
+	const message = {
+		t: 'ends',
+		token: 1,
+		claim: 1,
+		job: 'job1',
+		isStarted: true,
+	} as const;
 	clock.now += 5;
 	entry.receiveEnds('mieres_m1', {...message, ends: []});
 	clock.now += 60;
@@ -196,6 +204,8 @@
 	entry.submit(makeRequest({count: 1}), () => undefined);
 	const returned = {
 		t: 'ends' as const,
+		token: 1,
+		claim: 1,
 		job: 'job1',
 		isStarted: false,
 		ends: [{index: 0, outcome: 'returned' as const, attempt: 0, placement: 1}],
@@ -204,7 +214,7 @@
 	entry.receiveEnds('mieres_m1', returned);
 	assert.equal(listParts('langreo_l1').length, 1);
 	entry.receiveEnds('mieres_m1', returned);
-	entry.receiveEnds('langreo_l1', returned);
+	entry.receiveEnds('langreo_l1', {...returned, claim: 2});
 	assert.equal(listParts('mieres_m1').length, 1);
 	assert.equal(listParts('langreo_l1').length, 1);
 });
@@ -273,6 +283,8 @@
 	const turnAway = (holder: string, placement: number) => {
 		entry.receiveEnds(holder, {
 			t: 'ends',
+			token: 1,
+			claim: placement,
 			job: 'job1',
 			isStarted: false,
 			ends: [{index: 0, outcome: 'returned', attempt: 0, placement}],
@@ -300,6 +312,8 @@
 	groups.update('langreo_l1', makeState('langreo', full), clock.now);
 	entry.receiveEnds('mieres_m1', {
 		t: 'ends',
+		token: 1,
+		claim: 1,
 		job: 'job1',
 		isStarted: false,
 		ends: [{index: 0, outcome: 'returned', attempt: 0, placement: 1}],
@@ -358,6 +372,8 @@
 	entry.handOver('mieres');
 	entry.receiveEnds('mieres_m2', {
 		t: 'ends',
+		token: 2,
+		claim: 1,
 		job: 'job1',
 		isStarted: false,
 		ends: [{index: 0, outcome: 'returned', attempt: 0, placement: 1}],
@@ -599,6 +615,8 @@
 	assert.equal(listParts('mieres_m1').length, 2);
 	entry.receive('mieres_m1', {
 		t: 'ends',
+		token: 1,
+		claim: 1,
 		job: 'job1',
 		isStarted: false,
 		reason: 'elsewhere',
@@ -628,6 +646,8 @@
 	assert.equal(listParts('mieres_m1').length, 2);
 	entry.receive('mieres_m1', {
 		t: 'ends',
+		token: 1,
+		claim: 1,
 		job: 'job1',
 		isStarted: false,
 		reason: 'elsewhere',
@@ -653,6 +673,8 @@
 	assert.equal(listParts('langreo_l1').length, 1);
 	entry.receive('mieres_m1', {
 		t: 'ends',
+		token: 1,
+		claim: 1,
 		job: 'job1',
 		isStarted: true,
 		ends: [{index: 0, outcome: 'done', attempt: 1, placement: 1}],
--- a/packages/scheduling/src/entry-jobs.ts
+++ b/packages/scheduling/src/entry-jobs.ts
@@ -228,7 +228,7 @@
 		const from = this.#findGroupOf(holder);
 		const returned: EntryTask[] = [];
 		for (const end of message.ends) {
-			this.#receiveEnd(job, end, holder, returned);
+			this.#receiveEnd(job, end, {holder, message, returned});
 		}
 
 		if (!this.#jobs.has(message.job)) {
@@ -377,14 +377,16 @@
 	#receiveEnd(
 		job: EntryJob,
 		end: TaskEnd,
-		holder: string,
-		returned: EntryTask[],
+		{
+			holder,
+			message,
+			returned,
+		}: {holder: string; message: Ends; returned: EntryTask[]},
 	): void {
 		const task = job.tasks[end.index];
 		const isFromHolder =
-			task?.group !== undefined &&
-			task.placement === end.placement &&
-			this.#ports.groups.findGroup(task.group)?.holder === holder;
+			task?.placement === end.placement &&
+			this.#isCurrent(job, task, holder, message);
 		if (!task || task.isDone || (end.outcome !== 'done' && !isFromHolder)) {
 			return;
 		}
@@ -414,6 +416,22 @@
 		}
 	}
 
+	/** The word is of the holder that has the task now, and of the claim under which it has it. */
+	#isCurrent(
+		{claims}: EntryJob,
+		{group}: EntryTask,
+		holder: string,
+		{token, claim}: Ends,
+	): boolean {
+		const known =
+			group === undefined ? undefined : this.#ports.groups.findGroup(group);
+		return (
+			known?.holder === holder &&
+			known.state.token === token &&
+			claims.get(known.state.group) === claim
+		);
+	}
+
 	/** A scheduler gave tasks back: they are tried elsewhere, while that is of use. */
 	#placeReturned(
 		job: EntryJob,
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -16,7 +16,7 @@
 } from '@gentianshift/protocol';
 import {claimRun} from './claim-run.js';
 import {type ExecutorControl} from './executor-control.js';
-import {createEndsOutbox} from './ends-outbox.js';
+import {createEndsOutbox, type EndsOutbox} from './ends-outbox.js';
 import {createEntryContacts} from './entry-contacts.js';
 import {type ExecutorSession} from './executor-session.js';
 import {createExecutorSet, type ExecutorSet} from './executor-set.js';
@@ -94,7 +94,7 @@
 	readonly #executors: ExecutorSet;
 	readonly #jobs = new Map<string, GroupJob>();
 	readonly #entries = createEntryContacts();
-	readonly #outbox = createEndsOutbox();
+	readonly #outbox: EndsOutbox;
 	readonly #startLog: StartLog;
 	readonly #copies: JobCopies;
 	readonly #openedAt: number;
@@ -107,6 +107,7 @@
 	constructor(private readonly ports: GroupPorts) {
 		this.#openedAt = ports.now();
 		this.#updatedAt = ports.readBootTime();
+		this.#outbox = createEndsOutbox(ports.token);
 		this.#startLog = createStartLog(ports);
 		this.#copies = createJobCopies({
 			now: ports.now,
