Give each host a slot of its own in tokens of takeovers without the store

Two hosts of a data centre without the store, cut off from each other but not from the executors, came to hold the group under one token; executors obeyed both, and each stopped what the other had started.

Cause: a token without the store was the last one that the host had heard, plus its rank in the order of takeover. Two hosts that have heard different ones make the same.

Change: the low part counts takeovers, and below that each host has a slot by a hash of its name. Should two slots ever meet, all hosts take the same one of the two holders for the right one, and the other gives way.

--- a/packages/host/src/scheduling/group-holding.ts
+++ b/packages/host/src/scheduling/group-holding.ts
@@ -8,6 +8,7 @@
 */
 import {errAsync} from 'neverthrow';
 import {
+	computeSlot,
 	computeTakeoverDelay,
 	GroupScheduler,
 	holderSilenceMs,
@@ -19,6 +20,7 @@
 	type GroupDirectory,
 	type GroupPorts,
 	type HolderView,
+	type KnownGroup,
 	type StoreFailure,
 } from '@gentianshift/scheduling';
 
@@ -77,7 +79,7 @@
 		const {groups, group} = this.#options;
 		const known = groups.findGroup(group);
 		if (this.#scheduler) {
-			if (known && known.state.token > this.#token) {
+			if (known && this.#isSuperseded(known)) {
 				this.#giveUp('another host has a higher token', known.holder);
 			} else {
 				this.#scheduler.update();
@@ -89,6 +91,13 @@
 		this.#decideTakeover();
 	}
 
+	#isSuperseded({state, holder}: KnownGroup): boolean {
+		return (
+			state.token > this.#token ||
+			(state.token === this.#token && holder !== this.#options.self)
+		);
+	}
+
 	/** Ends at once; the next holder finds what runs. */
 	stop(): void {
 		if (this.#scheduler) {
@@ -122,7 +131,7 @@
 			waited >= computeTakeoverDelay(rank, {isStoreReached: isReached}) &&
 			!this.#isTaking
 		) {
-			void this.#take(rank, isReached);
+			void this.#take(isReached);
 		}
 	}
 
@@ -143,11 +152,11 @@
 		};
 	}
 
-	async #take(rank: number, isStoreReached: boolean): Promise<void> {
+	async #take(isStoreReached: boolean): Promise<void> {
 		this.#isTaking = true;
 		const token = isStoreReached
 			? await this.#takeByStore()
-			: this.#takeWithoutStore(rank);
+			: this.#takeWithoutStore();
 		if (token !== undefined && isStoreReached) {
 			// A host that does not hold the group knows them as of some seconds ago: it would
 			// start tasks on an executor that has begun to drain since.
@@ -229,12 +238,12 @@
 		return now() - this.#unheard.since < holderSilenceMs;
 	}
 
-	#takeWithoutStore(rank: number): number | undefined {
-		const {groups, group, hasPeers} = this.#options;
+	#takeWithoutStore(): number | undefined {
+		const {groups, group, hasPeers, self} = this.#options;
 		const lastToken = groups.findGroup(group)?.state.token;
 		return lastToken === undefined || !hasPeers()
 			? undefined
-			: makeStorelessToken(lastToken, rank);
+			: makeStorelessToken(lastToken, computeSlot(self));
 	}
 
 	#open(token: number, isStoreReached: boolean): void {
--- a/packages/scheduling/src/group-directory.ts
+++ b/packages/scheduling/src/group-directory.ts
@@ -47,11 +47,22 @@
 	return now - heardAt > stateStaleMs;
 }
 
-/** Told by an earlier holder, or overtaken by a word that came on a newer connection. */
-function isOlder(state: GroupState, known: GroupState): boolean {
-	return state.token === known.token
-		? state.at < known.at
-		: state.token < known.token;
+/**
+Told by an earlier holder, or overtaken by a word that came on a newer connection. Should two hosts ever have one token, all take the
+same one for the holder, and the other gives way.
+*/
+function isOlder(
+	holder: string,
+	state: GroupState,
+	known: KnownGroup,
+): boolean {
+	if (state.token !== known.state.token) {
+		return state.token < known.state.token;
+	}
+
+	return holder === known.holder
+		? state.at < known.state.at
+		: holder < known.holder;
 }
 
 export function createGroupDirectory(): GroupDirectory {
@@ -59,7 +70,7 @@
 	const directory: GroupDirectory = {
 		update(holder, state, now) {
 			const known = groups.get(state.group);
-			if (known && isOlder(state, known.state)) {
+			if (known && isOlder(holder, state, known)) {
 				return false;
 			}
 
