Answer the own holder's state a turn after it was told

A host that is entry and holder in one was frozen; the caller's connection had been reset meanwhile and its copy ran elsewhere. On waking, the entry renewed its claims with a state of that very moment, before the host had read of the reset, and the task was started again.

Cause: the entry on the holder's own host saw the holder's state as it was now. An answer proves nothing if it is given before anything else was read.

Change: each update answers the state that the one before has told; what came during a pause is read in between.

--- a/packages/host/src/scheduling/group-holding.ts
+++ b/packages/host/src/scheduling/group-holding.ts
@@ -91,13 +91,6 @@
 		this.#decideTakeover();
 	}
 
-	#isSuperseded({state, holder}: KnownGroup): boolean {
-		return (
-			state.token > this.#token ||
-			(state.token === this.#token && holder !== this.#options.self)
-		);
-	}
-
 	/** Ends at once; the next holder finds what runs. */
 	stop(): void {
 		if (this.#scheduler) {
@@ -109,6 +102,13 @@
 		this.#scheduler?.setExecutors(this.#listOwn(executors));
 	}
 
+	#isSuperseded({state, holder}: KnownGroup): boolean {
+		return (
+			state.token > this.#token ||
+			(state.token === this.#token && holder !== this.#options.self)
+		);
+	}
+
 	#decideTakeover(): void {
 		const {now, self, listOrder} = this.#options;
 		const at = now();
--- a/packages/host/src/scheduling/host-roles.ts
+++ b/packages/host/src/scheduling/host-roles.ts
@@ -116,6 +116,8 @@
 	update(): void {
 		this.holding.update();
 		this.#updateSuccessor();
+		// What was told before this turn: after a pause, callers that have left since are read before anything is renewed.
+		this.entry.answerState(this.#options.dataCentre);
 		this.#refreshOwnState();
 		this.entry.update();
 		if (this.#options.now() - this.#toldAt >= stateEveryMs) {
--- a/packages/scheduling/src/entry-jobs.ts
+++ b/packages/scheduling/src/entry-jobs.ts
@@ -263,7 +263,7 @@
 	/** A holder has told its state: jobs that wait for a scheduler are placed, and what this entry has there is renewed. */
 	receiveState(group: string): void {
 		this.placeWaiting();
-		this.#answerState(group);
+		this.answerState(group);
 	}
 
 	/** The connection to a host's process broke; `heardAt`: when that host was last there for sure. */
@@ -299,6 +299,19 @@
 		}
 	}
 
+	/** Renews what this entry has at the group; once for each state that its holder tells. */
+	answerState(group: string): void {
+		const known = this.#ports.groups.findGroup(group);
+		if (!known || !this.#holders.hasNewState(known)) {
+			return;
+		}
+
+		const claims = this.#listClaims(group);
+		if (claims.length > 0 || this.#isReplacing()) {
+			this.#holders.sendKeep(known, claims);
+		}
+	}
+
 	/** What time alone brings about; to be called each 50 ms or so. */
 	update(): void {
 		const now = this.#ports.now();
@@ -308,7 +321,9 @@
 
 		this.placeWaiting();
 		for (const {state} of this.#ports.groups.list()) {
-			this.#answerState(state.group);
+			if (state.group !== this.#ports.home) {
+				this.answerState(state.group);
+			}
 		}
 
 		this.#holders.forgetOld(now);
@@ -592,19 +607,6 @@
 			?.state.group;
 	}
 
-	/** Renews what this entry has at the group; once for each state that its holder tells. */
-	#answerState(group: string): void {
-		const known = this.#ports.groups.findGroup(group);
-		if (!known || !this.#holders.hasNewState(known)) {
-			return;
-		}
-
-		const claims = this.#listClaims(group);
-		if (claims.length > 0 || this.#isReplacing()) {
-			this.#holders.sendKeep(known, claims);
-		}
-	}
-
 	/** Under which the group has tasks that this entry still wants. */
 	#listClaims(group: string): number[] {
 		return [...this.#jobs.values()].flatMap((job) => {
--- a/packages/scheduling/src/load-system.fixture.ts
+++ b/packages/scheduling/src/load-system.fixture.ts
@@ -304,6 +304,7 @@
 	const tick = (): void => {
 		for (const group of groups) {
 			group.scheduler.update();
+			entries.get(group.name)!.answerState(group.name);
 			tellState(clock, group, [group], 0);
 			entries.get(group.name)!.update();
 		}
