Say that a claim has ended, and hand what was under it over anew

Causes, of one kind: the end of a claim at its holder was not told to an entry that lives.

- An end of a job whose claim had ended was not told.
- A part under a claim that had ended began a new job in place of what was left of the old one, whose ends nobody heard of any more.
A claim that has ended is not used again: its tasks are given back, and an entry hands a job to a group that has nothing of it under a new number.
- A holder that lacks a claim which is named to it says so; the entry hands the tasks over anew, as after a change of holder, so that the group looks for runs first.
- An end that was told was remembered for as long as a silent connection is kept, and not until it is made anew: the part came again, and the task was started again.
- A task that ended where it had been moved from was neither dropped nor kept from starting where it had been moved to.
A drop can name a claim now.
- A part that answers an old state replaced a later copy of its job, although it was not started itself.

--- a/packages/host/src/scheduling/scheduling-handlers.ts
+++ b/packages/host/src/scheduling/scheduling-handlers.ts
@@ -62,7 +62,11 @@
 			directory.markLinkDown(link, reason);
 		},
 		onReply(link, message) {
-			if (message.t === 'ends' || message.t === 'replaced') {
+			if (
+				message.t === 'ends' ||
+				message.t === 'replaced' ||
+				message.t === 'claims-ended'
+			) {
 				entry.receive(link.key, message);
 			} else if (message.t === 'queue-table') {
 				tables.receive(message, (answer) => {
--- a/packages/protocol/src/scheduling-messages.ts
+++ b/packages/protocol/src/scheduling-messages.ts
@@ -93,6 +93,8 @@
 	job: jobId,
 	/** A later taking of the job by the same entry stays. */
 	takenAtMs,
+	/** Only what is under this claim or an earlier one: the job goes on elsewhere. Absent: all of it. */
+	claim: claim.optional(),
 });
 
 /**
@@ -171,6 +173,13 @@
 	claims: z.array(claim),
 });
 
+/** A holder's answer to a keep: it has nothing under these claims, and nothing of them runs by its orders. */
+export const claimsEndedSchema = z.object({
+	t: z.literal('claims-ended'),
+	token: count,
+	claims: z.array(claim),
+});
+
 /**
 How a task ended at a scheduler: `done`, `failed` (its attempts are used up), `returned` (not
 running here, and will not: the entry places it anew or gives the job up).
@@ -253,6 +262,7 @@
 	partSchema,
 	dropSchema,
 	keepSchema,
+	claimsEndedSchema,
 	replaceSchema,
 	replacedSchema,
 	recallCopySchema,
@@ -266,6 +276,7 @@
 export type TaskDemand = z.infer<typeof taskDemandSchema>;
 export type Part = z.infer<typeof partSchema>;
 export type Keep = z.infer<typeof keepSchema>;
+export type ClaimsEnded = z.infer<typeof claimsEndedSchema>;
 export type Drop = z.infer<typeof dropSchema>;
 export type Replace = z.infer<typeof replaceSchema>;
 export type Replaced = z.infer<typeof replacedSchema>;
--- a/packages/scheduling/src/ends-outbox.ts
+++ b/packages/scheduling/src/ends-outbox.ts
@@ -73,7 +73,7 @@
 			told.find(job, index, placement) !== undefined,
 		flush() {
 			for (const [job, ends] of waiting) {
-				if (!job.isDropped) {
+				if (!job.isDropped || job.isOrphaned) {
 					send(job, {token, ends});
 				}
 			}
--- a/packages/scheduling/src/entry-jobs.ts
+++ b/packages/scheduling/src/entry-jobs.ts
@@ -6,6 +6,7 @@
 with it that the entry could not hand to the next one.
 */
 import {
+	type ClaimsEnded,
 	type Ends,
 	type RecallCopy,
 	type CopyRecalled,
@@ -163,11 +164,39 @@
 	}
 
 	/** What a holder tells this entry. */
-	receive(holder: string, message: Ends | Replaced): void {
-		if (message.t === 'ends') {
-			this.receiveEnds(holder, message);
-		} else {
-			this.receiveReplaced(holder, message);
+	receive(holder: string, message: Ends | Replaced | ClaimsEnded): void {
+		switch (message.t) {
+			case 'ends': {
+				this.receiveEnds(holder, message);
+				break;
+			}
+
+			case 'replaced': {
+				this.receiveReplaced(holder, message);
+				break;
+			}
+
+			case 'claims-ended': {
+				this.receiveClaimsEnded(holder, message);
+				break;
+			}
+		}
+	}
+
+	/** A holder has nothing of what this entry waits for there: it is handed over anew. */
+	receiveClaimsEnded(holder: string, {token, claims}: ClaimsEnded): void {
+		const known = this.#ports.groups
+			.list()
+			.find((one) => one.holder === holder && one.state.token === token);
+		if (!known) {
+			return;
+		}
+
+		const {group} = known.state;
+		for (const job of this.#jobs.values()) {
+			if (claims.includes(job.claims.get(group) ?? -1)) {
+				this.#handOverAnew(job, group);
+			}
 		}
 	}
 
@@ -410,6 +439,10 @@
 		switch (end.outcome) {
 			case 'done': {
 				task.isDone = true;
+				if (!isFromHolder) {
+					this.#takeAway(job, task);
+				}
+
 				if (end.runMs !== undefined) {
 					this.#ports.runTimes.learn(job.request.queue.name, end.runMs);
 				}
@@ -431,6 +464,30 @@
 		}
 	}
 
+	/** A task that has ended elsewhere is not to be started, or to run on, where it was moved to. */
+	#takeAway(job: EntryJob, {group}: EntryTask): void {
+		const known =
+			group === undefined ? undefined : this.#ports.groups.findGroup(group);
+		const claim = group === undefined ? undefined : job.claims.get(group);
+		const isLast = group !== undefined && listTasksAt(job, group).length === 0;
+		if (!known || claim === undefined || !isLast) {
+			return;
+		}
+
+		job.claims.delete(known.state.group);
+		this.#holders.sendDrop({
+			holder: known.holder,
+			message: {
+				t: 'drop',
+				job: job.request.id,
+				takenAtMs: job.takenAtMs,
+				claim,
+			},
+			place: undefined,
+			at: this.#ports.now(),
+		});
+	}
+
 	/** The word is of the holder that has the task now, and of the claim under which it has it. */
 	#isCurrent(
 		{claims}: EntryJob,
@@ -575,15 +632,35 @@
 			task.placement += 1;
 		}
 
-		if (!job.claims.has(group)) {
-			this.#lastClaim += 1;
-			job.claims.set(group, this.#lastClaim);
+		if (listTasksAt(job, group).length === tasks.length) {
+			this.#beginClaim(job, group);
 		}
 
 		this.#ports.groups.take(group, job.request.demand.cpu, tasks.length);
 		this.#sendPart(job, group, tasks, false);
 	}
 
+	/** What was there may have been lost on the way, or an earlier holder may run it: the group looks before it starts anything. */
+	#handOverAnew(job: EntryJob, group: string): void {
+		const tasks = listTasksAt(job, group);
+		this.#beginClaim(job, group);
+		for (const task of tasks) {
+			task.placement += 1;
+			task.nextAttempt += lostAttempts;
+		}
+
+		if (tasks.length > 0) {
+			job.isHandedOver = true;
+			this.#sendPart(job, group, tasks, true);
+		}
+	}
+
+	/** Nothing of an earlier claim of the job on the group is wanted any more. */
+	#beginClaim(job: EntryJob, group: string): void {
+		this.#lastClaim += 1;
+		job.claims.set(group, this.#lastClaim);
+	}
+
 	#sendPart(
 		job: EntryJob,
 		group: string,
--- a/packages/scheduling/src/group-job.ts
+++ b/packages/scheduling/src/group-job.ts
@@ -2,6 +2,7 @@
 A job's tasks at one scheduler: what an entry has handed over, and how far it is.
 */
 import {
+	type ClaimsEnded,
 	type Ends,
 	type Part,
 	type Replaced,
@@ -14,7 +15,7 @@
 export type Entry = {
 	/** `<host key>.<incarnation>`. */
 	key: string;
-	send: (message: Ends | Replaced) => void;
+	send: (message: Ends | Replaced | ClaimsEnded) => void;
 };
 
 export type GroupTask = {
@@ -117,28 +118,38 @@
 /** Adds the tasks of a part that are new here; those that are known by this placement stay as they are. */
 export function addTasks(job: GroupJob, part: Part): GroupTask[] {
 	const added: GroupTask[] = [];
-	for (const [index, nextAttempt, placement] of part.tasks) {
-		const known = job.tasks.get(index);
-		if (known && (known.state !== 'over' || known.placement >= placement)) {
-			continue;
+	for (const task of createPartTasks(part)) {
+		const known = job.tasks.get(task.index);
+		if (
+			!known ||
+			(known.state === 'over' && known.placement < task.placement)
+		) {
+			job.tasks.set(task.index, task);
+			added.push(task);
 		}
+	}
+
+	return added;
+}
 
-		const task: GroupTask = {
+/** The tasks of a part, as they are when nothing of them has been started here. */
+export function* createPartTasks({
+	tasks,
+	shifts,
+}: Part): Generator<GroupTask, void> {
+	for (const [index, nextAttempt, placement] of tasks) {
+		yield {
 			index,
 			placement,
 			nextAttempt,
 			state: 'waiting',
 			failures: 0,
 			moves: 0,
-			shifts: part.shifts,
+			shifts,
 			avoid: new Set(),
 			startedAt: 0,
 		};
-		job.tasks.set(index, task);
-		added.push(task);
 	}
-
-	return added;
 }
 
 export function hasWaiting({tasks}: GroupJob): boolean {
--- a/packages/scheduling/src/group-scheduler.fixture.ts
+++ b/packages/scheduling/src/group-scheduler.fixture.ts
@@ -24,7 +24,7 @@
 		send(message) {
 			if (message.t === 'ends') {
 				told.push(message);
-			} else {
+			} else if (message.t === 'replaced') {
 				replaced.push(message);
 			}
 		},
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -7,6 +7,7 @@
 can't be served in time is returned at once, so that its entry can place it elsewhere or refuse it.
 */
 import {
+	type Drop,
 	type GroupState,
 	type Keep,
 	type Part,
@@ -24,6 +25,7 @@
 import {
 	addTasks,
 	createGroupJob,
+	createPartTasks,
 	hasWaiting,
 	isLapsed,
 	listWaiting,
@@ -161,7 +163,7 @@
 			}
 
 			case 'drop': {
-				this.dropJob(entry, message.job, message.takenAtMs);
+				this.dropJob(entry, message);
 				break;
 			}
 
@@ -183,7 +185,7 @@
 		}
 
 		const former = this.#jobs.get(part.job);
-		if (former && isLaterClaim(former, entry, part)) {
+		if (former && this.#isOutdated(former, entry, part)) {
 			return;
 		}
 
@@ -233,11 +235,18 @@
 		this.#copies.replace(entry, message, first < token);
 	}
 
-	/** The entry wants nothing more of what it took until then. */
-	dropJob(entry: Entry, id: string, takenAtMs = Infinity): void {
-		this.#copies.release(id, entry, takenAtMs);
+	/** The entry wants nothing more of what it took, or handed over here, until then. */
+	dropJob(entry: Entry, {job: id, takenAtMs, claim}: Omit<Drop, 't'>): void {
+		if (claim === undefined) {
+			this.#copies.release(id, entry, takenAtMs);
+		}
+
 		const job = this.#jobs.get(id);
-		if (job?.entry.key === entry.key && job.takenAtMs <= takenAtMs) {
+		const isMeant =
+			job?.entry.key === entry.key &&
+			job.takenAtMs <= takenAtMs &&
+			job.claim <= (claim ?? Infinity);
+		if (isMeant) {
 			this.#drop(job, this.ports.now() + dropStopMs);
 			this.#place();
 		}
@@ -249,12 +258,25 @@
 		{stateAt, claims}: Pick<Keep, 'stateAt' | 'claims'>,
 	): void {
 		this.#entries.markAnswered(entry);
+		const unknown = new Set(claims);
 		const wanted = new Set(claims);
 		for (const job of this.#jobs.values()) {
 			if (job.entry.key === entry.key && wanted.has(job.claim)) {
 				renewClaim(job, stateAt);
+				unknown.delete(job.claim);
 			}
 		}
+
+		if (unknown.size > 0) {
+			const {token, group, log} = this.ports;
+			log('an entry waits for claims that have ended', {
+				entry: entry.key,
+				claims: [...unknown],
+				group,
+				token,
+			});
+			entry.send({t: 'claims-ended', token, claims: [...unknown]});
+		}
 	}
 
 	/** What time alone brings about; to be called each 50 ms or so. */
@@ -304,6 +326,29 @@
 		return {open: listOpen().length, all: sessions.size};
 	}
 
+	/** The part was held up on its way, or is of a claim that has ended: it takes no place of what is here. */
+	#isOutdated(job: GroupJob, entry: Entry, part: Part): boolean {
+		if (!isOwnCopy(job, entry, part.takenAtMs)) {
+			const at = {renewedAt: part.stateAt};
+			return !job.isDropped && isLapsed(at, this.ports.readBootTime());
+		}
+
+		if (job.claim === part.claim && job.isDropped) {
+			this.#giveBackEnded(job, part);
+			return true;
+		}
+
+		return job.claim > part.claim;
+	}
+
+	/** A claim that has ended is not used again: its entry places the tasks of which nothing runs under another one. */
+	#giveBackEnded(job: GroupJob, part: Part): void {
+		const tasks = [...createPartTasks(part)].filter(
+			({index}) => !this.#executors.findRun({job: job.id, index}),
+		);
+		this.#outbox.giveBack(job, tasks, 'elsewhere', this.ports.now());
+	}
+
 	/** A job that the same entry handed over before, or one whose caller has come again elsewhere. */
 	#findJob(entry: Entry, part: Part): GroupJob | undefined {
 		const job = this.#jobs.get(part.job);
@@ -712,15 +757,6 @@
 	job.renewedAt = Math.max(job.renewedAt, stateAt);
 }
 
-/** The part was held up on its way: the entry has handed the job over again since. */
-function isLaterClaim(
-	job: GroupJob,
-	entry: Entry,
-	{takenAtMs, claim}: Part,
-): boolean {
-	return isOwnCopy(job, entry, takenAtMs) && job.claim > claim;
-}
-
 /** An entry that takes a job anew, having dropped it, has another copy: its word to drop the former one may have been lost. */
 function isOwnCopy(job: GroupJob, entry: Entry, takenAtMs: number): boolean {
 	return job.entry.key === entry.key && job.takenAtMs === takenAtMs;
--- a/packages/scheduling/src/job-copies.test.ts
+++ b/packages/scheduling/src/job-copies.test.ts
@@ -83,7 +83,7 @@
 	});
 	const earlier = createEntry('langreo_l1.0');
 	scheduler.receive(earlier, makeReplace());
-	scheduler.dropJob(earlier, 'job1');
+	scheduler.dropJob(earlier, {job: 'job1', takenAtMs: Infinity});
 	scheduler.receivePart(entry, makePart(clock));
 	await runFor(clock, 50, [[scheduler, entry]]);
 	assert.equal(executors.runs.length, 0, 'runs of the copy may be stopped');
@@ -155,7 +155,10 @@
 	});
 	const part = makePart(clock);
 	scheduler.receivePart(entry, part);
-	scheduler.dropJob(entry, part.job, part.takenAtMs - 1);
+	scheduler.dropJob(entry, {
+		job: part.job,
+		takenAtMs: part.takenAtMs - 1,
+	});
 	await runFor(clock, 200, [[scheduler, entry]]);
 	assert.equal(executors.runs[0]?.outcome, 'done');
 });
--- a/packages/scheduling/src/load-system.fixture.ts
+++ b/packages/scheduling/src/load-system.fixture.ts
@@ -3,15 +3,12 @@
 by messages that take a millisecond. What counts is what callers get, and when.
 */
 import {type Draw} from '@gentianshift/standins';
-import {
-	type Ends,
-	type GroupState,
-	type Replaced,
-} from '@gentianshift/protocol';
+import {type GroupState} from '@gentianshift/protocol';
 import {type JobAnswer} from './entry-job.js';
 import {EntryJobs} from './entry-jobs.js';
 import {createFakeExecutors} from './fake-executors.fixture.js';
 import {createGroupDirectory, type GroupDirectory} from './group-directory.js';
+import {type Entry} from './group-job.js';
 import {GroupScheduler} from './group-scheduler.js';
 import {type HolderMessage} from './holder-contacts.js';
 import {type Queue} from './queue-table.js';
@@ -259,7 +256,7 @@
 		const delayMs = target === home ? 0 : linkMs;
 		const caller = {
 			key: `${name}.0`,
-			send(answer: Ends | Replaced) {
+			send(answer: Parameters<Entry['send']>[0]) {
 				clock.schedule(delayMs, () => {
 					entry.receive(target.name, answer);
 				});
--- a/packages/scheduling/src/lost-answers.test.ts
+++ b/packages/scheduling/src/lost-answers.test.ts
@@ -3,9 +3,9 @@
 */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {type Ends, type Replaced} from '@gentianshift/protocol';
 import {createDraw} from '@gentianshift/standins';
 import {findOverlaps, type CallFate} from './fake-executors.fixture.js';
+import {type Entry} from './group-job.js';
 import {
 	makePart,
 	makeTasks,
@@ -34,7 +34,7 @@
 	const begunAt = new Map<string, number>();
 	const noting = {
 		...entry,
-		send(message: Ends | Replaced) {
+		send(message: Parameters<Entry['send']>[0]) {
 			const isDone =
 				message.t === 'ends' &&
 				message.ends.some(({outcome}) => outcome === 'done');
--- a/packages/scheduling/src/told-ends.ts
+++ b/packages/scheduling/src/told-ends.ts
@@ -2,11 +2,11 @@
 Ends that a scheduler has told entries lately. A connection may have broken before one arrived; the
 entry then sends its part again, and is told the same end instead of the task being started anew.
 */
-import {type TaskEnd} from '@gentianshift/protocol';
+import {silenceMs, type TaskEnd} from '@gentianshift/protocol';
 import {formatTaskKey} from './run.js';
 
-/** How long an end that was told is remembered: as long as a silent connection is kept. */
-const toldLimitMs = 2000;
+/** How long an end that was told is remembered: until a silent connection is noticed and made anew. */
+const toldLimitMs = silenceMs + 1000;
 
 export type ToldEnds = {
 	remember: (
