Know each executor by its newest word on itself, and by a good one on its capacity

Seen by callers: nothing yet; a customer's executors may now change their capacity while they run. A host that reads a cheap list after a fresh one took the older capacity back, and one entry with a capacity that can't be used took its executor away from all callers after 2.5 s.

Cause: lists were taken whole, in the order in which they were asked for. A list that may be old and was asked for later replaced a newer one. The whole entry was refused for one bad field.

The tests on older words and bad capacities could not be written against the former types; that lists were taken whole is read from the code.

Ruled out: going by the store's revision alone, as a write of an executor that was held up gets a higher one; by the executor's number alone, as another writer can leave a number that is never reached again. So a lower revision is never taken, and a lower number with a higher revision only once it has stayed for 2.5 s. Refusing a capacity without `cpu`: fields of 0 are left out on the wire, so an executor that has shrunk to nothing would keep its former room.

Change: `executor-words.ts` keeps of each executor the newest word, when this host first read its capacity, and the last good capacity; lists hand executors out with `isGuarded`, by the service's `enforce_limits` in the configuration, false while none is known. What is wrong with an entry is logged again when the reason changes, no longer when the text does: the text changes with each heartbeat.

--- a/packages/bench/src/slopes-schedulers.ts
+++ b/packages/bench/src/slopes-schedulers.ts
@@ -223,7 +223,9 @@
 		dataCentre: 'mieres',
 		service: 'meals',
 		isDraining: false,
+		isGuarded: true,
 		capacity: {cpu: executorCpu, memoryMb: 131_072, accelerators: 0},
+		saidAt: 0,
 	};
 }
 
--- a/packages/host/src/scheduling/executor-lists.test.ts
+++ b/packages/host/src/scheduling/executor-lists.test.ts
@@ -5,11 +5,11 @@
 import {test} from 'node:test';
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import {errAsync, okAsync, ResultAsync} from 'neverthrow';
-import {type Executor} from '@gentianshift/scheduling';
+import {type ExecutorWord} from '@gentianshift/scheduling';
 import {waitFor} from '../timers.js';
 import {createExecutorLists} from './executor-lists.js';
 
-function makeExecutor(id: string): Executor {
+function makeExecutor(id: string): ExecutorWord {
 	return {
 		id,
 		address: '10.0.0.1:8000',
@@ -29,6 +29,7 @@
 	return createExecutorLists({
 		isHolder: () => true,
 		isNamedService: () => true,
+		isGuardedService: () => true,
 		onList() {
 			// Read by the test itself.
 		},
@@ -43,7 +44,7 @@
 }
 
 function createLists(
-	readList: () => Executor[],
+	readList: () => ExecutorWord[],
 	now: () => number,
 	isDown = () => false,
 ) {
@@ -124,13 +125,13 @@
 // A host takes a group over while the cheap read that it began before is still under way. That one's answer is seconds old and comes last; it
 // lacks an executor that has come since and runs tasks.
 test('an older read that is answered later changes nothing', async () => {
-	const answers: Array<(list: Executor[]) => void> = [];
+	const answers: Array<(list: ExecutorWord[]) => void> = [];
 	const ending = new AbortController();
 	const lists = makeLists({
 		source: {
 			list: () =>
 				ResultAsync.fromSafePromise(
-					new Promise<Executor[]>((resolve) => {
+					new Promise<ExecutorWord[]>((resolve) => {
 						answers.push(resolve);
 					}),
 				),
@@ -201,3 +202,112 @@
 	);
 	assert.deepEqual(logged, ['executor of a service that nobody named']);
 });
+
+// Guards against starts for the room of before: a cheap read after a fresh one brings an older word of the executor.
+test('an older word of an executor does not bring back its former capacity', async () => {
+	let now = 0;
+	const word = (sequence: number, cpu: number): ExecutorWord => ({
+		...makeExecutor('e1'),
+		capacity: {cpu, memoryMb: 1000, accelerators: 0},
+		sequence,
+		revision: sequence + 10,
+	});
+	let listed = word(7, 8000);
+	const lists = makeLists({
+		source: {list: () => okAsync([listed])},
+		now: () => now,
+	});
+	const read = async () => {
+		now += 1000;
+		await lists.readNow();
+		return lists.list().map(({capacity, saidAt}) => [capacity.cpu, saidAt]);
+	};
+
+	assert.deepEqual(await read(), [[8000, 1000]]);
+	listed = word(6, 32_000);
+	assert.deepEqual(await read(), [[8000, 1000]]);
+	assert.deepEqual(await read(), [[8000, 1000]]);
+	assert.deepEqual(await read(), [[8000, 1000]]);
+	assert.deepEqual(await read(), [[8000, 1000]]);
+	listed = word(7, 8000);
+	assert.deepEqual(await read(), [[8000, 1000]]);
+	listed = word(8, 16_000);
+	assert.deepEqual(await read(), [[16_000, 7000]]);
+});
+
+// Guards against a write that was held up and undoes the newer one, and against words that are never taken again after it.
+test('a word with a lower number that the store took later counts once it stays', async () => {
+	let now = 0;
+	let listed: ExecutorWord = {
+		...makeExecutor('e1'),
+		sequence: 900,
+		revision: 10,
+	};
+	const lists = makeLists({
+		source: {list: () => okAsync([listed])},
+		now: () => now,
+	});
+	const read = async () => {
+		await lists.readNow();
+		return lists.list().map(({capacity}) => capacity.cpu);
+	};
+
+	assert.deepEqual(await read(), [32_000]);
+	const capacity = {cpu: 8000, memoryMb: 1000, accelerators: 0};
+	listed = {...listed, capacity, sequence: 5, revision: 11};
+	assert.deepEqual(await read(), [32_000]);
+	now = 2000;
+	assert.deepEqual(await read(), [32_000]);
+	now = 2600;
+	listed = {...listed, sequence: 7, revision: 13};
+	assert.deepEqual(await read(), [8000]);
+});
+
+// Guards against an executor that is lost, or takes part with room that nobody knows, for one bad word on its capacity.
+test('where a capacity can not be used the last good one holds, and without one nothing is listed', async () => {
+	let listed: ExecutorWord[] = [
+		{...makeExecutor('e1'), sequence: 1},
+		{...makeExecutor('e2'), capacity: undefined, sequence: 1},
+	];
+	const lists = makeLists({source: {list: () => okAsync(listed)}});
+	const read = async () => {
+		await lists.readNow();
+		return lists
+			.list()
+			.map(({id, capacity, isDraining}) => [id, capacity.cpu, isDraining]);
+	};
+
+	assert.deepEqual(await read(), [['e1', 32_000, false]]);
+	listed = listed.map((word) => ({
+		...word,
+		capacity: undefined,
+		isDraining: true,
+		sequence: 2,
+	}));
+	assert.deepEqual(await read(), [['e1', 32_000, true]]);
+	listed = [makeExecutor('e1'), {...makeExecutor('e2'), sequence: 3}];
+	assert.deepEqual(await read(), [
+		['e1', 32_000, false],
+		['e2', 32_000, false],
+	]);
+});
+
+// Guards against starts beside runs of unknown size on executors that would not refuse them.
+test('executors of a service are listed as its configuration says that they guard their capacity', async () => {
+	let isGuarded = false;
+	const lists = makeLists({
+		source: {list: () => okAsync([{...makeExecutor('e1'), sequence: 1}])},
+		isGuardedService: () => isGuarded,
+	});
+	await lists.readNow();
+	assert.deepEqual(
+		lists.list().map((executor) => executor.isGuarded),
+		[false],
+	);
+	isGuarded = true;
+	await lists.readNow();
+	assert.deepEqual(
+		lists.list().map((executor) => executor.isGuarded),
+		[true],
+	);
+});
--- a/packages/host/src/scheduling/executor-lists.ts
+++ b/packages/host/src/scheduling/executor-lists.ts
@@ -11,6 +11,7 @@
 A watch is no help here: every heartbeat of every executor would wake it.
 */
 import {type Executor} from '@gentianshift/scheduling';
+import {createExecutorWords} from './executor-words.js';
 import {type ExecutorSource} from './surroundings.js';
 
 /** A holder's pause: a third of the two seconds within which a draining executor must be known. */
@@ -45,6 +46,7 @@
 	source,
 	isHolder,
 	isNamedService,
+	isGuardedService,
 	onList,
 	now,
 	wait,
@@ -55,6 +57,8 @@
 	isHolder: () => boolean;
 	/** Another writer may leave entries in the store: of a service that nobody named, none is used. */
 	isNamedService: (service: string) => boolean;
+	/** Its executors refuse what their capacity doesn't hold. */
+	isGuardedService: (service: string) => boolean;
 	onList: (executors: readonly Executor[]) => void;
 	now: () => number;
 	wait: (ms: number, signal: AbortSignal) => Promise<void>;
@@ -62,6 +66,7 @@
 	log: (message: string, fields: Record<string, unknown>) => void;
 }): ExecutorLists {
 	let executors: readonly Executor[] = [];
+	const words = createExecutorWords(isGuardedService);
 	let wake = new AbortController();
 	/** When a list first lacked an executor that is still in force. */
 	const missingSince = new Map<string, number>();
@@ -80,6 +85,7 @@
 		const mayBeStale = !isHolder() && now() >= takesOverUntil;
 		begun += 1;
 		const number = begun;
+		const askedAt = now();
 		const found = await source.list({mayBeStale});
 		if (number < taken) {
 			return true;
@@ -98,7 +104,8 @@
 
 		readSince ??= now();
 		isFresh = !mayBeStale;
-		executors = keepMissing(pickNamed(found.value));
+		executors = keepMissing(pickNamed(words.take(found.value, askedAt)));
+		words.keepOnly(executors);
 		onList(executors);
 		return true;
 	}
--- a/packages/host/src/scheduling/faulty/faulty-host.fixture.ts
+++ b/packages/host/src/scheduling/faulty/faulty-host.fixture.ts
@@ -224,6 +224,7 @@
 				list: (options) => hold(this.surroundings.executors.list(options)),
 			},
 			isNamedService: () => true,
+			isGuardedService: () => true,
 			isHolder: () => roles.holding.scheduler !== undefined,
 			onList(list) {
 				roles.holding.setExecutors(list);
--- a/packages/host/src/scheduling/group-holding.test.ts
+++ b/packages/host/src/scheduling/group-holding.test.ts
@@ -224,7 +224,9 @@
 		dataCentre: 'mieres',
 		service: 'meals',
 		isDraining: false,
+		isGuarded: true,
 		capacity: {cpu: 32_000, memoryMb: 1000, accelerators: 0},
+		saidAt: 0,
 	};
 	let known = executor;
 	const seen: boolean[] = [];
--- a/packages/host/src/scheduling/queue-tables.test.ts
+++ b/packages/host/src/scheduling/queue-tables.test.ts
@@ -21,6 +21,7 @@
 					version: Number(text),
 					queues: [],
 					services: [`service-${text}`],
+					guardedServices: [],
 					maxBodyBytes: 1000,
 				}),
 		},
--- a/packages/host/src/scheduling/queue-tables.ts
+++ b/packages/host/src/scheduling/queue-tables.ts
@@ -31,6 +31,8 @@
 	configuration is known.
 	*/
 	isNamedService: (service: string) => boolean;
+	/** Whether executors of the service refuse what their capacity doesn't hold; false while that is not known. */
+	isGuardedService: (service: string) => boolean;
 	/** The table as soon as one is in force; undefined at once when the host has waited long enough. */
 	waitForTable: () => Promise<QueueTable | undefined>;
 	start: (signal: AbortSignal) => void;
@@ -128,6 +130,8 @@
 	return {
 		getTable: () => table,
 		isNamedService: (service) => table === undefined || services.has(service),
+		isGuardedService: (service) =>
+			table?.guardedServices.includes(service) ?? false,
 		async waitForTable() {
 			await firstLimit;
 			return table;
--- a/packages/host/src/scheduling/start-scheduling-host.ts
+++ b/packages/host/src/scheduling/start-scheduling-host.ts
@@ -139,6 +139,7 @@
 			source: surroundings.executors,
 			isHolder: () => this.#roles.holding.scheduler !== undefined,
 			isNamedService: (service) => this.#tables.isNamedService(service),
+			isGuardedService: (service) => this.#tables.isGuardedService(service),
 			onList: (list) => {
 				this.#roles.holding.setExecutors(list);
 			},
--- a/packages/host/src/scheduling/surroundings.ts
+++ b/packages/host/src/scheduling/surroundings.ts
@@ -5,7 +5,7 @@
 import {type Result, type ResultAsync} from 'neverthrow';
 import {
 	type CoordinationStore,
-	type Executor,
+	type ExecutorWord,
 	type ExecutorControl,
 	type QueueTable,
 	type StoreFailure,
@@ -31,9 +31,10 @@
 };
 
 export type ExecutorSource = {
+	/** What executors say of themselves; `mayBeStale`: as of some seconds ago. */
 	list: (options?: {
 		mayBeStale?: boolean;
-	}) => ResultAsync<Executor[], StoreFailure>;
+	}) => ResultAsync<ExecutorWord[], StoreFailure>;
 };
 
 export type Surroundings = {
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -1,4 +1,4 @@
-export {type Executor} from './executor.js';
+export {type Executor, type ExecutorWord} from './executor.js';
 export {type EntryPeers} from './copy-recall.js';
 export * from './process-id.js';
 export * from './entry-job.js';
--- a/packages/scheduling/src/queue-table.ts
+++ b/packages/scheduling/src/queue-table.ts
@@ -26,6 +26,8 @@
 	queues: Queue[];
 	/** Services that have executors. */
 	services: string[];
+	/** Those of them whose executors refuse what their capacity doesn't hold. */
+	guardedServices: string[];
 	/** Largest body of a request, bytes. */
 	maxBodyBytes: number;
 };
--- a/packages/telemetry/src/once-log.ts
+++ b/packages/telemetry/src/once-log.ts
@@ -1,5 +1,6 @@
 /**
-Logs what is wrong with a key of the store once, not at each read; again when its text is another.
+Logs what is wrong with a key of the store once, not at each read; again when the reason is another: the text
+may change with each write of the same writer.
 */
 
 /** Keys remembered; the oldest is forgotten first. */
@@ -23,12 +24,12 @@
 ): OnceLog {
 	const told = new Map<string, string>();
 	return (message, key, {text, reason}) => {
-		if (told.get(key) === text) {
+		if (told.get(key) === reason) {
 			return;
 		}
 
 		told.delete(key);
-		told.set(key, text);
+		told.set(key, reason);
 		const [oldest] = told.keys();
 		if (told.size > mostKeys && oldest !== undefined) {
 			told.delete(oldest);
