Start nothing beside runs of unknown size where capacity is not guarded, nor again where there was no room

Seen by callers: nothing yet. An executor that doesn't guard its capacity is brought over it by a new holder of its group; one that does refuses starts again and again, each at a price, and its task goes to a worse executor or keeps away from that one.

Cause: a run that a new holder finds is taken for half of its executor until its entry claims it. Where it needs more, the room beside it is not there. After a refusal for want of room the executor rested for 150 ms whatever happened to its room, what it offered to entries stayed, and the task avoided it as after a failed run. An executor without memory left still offered its processor to entries.

Ruled out: taking a found run for the whole executor also where capacity is guarded: a wrong guess costs one refused start there, and half is right for most.

Change: on an executor that doesn't guard its capacity nothing is free while a found run is unclaimed and listed; refused for want of room, nothing is free until a run ends or is claimed, the capacity changes, or 150 ms have passed. A refused start is an outcome of its own (`refused`), after which the task avoids nobody and its attempts rise by one only. The stand-in has capacity that changes, guarded or not, stops that take time, and a check of starts over it.

--- a/packages/scheduling/src/executor-session.ts
+++ b/packages/scheduling/src/executor-session.ts
@@ -19,7 +19,7 @@
 import {createTrust, recordFailure} from './executor-trust.js';
 import {type Executor} from './executor.js';
 import {type Candidate} from './place-task.js';
-import {noDemand, removeDemand} from './room.js';
+import {hasRoom, noDemand, noRoom, removeDemand} from './room.js';
 import {createRunBook} from './run-book.js';
 import {createRunOrders, retryMs, type RunOrders} from './run-orders.js';
 import {formatTaskKey, type Run, type RunOutcome} from './run.js';
@@ -34,7 +34,7 @@
 } from './timing.js';
 import {type UnsettledOrders} from './unsettled-orders.js';
 
-/** After the executor said that it has no room, or declined, it gets nothing for this long. */
+/** After the executor declined, or said that it has no room, it gets nothing for this long; in the latter case until its room changes, if that is sooner. */
 const declinedRestMs = 150;
 
 export type SessionPorts = {
@@ -73,6 +73,8 @@
 	/** The executor's clock in the newest report: an older one that comes later tells nothing. */
 	#reportedClockMs = -Infinity;
 	readonly #closing = new AbortController();
+	/** It has refused a start for want of room: until then nothing is known to be free. */
+	#fullUntil = -Infinity;
 	/** A pause between renewals; undefined: there is none. */
 	#idle: {end: () => void} | undefined;
 
@@ -108,8 +110,11 @@
 		return this.#executor.isDraining;
 	}
 
+	/** May be less than nothing, where capacity has shrunk below what runs. */
 	get free(): TaskDemand {
-		return removeDemand(this.#executor.capacity, this.#book.used);
+		return this.ports.now() < this.#fullUntil || this.#mayBeOverfull()
+			? noRoom
+			: removeDemand(this.#executor.capacity, this.#book.used);
 	}
 
 	/** Whether a start may be sent now. */
@@ -123,7 +128,11 @@
 	}
 
 	update(executor: Executor): void {
+		const former = this.#executor;
 		this.#executor = executor;
+		if (!isSameDemand(former.capacity, executor.capacity)) {
+			this.#fullUntil = -Infinity;
+		}
 	}
 
 	/** Begins to follow the executor; returns at once. */
@@ -184,6 +193,7 @@
 		}
 
 		this.#book.resize(run, demand);
+		this.#fullUntil = -Infinity;
 		run.isFound = false;
 		return run;
 	}
@@ -214,9 +224,9 @@
 			onStopped: () => {
 				void this.#look();
 			},
-			onUnstarted: (run) => {
+			onUnstarted: (run, outcome) => {
 				this.#book.remove(run);
-				this.#tellEnd({run, outcome: 'unstarted'});
+				this.#tellEnd({run, outcome});
 				this.ports.onChange();
 			},
 			log,
@@ -345,6 +355,10 @@
 			void this.#endSilence();
 		}
 
+		if (ended.length > 0) {
+			this.#fullUntil = -Infinity;
+		}
+
 		for (const end of ended) {
 			this.#tellEnd(end);
 		}
@@ -396,6 +410,14 @@
 		return {...noDemand, cpu: Math.floor(this.capacity.cpu / 2)};
 	}
 
+	/** What runs there may need more than it is taken for, and the executor would not refuse a start for that. */
+	#mayBeOverfull(): boolean {
+		return (
+			!this.#executor.isGuarded &&
+			[...this.runs.values()].some(({isFound}) => isFound)
+		);
+	}
+
 	#receiveOrderFailure(failure: CallFailure, call: 'start' | 'stop'): void {
 		if (failure.clockMs !== undefined) {
 			this.#setClock(failure.clockMs);
@@ -403,8 +425,11 @@
 
 		const {code} = failure;
 		const isBusy = code !== 'outdated' && code !== 'lease-passed';
-		if (call === 'start' && isBusy) {
-			this.trust.restsUntil = this.ports.now() + declinedRestMs;
+		const restsUntil = this.ports.now() + declinedRestMs;
+		if (code === 'no-room') {
+			this.#fullUntil = restsUntil;
+		} else if (call === 'start' && isBusy) {
+			this.trust.restsUntil = restsUntil;
 		}
 
 		this.#receiveFailure(failure, call);
@@ -522,3 +547,7 @@
 		this.ports.onRunEnd(run, outcome, this);
 	}
 }
+
+function isSameDemand(a: TaskDemand, b: TaskDemand): boolean {
+	return hasRoom(a, b) && hasRoom(b, a);
+}
--- a/packages/scheduling/src/fake-executors.fixture.ts
+++ b/packages/scheduling/src/fake-executors.fixture.ts
@@ -2,6 +2,7 @@
 Executors under leases for tests of the scheduler: no sockets, on a virtual clock.
 */
 import {err, ok, ResultAsync, type Result} from 'neverthrow';
+import {type TaskDemand} from '@gentianshift/protocol';
 import {
 	type CallFailure,
 	type ExecutorControl,
@@ -13,18 +14,23 @@
 	type StopRequest,
 } from './executor-control.js';
 import {type Executor} from './executor.js';
+import {addDemand, hasRoom, noDemand, removeDemand} from './room.js';
 import {type VirtualClock} from './virtual-clock.fixture.js';
 
 export type FakeRun = RunName & {
 	executor: string;
 	token: number;
 	startedAt: number;
+	/** What the executor had in use right after the start. */
+	used: TaskDemand;
 	endedAt?: number;
 	outcome?: RunEnd['outcome'];
 };
 
-type FakeExecutor = {
+export type FakeExecutor = {
 	executor: Executor;
+	/** Its capacity over time, as it said it. */
+	said: Array<{at: number; capacity: TaskDemand}>;
 	token: number;
 	leaseEndsAt: number;
 	active: FakeRun[];
@@ -64,6 +70,9 @@
 		taskMs = 100,
 		decideFate = () => ({type: 'answered'}),
 		lookMs = 5,
+		stopMs = 0,
+		getDemand = () => noDemand,
+		isGuarded = true,
 	}: {
 		count: number;
 		cpu?: number;
@@ -73,6 +82,12 @@
 		decideFate?: (call: FakeCall) => CallFate;
 		/** An executor that is asked to wait for an end looks this often. */
 		lookMs?: number;
+		/** A stop is answered at once, and the run is over this much later. */
+		stopMs?: number;
+		/** What each task takes of its executor; without it all have room for all. */
+		getDemand?: (job: string) => TaskDemand;
+		/** They refuse what they have no room for. */
+		isGuarded?: boolean;
 	},
 ) {
 	const runs: FakeRun[] = [];
@@ -83,10 +98,16 @@
 			dataCentre: 'mieres',
 			service: 'meals',
 			isDraining: false,
-			isGuarded: true,
+			isGuarded,
 			capacity: {cpu, memoryMb: 100_000, accelerators: 0},
 			saidAt: 0,
 		},
+		said: [
+			{
+				at: -Infinity,
+				capacity: {cpu, memoryMb: 100_000, accelerators: 0},
+			},
+		],
 		token: 0,
 		leaseEndsAt: 0,
 		active: [],
@@ -103,6 +124,22 @@
 		return fakes.find(({executor}) => executor.id === id)!;
 	}
 
+	/** It has so much room from now on, and says so. */
+	function setCapacity(fake: FakeExecutor, capacity: TaskDemand): Executor {
+		fake.executor = {...fake.executor, capacity, saidAt: clock.now};
+		fake.said.push({at: clock.now, capacity});
+		return fake.executor;
+	}
+
+	function sumUsed({active}: FakeExecutor): TaskDemand {
+		let used = noDemand;
+		for (const {job} of active) {
+			used = addDemand(used, getDemand(job));
+		}
+
+		return used;
+	}
+
 	function isCut({cutFrom}: FakeExecutor, token: number): boolean {
 		return cutFrom === 'all' || cutFrom.has(token);
 	}
@@ -154,6 +191,11 @@
 			return refuse('lease-passed');
 		}
 
+		const free = removeDemand(fake.executor.capacity, sumUsed(fake));
+		if (fake.executor.isGuarded && !hasRoom(free, getDemand(job))) {
+			return refuse('no-room');
+		}
+
 		fake.highest.set(key, attempt);
 		const run: FakeRun = {
 			job,
@@ -162,6 +204,7 @@
 			token,
 			executor: fake.executor.id,
 			startedAt: clock.now,
+			used: addDemand(sumUsed(fake), getDemand(job)),
 		};
 		fake.active.push(run);
 		runs.push(run);
@@ -268,7 +311,13 @@
 		fake.highest.set(key, Math.max(attempt, fake.highest.get(key) ?? 0));
 		for (const run of fake.active) {
 			if (run.job === job && run.index === index && run.attempt <= attempt) {
-				endRun(fake, run, 'ended');
+				if (stopMs > 0) {
+					clock.schedule(stopMs, () => {
+						endRun(fake, run, 'ended');
+					});
+				} else {
+					endRun(fake, run, 'ended');
+				}
 			}
 		}
 
@@ -341,6 +390,7 @@
 		runs,
 		fakes,
 		executors: fakes.map(({executor}) => executor),
+		setCapacity,
 	};
 }
 
@@ -365,3 +415,20 @@
 			),
 	);
 }
+
+/** Starts that brought an executor which doesn't guard its capacity over all that it said within so many milliseconds before. */
+export function findOverfull(
+	{runs, fakes}: Pick<FakeExecutors, 'runs' | 'fakes'>,
+	graceMs: number,
+): string[] {
+	return runs.flatMap(({job, index, executor, startedAt, used}) => {
+		const fake = fakes.find((one) => one.executor.id === executor)!;
+		const first = fake.said.findLastIndex(({at}) => at <= startedAt - graceMs);
+		const isHeld = fake.said
+			.slice(first)
+			.some(({at, capacity}) => at <= startedAt && hasRoom(capacity, used));
+		return fake.executor.isGuarded || isHeld
+			? []
+			: [`${job}/${index} on ${executor} at ${startedAt}: ${used.cpu} in use`];
+	});
+}
--- a/packages/scheduling/src/group-scheduler.fixture.ts
+++ b/packages/scheduling/src/group-scheduler.fixture.ts
@@ -39,12 +39,14 @@
 		fitsElsewhere = 0,
 		isListComplete = true,
 		peers = [],
+		log = () => undefined,
 	}: {
 		/** Tasks for which other groups have room. */
 		fitsElsewhere?: number;
 		isListComplete?: boolean;
 		/** Keys of the other hosts. */
 		peers?: readonly string[];
+		log?: (message: string, fields: Record<string, unknown>) => void;
 	} = {},
 ): GroupScheduler {
 	let leftElsewhere = fitsElsewhere;
@@ -72,9 +74,7 @@
 		isListComplete: () => isListComplete,
 		isListFresh: () => true,
 		getStoreAgeMs: () => 0,
-		log() {
-			// Not read.
-		},
+		log,
 	});
 	scheduler.setExecutors(executors);
 	return scheduler;
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -39,7 +39,7 @@
 import {placeWaiting} from './place-waiting.js';
 import {isTooLate, measureLoad} from './measure-load.js';
 import {createPlacingRound} from './placing-round.js';
-import {countFits} from './room.js';
+import {countFits, hasRoom, noDemand} from './room.js';
 import {type Run, type RunOutcome} from './run.js';
 import {type RunTimes} from './run-times.js';
 import {createStartLog, type StartLog} from './start-log.js';
@@ -285,7 +285,7 @@
 			successor: this.ports.getSuccessor(),
 			isReleased: this.#isClosed,
 			storeAgeMs: this.ports.getStoreAgeMs(),
-			free: open.map(({free}) => Math.max(0, free.cpu)),
+			free: open.map(({free}) => (hasRoom(free, noDemand) ? free.cpu : 0)),
 			capacity: open.reduce((sum, {capacity}) => sum + capacity.cpu, 0),
 			...measureLoad(this.#jobs.values(), this.ports.now()),
 		};
@@ -596,7 +596,10 @@
 			}
 		}
 
-		task.avoid.add(session.id);
+		if (outcome !== 'refused') {
+			task.avoid.add(session.id);
+		}
+
 		task.state = 'waiting';
 		task.executor = undefined;
 		if (outcome === 'unstarted') {
--- a/packages/scheduling/src/room.ts
+++ b/packages/scheduling/src/room.ts
@@ -5,6 +5,9 @@
 
 export const noDemand: TaskDemand = {cpu: 0, memoryMb: 0, accelerators: 0};
 
+/** Of an executor that may be given nothing: less than any demand. */
+export const noRoom: TaskDemand = {cpu: -1, memoryMb: -1, accelerators: -1};
+
 export function addDemand(a: TaskDemand, b: TaskDemand): TaskDemand {
 	return {
 		cpu: a.cpu + b.cpu,
--- a/packages/scheduling/src/run-orders.ts
+++ b/packages/scheduling/src/run-orders.ts
@@ -33,7 +33,7 @@
 	/** A stop was answered: what ran is over, and the executor lists how. */
 	onStopped: () => void;
 	/** It is proved that the run never began. */
-	onUnstarted: (run: Run) => void;
+	onUnstarted: (run: Run, outcome: 'unstarted' | 'refused') => void;
 	log: (message: string, fields: Record<string, unknown>) => void;
 };
 
@@ -51,7 +51,7 @@
 	async function sendStart(run: Run, spec: string): Promise<void> {
 		const leaseUntilMs = ports.extendLease();
 		if (leaseUntilMs === undefined) {
-			ports.onUnstarted(run);
+			ports.onUnstarted(run, 'unstarted');
 			return;
 		}
 
@@ -105,7 +105,8 @@
 
 		ports.onFailure(failure, 'start');
 		if (isCurrent(run)) {
-			ports.onUnstarted(run);
+			const isRefused = failure.code === 'no-room';
+			ports.onUnstarted(run, isRefused ? 'refused' : 'unstarted');
 		}
 	}
 
--- a/packages/scheduling/src/run.ts
+++ b/packages/scheduling/src/run.ts
@@ -32,9 +32,10 @@
 
 /**
 How a run ended for its scheduler. `lost`: the lease passed or the executor's life ended;
-`unstarted`: it is proved that it never ran.
+`unstarted`: it is proved that it never ran; `refused`: likewise, as its executor had no room for it.
 */
-export type RunOutcome = 'done' | 'failed' | 'ended' | 'lost' | 'unstarted';
+export type RunOutcome =
+	'done' | 'failed' | 'ended' | 'lost' | 'unstarted' | 'refused';
 
 /** Names a task in maps. */
 export function formatTaskKey({
