Log changes of an executor's capacity, and the age of what each start went by

Seen by operators: a start over an executor's capacity, or one refused for want of room, could not be traced to an old word of the executor or a list that was not read.

Change: `tasks started` has `capacityAgeMs` for each start; `capacity of an executor has changed` tells from, to and the ages of both words. The test of the start log holds the new field beside all that it held.

--- a/packages/scheduling/src/executor-session.ts
+++ b/packages/scheduling/src/executor-session.ts
@@ -117,6 +117,11 @@
 			: removeDemand(this.#executor.capacity, this.#book.used);
 	}
 
+	/** How long ago this host first read the capacity that it goes by, milliseconds. */
+	get capacityAgeMs(): number {
+		return this.ports.now() - this.#executor.saidAt;
+	}
+
 	/** Whether a start may be sent now. */
 	get isOpen(): boolean {
 		return (
@@ -129,9 +134,17 @@
 
 	update(executor: Executor): void {
 		const former = this.#executor;
+		const formerAgeMs = Math.round(this.capacityAgeMs);
 		this.#executor = executor;
 		if (!isSameDemand(former.capacity, executor.capacity)) {
 			this.#fullUntil = -Infinity;
+			this.ports.log('capacity of an executor has changed', {
+				executor: this.id,
+				from: former.capacity,
+				to: executor.capacity,
+				ageMs: Math.round(this.capacityAgeMs),
+				formerAgeMs,
+			});
 		}
 	}
 
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -508,7 +508,8 @@
 		task.state = 'started';
 		task.executor = session.id;
 		task.startedAt = this.ports.now();
-		this.#startLog.add(job, task, attempt);
+		const {capacityAgeMs} = session;
+		this.#startLog.add(job, task, {attempt, capacityAgeMs});
 		if (!job.isStarted) {
 			job.isStarted = true;
 			this.#outbox.tellStarted(job);
--- a/packages/scheduling/src/start-log.test.ts
+++ b/packages/scheduling/src/start-log.test.ts
@@ -8,7 +8,7 @@
 import {createStartLog} from './start-log.js';
 import {VirtualClock} from './virtual-clock.fixture.js';
 
-test('the starts of a round are told in one line a job, with group, token and entry', () => {
+test('the starts of a round are told in one line a job, with group, token, entry and the age of what executors said of their room', () => {
 	const lines: Array<Record<string, unknown>> = [];
 	const startLog = createStartLog({
 		group: 'mieres',
@@ -28,8 +28,16 @@
 		avoid: new Set<string>(),
 		startedAt: 0,
 	};
-	startLog.add(job, {...task, index: 0, executor: 'e1'}, 1);
-	startLog.add(job, {...task, index: 1, executor: 'e2'}, 1);
+	startLog.add(
+		job,
+		{...task, index: 0, executor: 'e1'},
+		{attempt: 1, capacityAgeMs: 412.3},
+	);
+	startLog.add(
+		job,
+		{...task, index: 1, executor: 'e2'},
+		{attempt: 1, capacityAgeMs: 0},
+	);
 	startLog.write();
 	startLog.write();
 	assert.deepEqual(lines, [
@@ -41,8 +49,8 @@
 			token: 7,
 			isMoved: false,
 			starts: [
-				{task: 0, attempt: 1, executor: 'e1'},
-				{task: 1, attempt: 1, executor: 'e2'},
+				{task: 0, attempt: 1, executor: 'e1', capacityAgeMs: 412},
+				{task: 1, attempt: 1, executor: 'e2', capacityAgeMs: 0},
 			],
 		},
 	]);
--- a/packages/scheduling/src/start-log.ts
+++ b/packages/scheduling/src/start-log.ts
@@ -6,11 +6,21 @@
 */
 import {type GroupJob, type GroupTask} from './group-job.js';
 
-type Start = {task: number; attempt: number; executor: string};
+type Start = {
+	task: number;
+	attempt: number;
+	executor: string;
+	/** How long ago the executor's capacity was first read. */
+	capacityAgeMs: number;
+};
 
 export type StartLog = {
 	/** To be called when the task's state names its executor and the attempt. */
-	add: (job: GroupJob, task: GroupTask, attempt: number) => void;
+	add: (
+		job: GroupJob,
+		task: GroupTask,
+		start: Pick<Start, 'attempt' | 'capacityAgeMs'>,
+	) => void;
 	/** Writes the lines of what was added since the last call. */
 	write: () => void;
 };
@@ -24,9 +34,14 @@
 export function createStartLog({group, token, log}: StartLogPorts): StartLog {
 	let starts = new Map<GroupJob, Start[]>();
 	return {
-		add(job, {index, executor}, attempt) {
+		add(job, {index, executor}, {attempt, capacityAgeMs}) {
 			const ofJob = starts.get(job) ?? [];
-			ofJob.push({task: index, attempt, executor: executor ?? ''});
+			ofJob.push({
+				task: index,
+				attempt,
+				executor: executor ?? '',
+				capacityAgeMs: Math.round(capacityAgeMs),
+			});
 			starts.set(job, ofJob);
 		},
 		write() {
