--- a/packages/scheduling/src/changing-capacity.test.ts
+++ b/packages/scheduling/src/changing-capacity.test.ts
@@ -90,7 +90,7 @@
 		entry,
 		makePart(clock, {job: 'job2', tasks: makeTasks(2), remaining: 2}),
 	);
-	scheduler.dropJob(entry, 'job1');
+	scheduler.dropJob(entry, {job: 'job1', takenAtMs: Infinity});
 	await clock.run(30);
 	assert.equal(executors.runs.length, 2);
 	await runFor(clock, 200, [[scheduler, entry]]);
--- a/packages/scheduling/src/fake-executors.fixture.ts
+++ b/packages/scheduling/src/fake-executors.fixture.ts
@@ -193,7 +193,7 @@
 
 		const free = removeDemand(fake.executor.capacity, sumUsed(fake));
 		if (fake.executor.isGuarded && !hasRoom(free, getDemand(job))) {
-			return refuse('no-room');
+			return refuse('no-room', clock.now);
 		}
 
 		fake.highest.set(key, attempt);
