Hold that an executor that refused a start is used again as soon as its room changes

What callers saw: nothing. The tests of refused starts held that the executor rests and is tried again after its rest, and one of them (a refusal counts neither against the executor nor the task) also fails where the rest goes on although capacity has changed; none was about that, and none held that a run's end ends the rest.

Change: a test of both. Without the three lines that end the rest, it and the one named above fail (trial on the working copy).

--- a/packages/scheduling/src/changing-capacity.test.ts
+++ b/packages/scheduling/src/changing-capacity.test.ts
@@ -268,3 +268,32 @@
 	await runFor(clock, 500, [[scheduler, entry]]);
 	assert.equal(countActive(executors), 1);
 });
+
+// Guards against room that stays unused for the rest after a refusal, although it is known to have changed.
+test('an executor that has refused a start is tried again at once when its room changes', async () => {
+	const {clock, executors, scheduler, entry} = await openScheduler({
+		count: 1,
+		taskMs: ({job}) => (job === 'short' ? 30 : 2000),
+		getDemand: () => demand,
+	});
+	const [fake] = executors.fakes;
+	const {capacity} = fake!.executor;
+	scheduler.receivePart(entry, makePart(clock, {job: 'short'}));
+	await clock.run(5);
+	executors.setCapacity(fake!, {...capacity, cpu: demand.cpu});
+	scheduler.receivePart(entry, makePart(clock));
+	await clock.run(5);
+	assert.equal(countActive(executors), 1);
+	assert.deepEqual(scheduler.describeState().free, [0]);
+	await clock.run(40);
+	assert.deepEqual(
+		executors.runs.map(({job}) => job),
+		['short', 'job1'],
+	);
+	scheduler.receivePart(entry, makePart(clock, {job: 'job2'}));
+	await clock.run(5);
+	assert.equal(countActive(executors), 1);
+	sayCapacity(executors, scheduler, {cpu: 2 * demand.cpu});
+	await clock.run(5);
+	assert.equal(countActive(executors), 2);
+});
