Play executors whose room shrinks and grows in the drawn plans; state the promise

What callers saw: nothing. Nothing played capacity that changes together with hand-overs, kills, cuts, and lost and late orders.

Change: a fault `shrink` (the store shows it at once, hosts read it with their next list, cheap lists show it late), jobs of other sizes, executors that guard their capacity or not, and stops after which runs go on. Each play checks that no start brings an executor that doesn't guard its capacity over all that it said in the last 4,500 ms: time for hosts to be in touch again, and one beat of executors. All earlier plans are played with executors that refuse what they have no room for.

--- a/packages/host/src/scheduling/faulty/begin-fault.fixture.ts
+++ b/packages/host/src/scheduling/faulty/begin-fault.fixture.ts
@@ -5,6 +5,7 @@
 	type FakeExecutors,
 	type VirtualClock,
 } from '@gentianshift/scheduling/fixtures';
+import {type TaskDemand} from '@gentianshift/protocol';
 import {dataCentres, type PlannedFault} from './fault-plan.fixture.js';
 import {type FaultyHost} from './faulty-host.fixture.js';
 import {type FaultyNetwork} from './faulty-network.fixture.js';
@@ -15,6 +16,8 @@
 	seen: number;
 };
 
+export type ShrinkRule = Extract<PlannedFault, {kind: 'shrink'}>;
+
 export type FaultySystem = {
 	clock: VirtualClock;
 	hosts: readonly FaultyHost[];
@@ -24,6 +27,7 @@
 	/** How the store treats a host; it is well with those that are not listed. */
 	moods: Map<FaultyHost, StoreMood>;
 	orderRules: Set<OrderRule>;
+	shrinkRules: Set<ShrinkRule>;
 	/** Callers whose connections broke come again. */
 	resend: (jobs: readonly string[], when?: 'at-once') => void;
 };
@@ -75,6 +79,10 @@
 			return disturbExecutor(fault, system);
 		}
 
+		case 'shrink': {
+			return shrinkExecutor(fault, system);
+		}
+
 		case 'orders': {
 			const rule = {...fault, seen: 0};
 			orderRules.add(rule);
@@ -182,6 +190,30 @@
 	};
 }
 
+/** Of several shares at a time the smallest counts. */
+function shrinkExecutor(
+	fault: ShrinkRule,
+	{executors, store, shrinkRules}: FaultySystem,
+): () => void {
+	const fake = executors.fakes[fault.executor]!;
+	const full: TaskDemand = fake.said[0]!.capacity;
+	const say = () => {
+		const shares = [...shrinkRules]
+			.filter(({executor}) => executor === fault.executor)
+			.map(({share}) => share);
+		const cpu = Math.floor(full.cpu * Math.min(1, ...shares));
+		const {capacity} = executors.setCapacity(fake, {...full, cpu});
+		store.setCapacity(fake.executor.id, capacity);
+	};
+
+	shrinkRules.add(fault);
+	say();
+	return () => {
+		shrinkRules.delete(fault);
+		say();
+	};
+}
+
 function doNothing(): void {
 	// Not of interest here.
 }
--- a/packages/host/src/scheduling/faulty/fault-plan.fixture.ts
+++ b/packages/host/src/scheduling/faulty/fault-plan.fixture.ts
@@ -19,6 +19,8 @@
 	allowanceMs: number;
 	/** It comes as the first request on its caller's connection; if not, only copies that are sent again at once do. */
 	isOnNewConnection?: boolean;
+	/** What each task takes, thousandths of a core. */
+	cpu?: number;
 };
 
 /** Acts from `at` for `forMs`, milliseconds from the begin of the play. */
@@ -43,6 +45,8 @@
 	| {kind: 'unlist'; executor: number}
 	/** The executor can't be reached. */
 	| {kind: 'silence'; executor: number}
+	/** The executor has this share of its room, and says so. */
+	| {kind: 'shrink'; executor: number; share: number}
 	/** Each `every`-th order to the executor fares badly. */
 	| {
 			kind: 'orders';
@@ -53,7 +57,14 @@
 	  }
 );
 
-export type FaultPlan = {jobs: PlannedJob[]; faults: PlannedFault[]};
+export type FaultPlan = {
+	jobs: PlannedJob[];
+	faults: PlannedFault[];
+	/** Executors start whatever they are told to, also without room for it. */
+	isUnguarded?: boolean;
+	/** Runs go on so long after a stop was answered. */
+	stopMs?: number;
+};
 
 /** Jobs come and faults begin within this span. */
 const spanMs = 2400;
@@ -262,3 +273,115 @@
 		),
 	}),
 );
+
+/** Room that has shrunk counts some seconds later, so these plans are longer. */
+const shrinkSpanMs = 9000;
+const atInShrink = fc.nat(shrinkSpanMs);
+
+const shrink = fc.record({
+	at: atInShrink,
+	forMs: fc.oneof(
+		fc.integer({min: 100, max: 2000}),
+		fc.integer({min: 5000, max: 9000}),
+	),
+	kind: fc.constant('shrink' as const),
+	executor,
+	share: fc.constantFrom(0, 0.3, 0.5, 0.9),
+});
+
+const jobBesideShrink = fc.record({
+	at: atInShrink,
+	host,
+	tasks: fc.integer({min: 1, max: 4}),
+	runMs: fc.constantFrom(60, 600, 1500, 2500),
+	allowanceMs: fc.constantFrom(60, 1000),
+	isOnNewConnection: fc.boolean(),
+	cpu: fc.constantFrom(3000, 9000, 14_000, 28_000),
+});
+
+function moveLater(fault: fc.Arbitrary<PlannedFault>) {
+	return fc
+		.tuple(fault, atInShrink)
+		.map(([one, at]): PlannedFault => ({...one, at}));
+}
+
+const slowShrinkPlans: fc.Arbitrary<FaultPlan> = fc.record({
+	jobs: fc.array(jobBesideShrink, {minLength: 4, maxLength: 16}),
+	faults: fc
+		.tuple(
+			fc.array(shrink, {minLength: 1, maxLength: 4}),
+			fc.array(
+				fc.oneof(
+					{weight: 3, arbitrary: moveLater(handOver)},
+					{weight: 3, arbitrary: moveLater(orderFault)},
+					{weight: 2, arbitrary: moveLater(hostFault)},
+					{weight: 1, arbitrary: moveLater(executorFault)},
+					{weight: 1, arbitrary: moveLater(storeFault)},
+				),
+				{maxLength: 6},
+			),
+		)
+		.map((faults) => faults.flat()),
+	isUnguarded: fc.boolean(),
+	stopMs: fc.constantFrom(0, 40),
+});
+
+/** Large tasks run when the group changes hands, and what comes in the next moments finds a holder that knows little of them. */
+const takeoverPlans: fc.Arbitrary<FaultPlan> = fc.record({
+	jobs: fc
+		.tuple(
+			fc.array(
+				fc.record({
+					at: fc.nat(spreadMs),
+					host,
+					tasks: fc.integer({min: 1, max: 2}),
+					runMs: fc.constantFrom(1500, 2500),
+					allowanceMs: fc.constant(1000),
+					cpu: fc.constant(28_000),
+				}),
+				{minLength: 1, maxLength: 3},
+			),
+			fc.array(
+				fc.record({
+					at: fc.integer({min: beatMs, max: beatMs + 2 * spreadMs}),
+					host,
+					tasks: fc.integer({min: 1, max: 4}),
+					runMs: fc.constantFrom(60, 600),
+					allowanceMs: fc.constant(1000),
+					cpu: fc.constantFrom(3000, 14_000),
+				}),
+				{minLength: 8, maxLength: 16},
+			),
+		)
+		.map((jobs) => jobs.flat()),
+	faults: fc
+		.tuple(
+			fc.record({
+				at: fc.integer({min: beatMs, max: beatMs + spreadMs}),
+				forMs: fc.constant(2500),
+				kind: fc.constant('hand-over' as const),
+			}),
+			fc.array(
+				fc
+					.tuple(
+						fc.oneof(
+							{weight: 3, arbitrary: hostFault},
+							{weight: 1, arbitrary: orderFault},
+							{weight: 1, arbitrary: linkFault},
+						),
+						fc.integer({min: beatMs - spreadMs, max: beatMs + spreadMs}),
+					)
+					.map(([one, at]): PlannedFault => ({...one, at})),
+				{maxLength: 3},
+			),
+		)
+		.map((faults) => faults.flat()),
+	isUnguarded: fc.boolean(),
+	stopMs: fc.constantFrom(0, 40),
+});
+
+/** Executors whose room shrinks and grows while groups change hands, hosts die and orders are lost or late. */
+export const shrinkPlans: fc.Arbitrary<FaultPlan> = fc.oneof(
+	slowShrinkPlans,
+	takeoverPlans,
+);
--- a/packages/host/src/scheduling/faulty/faulty-host.fixture.ts
+++ b/packages/host/src/scheduling/faulty/faulty-host.fixture.ts
@@ -30,6 +30,8 @@
 	store: CoordinationStore;
 	executors: ExecutorSource;
 	control: ExecutorControl;
+	/** Executors refuse what they have no room for. */
+	isGuarded: boolean;
 	/** Hosts of the data centre, in the order of takeover. */
 	listOrder: () => readonly string[];
 	peers: Omit<Peers, 'listOrder' | 'getCores'>;
@@ -224,7 +226,7 @@
 				list: (options) => hold(this.surroundings.executors.list(options)),
 			},
 			isNamedService: () => true,
-			isGuardedService: () => true,
+			isGuardedService: () => this.surroundings.isGuarded,
 			isHolder: () => roles.holding.scheduler !== undefined,
 			onList(list) {
 				roles.holding.setExecutors(list);
--- a/packages/host/src/scheduling/faulty/faulty-store.fixture.ts
+++ b/packages/host/src/scheduling/faulty/faulty-store.fixture.ts
@@ -5,6 +5,7 @@
 import {
 	type CoordinationStore,
 	type Executor,
+	type ExecutorWord,
 	type StoreFailure,
 	type StoreItem,
 } from '@gentianshift/scheduling';
@@ -26,12 +27,20 @@
 	/** Executors without an entry now, and for how many reasons. */
 	readonly #unlisted = new Map<string, number>();
 	/** Lists of before: since when each held. */
-	readonly #lists: Array<{since: number; ids: Set<string>}> = [];
+	readonly #lists: Array<{since: number; words: ExecutorWord[]}> = [];
+	/** What each executor says of itself now. */
+	readonly #words = new Map<string, ExecutorWord>();
 
 	constructor(
 		private readonly clock: VirtualClock,
-		private readonly executors: readonly Executor[],
+		executors: readonly Executor[],
 	) {
+		for (const {id, address, dataCentre, service, ...rest} of executors) {
+			const {isDraining, capacity} = rest;
+			const word = {id, address, dataCentre, service, isDraining, capacity};
+			this.#words.set(id, {...word, sequence: 1});
+		}
+
 		this.#noteList();
 	}
 
@@ -41,6 +50,14 @@
 		this.#noteList();
 	}
 
+	/** The executor says that it has so much room. */
+	setCapacity(id: string, capacity: ExecutorWord['capacity']): void {
+		const word = this.#words.get(id)!;
+		const sequence = (word.sequence ?? 0) + 1;
+		this.#words.set(id, {...word, capacity, sequence});
+		this.#noteList();
+	}
+
 	/** The store as one host sees it. */
 	createView(getMood: () => StoreMood): {
 		store: CoordinationStore;
@@ -118,17 +135,17 @@
 	}
 
 	#noteList(): void {
-		const ids = this.executors
-			.map(({id}) => id)
-			.filter((id) => (this.#unlisted.get(id) ?? 0) === 0);
-		this.#lists.push({since: this.clock.now, ids: new Set(ids)});
+		const words = [...this.#words.values()].filter(
+			({id}) => (this.#unlisted.get(id) ?? 0) === 0,
+		);
+		this.#lists.push({since: this.clock.now, words});
 	}
 
-	#list(mayBeStale: boolean): Executor[] {
+	#list(mayBeStale: boolean): ExecutorWord[] {
 		const at = this.clock.now - (mayBeStale ? staleMs : 0);
 		const list =
 			this.#lists.findLast(({since}) => since <= at) ?? this.#lists[0]!;
-		return this.executors.filter(({id}) => list.ids.has(id));
+		return list.words;
 	}
 }
 
--- a/packages/host/src/scheduling/faulty/play-plan.fixture.ts
+++ b/packages/host/src/scheduling/faulty/play-plan.fixture.ts
@@ -8,6 +8,7 @@
 } from '@gentianshift/scheduling';
 import {
 	createFakeExecutors,
+	findOverfull,
 	findOverlaps,
 	VirtualClock,
 	type CallFate,
@@ -18,6 +19,7 @@
 	beginFault,
 	type FaultySystem,
 	type OrderRule,
+	type ShrinkRule,
 } from './begin-fault.fixture.js';
 import {FaultyHost} from './faulty-host.fixture.js';
 import {FaultyNetwork} from './faulty-network.fixture.js';
@@ -49,6 +51,9 @@
 const endMs = 9000;
 const timeLeftMs = 4000;
 const lookMs = 20;
+const taskCpu = 14_000;
+/** Room that has shrunk counts so much later: time for hosts to be in touch again, and one beat of executors. */
+const roomGraceMs = 3000 + 1500;
 
 type PlayedJob = PlannedJob & {
 	id: string;
@@ -62,14 +67,19 @@
 class Play {
 	readonly clock = new VirtualClock();
 	readonly #taskMs = new Map<string, number>();
+	readonly #taskCpu = new Map<string, number>();
 	readonly #orderRules = new Set<OrderRule>();
 	readonly #moods = new Map<FaultyHost, StoreMood>();
-	readonly #executors = this.#createExecutors();
+	readonly #executors: FakeExecutors;
 	readonly #hosts: FaultyHost[] = [];
 	readonly #system: FaultySystem;
 	readonly #jobs: PlayedJob[] = [];
 
-	constructor(private readonly log: (line: string) => void) {
+	constructor(
+		private readonly options: {isGuarded: boolean; stopMs: number},
+		private readonly log: (line: string) => void,
+	) {
+		this.#executors = this.#createExecutors();
 		this.#system = {
 			clock: this.clock,
 			hosts: this.#hosts,
@@ -78,6 +88,7 @@
 			executors: this.#executors,
 			moods: this.#moods,
 			orderRules: this.#orderRules,
+			shrinkRules: new Set<ShrinkRule>(),
 			resend: (jobs, when) => {
 				this.#resendAll(jobs, when === 'at-once' ? resendAtOnceMs : resendMs);
 			},
@@ -104,6 +115,7 @@
 			};
 			this.#jobs.push(played);
 			this.#taskMs.set(played.id, job.runMs);
+			this.#taskCpu.set(played.id, job.cpu ?? taskCpu);
 			this.clock.schedule(job.at, () => {
 				this.#send(played);
 			});
@@ -125,6 +137,9 @@
 	*#checkPromises(): Generator<string> {
 		const {runs} = this.#executors;
 		yield* findOverlaps(runs).map((pair) => `twice: ${pair}`);
+		yield* findOverfull(this.#executors, roomGraceMs).map(
+			(start) => `over its room: ${start}`,
+		);
 		for (const {id, tasks, answers, sends} of this.#jobs) {
 			const ofJob = runs.filter(({job}) => job === id);
 			const refusals = answers.filter((answer) => answer === 'refused');
@@ -152,6 +167,8 @@
 			taskMs: ({job}) => this.#taskMs.get(job) ?? 0,
 			decideFate: (call) => this.#decideFate(call),
 			lookMs,
+			...this.options,
+			getDemand: (job) => this.#makeDemand(job),
 		});
 		for (const [i, fake] of executors.fakes.entries()) {
 			fake.executor.dataCentre = dataCentres[i < executorsOfFirst ? 0 : 1]!;
@@ -160,6 +177,11 @@
 		return executors;
 	}
 
+	#makeDemand(job: string): JobRequest['demand'] {
+		const cpu = this.#taskCpu.get(job) ?? taskCpu;
+		return {cpu, memoryMb: 64, accelerators: 0};
+	}
+
 	#decideFate({executor}: FakeCall): CallFate {
 		for (const fault of this.#orderRules) {
 			if (executor === `e${fault.executor + 1}`) {
@@ -183,6 +205,7 @@
 			clock: this.clock,
 			...view,
 			control: this.#executors.control satisfies ExecutorControl,
+			isGuarded: this.options.isGuarded,
 			listOrder: () =>
 				this.#hosts
 					.filter(
@@ -268,7 +291,7 @@
 			},
 			spec: '',
 			count: tasks,
-			demand: {cpu: 14_000, memoryMb: 64, accelerators: 0},
+			demand: this.#makeDemand(id),
 			declaredMs: runMs,
 			timeLeftMs,
 			requestsBefore: isAtOnce || isOnNewConnection ? 0 : 1,
@@ -289,7 +312,8 @@
 	plan: FaultPlan,
 	log: (line: string) => void = doNothing,
 ): Promise<string[]> {
-	return new Play(log).run(plan);
+	const {isUnguarded = false, stopMs = 0} = plan;
+	return new Play({isGuarded: !isUnguarded, stopMs}, log).run(plan);
 }
 
 function doNothing(): void {
