Have a play go on until late jobs are answered too

Cause: a play ended 9,000 ms after its last fault, whenever its last job came.

Change: a play also lasts until 6,600 ms after the last job: for the earlier plans, whose jobs come by 2,400 ms, that is no later than before.

--- a/packages/host/src/scheduling/faulty/play-plan.fixture.ts
+++ b/packages/host/src/scheduling/faulty/play-plan.fixture.ts
@@ -49,6 +49,8 @@
 const settleMs = 1500;
 /** After the last fault has ended, all callers are answered within this time. */
 const endMs = 9000;
+/** After the last job has come, likewise. */
+const endOfJobsMs = 6600;
 const timeLeftMs = 4000;
 const lookMs = 20;
 const taskCpu = 14_000;
@@ -126,7 +128,8 @@
 		}
 
 		const lastAt = Math.max(0, ...faults.map(({at, forMs}) => at + forMs));
-		await this.clock.run(lastAt + endMs);
+		const lastJobAt = Math.max(0, ...jobs.map(({at}) => at));
+		await this.clock.run(Math.max(lastAt + endMs, lastJobAt + endOfJobsMs));
 		for (const host of this.#hosts) {
 			host.kill();
 		}
