Name the check for runs of unknown size by a verb of docs/NAMES.md

What callers saw: nothing. The test of function names failed for `mayBeOverfull`, which begins with no verb of the page; `hasUnknownRuns` does. No behaviour changes.

--- a/packages/scheduling/src/executor-session.ts
+++ b/packages/scheduling/src/executor-session.ts
@@ -112,7 +112,7 @@
 
 	/** May be less than nothing, where capacity has shrunk below what runs. */
 	get free(): TaskDemand {
-		return this.ports.now() < this.#fullUntil || this.#mayBeOverfull()
+		return this.ports.now() < this.#fullUntil || this.#hasUnknownRuns()
 			? noRoom
 			: removeDemand(this.#executor.capacity, this.#book.used);
 	}
@@ -424,7 +424,7 @@
 	}
 
 	/** What runs there may need more than it is taken for, and the executor would not refuse a start for that. */
-	#mayBeOverfull(): boolean {
+	#hasUnknownRuns(): boolean {
 		return (
 			!this.#executor.isGuarded &&
 			[...this.runs.values()].some(({isFound}) => isFound)
