Have hosts read the list after their own entry is written, so that they meet before the store can go

What callers saw: with the store gone in the second after the start, a host turned its callers away until the store was back (trial "jobs are served while the store is down", seldom).

Cause: a host read the list of hosts beside writing its own entry, then again a second later, both lists maybe stale. Two that start together can each read before the other writes; whether they meet rested on the second reading. Of the same class: a refused or lost lease, entry or list was tried again only a second later; a host that wrote a lapsed entry anew did not look for those that had started meanwhile; an older list, or a peer's, dropped hosts that were being dialled.

Ruled out: more readings in the first second (more calls, and a host that starts later is still missed); telling known hosts over any connection (addresses may differ by side, and it helps only who knows somebody). Connections are dialled back already.

Change: whenever the entry was written, or may have been, the host asks for a list that is not stale. It names all that wrote earlier, so of two hosts the later writer finds the other and dials it. Failed leases, entries and lists are tried again after some 50, 100, 200 and 400 ms, four times. A list gives way only to one asked for later, the one after the own entry for 500 ms to none but another such. A list from before the entry does not have it written again.

Tests: the stand-in store can refuse calls by a predicate.

--- a/packages/host/src/directory.ts
+++ b/packages/host/src/directory.ts
@@ -20,7 +20,7 @@
 	type Session,
 } from '@gentianshift/protocol';
 import {readNow, type Identity} from './identity.js';
-import {repeat} from './timers.js';
+import {repeat, repeatUntilDone, retryPausesMs} from './timers.js';
 
 /** Hosts of a data centre that read the platform for the others: one may be dying unseen. */
 const readersPerDataCentre = 2;
@@ -31,6 +31,9 @@
 /** A host that cannot reach its listed peers takes roles after this long all the same, unless told otherwise. */
 const defaultSettleLimitMs = 1500;
 
+/** Other lists may be older and lack a host that is being dialled: meeting it takes no longer than this. */
+const meetMs = 500;
+
 /** How often the view is looked at anew: a closed connection's grace runs out by time alone. */
 const updateEveryMs = 200;
 
@@ -50,11 +53,23 @@
 	onChange: () => void;
 };
 
+type HostsListed = {
+	hosts: KnownHost[];
+	/** When the list was asked for. */
+	at: number;
+	/** Lists that were asked for before then do not replace it. */
+	keptUntil: number;
+};
+
+const noList = {at: -Infinity, keptUntil: -Infinity};
+
 export class Directory {
 	readonly view: HostView;
 	readonly #options: DirectoryOptions;
 	#mesh: Mesh | undefined;
-	#listed: {hosts: KnownHost[]; at: number} | undefined;
+	#signal: AbortSignal | undefined;
+	#listed: HostsListed | undefined;
+	#isReadingAgain = false;
 	readonly #startedAt = readNow();
 	/** What each peer last said of itself. */
 	readonly #leaving = new Map<string, boolean>();
@@ -85,6 +100,7 @@
 	/** Starts to follow the platform's list, until the signal is aborted. */
 	start(mesh: Mesh, signal: AbortSignal): void {
 		this.#mesh = mesh;
+		this.#signal = signal;
 		mesh.setLeaving(true);
 		const {random} = this.#options;
 		void repeat(async () => this.#readList(), {
@@ -101,6 +117,25 @@
 		);
 	}
 
+	/**
+	Reads the list besides the usual rounds, whoever reads for the data centre, until it is answered: this host's entry
+	was just written, and who entered shortly before knows nothing of it.
+	*/
+	async readListAgain(): Promise<void> {
+		const signal = this.#signal;
+		if (!signal || this.#isReadingAgain) {
+			return;
+		}
+
+		this.#isReadingAgain = true;
+		await repeatUntilDone(async () => this.#fetchList(meetMs), {
+			pausesMs: retryPausesMs,
+			signal,
+			random: this.#options.random,
+		});
+		this.#isReadingAgain = false;
+	}
+
 	/** From now on this host takes no role. */
 	startStopping(): void {
 		this.#isStopping = true;
@@ -191,9 +226,8 @@
 	receiveHosts(message: MessageOf<'hosts'>): void {
 		const now = readNow();
 		this.view.takePeerList(message.known, now);
-		const at = now - (message.listedAgeMs ?? Infinity);
-		if (message.listed && at > (this.#listed?.at ?? -Infinity)) {
-			this.#takeList(message.listed, at);
+		if (message.listed) {
+			this.#takeList(message.listed, now - (message.listedAgeMs ?? Infinity));
 		}
 
 		this.#update();
@@ -210,12 +244,19 @@
 			this.#sendGreetings();
 		}
 
+		await this.#fetchList();
+	}
+
+	/** False: the list was not answered. */
+	async #fetchList(keptMs = 0): Promise<boolean> {
+		const askedAt = readNow();
 		const hosts = await this.#options.hostList.fetchHosts();
-		if (hosts.isOk()) {
-			this.#takeList(hosts.value, readNow());
+		if (hosts.isOk() && this.#takeList(hosts.value, askedAt, keptMs)) {
 			this.#update();
 			this.#passOn();
 		}
+
+		return hosts.isOk();
 	}
 
 	/** For a host that starts while the platform is down, at an address that nobody knows yet. */
@@ -227,9 +268,16 @@
 		}
 	}
 
-	#takeList(hosts: KnownHost[], at: number): void {
-		this.#listed = {hosts, at};
+	/** False: one that is in force goes before it. */
+	#takeList(hosts: KnownHost[], at: number, keptMs = 0): boolean {
+		const {at: since, keptUntil} = this.#listed ?? noList;
+		if (at < (keptMs > 0 ? since : keptUntil)) {
+			return false;
+		}
+
+		this.#listed = {hosts, at, keptUntil: at + keptMs};
 		this.view.takePlatformList(hosts);
+		return true;
 	}
 
 	#passOn(): void {
--- a/packages/host/src/scheduling/host-presence.test.ts
+++ b/packages/host/src/scheduling/host-presence.test.ts
@@ -37,6 +37,9 @@
 			readPrefix: () => okAsync({items, revision: 9}),
 		} as unknown as CoordinationStore,
 		random: () => 0,
+		onEntered() {
+			// It does not enter here.
+		},
 		log(_message, {key}) {
 			logged.push(key);
 		},
--- a/packages/host/src/scheduling/host-presence.ts
+++ b/packages/host/src/scheduling/host-presence.ts
@@ -5,6 +5,10 @@
 drops the key and no call shows it. Then hosts that start later do not find this one. Noticed by
 the renewal that says the lease has ended, or by a list without this host; either way the entry is
 written anew.
+
+A list that is asked for after the own entry was written, and is not stale, names all whose entries were
+written before. So of two hosts the one that wrote later finds the other, which learns of it by the
+connection; hosts that read once and write afterwards can all miss one another.
 */
 import {ResultAsync, err, ok, okAsync, type Result} from 'neverthrow';
 import {z} from 'zod';
@@ -16,7 +20,7 @@
 	type StoreItem,
 } from '@gentianshift/scheduling';
 import {createOnceLog} from '@gentianshift/telemetry';
-import {repeat} from '../timers.js';
+import {repeat, retryPausesMs} from '../timers.js';
 
 const prefix = 'gentianshift/hosts/';
 /** A host that is gone is dialled no longer than this and its last renewals. */
@@ -37,17 +41,28 @@
 	self,
 	store,
 	random,
+	onEntered,
 	log,
 }: {
 	self: KnownHost;
 	store: CoordinationStore;
 	random: () => number;
+	/** The entry was written, or may have been: the next list names all that cannot know of it. */
+	onEntered: () => void;
 	log: (message: string, fields: Record<string, unknown>) => void;
 }): HostPresence {
 	const key = `${prefix}${self.name}`;
 	const logOnce = createOnceLog(log);
 	let leaseId: number | undefined;
 	let isEnded = false;
+	/** How often the entry was written, and how often it had been when a list that is not stale was asked for. */
+	let timesEntered = 0;
+	let timesCovered = 0;
+
+	function markEntered(): void {
+		timesEntered += 1;
+		onEntered();
+	}
 
 	function enter(): ResultAsync<void, StoreFailure> {
 		return store
@@ -60,6 +75,12 @@
 					.andTee(() => {
 						leaseId = lease.leaseId;
 						log('host entered in the store', {leaseId});
+						markEntered();
+					})
+					.orTee(({code}) => {
+						if (code === 'unknown-outcome') {
+							markEntered();
+						}
 					}),
 			)
 			.map(() => undefined);
@@ -87,17 +108,31 @@
 
 	return {
 		getLeaseId: () => leaseId,
-		fetchHosts: () =>
-			store.readPrefix(prefix, {mayBeStale: true}).andThen(({items}) => {
-				const hosts = items.flatMap((item) => readHost(item));
-				const isMissing =
-					leaseId !== undefined &&
-					!isEnded &&
-					hosts.every(({name}) => name !== self.name);
-				return isMissing ? enterAgain(hosts) : okAsync(hosts);
-			}),
+		fetchHosts() {
+			const timesBefore = timesEntered;
+			return store
+				.readPrefix(prefix, {mayBeStale: timesBefore === timesCovered})
+				.andThen(({items}) => {
+					timesCovered = Math.max(timesCovered, timesBefore);
+					const hosts = items.flatMap((item) => readHost(item));
+					const isMissing =
+						leaseId !== undefined &&
+						!isEnded &&
+						timesBefore === timesEntered &&
+						hosts.every(({name}) => name !== self.name);
+					return isMissing ? enterAgain(hosts) : okAsync(hosts);
+				});
+		},
 		start(signal) {
-			void repeat(renew, {everyMs: renewEveryMs, signal, random});
+			const retries = retryPausesMs.values();
+			void repeat(renew, {
+				everyMs: () =>
+					leaseId === undefined
+						? (retries.next().value ?? renewEveryMs)
+						: renewEveryMs,
+				signal,
+				random,
+			});
 		},
 		async end() {
 			isEnded = true;
--- a/packages/host/src/scheduling/start-scheduling-host.ts
+++ b/packages/host/src/scheduling/start-scheduling-host.ts
@@ -112,6 +112,9 @@
 			self: {...options.host, role: 'entry', address, state: 'live'},
 			store: surroundings.store,
 			random,
+			onEntered: () => {
+				void this.#directory.readListAgain();
+			},
 			log,
 		});
 		this.#directory = new Directory({
--- a/packages/host/src/timers.ts
+++ b/packages/host/src/timers.ts
@@ -2,6 +2,9 @@
 Repeated work that ends with the host.
 */
 
+/** Pauses before a failed call of the store is made again: few and growing, as the store may be down for long. */
+export const retryPausesMs = [50, 100, 200, 400] as const;
+
 /** Resolves after so many milliseconds, or when the signal is aborted. */
 export async function waitFor(ms: number, signal?: AbortSignal): Promise<void> {
 	if (signal?.aborted) {
@@ -20,17 +23,48 @@
 	});
 }
 
-/** Runs work again and again, with `everyMs` of jittered pause, until the signal is aborted. */
+/** Runs work again and again, with `everyMs` of jittered pause, until the signal is aborted. A function gives each pause anew. */
 export async function repeat(
 	work: () => Promise<void> | void,
 	{
 		everyMs,
 		signal,
 		random,
-	}: {everyMs: number; signal: AbortSignal; random: () => number},
+	}: {
+		everyMs: number | (() => number);
+		signal: AbortSignal;
+		random: () => number;
+	},
 ): Promise<void> {
 	while (!signal.aborted) {
 		await work();
-		await waitFor(everyMs * (0.75 + random() / 2), signal);
+		const pauseMs = typeof everyMs === 'number' ? everyMs : everyMs();
+		await waitFor(pauseMs * (0.75 + random() / 2), signal);
+	}
+}
+
+/** Runs work until it succeeds, with jittered pauses; gives up after the last of them. */
+export async function repeatUntilDone(
+	work: () => Promise<boolean>,
+	{
+		pausesMs,
+		signal,
+		random,
+	}: {
+		pausesMs: readonly number[];
+		signal: AbortSignal;
+		random: () => number;
+	},
+): Promise<void> {
+	for (const pauseMs of pausesMs) {
+		if (signal.aborted || (await work())) {
+			return;
+		}
+
+		await waitFor(pauseMs * (0.75 + random() / 2), signal);
+	}
+
+	if (!signal.aborted) {
+		await work();
 	}
 }
--- a/packages/standins/src/leased/metadata-store.ts
+++ b/packages/standins/src/leased/metadata-store.ts
@@ -57,6 +57,10 @@
 	areWatchesDeaf: boolean;
 };
 
+type IsRefused = (request: JsonRequest) => boolean;
+
+const isNeverRefused: IsRefused = () => false;
+
 type PresentValue = (key: string, value: string, caller: string) => string;
 
 const keepValue: PresentValue = (_key, value) => value;
@@ -73,6 +77,9 @@
 	/** What a caller, by its IP, reads in place of a key's value; for hosts behind relays. */
 	presentValue: PresentValue = keepValue;
 
+	/** Calls that get 503. */
+	isRefused: IsRefused = isNeverRefused;
+
 	/** Calls by path, for those that count them. */
 	readonly calls = new Map<string, number>();
 	#revision = 1;
@@ -142,7 +149,7 @@
 		const isBusy =
 			faults.busy === true ||
 			(faults.busy instanceof Set && faults.busy.has(request.caller));
-		if (isBusy) {
+		if (isBusy || this.isRefused(request)) {
 			return {status: 503};
 		}
 
--- a/packages/trials/src/scheduling/start.test.ts
+++ b/packages/trials/src/scheduling/start.test.ts
@@ -40,6 +40,22 @@
 	assertNoOverlaps(system.executors);
 });
 
+// Guards against hosts that stay apart, and turn their callers away, as their lists are from before one another's entries.
+test('hosts that can read only lists that are not stale serve', async (context) => {
+	const system = await openSystem(context, {
+		isRefused: ({query}) =>
+			query.get('prefix') === 'gentianshift/hosts/' && query.has('allow_stale'),
+	});
+	for (let i = 0; i < 12; i += 1) {
+		const host = system.hosts[i % system.hosts.length]!;
+		const reply = await submitJob(host);
+		assert.equal(reply.state, 'completed', host.name);
+		await delay(150);
+	}
+
+	assertNoOverlaps(system.executors);
+});
+
 // All hosts lose power with callers at the door. These come again within a second or two, when hosts
 // are back but groups are not yet taken: they are served, and none is sent away.
 test('callers that come while all hosts start are served', async (context) => {
--- a/packages/trials/src/scheduling/system.ts
+++ b/packages/trials/src/scheduling/system.ts
@@ -54,6 +54,8 @@
 	cores?: Record<string, number>;
 	/** Hosts reach those of other data centres through relays, which can be cut. */
 	hasRelays?: boolean;
+	/** Calls that the store refuses from the first on. */
+	isRefused?: MetadataStore['isRefused'];
 };
 
 /** Each test process, and each system in it, has IPs of its own: metrics stand at a fixed port. */
@@ -87,7 +89,12 @@
 		executors = {mieres: 4, langreo: 4},
 		cores = {},
 		hasRelays = false,
+		isRefused,
 	}: SchedulingSystemOptions = {}): Promise<void> {
+		if (isRefused) {
+			this.store.isRefused = isRefused;
+		}
+
 		if (hasRelays) {
 			this.store.presentValue = (key, value, caller) =>
 				this.#presentHost(key, value, caller);
