Pass over executors whose lease can't be extended, and those with nothing unclaimed

What callers saw: on the grown deployments most jobs were late or refused while a holder was busy. Two of the things that it was busy with:

- It started a task again at each message on an executor whose lease could not be extended, as another run there had outlived its claim: 17 attempts further each time, without a call and without a line in the log, up to 5,000 times in a second.
- For each task of each part it asked all executors of the group whether they had a run of it, though hardly any has a run that nobody has claimed.

Change: an executor is not free for a start while its lease could not be extended by a useful time. One without unclaimed runs or ends is passed over.

--- a/packages/scheduling/src/claim-run.ts
+++ b/packages/scheduling/src/claim-run.ts
@@ -17,6 +17,10 @@
 ): Claim | undefined {
 	const task = {job: id, index};
 	for (const session of sessions) {
+		if (!session.hasUnclaimed) {
+			continue;
+		}
+
 		const end = session.takeStrayEnd(task);
 		if (end?.outcome === 'done') {
 			return {type: 'ended', attempt: end.attempt};
--- a/packages/scheduling/src/executor-session.ts
+++ b/packages/scheduling/src/executor-session.ts
@@ -34,6 +34,9 @@
 } from './timing.js';
 import {type UnsettledOrders} from './unsettled-orders.js';
 
+/** A start under a shorter lease than this comes to nothing, or comes late. */
+const leastLeaseMs = 150;
+
 /** After the executor declined, or said that it has no room, it gets nothing for this long; in the latter case until its room changes, if that is sooner. */
 const declinedRestMs = 150;
 
@@ -94,6 +97,11 @@
 		return this.#book.runs;
 	}
 
+	/** It has runs, or ends of runs, that an earlier holder may have started. */
+	get hasUnclaimed(): boolean {
+		return this.#book.hasUnclaimed;
+	}
+
 	get runCount(): number {
 		return this.runs.size;
 	}
@@ -132,6 +140,14 @@
 		);
 	}
 
+	/** The lease can be extended: no run here has outlived its claim, or the time in which it has to be stopped. */
+	get isExtendable(): boolean {
+		return (
+			this.ports.getLeaseCap(this.runs.values()) >
+			this.ports.now() + leastLeaseMs
+		);
+	}
+
 	update(executor: Executor): void {
 		const former = this.#executor;
 		const formerAgeMs = Math.round(this.capacityAgeMs);
--- a/packages/scheduling/src/place-task.ts
+++ b/packages/scheduling/src/place-task.ts
@@ -20,6 +20,8 @@
 	capacity: TaskDemand;
 	free: TaskDemand;
 	runCount: number;
+	/** A start could carry a lease of use. Undefined: it could. */
+	isExtendable?: boolean;
 	trust: ExecutorTrust;
 };
 
@@ -57,14 +59,16 @@
 
 /** Whether the executor may take a task of this size now. */
 export function isFree(
-	{service, free, trust, runCount}: Candidate,
+	candidate: Candidate,
 	task: Pick<PlacedTask, 'service' | 'demand'>,
 	now: number,
 ): boolean {
+	const {service, free, trust, runCount} = candidate;
 	return (
 		service === task.service &&
 		now >= trust.restsUntil &&
 		hasRoom(free, task.demand) &&
+		candidate.isExtendable !== false &&
 		!(isDoubted(trust) && runCount > 0)
 	);
 }
--- a/packages/scheduling/src/run-book.ts
+++ b/packages/scheduling/src/run-book.ts
@@ -46,6 +46,8 @@
 	isCurrent: (run: Run) => boolean;
 	resize: (run: Run, demand: TaskDemand) => void;
 	takeReport: (report: LeaseReply, context: ReportContext) => ReportChange;
+	/** It has runs, or ends of runs, that an earlier holder may have started. */
+	readonly hasUnclaimed: boolean;
 	/** The end of a run that nobody had claimed when it was listed. */
 	takeStrayEnd: (task: {job: string; index: number}) => RunEnd | undefined;
 	forgetOldEnds: (now: number) => void;
@@ -120,6 +122,19 @@
 		get used() {
 			return used;
 		},
+		get hasUnclaimed() {
+			if (strayEnds.size > 0) {
+				return true;
+			}
+
+			for (const {isFound} of runs.values()) {
+				if (isFound) {
+					return true;
+				}
+			}
+
+			return false;
+		},
 		get acknowledged() {
 			return acknowledged;
 		},
--- a/packages/scheduling/src/stray-ends.ts
+++ b/packages/scheduling/src/stray-ends.ts
@@ -13,6 +13,7 @@
 	/** Hands out the task's end, once. */
 	take: (task: {job: string; index: number}) => RunEnd | undefined;
 	forgetOld: (now: number) => void;
+	readonly size: number;
 };
 
 /**
@@ -23,6 +24,9 @@
 export function createStrayEnds(): StrayEnds {
 	const ends = new Map<string, {end: RunEnd; at: number}>();
 	return {
+		get size() {
+			return ends.size;
+		},
 		add(end, now) {
 			ends.set(formatTaskKey(end), {end, at: now});
 		},
