--- a/packages/scheduling/src/entry-jobs.ts
+++ b/packages/scheduling/src/entry-jobs.ts
@@ -633,7 +633,7 @@
 		}
 
 		if (listTasksAt(job, group).length === tasks.length) {
-			this.#beginClaim(job, group);
+			this.#openClaim(job, group);
 		}
 
 		this.#ports.groups.take(group, job.request.demand.cpu, tasks.length);
@@ -643,7 +643,7 @@
 	/** What was there may have been lost on the way, or an earlier holder may run it: the group looks before it starts anything. */
 	#handOverAnew(job: EntryJob, group: string): void {
 		const tasks = listTasksAt(job, group);
-		this.#beginClaim(job, group);
+		this.#openClaim(job, group);
 		for (const task of tasks) {
 			task.placement += 1;
 			task.nextAttempt += lostAttempts;
@@ -656,7 +656,7 @@
 	}
 
 	/** Nothing of an earlier claim of the job on the group is wanted any more. */
-	#beginClaim(job: EntryJob, group: string): void {
+	#openClaim(job: EntryJob, group: string): void {
 		this.#lastClaim += 1;
 		job.claims.set(group, this.#lastClaim);
 	}
