--- a/packages/bench/src/slopes-schedulers.ts
+++ b/packages/bench/src/slopes-schedulers.ts
@@ -7,6 +7,7 @@
 import {ok, okAsync, ResultAsync, type Result} from 'neverthrow';
 import {encodeFrame, type Ends, type Part} from '@gentianshift/protocol';
 import {
+	createCrashRecords,
 	createRunTimes,
 	GroupScheduler,
 	type CallFailure,
@@ -141,6 +142,7 @@
 			wait: async () => nextTurn(),
 			control: this.#executors.control,
 			runTimes: createRunTimes(),
+			crashes: createCrashRecords(),
 			onFenced: doNothing,
 			onChange: doNothing,
 			takeElsewhere: () => 0,
--- a/packages/host/src/scheduling/faulty/fault-plan.fixture.ts
+++ b/packages/host/src/scheduling/faulty/fault-plan.fixture.ts
@@ -19,6 +19,8 @@
 	allowanceMs: number;
 	/** It comes as the first request on its caller's connection; if not, only copies that are sent again at once do. */
 	isOnNewConnection?: boolean;
+	/** Its first task crashes each executor so long after its start. */
+	crashMs?: number;
 };
 
 /** Acts from `at` for `forMs`, milliseconds from the begin of the play. */
@@ -53,7 +55,12 @@
 	  }
 );
 
-export type FaultPlan = {jobs: PlannedJob[]; faults: PlannedFault[]};
+export type FaultPlan = {
+	jobs: PlannedJob[];
+	faults: PlannedFault[];
+	/** How long a crashed executor is away. */
+	backMs?: number;
+};
 
 /** Jobs come and faults begin within this span. */
 const spanMs = 2400;
@@ -262,3 +269,38 @@
 		),
 	}),
 );
+
+const crashingJob = fc.record({
+	at: fc.nat(spanMs),
+	host,
+	tasks: fc.integer({min: 1, max: 3}),
+	runMs: fc.constantFrom(60, 600, 1500),
+	allowanceMs: fc.constantFrom(60, 1000),
+	isOnNewConnection: fc.boolean(),
+	crashMs: fc.constantFrom(0, 5, 50, 500),
+});
+
+const backMs = fc.integer({min: 500, max: 4000});
+
+/** Jobs that crash their executors beside sound ones, while groups change hands, hosts die and orders are lost. */
+export const crashPlans: fc.Arbitrary<FaultPlan> = fc.record({
+	jobs: fc
+		.tuple(
+			fc.array(crashingJob, {minLength: 1, maxLength: 2}),
+			fc.array(job, {maxLength: 4}),
+		)
+		.map((jobs) => jobs.flat()),
+	faults: fc.array(
+		fc.oneof(
+			{weight: 3, arbitrary: handOver},
+			{weight: 2, arbitrary: resetRequests},
+			{weight: 2, arbitrary: hostFault},
+			{weight: 2, arbitrary: orderFault},
+			{weight: 1, arbitrary: executorFault},
+			{weight: 1, arbitrary: linkFault},
+			{weight: 1, arbitrary: lostHost},
+		),
+		{maxLength: 5},
+	),
+	backMs,
+});
--- a/packages/host/src/scheduling/faulty/faulty-store.fixture.ts
+++ b/packages/host/src/scheduling/faulty/faulty-store.fixture.ts
@@ -30,11 +30,17 @@
 
 	constructor(
 		private readonly clock: VirtualClock,
-		private readonly executors: readonly Executor[],
+		private readonly executors: Executor[],
 	) {
 		this.#noteList();
 	}
 
+	/** An executor has written its entry. */
+	addExecutor(executor: Executor): void {
+		this.executors.push(executor);
+		this.#noteList();
+	}
+
 	setListed(id: string, isListed: boolean): void {
 		const reasons = this.#unlisted.get(id) ?? 0;
 		this.#unlisted.set(id, reasons + (isListed ? -1 : 1));
--- /dev/null
+++ b/packages/host/src/scheduling/faulty/no-fleet-crashed.test.ts
@@ -0,0 +1,16 @@
+/**
+Tasks that crash each executor that starts them, beside sound ones: drawn plans over real hosts on a virtual clock, as in `no-task-twice`.
+*/
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {crashPlans} from './fault-plan.fixture.js';
+import {playPlans} from './play-plans.fixture.js';
+
+// Played before the tests begin: within a test the runner follows each promise, which takes three times as long.
+const played = await playPlans(crashPlans, 300);
+
+// Guards against a crashing task that is started over and over by way of takeovers, moved parts and callers that come again.
+test('no task is started three times more after three executors have crashed under it', () => {
+	assert.ok(!played.failed, fc.defaultReportMessage(played));
+});
--- a/packages/host/src/scheduling/faulty/play-plan.fixture.ts
+++ b/packages/host/src/scheduling/faulty/play-plan.fixture.ts
@@ -2,11 +2,13 @@
 Plays a plan of jobs and faults, and tells which promises were broken.
 */
 import {
+	type Executor,
 	type ExecutorControl,
 	type JobAnswer,
 	type JobRequest,
 } from '@gentianshift/scheduling';
 import {
+	countStartsAfterCrashes,
 	createFakeExecutors,
 	findOverlaps,
 	VirtualClock,
@@ -49,6 +51,12 @@
 const endMs = 9000;
 const timeLeftMs = 4000;
 const lookMs = 20;
+/** The entry of an executor that has crashed lapses after this long. */
+const entryMs = 1500;
+const usualBackMs = 2000;
+/** A task that crashes its executors is started this often at most after so many crashes. */
+const crashesToKnow = 3;
+const mostStartsAfter = 2;
 
 type PlayedJob = PlannedJob & {
 	id: string;
@@ -62,6 +70,7 @@
 class Play {
 	readonly clock = new VirtualClock();
 	readonly #taskMs = new Map<string, number>();
+	readonly #crashMs = new Map<string, number>();
 	readonly #orderRules = new Set<OrderRule>();
 	readonly #moods = new Map<FaultyHost, StoreMood>();
 	readonly #executors = this.#createExecutors();
@@ -69,7 +78,10 @@
 	readonly #system: FaultySystem;
 	readonly #jobs: PlayedJob[] = [];
 
-	constructor(private readonly log: (line: string) => void) {
+	constructor(
+		private readonly backMs: number,
+		private readonly log: (line: string) => void,
+	) {
 		this.#system = {
 			clock: this.clock,
 			hosts: this.#hosts,
@@ -104,6 +116,10 @@
 			};
 			this.#jobs.push(played);
 			this.#taskMs.set(played.id, job.runMs);
+			if (job.crashMs !== undefined) {
+				this.#crashMs.set(played.id, job.crashMs);
+			}
+
 			this.clock.schedule(job.at, () => {
 				this.#send(played);
 			});
@@ -125,6 +141,12 @@
 	*#checkPromises(): Generator<string> {
 		const {runs} = this.#executors;
 		yield* findOverlaps(runs).map((pair) => `twice: ${pair}`);
+		for (const [task, starts] of countStartsAfterCrashes(runs, crashesToKnow)) {
+			if (starts > mostStartsAfter) {
+				yield `started ${starts} times after ${crashesToKnow} crashes: ${task}`;
+			}
+		}
+
 		for (const {id, tasks, answers, sends} of this.#jobs) {
 			const ofJob = runs.filter(({job}) => job === id);
 			const refusals = answers.filter((answer) => answer === 'refused');
@@ -152,6 +174,12 @@
 			taskMs: ({job}) => this.#taskMs.get(job) ?? 0,
 			decideFate: (call) => this.#decideFate(call),
 			lookMs,
+			findCrashMs: ({job, index}) =>
+				index === 0 ? this.#crashMs.get(job) : undefined,
+			getBackMs: () => this.backMs,
+			onCrash: (former, next) => {
+				this.#replaceExecutor(former, next);
+			},
 		});
 		for (const [i, fake] of executors.fakes.entries()) {
 			fake.executor.dataCentre = dataCentres[i < executorsOfFirst ? 0 : 1]!;
@@ -160,9 +188,21 @@
 		return executors;
 	}
 
+	#replaceExecutor(former: Executor, next: Executor): void {
+		const {store} = this.#system;
+		this.log(`${this.clock.now} ${former.id} crashes`);
+		this.clock.schedule(entryMs, () => {
+			store.setListed(former.id, false);
+		});
+		this.clock.schedule(this.backMs, () => {
+			store.addExecutor(next);
+		});
+	}
+
 	#decideFate({executor}: FakeCall): CallFate {
 		for (const fault of this.#orderRules) {
-			if (executor === `e${fault.executor + 1}`) {
+			const [name] = executor.split('.', 1);
+			if (name === `e${fault.executor + 1}`) {
 				fault.seen += 1;
 				if (fault.seen % fault.every === 0) {
 					return fault.how === 'late'
@@ -289,7 +329,7 @@
 	plan: FaultPlan,
 	log: (line: string) => void = doNothing,
 ): Promise<string[]> {
-	return new Play(log).run(plan);
+	return new Play(plan.backMs ?? usualBackMs, log).run(plan);
 }
 
 function doNothing(): void {
--- a/packages/host/src/scheduling/group-holding.test.ts
+++ b/packages/host/src/scheduling/group-holding.test.ts
@@ -8,6 +8,7 @@
 import {type GroupState} from '@gentianshift/protocol';
 import {
 	createGroupDirectory,
+	createCrashRecords,
 	createRunTimes,
 	holderSilenceMs,
 	type CoordinationStore,
@@ -84,6 +85,7 @@
 				},
 			},
 			runTimes: createRunTimes(),
+			crashes: createCrashRecords(),
 			onChange() {
 				// Nobody is told.
 			},
--- a/packages/host/src/scheduling/host-roles.ts
+++ b/packages/host/src/scheduling/host-roles.ts
@@ -3,6 +3,7 @@
 data centre's group while it holds it. Connections, clocks and lists are handed in.
 */
 import {
+	createCrashRecords,
 	createGroupDirectory,
 	createRunTimes,
 	createSuccession,
@@ -61,6 +62,7 @@
 
 export class HostRoles {
 	readonly groups = createGroupDirectory();
+	readonly crashes = createCrashRecords();
 	readonly entry: EntryJobs;
 	readonly holding: GroupHolding;
 	/** From now on this host takes no role. */
@@ -87,6 +89,7 @@
 			readWallClock: options.readWallClock,
 			groups: this.groups,
 			runTimes: this.#runTimes,
+			crashes: this.crashes,
 			send: (holder, message) => this.#sendToHolder(holder, message),
 			log: options.log,
 			onAnswer: options.onAnswer,
@@ -178,6 +181,7 @@
 				wait: this.#options.wait,
 				control,
 				runTimes: this.#runTimes,
+				crashes: this.crashes,
 				onChange: () => {
 					this.#tellFirstRoom();
 				},
--- a/packages/host/src/scheduling/scheduling-handlers.ts
+++ b/packages/host/src/scheduling/scheduling-handlers.ts
@@ -24,7 +24,10 @@
 		| 'markLeaving'
 		| 'receiveHosts'
 	>;
-	roles: Pick<HostRoles, 'entry' | 'groups' | 'holding' | 'tellStateTo'>;
+	roles: Pick<
+		HostRoles,
+		'crashes' | 'entry' | 'groups' | 'holding' | 'tellStateTo'
+	>;
 	tables: Pick<QueueTables, 'tell' | 'receive'>;
 	/** Where a peer is dialled. */
 	findAddress: (key: string) => string;
@@ -93,6 +96,7 @@
 			}
 
 			case 'group-state': {
+				roles.crashes.learn(message.crashes ?? [], now());
 				if (groups.update(session.key, message, now())) {
 					log('group has another holder', {
 						group: message.group,
--- a/packages/protocol/src/scheduling-messages.ts
+++ b/packages/protocol/src/scheduling-messages.ts
@@ -52,6 +52,21 @@
 	count,
 ]);
 
+/**
+Under which lives of executors a task ran when they crashed, or turned silent until their lease had passed. Receivers add it to what they know.
+*/
+export const taskCrashesSchema = z.object({
+	job: jobId,
+	index: count,
+	/** Ids of executors that have crashed. */
+	crashed: z.array(z.string()),
+	/** Ids of executors that may have crashed, or be out of reach. */
+	silent: z.array(z.string()),
+});
+
+/** Absent: none are known. */
+const crashes = z.array(taskCrashesSchema).optional();
+
 /**
 Some or all tasks of a job, handed to one scheduler. Sent again after a broken connection or a
 change of the group's holder: tasks that are known already stay as they are.
@@ -85,6 +100,7 @@
 	shifts: count,
 	/** Tasks of it may run under an earlier holder of the group. */
 	isMoved: z.boolean(),
+	crashes,
 });
 
 /** The entry no longer wants the job: it ended, its caller left, or its time is up. */
@@ -117,6 +133,7 @@
 	isRefused: z.boolean(),
 	/** As asked: what a holder of these or of later tokens confirms. */
 	formerTokens,
+	crashes,
 });
 
 /**
@@ -159,6 +176,7 @@
 			isSure: z.boolean(),
 		}),
 	),
+	crashes,
 });
 
 /**
@@ -197,6 +215,7 @@
 	group has room; `released`: the group has another holder.
 	*/
 	reason: z.enum(['full', 'hopeless', 'elsewhere', 'released']).optional(),
+	crashes,
 });
 
 /** A holder's state, told to all hosts: who schedules the group, and its room. */
@@ -229,6 +248,8 @@
 	lateBacklog: z.array(z.number()),
 	/** Thousandths of a core that run, by priority. */
 	running: z.array(count),
+	/** Of all jobs, told for some time after each change: a copy at another entry is known for what it is. */
+	crashes,
 });
 
 /** A caller cancelled a job at a host that does not hold it. */
@@ -271,5 +292,6 @@
 /** First and last. */
 export type TokenRange = z.infer<typeof tokens>;
 export type Ends = z.infer<typeof endsSchema>;
+export type TaskCrashes = z.infer<typeof taskCrashesSchema>;
 export type TaskEnd = z.infer<typeof taskEndSchema>;
 export type GroupState = z.infer<typeof groupStateSchema>;
--- a/packages/scheduling/src/copy-recall.test.ts
+++ b/packages/scheduling/src/copy-recall.test.ts
@@ -9,6 +9,7 @@
 import {createGroupDirectory} from './group-directory.js';
 import {makeState} from './group-state.fixture.js';
 import {type HolderMessage} from './holder-contacts.js';
+import {createCrashRecords} from './crash-records.js';
 import {createRunTimes} from './run-times.js';
 
 type Sent = {
@@ -37,6 +38,7 @@
 		readWallClock: () => 1_700_000_000_000 + clock.now,
 		groups,
 		runTimes: createRunTimes(),
+		crashes: createCrashRecords(),
 		send(to, message) {
 			sent.push({to, message});
 			return linked.includes(to);
--- a/packages/scheduling/src/copy-recall.ts
+++ b/packages/scheduling/src/copy-recall.ts
@@ -2,7 +2,11 @@
 Asks other entries for their copies of a job, where the holders of groups can't say for sure whether one runs: a holder is out of
 reach, or may have been replaced by a host that is. The entry that has a copy is the only one that knows who was handed its tasks.
 */
-import {type RecallCopy, type CopyRecalled} from '@gentianshift/protocol';
+import {
+	type RecallCopy,
+	type CopyRecalled,
+	type TaskCrashes,
+} from '@gentianshift/protocol';
 import {type CopyCheck, type CopyPlace} from './copy-check.js';
 import {isLaterCopy} from './copy-order.js';
 import {type EntryJob} from './entry-job.js';
@@ -35,6 +39,8 @@
 	listTokens: () => Array<[group: string, token: number]>;
 	/** Where tasks of a job that this entry has given up may run. */
 	listPlaces: (job: string) => CopyPlace[];
+	/** Executors that crashed under tasks of a job. */
+	listCrashes: (job: string) => TaskCrashes[] | undefined;
 	log: (message: string, fields: Record<string, unknown>) => void;
 };
 
@@ -196,6 +202,7 @@
 					...place,
 					overInMs: overAt - now(),
 				})),
+				crashes: ports.listCrashes(job),
 			};
 			if (isRefused || places.some(({isSure}) => isSure)) {
 				log('a copy of the job is recalled', {...answer, from});
--- /dev/null
+++ b/packages/scheduling/src/crash-records.test.ts
@@ -0,0 +1,87 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {createCrashRecords} from './crash-records.js';
+
+const task = {job: 'job1', index: 0};
+
+test('a task is condemned by two executors that crashed under it', () => {
+	const records = createCrashRecords();
+	assert.equal(records.judge(task), 'sound');
+	assert.equal(records.addCrash(task, 'e1', 0), 1);
+	assert.equal(records.judge(task), 'suspect');
+	assert.equal(records.addCrash(task, 'e2', 10), 2);
+	assert.equal(records.judge(task), 'condemned');
+	assert.equal(records.findCondemned('job1'), 0);
+	assert.equal(records.findCondemned('job2'), undefined);
+});
+
+// Guards against a crash that two hosts tell of and that counts twice.
+test('a crash that is told by several hosts counts once', () => {
+	const records = createCrashRecords();
+	records.addCrash(task, 'e1', 0);
+	records.learn([{...task, crashed: ['e1'], silent: []}], 5);
+	records.learn([{...task, crashed: ['e1'], silent: ['e1']}], 6);
+	assert.equal(records.addCrash(task, 'e1', 7), undefined);
+	assert.equal(records.judge(task), 'suspect');
+});
+
+// Guards against tasks that are started on one executor after the other before it is known that these have crashed.
+test('a task is held while silent executors may have crashed under it', () => {
+	const records = createCrashRecords();
+	records.addSilence(task, 'e1', 0);
+	assert.equal(records.judge(task), 'suspect');
+	records.addSilence(task, 'e2', 0);
+	assert.equal(records.judge(task), 'held');
+	records.confirmSilence('e1', 10);
+	assert.equal(records.judge(task), 'held');
+	records.confirmSilence('e2', 20);
+	assert.equal(records.judge(task), 'condemned');
+});
+
+// Guards against a cut to an executor that is taken for a crash.
+test('an executor that answers again has not crashed', () => {
+	const records = createCrashRecords();
+	records.addSilence(task, 'e1', 0);
+	records.addCrash(task, 'e2', 0);
+	records.clearExecutor('e1');
+	records.clearExecutor('e2');
+	assert.equal(records.judge(task), 'sound');
+});
+
+test('a silence that is never cleared up is forgotten', () => {
+	const records = createCrashRecords();
+	records.addSilence(task, 'e1', 0);
+	records.addSilence(task, 'e2', 0);
+	records.forgetOld(9000);
+	assert.equal(records.judge(task), 'held');
+	records.forgetOld(11_000);
+	assert.equal(records.judge(task), 'sound');
+	assert.ok(records.isEmpty);
+});
+
+test('what this host found out is told for a while, and nothing that it was told', () => {
+	const records = createCrashRecords();
+	records.learn([{job: 'job2', index: 3, crashed: ['e9'], silent: []}], 0);
+	assert.equal(records.listNews(0), undefined);
+	records.addCrash(task, 'e1', 0);
+	assert.deepEqual(records.listNews(1000), [
+		{...task, crashed: ['e1'], silent: []},
+	]);
+	assert.equal(records.listNews(3000), undefined);
+	assert.deepEqual(records.listOf('job1'), [
+		{...task, crashed: ['e1'], silent: []},
+	]);
+});
+
+// Guards against memory that grows with each crash for as long as the process runs.
+test('records are bounded in number and age', () => {
+	const records = createCrashRecords();
+	for (let index = 0; index < 5000; index += 1) {
+		records.addCrash({job: `job${index}`, index}, 'e1', index);
+	}
+
+	assert.equal(records.listOf('job0'), undefined);
+	assert.notEqual(records.listOf('job4999'), undefined);
+	records.forgetOld(100_000);
+	assert.ok(records.isEmpty);
+});
--- /dev/null
+++ b/packages/scheduling/src/crash-watch.test.ts
@@ -0,0 +1,70 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {createCrashWatch} from './crash-watch.js';
+import {noDemand} from './room.js';
+import {type Run} from './run.js';
+
+function makeRun(index: number, run: Partial<Run> = {}): Run {
+	return {
+		job: 'job1',
+		index,
+		attempt: 1,
+		demand: noDemand,
+		state: 'running',
+		startedAt: 0,
+		isFound: false,
+		...run,
+	};
+}
+
+function createWatch(isDraining = false) {
+	const told: string[] = [];
+	const list = (runs: readonly Run[]) => runs.map(({index}) => index).join(' ');
+	const watch = createCrashWatch({
+		isDraining: () => isDraining,
+		onSilence(runs) {
+			told.push(`silence ${list(runs)}`);
+		},
+		onCleared() {
+			told.push('cleared');
+		},
+		onCrash(runs) {
+			told.push(`crash ${list(runs)}`);
+		},
+	});
+	return {watch, told};
+}
+
+test('a crash is blamed on what ran, and on what was given up in the silence before', () => {
+	const {watch, told} = createWatch();
+	watch.noteLapsed([makeRun(0)]);
+	watch.noteGone([makeRun(1)]);
+	assert.deepEqual(told, ['silence 0', 'crash 0 1']);
+});
+
+// Guards against sound tasks that are blamed for a crash after they were stopped, or turned away by the executor.
+test('a run that was stopped or refused is not blamed', () => {
+	const {watch, told} = createWatch();
+	watch.noteGone([
+		makeRun(0, {stoppedAt: 10}),
+		makeRun(1, {isRefused: true}),
+		makeRun(2, {state: 'stopping'}),
+	]);
+	assert.deepEqual(told, ['crash 2']);
+});
+
+test('an executor that answers again is cleared', () => {
+	const {watch, told} = createWatch();
+	watch.noteLapsed([makeRun(0)]);
+	watch.noteAnswer();
+	watch.noteGone([]);
+	assert.deepEqual(told, ['silence 0', 'cleared']);
+});
+
+// Guards against planned ends of executors that are taken for crashes.
+test('an executor that drains has not crashed', () => {
+	const {watch, told} = createWatch(true);
+	watch.noteLapsed([makeRun(0)]);
+	watch.noteGone([makeRun(1)]);
+	assert.deepEqual(told, ['cleared']);
+});
--- /dev/null
+++ b/packages/scheduling/src/crashes.test.ts
@@ -0,0 +1,119 @@
+/**
+Tasks that crash their executors, at the scheduler of their group; the executors are back after two seconds, under new ids.
+*/
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {type Ends} from '@gentianshift/protocol';
+import {
+	createEntry,
+	makePart,
+	makeTasks,
+	openScheduler,
+	runFor,
+} from './group-scheduler.fixture.js';
+
+const longMs = 20_000;
+
+type Options = Parameters<typeof openScheduler>[0];
+
+async function openCrashing(options: Partial<Options> = {}) {
+	return openScheduler({
+		count: 4,
+		findCrashMs: ({job, index}) =>
+			job === 'job1' && index === 0 ? 20 : undefined,
+		...options,
+	});
+}
+
+/** The most executors that an entry was told to have crashed under the task. */
+function countCrashes(told: readonly Ends[], index = 0): number {
+	const rows = told.flatMap(({crashes = []}) => crashes);
+	return Math.max(
+		0,
+		...rows
+			.filter((row) => row.index === index)
+			.map(({crashed}) => crashed.length),
+	);
+}
+
+// Guards against a bad task that takes down one executor after the other for as long as its caller waits.
+test('a task is given up after two executors have crashed under it', async () => {
+	const {clock, executors, scheduler, entry} = await openCrashing();
+	scheduler.receivePart(
+		entry,
+		makePart(clock, {tasks: makeTasks(3), timeLeftMs: longMs}),
+	);
+	await runFor(clock, longMs, [[scheduler, entry]]);
+	const starts = executors.runs.filter(({index}) => index === 0);
+	assert.equal(starts.length, 2);
+	assert.equal(countCrashes(entry.told), 2);
+	assert.deepEqual(
+		executors.runs.filter(({endedAt}) => endedAt === undefined),
+		[],
+	);
+});
+
+// Guards against a bad job that starts anew as its caller sends it to another entry.
+test('a job that was given up is not started for another entry', async () => {
+	const {clock, executors, scheduler, entry} = await openCrashing();
+	scheduler.receivePart(entry, makePart(clock, {timeLeftMs: longMs}));
+	await runFor(clock, 10_000, [[scheduler, entry]]);
+	const before = executors.runs.length;
+	const other = createEntry('langreo_l1.0');
+	scheduler.receivePart(other, makePart(clock, {timeLeftMs: longMs}));
+	await runFor(clock, 1000, [[scheduler, other]]);
+	assert.equal(executors.runs.length, before);
+	assert.equal(countCrashes(other.told), 2);
+});
+
+// Guards against a count that begins anew at each group that the task comes to.
+test('what an entry knows of crashes counts', async () => {
+	const {clock, executors, scheduler, entry} = await openCrashing();
+	const crashes = [{job: 'job1', index: 0, crashed: ['x1'], silent: []}];
+	scheduler.receivePart(entry, makePart(clock, {crashes, timeLeftMs: longMs}));
+	await runFor(clock, 10_000, [[scheduler, entry]]);
+	assert.equal(executors.runs.length, 1);
+	assert.equal(countCrashes(entry.told), 2);
+});
+
+// Guards against a cut between a scheduler and its executors that is taken for crashes of these.
+test('a silent executor that answers again in the same life has not crashed', async () => {
+	const {clock, executors, scheduler, entry} = await openCrashing({
+		count: 3,
+		taskMs: 4000,
+		findCrashMs: undefined,
+	});
+	scheduler.receivePart(
+		entry,
+		makePart(clock, {estimateMs: 4000, timeLeftMs: longMs}),
+	);
+	await runFor(clock, 100, [[scheduler, entry]]);
+	for (let i = 0; i < 2; i += 1) {
+		const {executor: id} = executors.runs.findLast(
+			({endedAt}) => endedAt === undefined,
+		)!;
+		const cut = executors.fakes.find(({executor}) => executor.id === id)!;
+		cut.cutFrom = 'all';
+		await runFor(clock, 1500, [[scheduler, entry]]);
+		cut.cutFrom = new Set();
+		await runFor(clock, 1000, [[scheduler, entry]]);
+	}
+
+	await runFor(clock, 8000, [[scheduler, entry]]);
+	assert.equal(executors.runs.at(-1)!.outcome, 'done');
+	assert.equal(countCrashes(entry.told), 0);
+});
+
+// Guards against executors that crash one by one while it is not known yet that the first ones did.
+test('a task waits while two silent executors may have crashed under it', async () => {
+	const {clock, executors, scheduler, entry} = await openCrashing({
+		getBackMs: () => 8000,
+	});
+	scheduler.receivePart(entry, makePart(clock, {timeLeftMs: longMs}));
+	await runFor(clock, 7000, [[scheduler, entry]]);
+	assert.equal(executors.runs.length, 2);
+	assert.equal(countCrashes(entry.told), 0);
+	await runFor(clock, 6000, [[scheduler, entry]]);
+	assert.equal(executors.runs.length, 2);
+	assert.equal(countCrashes(entry.told), 2);
+});
--- a/packages/scheduling/src/entry-job.ts
+++ b/packages/scheduling/src/entry-job.ts
@@ -28,7 +28,7 @@
 */
 export type JobAnswer =
 	| {type: 'completed'}
-	| {type: 'failed'; task: number}
+	| {type: 'failed'; task: number; reason: string}
 	| {type: 'refused'; reason: string; retryAfterMs: number}
 	| {type: 'given-up'; reason: string; retryAfterMs: number}
 	| {type: 'cancelled'};
--- a/packages/scheduling/src/entry-jobs.test.ts
+++ b/packages/scheduling/src/entry-jobs.test.ts
@@ -14,6 +14,7 @@
 import {EntryJobs} from './entry-jobs.js';
 import {createGroupDirectory} from './group-directory.js';
 import {makeState} from './group-state.fixture.js';
+import {createCrashRecords} from './crash-records.js';
 import {createRunTimes} from './run-times.js';
 import {stateStaleMs} from './timing.js';
 
@@ -30,6 +31,7 @@
 		readWallClock: () => startsAtMs + clock.now - 1000,
 		groups,
 		runTimes: createRunTimes(),
+		crashes: createCrashRecords(),
 		send(holder, message) {
 			sent.push({holder, message});
 			return true;
@@ -567,3 +569,56 @@
 	);
 	assert.deepEqual(named, []);
 });
+
+// Guards against a job that crashes executors and begins anew each time that its caller sends it.
+test('a job that executors have crashed under fails at once, and again when it is sent again', () => {
+	const {entry, groups, clock, sent, listParts} = createEntryJobs();
+	groups.update('mieres_m1', makeState('mieres'), clock.now);
+	const answers: JobAnswer[] = [];
+	const submit = () => {
+		entry.submit(makeRequest(), (answer) => {
+			answers.push(answer);
+		});
+	};
+
+	submit();
+	const crashes = [{job: 'job1', index: 1, crashed: ['e1', 'e2'], silent: []}];
+	entry.receiveEnds('mieres_m1', {
+		t: 'ends',
+		job: 'job1',
+		isStarted: true,
+		ends: [],
+		crashes,
+	});
+	const failed = {
+		type: 'failed',
+		task: 1,
+		reason: 'executors crashed under its task',
+	};
+	assert.deepEqual(answers, [failed]);
+	assert.equal(sent.at(-1)!.message.t, 'drop');
+	submit();
+	assert.deepEqual(answers, [failed, failed]);
+	assert.equal(listParts('mieres_m1').length, 1);
+});
+
+// Guards against a count that begins anew as a task comes to another group.
+test('what an entry has heard of crashes goes with the tasks', () => {
+	const {entry, groups, clock, listParts} = createEntryJobs();
+	groups.update('mieres_m1', makeState('mieres'), clock.now);
+	entry.submit(makeRequest({count: 1}), () => undefined);
+	const crashes = [{job: 'job1', index: 0, crashed: ['e1'], silent: ['e2']}];
+	entry.receiveEnds('mieres_m1', {
+		t: 'ends',
+		job: 'job1',
+		isStarted: true,
+		ends: [{index: 0, outcome: 'returned', attempt: 1, placement: 1}],
+		reason: 'elsewhere',
+		crashes,
+	});
+	groups.update('langreo_l1', makeState('langreo'), clock.now);
+	entry.placeWaiting();
+	entry.update();
+	const parts = [...listParts('mieres_m1'), ...listParts('langreo_l1')];
+	assert.deepEqual(parts.at(-1)!.crashes, crashes);
+});
--- a/packages/scheduling/src/entry-jobs.ts
+++ b/packages/scheduling/src/entry-jobs.ts
@@ -13,6 +13,7 @@
 	type TaskEnd,
 } from '@gentianshift/protocol';
 import {type CopyPlace} from './copy-check.js';
+import {type CrashRecords} from './crash-records.js';
 import {
 	createCopyRecall,
 	type CopyRecall,
@@ -71,6 +72,8 @@
 	readWallClock: () => number;
 	groups: GroupDirectory;
 	runTimes: RunTimes;
+	/** Shared with the scheduler on the same host. */
+	crashes: CrashRecords;
 	/** Hands a message to a group's holder; false: there is no connection to it. */
 	send: (holder: string, message: HolderMessage) => boolean;
 	log: (message: string, fields: Record<string, unknown>) => void;
@@ -146,7 +149,10 @@
 		});
 		job.waiters.add(onAnswer);
 		this.#jobs.set(request.id, job);
-		this.#placeTasks(job, job.tasks);
+		if (!this.#failIfCondemned(job)) {
+			this.#placeTasks(job, job.tasks);
+		}
+
 		return () => {
 			this.#abandon(job, onAnswer);
 		};
@@ -173,7 +179,8 @@
 
 	/** A holder has stopped what it had of other copies of a job, or has a later one. */
 	receiveReplaced(holder: string, message: Replaced): void {
-		const {job: id, takenAtMs, isRefused} = message;
+		const {job: id, takenAtMs, isRefused, crashes = []} = message;
+		this.#ports.crashes.learn(crashes, this.#ports.now());
 		const job = this.#jobs.get(id);
 		if (job?.takenAtMs !== takenAtMs) {
 			return;
@@ -198,6 +205,7 @@
 
 	/** An entry has given its copy of a job up, or has none, or a later one. */
 	receiveRecalled(message: CopyRecalled): void {
+		this.#ports.crashes.learn(message.crashes ?? [], this.#ports.now());
 		const job = this.#jobs.get(message.job);
 		const places = this.#recall.receiveRecalled(message, job);
 		if (!job || !places) {
@@ -220,6 +228,11 @@
 			return;
 		}
 
+		this.#ports.crashes.learn(message.crashes ?? [], this.#ports.now());
+		if (this.#failIfCondemned(job)) {
+			return;
+		}
+
 		if (message.isStarted) {
 			job.isStarted = true;
 			job.startToldAt ??= this.#ports.now();
@@ -312,7 +325,12 @@
 		}
 
 		this.#holders.forgetOld(now);
+		this.#ports.crashes.forgetOld(now);
 		for (const job of this.#jobs.values()) {
+			if (this.#failIfCondemned(job)) {
+				continue;
+			}
+
 			if (now >= job.endsAt) {
 				this.#giveUp(job, 'no answer in the time that the caller waits');
 			} else {
@@ -321,6 +339,21 @@
 		}
 	}
 
+	/** Nothing of a job that crashes executors is started again, whoever hands it in. */
+	#failIfCondemned(job: EntryJob): boolean {
+		const task = this.#ports.crashes.findCondemned(job.request.id);
+		if (task === undefined) {
+			return false;
+		}
+
+		this.#answer(job, {
+			type: 'failed',
+			task,
+			reason: 'executors crashed under its task',
+		});
+		return true;
+	}
+
 	/** Each taking of a job by this entry is later than the one before, also where the time of day steps back. */
 	#chooseTakenAt(id: string): number {
 		const formerAt = this.#holders.findTakenAt(id) ?? -Infinity;
@@ -344,12 +377,13 @@
 				groups.list().map(({state: {group, token}}) => [group, token]),
 			findTakenAt: (id) => this.#jobs.get(id)?.takenAtMs,
 			listPlaces: (id) => this.#holders.listPlaces(id, now()),
+			listCrashes: this.#ports.crashes.listOf,
 			log,
 		});
 	}
 
 	#placeIfWaiting(job: EntryJob): void {
-		if (this.#waiting.delete(job)) {
+		if (!this.#failIfCondemned(job) && this.#waiting.delete(job)) {
 			this.#placeUnplaced(job);
 		}
 	}
@@ -401,7 +435,11 @@
 			}
 
 			case 'failed': {
-				this.#answer(job, {type: 'failed', task: end.index});
+				this.#answer(job, {
+					type: 'failed',
+					task: end.index,
+					reason: 'its task has failed too often',
+				});
 				break;
 			}
 
@@ -565,7 +603,8 @@
 
 		const now = this.#ports.now();
 		const {holder, state} = known;
-		const part = makePart(job, tasks, {isMoved, claim, state, now});
+		const crashes = this.#ports.crashes.listOf(job.request.id);
+		const part = makePart(job, tasks, {isMoved, claim, state, now, crashes});
 		this.#holders.sendPart(holder, part);
 	}
 
--- a/packages/scheduling/src/executor-session.ts
+++ b/packages/scheduling/src/executor-session.ts
@@ -15,6 +15,7 @@
 	type RunName,
 } from './executor-control.js';
 import {type AnswerTimes} from './answer-times.js';
+import {createCrashWatch, type CrashWatch} from './crash-watch.js';
 import {createExecutorLease} from './executor-lease.js';
 import {createTrust, recordFailure} from './executor-trust.js';
 import {type Executor} from './executor.js';
@@ -49,6 +50,12 @@
 	/** Starts of an earlier session with this executor among them. */
 	unsettled: UnsettledOrders;
 	onRunEnd: (run: Run, outcome: RunOutcome, session: ExecutorSession) => void;
+	/** The executor crashed while these ran there. */
+	onCrash: (executor: string, runs: readonly Run[]) => void;
+	/** The executor is silent, and the lease of these has passed. */
+	onSilence: (executor: string, runs: readonly Run[]) => void;
+	/** The executor answers in the life that was thought over, or its end was planned. */
+	onCleared: (executor: string) => void;
 	/** The executor has answered, or has more room than before; once for all ends of one report. */
 	onChange: () => void;
 	/** Another scheduler has the group. */
@@ -68,6 +75,8 @@
 	readonly #book = createRunBook();
 	readonly #lease = createExecutorLease();
 	readonly #orders: RunOrders;
+	readonly #crashes: CrashWatch;
+	#isListed = true;
 	/** Renewals in a row without an answer. */
 	#missed = 0;
 	/** The executor's clock in the newest report: an older one that comes later tells nothing. */
@@ -82,6 +91,18 @@
 	) {
 		this.#executor = executor;
 		this.#orders = this.#createOrders();
+		this.#crashes = createCrashWatch({
+			isDraining: () => this.isDraining,
+			onSilence: (runs) => {
+				ports.onSilence(this.id, runs);
+			},
+			onCleared: () => {
+				ports.onCleared(this.id);
+			},
+			onCrash: (runs) => {
+				ports.onCrash(this.id, runs);
+			},
+		});
 	}
 
 	get id(): string {
@@ -124,6 +145,7 @@
 
 	update(executor: Executor): void {
 		this.#executor = executor;
+		this.#isListed = true;
 	}
 
 	/** Begins to follow the executor; returns at once. */
@@ -170,6 +192,11 @@
 
 	/** The store no longer lists the executor: it counts as gone, so what runs there is stopped. */
 	stopAll(): void {
+		this.#isListed = false;
+		if (this.silentSince !== undefined) {
+			this.#crashes.noteGone([...this.runs.values()]);
+		}
+
 		const stopBy = this.ports.now() + dropStopMs;
 		for (const run of this.runs.values()) {
 			this.stop(run, stopBy);
@@ -341,6 +368,10 @@
 		}
 
 		this.isReported ||= isFirst;
+		if (isFirst || this.silentSince !== undefined) {
+			this.#crashes.noteAnswer();
+		}
+
 		if (this.silentSince !== undefined) {
 			void this.#endSilence();
 		}
@@ -461,7 +492,7 @@
 			reason,
 			runs: this.runs.size,
 		});
-		this.#abandonRuns();
+		this.#crashes.noteGone(this.#abandonRuns());
 		this.ports.onChange();
 	}
 
@@ -472,7 +503,13 @@
 				executor: this.id,
 				runs: this.runs.size,
 			});
-			this.#abandonRuns();
+			const lapsed = this.#abandonRuns();
+			if (this.#isListed) {
+				this.#crashes.noteLapsed(lapsed);
+			} else {
+				this.#crashes.noteGone(lapsed);
+			}
+
 			this.ports.onChange();
 		}
 	}
@@ -492,7 +529,8 @@
 		this.#lease.setClock(clockMs, this.ports.now());
 	}
 
-	#abandonRuns(): void {
+	/** Gives the runs that the book had. */
+	#abandonRuns(): Run[] {
 		const lost = [...this.runs.values()];
 		for (const run of lost) {
 			this.#book.remove(run);
@@ -504,6 +542,8 @@
 		for (const run of lost) {
 			this.#tellEnd({run, outcome: 'lost'});
 		}
+
+		return lost;
 	}
 
 	#tellEnd({run, outcome}: {run: Run; outcome: RunOutcome}): void {
--- a/packages/scheduling/src/fake-executors.fixture.ts
+++ b/packages/scheduling/src/fake-executors.fixture.ts
@@ -21,6 +21,8 @@
 	startedAt: number;
 	endedAt?: number;
 	outcome?: RunEnd['outcome'];
+	/** Its executor crashed while it ran. */
+	isCrashed?: boolean;
 };
 
 type FakeExecutor = {
@@ -39,6 +41,10 @@
 	/** The next starts get no answer and are carried out this much later. */
 	lateStartMs: number;
 	highest: Map<string, number>;
+	/** Counts its crashes. */
+	life: number;
+	/** Crashed, and not back yet. */
+	isDown: boolean;
 };
 
 /** What becomes of a call: `lost` on its way there, only its answer lost, or carried out so much later without one. */
@@ -64,6 +70,9 @@
 		taskMs = 100,
 		decideFate = () => ({type: 'answered'}),
 		lookMs = 5,
+		findCrashMs = () => undefined,
+		getBackMs = () => 2000,
+		onCrash = () => undefined,
 	}: {
 		count: number;
 		cpu?: number;
@@ -73,6 +82,12 @@
 		decideFate?: (call: FakeCall) => CallFate;
 		/** An executor that is asked to wait for an end looks this often. */
 		lookMs?: number;
+		/** How long after its start a task crashes its executor; undefined: it does not. */
+		findCrashMs?: (task: {job: string; index: number}) => number | undefined;
+		/** How long until a crashed executor is back, under a new id. */
+		getBackMs?: () => number;
+		/** An executor has crashed; `next` is its next life, not listed yet. */
+		onCrash?: (former: Executor, next: Executor) => void;
 	},
 ) {
 	const runs: FakeRun[] = [];
@@ -95,10 +110,57 @@
 		slowness: 1,
 		isFailing: false,
 		highest: new Map(),
+		life: 1,
+		isDown: false,
 	}));
 
-	function find({id}: Executor): FakeExecutor {
-		return fakes.find(({executor}) => executor.id === id)!;
+	/** Whatever lives at the address now. */
+	function find({address}: Executor): FakeExecutor {
+		return fakes.find(({executor}) => executor.address === address)!;
+	}
+
+	/** What answers a call to a life of the executor that is over. */
+	function refuseFormer(
+		{executor, isDown}: FakeExecutor,
+		{id}: Executor,
+	): Result<never, CallFailure> | undefined {
+		if (isDown) {
+			return refuse('unreachable');
+		}
+
+		return executor.id === id ? undefined : refuse('replaced');
+	}
+
+	function crash(fake: FakeExecutor): void {
+		if (fake.isDown) {
+			return;
+		}
+
+		for (const run of fake.active) {
+			run.endedAt = clock.now;
+			run.outcome = 'ended';
+			run.isCrashed = true;
+		}
+
+		const former = fake.executor;
+		fake.life += 1;
+		Object.assign(fake, {
+			isDown: true,
+			executor: {
+				...former,
+				id: `${former.id.split('.', 1)[0]}.${fake.life}`,
+			},
+			token: 0,
+			leaseEndsAt: 0,
+			active: [],
+			ended: [],
+			sequence: 0,
+			highest: new Map(),
+		} satisfies Partial<FakeExecutor>);
+		onCrash(former, fake.executor);
+		clock.schedule(getBackMs(), () => {
+			fake.isDown = false;
+		});
 	}
 
 	function isCut({cutFrom}: FakeExecutor, token: number): boolean {
@@ -164,6 +226,15 @@
 		fake.active.push(run);
 		runs.push(run);
 		extend(fake, leaseUntilMs);
+		const crashMs = findCrashMs({job, index});
+		if (crashMs !== undefined) {
+			clock.schedule(crashMs, () => {
+				if (run.endedAt === undefined) {
+					crash(fake);
+				}
+			});
+		}
+
 		if (fake.isFailing) {
 			clock.schedule(1, () => {
 				endRun(fake, run, 'failed');
@@ -190,12 +261,13 @@
 		return err({code: 'unanswered', message: 'no answer'});
 	}
 
-	/** Carries a call out as its fate says. */
+	/** Carries a call out as its fate says, if the executor still lives as the one that was called. */
 	async function carryOut<T>(
-		call: FakeCall,
+		call: FakeCall & {to: Executor},
 		limits: {answerLimitMs: number; waitMs?: number},
-		run: () => Result<T, CallFailure> | Promise<Result<T, CallFailure>>,
+		work: () => Result<T, CallFailure> | Promise<Result<T, CallFailure>>,
 	): Promise<Result<T, CallFailure>> {
+		const run = async () => refuseFormer(find(call.to), call.to) ?? work();
 		const fate = decideFate(call);
 		switch (fate.type) {
 			case 'answered': {
@@ -228,13 +300,20 @@
 
 		if (fake.lateStartMs > 0) {
 			clock.schedule(fake.lateStartMs, () => {
-				startRun(fake, request);
+				if (!refuseFormer(fake, executor)) {
+					startRun(fake, request);
+				}
 			});
 			return loseAnswer(request);
 		}
 
 		return carryOut(
-			{kind: 'start', executor: executor.id, token: request.token},
+			{
+				kind: 'start',
+				executor: executor.id,
+				to: executor,
+				token: request.token,
+			},
 			request,
 			() => startRun(fake, request),
 		);
@@ -248,7 +327,12 @@
 		return isCut(fake, request.token)
 			? loseAnswer(request)
 			: carryOut(
-					{kind: 'stop', executor: executor.id, token: request.token},
+					{
+						kind: 'stop',
+						executor: executor.id,
+						to: executor,
+						token: request.token,
+					},
 					request,
 					() => stopRun(fake, request),
 				);
@@ -281,7 +365,12 @@
 		return isCut(fake, request.token)
 			? loseAnswer(request)
 			: carryOut(
-					{kind: 'renewal', executor: executor.id, token: request.token},
+					{
+						kind: 'renewal',
+						executor: executor.id,
+						to: executor,
+						token: request.token,
+					},
 					request,
 					async () => renewLease(fake, request),
 				);
@@ -302,12 +391,17 @@
 			extend(fake, leaseUntilMs);
 		}
 
+		const {life} = fake;
 		const endsAt = clock.now + waitMs;
-		while (fake.ended.length === 0 && clock.now < endsAt) {
+		while (
+			fake.life === life &&
+			fake.ended.length === 0 &&
+			clock.now < endsAt
+		) {
 			await clock.wait(lookMs);
 		}
 
-		return isCut(fake, token)
+		return isCut(fake, token) || fake.life !== life
 			? loseAnswer(request)
 			: ok({
 					clockMs: clock.now,
@@ -335,6 +429,7 @@
 
 	return {
 		control,
+		crash,
 		/** All runs that executors have begun. */
 		runs,
 		fakes,
@@ -346,6 +441,26 @@
 	return err({code, message: code});
 }
 
+/** How often each task was started after so many executors had crashed while it ran. */
+export function countStartsAfterCrashes(
+	runs: readonly FakeRun[],
+	crashes: number,
+): Map<string, number> {
+	const crashed = new Map<string, number>();
+	const starts = new Map<string, number>();
+	for (const {job, index, isCrashed} of runs) {
+		const task = `${job}/${index}`;
+		const before = crashed.get(task) ?? 0;
+		if (before >= crashes) {
+			starts.set(task, (starts.get(task) ?? 0) + 1);
+		}
+
+		crashed.set(task, before + Number(isCrashed ?? false));
+	}
+
+	return starts;
+}
+
 /** Pairs of runs of one task that overlap. */
 export function findOverlaps(runs: readonly FakeRun[]): string[] {
 	return runs.flatMap((run, i) =>
--- /dev/null
+++ b/packages/scheduling/src/group-crashes.ts
@@ -0,0 +1,124 @@
+/**
+What a scheduler records and tells of executors that crashed under tasks.
+*/
+import {type Part} from '@gentianshift/protocol';
+import {type CrashRecords} from './crash-records.js';
+import {type ExecutorSession} from './executor-session.js';
+import {type Entry, type GroupJob} from './group-job.js';
+import {type Run} from './run.js';
+
+export type GroupCrashPorts = {
+	group: string;
+	token: number;
+	now: () => number;
+	/** Shared with the entry on the same host. */
+	crashes: CrashRecords;
+	findJob: (id: string) => GroupJob | undefined;
+	findExecutor: (id: string) => ExecutorSession | undefined;
+	log: (message: string, fields: Record<string, unknown>) => void;
+};
+
+export type GroupCrashes = {
+	/** Counts a crash against each task that may have run there. */
+	blame: (executor: string, runs: readonly Run[]) => void;
+	/** The executor is silent and the lease of its runs has passed. */
+	noteSilence: (executor: string, runs: readonly Run[]) => void;
+	/** Takes what a part's entry knows, and tells the entry what is known here. */
+	learnPart: (entry: Entry, part: Part) => void;
+	/** The jobs to be given up; their entries are told, and answer them by that. */
+	takeCondemned: (jobs: Iterable<GroupJob>) => GroupJob[];
+};
+
+export function createGroupCrashes(ports: GroupCrashPorts): GroupCrashes {
+	const {group, token, now, crashes, findJob, findExecutor, log} = ports;
+
+	function tellEntry(
+		entry: Entry,
+		{id, isStarted}: Pick<GroupJob, 'id' | 'isStarted'>,
+	): void {
+		const known = crashes.listOf(id);
+		if (known) {
+			entry.send({t: 'ends', job: id, isStarted, ends: [], crashes: known});
+		}
+	}
+
+	function tellEntries(runs: readonly Run[]): void {
+		for (const id of new Set(runs.map(({job}) => job))) {
+			const job = findJob(id);
+			if (job) {
+				tellEntry(job.entry, job);
+			}
+		}
+	}
+
+	/** An entry may not have heard yet that an executor of this group answers again. */
+	function isOver(executor: string): boolean {
+		return !findExecutor(executor)?.isOpen;
+	}
+
+	return {
+		blame(executor, runs) {
+			for (const run of runs) {
+				const count = crashes.addCrash(run, executor, now());
+				if (count !== undefined) {
+					log('an executor crashed under a task', {
+						executor,
+						job: run.job,
+						task: run.index,
+						attempt: run.attempt,
+						queue: findJob(run.job)?.queue,
+						crashes: count,
+						beside: runs.length - 1,
+						group,
+						token,
+					});
+				}
+			}
+
+			// Runs of an earlier holder of the group, told by it.
+			crashes.confirmSilence(executor, now());
+			tellEntries(runs);
+		},
+		noteSilence(executor, runs) {
+			for (const run of runs) {
+				crashes.addSilence(run, executor, now());
+			}
+
+			tellEntries(runs);
+		},
+		learnPart(entry, {job, crashes: told = []}) {
+			crashes.learn(
+				told.map((row) => ({
+					...row,
+					crashed: row.crashed.filter((id) => isOver(id)),
+					silent: row.silent.filter((id) => isOver(id)),
+				})),
+				now(),
+			);
+			tellEntry(entry, {id: job, isStarted: false});
+		},
+		takeCondemned(jobs) {
+			if (crashes.isEmpty) {
+				return [];
+			}
+
+			return [...jobs].filter((job) => {
+				const task = crashes.findCondemned(job.id);
+				if (task === undefined || job.isDropped) {
+					return false;
+				}
+
+				log('job is given up: executors crashed under its task', {
+					job: job.id,
+					task,
+					queue: job.queue,
+					entry: job.entry.key,
+					executors: crashes.listOf(job.id)?.find(({index}) => index === task)
+						?.crashed,
+				});
+				tellEntry(job.entry, job);
+				return true;
+			});
+		},
+	};
+}
--- a/packages/scheduling/src/group-scheduler.fixture.ts
+++ b/packages/scheduling/src/group-scheduler.fixture.ts
@@ -8,6 +8,7 @@
 } from './fake-executors.fixture.js';
 import {type Entry} from './group-job.js';
 import {GroupScheduler} from './group-scheduler.js';
+import {createCrashRecords} from './crash-records.js';
 import {createRunTimes} from './run-times.js';
 import {VirtualClock} from './virtual-clock.fixture.js';
 
@@ -55,6 +56,7 @@
 		wait: clock.wait,
 		control,
 		runTimes: createRunTimes(),
+		crashes: createCrashRecords(),
 		onFenced() {
 			scheduler.close();
 		},
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -15,12 +15,14 @@
 	type Ends,
 } from '@gentianshift/protocol';
 import {claimRun} from './claim-run.js';
+import {type CrashRecords} from './crash-records.js';
 import {type ExecutorControl} from './executor-control.js';
 import {createEndsOutbox} from './ends-outbox.js';
 import {createEntryContacts} from './entry-contacts.js';
 import {type ExecutorSession} from './executor-session.js';
 import {createExecutorSet, type ExecutorSet} from './executor-set.js';
 import {type Executor} from './executor.js';
+import {createGroupCrashes, type GroupCrashes} from './group-crashes.js';
 import {
 	addTasks,
 	createGroupJob,
@@ -64,6 +66,8 @@
 	wait: (ms: number, signal: AbortSignal) => Promise<void>;
 	control: ExecutorControl;
 	runTimes: RunTimes;
+	/** Shared with the entry on the same host. */
+	crashes: CrashRecords;
 	/** An executor obeys another holder. */
 	onFenced: () => void;
 	/** Room or backlog has changed. */
@@ -92,6 +96,7 @@
 	readonly #outbox = createEndsOutbox();
 	readonly #startLog: StartLog;
 	readonly #copies: JobCopies;
+	readonly #crashes: GroupCrashes;
 	readonly #openedAt: number;
 	#updatedAt = 0;
 	#isClosed = false;
@@ -100,9 +105,15 @@
 	constructor(private readonly ports: GroupPorts) {
 		this.#openedAt = ports.now();
 		this.#startLog = createStartLog(ports);
+		this.#crashes = createGroupCrashes({
+			...ports,
+			findJob: (id) => this.#jobs.get(id),
+			findExecutor: (id) => this.#executors.sessions.get(id),
+		});
 		this.#copies = createJobCopies({
 			now: ports.now,
 			dropOthers: (entry, message) => this.#dropOthers(entry, message),
+			listCrashes: ports.crashes.listOf,
 			mayRun: (job, isMoved) =>
 				this.#executors.hasRunOf(job) ||
 				!this.#hasHeardEntries() ||
@@ -115,6 +126,9 @@
 			onRunEnd: (run, outcome, session) => {
 				this.#endRun(run, outcome, session);
 			},
+			onCrash: this.#crashes.blame,
+			onSilence: this.#crashes.noteSilence,
+			onCleared: ports.crashes.clearExecutor,
 			onChange: () => {
 				this.#place();
 				ports.onChange();
@@ -168,6 +182,11 @@
 
 	receivePart(entry: Entry, part: Part): void {
 		const now = this.ports.now();
+		this.#crashes.learnPart(entry, part);
+		if (this.ports.crashes.findCondemned(part.job) !== undefined) {
+			return;
+		}
+
 		if (this.#copies.isReplaced(part.job, entry)) {
 			this.#tellReplaced(entry, part.job, part.takenAtMs);
 			return;
@@ -264,6 +283,7 @@
 
 		this.#outbox.forgetOld(now);
 		this.#copies.forgetOld();
+		this.ports.crashes.forgetOld(now);
 		this.#executors.closeUnlisted(now);
 		this.#place();
 	}
@@ -288,6 +308,7 @@
 			free: open.map(({free}) => Math.max(0, free.cpu)),
 			capacity: open.reduce((sum, {capacity}) => sum + capacity.cpu, 0),
 			...measureLoad(this.#jobs.values(), this.ports.now()),
+			crashes: this.ports.crashes.listNews(this.ports.now()),
 		};
 	}
 
@@ -450,6 +471,7 @@
 
 		this.#isPlacing = true;
 		const now = this.ports.now();
+		this.#giveUpCondemned(now);
 		const wanted = [...this.#jobs.values()].filter(
 			(job) => !job.isDropped && hasWaiting(job) && !isLapsed(job, now),
 		);
@@ -464,6 +486,8 @@
 			createPlacingRound(open, now, this.ports.takeElsewhere),
 			{
 				listFree: (job) => this.#listFree(job),
+				isHeld: ({id}, {index}) =>
+					this.ports.crashes.judge({job: id, index}) === 'held',
 				start: (job, task, session) => {
 					this.#start(job, task, session);
 				},
@@ -478,6 +502,12 @@
 		this.#outbox.flush();
 	}
 
+	#giveUpCondemned(now: number): void {
+		for (const job of this.#crashes.takeCondemned(this.#jobs.values())) {
+			this.#drop(job, now + dropStopMs);
+		}
+	}
+
 	/** Runs that executors have reported since the job was handed over, however many have yet to report. */
 	#claimReported(job: GroupJob): void {
 		if (job.movedAt === undefined) {
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -1,5 +1,6 @@
 export {type Executor} from './executor.js';
 export {type EntryPeers} from './copy-recall.js';
+export * from './crash-records.js';
 export * from './process-id.js';
 export * from './entry-job.js';
 export * from './entry-jobs.js';
--- a/packages/scheduling/src/job-copies.test.ts
+++ b/packages/scheduling/src/job-copies.test.ts
@@ -29,6 +29,7 @@
 		now: () => clock.now,
 		mayRun: () => false,
 		dropOthers: () => false,
+		listCrashes: () => undefined,
 	});
 	return {clock, copies};
 }
--- a/packages/scheduling/src/job-copies.ts
+++ b/packages/scheduling/src/job-copies.ts
@@ -7,7 +7,11 @@
 tasks. Each of them stops what it has of other copies, answers when nothing of the job runs, and starts no other copy
 that reaches it later.
 */
-import {type Replace, type TokenRange} from '@gentianshift/protocol';
+import {
+	type Replace,
+	type TaskCrashes,
+	type TokenRange,
+} from '@gentianshift/protocol';
 import {isLaterCopy, type CopyStamp} from './copy-order.js';
 import {type Entry} from './group-job.js';
 import {dropStopMs, orphanStopMs} from './timing.js';
@@ -18,6 +22,8 @@
 	dropOthers: (entry: Entry, message: Replace) => boolean;
 	/** A task of the job runs here, or may under an earlier holder. `isMoved`: the copy that was dropped came from one. */
 	mayRun: (job: string, isMoved: boolean) => boolean;
+	/** Executors that crashed under tasks of the job: the later copy would not know of them. */
+	listCrashes: (job: string) => TaskCrashes[] | undefined;
 };
 
 export type JobCopies = {
@@ -51,6 +57,7 @@
 	now,
 	dropOthers,
 	mayRun,
+	listCrashes,
 }: CopyPorts): JobCopies {
 	const copies = new Map<string, Copy>();
 	/** Jobs whose entries have yet to be answered. */
@@ -66,7 +73,14 @@
 		{entry, takenAtMs, formerTokens}: Copy,
 		isRefused: boolean,
 	): void {
-		entry.send({t: 'replaced', job, takenAtMs, isRefused, formerTokens});
+		entry.send({
+			t: 'replaced',
+			job,
+			takenAtMs,
+			isRefused,
+			formerTokens,
+			crashes: listCrashes(job),
+		});
 	}
 
 	function answerIfSettled(job: string): void {
--- a/packages/scheduling/src/load-system.fixture.ts
+++ b/packages/scheduling/src/load-system.fixture.ts
@@ -10,6 +10,7 @@
 } from '@gentianshift/protocol';
 import {type JobAnswer} from './entry-job.js';
 import {EntryJobs} from './entry-jobs.js';
+import {createCrashRecords} from './crash-records.js';
 import {createFakeExecutors} from './fake-executors.fixture.js';
 import {createGroupDirectory, type GroupDirectory} from './group-directory.js';
 import {GroupScheduler} from './group-scheduler.js';
@@ -189,6 +190,7 @@
 ) {
 	const directory = createGroupDirectory();
 	const runTimes = createRunTimes();
+	const crashes = createCrashRecords();
 	const executors = createFakeExecutors(clock, {
 		count: executorsEach,
 		taskMs: ({job, index}) => taskMs.get(job)![index]!,
@@ -211,6 +213,7 @@
 		wait: clock.wait,
 		control: executors.control,
 		runTimes,
+		crashes,
 		onFenced: doNothing,
 		onChange: doNothing,
 		takeElsewhere: (cpu, tasks) =>
@@ -224,7 +227,7 @@
 		log: doNothing,
 	});
 	scheduler.setExecutors(listed);
-	return {name, directory, runTimes, executors, scheduler};
+	return {name, directory, runTimes, crashes, executors, scheduler};
 }
 
 /** The entry on the host that schedules its data centre's group. */
@@ -233,7 +236,7 @@
 	home: Group,
 	groups: readonly Group[],
 ): EntryJobs {
-	const {directory, runTimes, name} = home;
+	const {directory, runTimes, crashes, name} = home;
 	const entry: EntryJobs = new EntryJobs({
 		self: `${name}.p1`,
 		peers: {listHosts: () => [], isLinked: () => false, send: () => false},
@@ -242,6 +245,7 @@
 		readWallClock: () => clock.now,
 		groups: directory,
 		runTimes: runTimes satisfies RunTimes,
+		crashes,
 		send(holder, message) {
 			const target = groups.find((group) => group.name === holder)!;
 			const delayMs = target === home ? 0 : linkMs;
--- a/packages/scheduling/src/make-part.ts
+++ b/packages/scheduling/src/make-part.ts
@@ -1,7 +1,11 @@
 /**
 What an entry tells a scheduler of a job whose tasks it hands over.
 */
-import {type GroupState, type Part} from '@gentianshift/protocol';
+import {
+	type GroupState,
+	type Part,
+	type TaskCrashes,
+} from '@gentianshift/protocol';
 import {getLimit, type EntryJob, type EntryTask} from './entry-job.js';
 
 export type PartContext = {
@@ -11,12 +15,14 @@
 	/** The newest state of the group that this entry has read. */
 	state: GroupState;
 	now: number;
+	/** Executors that crashed under its tasks. */
+	crashes: TaskCrashes[] | undefined;
 };
 
 export function makePart(
 	job: EntryJob,
 	tasks: readonly EntryTask[],
-	{isMoved, claim, state, now}: PartContext,
+	{isMoved, claim, state, now, crashes}: PartContext,
 ): Part {
 	const {queue, id, spec, demand} = job.request;
 	return {
@@ -44,5 +50,6 @@
 		]),
 		shifts: Math.max(...tasks.map(({shifts}) => shifts)),
 		isMoved,
+		crashes,
 	};
 }
--- a/packages/scheduling/src/place-waiting.ts
+++ b/packages/scheduling/src/place-waiting.ts
@@ -23,6 +23,8 @@
 export type PlacingActions<C extends Candidate> = {
 	/** Waiting tasks of which nothing runs: only these may be started or given back. */
 	listFree: (job: GroupJob) => GroupTask[];
+	/** Silent executors may have crashed under the task: it waits until that is known. */
+	isHeld: (job: GroupJob, task: GroupTask) => boolean;
 	start: (job: GroupJob, task: GroupTask, executor: C) => void;
 	/** Without tasks named, all that are free. */
 	giveBack: (
@@ -69,7 +71,7 @@
 function startTasks<C extends Candidate>(
 	job: GroupJob,
 	{now, candidates, hasRoomFor}: PlacingRound<C>,
-	{listFree, start}: PlacingActions<C>,
+	{listFree, isHeld, start}: PlacingActions<C>,
 ): boolean {
 	const {service, demand, estimateMs, endsAt} = job;
 	if (!hasRoomFor(service, demand)) {
@@ -77,6 +79,10 @@
 	}
 
 	for (const task of listFree(job)) {
+		if (isHeld(job, task)) {
+			continue;
+		}
+
 		const {avoid} = task;
 		const wanted = {service, demand, estimateMs, endsAt, avoid};
 		const executor = chooseExecutor(candidates, wanted, now);
--- a/packages/scheduling/src/run-orders.ts
+++ b/packages/scheduling/src/run-orders.ts
@@ -103,6 +103,7 @@
 			return;
 		}
 
+		run.isRefused = true;
 		ports.onFailure(failure, 'start');
 		if (isCurrent(run)) {
 			ports.onUnstarted(run);
--- a/packages/scheduling/src/run.ts
+++ b/packages/scheduling/src/run.ts
@@ -24,6 +24,8 @@
 	stoppedAt?: number;
 	/** When it has to be over at the latest, once it is to be stopped: no lease goes further. */
 	stopBy?: number;
+	/** The executor has answered the start with a refusal, or could not be reached: it did not run. */
+	isRefused?: boolean;
 	/** Started by an earlier holder of the group, and not claimed by an entry. */
 	isFound: boolean;
 	/** It has taken too long, and its executor's trust has been lowered for it. */
