--- a/packages/host/src/scheduling/faulty/fault-plan.fixture.ts
+++ b/packages/host/src/scheduling/faulty/fault-plan.fixture.ts
@@ -304,3 +304,15 @@
 	),
 	backMs,
 });
+
+/** The same with nothing else that goes wrong. */
+export const plainCrashPlans: fc.Arbitrary<FaultPlan> = fc.record({
+	jobs: fc
+		.tuple(
+			fc.array(crashingJob, {minLength: 1, maxLength: 1}),
+			fc.array(job, {minLength: 1, maxLength: 5}),
+		)
+		.map((jobs) => jobs.flat()),
+	faults: fc.constant([]),
+	backMs,
+});
--- a/packages/host/src/scheduling/faulty/play-plan.fixture.ts
+++ b/packages/host/src/scheduling/faulty/play-plan.fixture.ts
@@ -147,7 +147,11 @@
 			}
 		}
 
-		for (const {id, tasks, answers, sends} of this.#jobs) {
+		for (const {id, tasks, answers, sends, crashMs} of this.#jobs) {
+			if (crashMs === undefined && answers.includes('failed')) {
+				yield `sound and failed: ${id}`;
+			}
+
 			const ofJob = runs.filter(({job}) => job === id);
 			const refusals = answers.filter((answer) => answer === 'refused');
 			// A copy whose connection broke may have run; of it nobody said that it did not.
--- a/packages/scheduling/src/crashes.test.ts
+++ b/packages/scheduling/src/crashes.test.ts
@@ -76,6 +76,28 @@
 	assert.equal(countCrashes(entry.told), 2);
 });
 
+// Guards against sound tasks that are given up for having shared executors with a bad one.
+test('sound tasks beside a bad one are done', async () => {
+	const {clock, executors, scheduler, entry} = await openCrashing();
+	scheduler.receivePart(entry, makePart(clock, {timeLeftMs: longMs}));
+	const sound = makePart(clock, {
+		job: 'job2',
+		tasks: makeTasks(7),
+		timeLeftMs: longMs,
+		claim: 2,
+	});
+	scheduler.receivePart(entry, sound);
+	await runFor(clock, 10_000, [[scheduler, entry, [1, 2]]]);
+	const done = executors.runs.filter(
+		({job, outcome}) => job === 'job2' && outcome === 'done',
+	);
+	assert.equal(done.length, 7);
+	const again = executors.runs.filter(
+		({job, isCrashed}) => job === 'job2' && isCrashed,
+	);
+	assert.equal(again.length, 1);
+});
+
 // Guards against a cut between a scheduler and its executors that is taken for crashes of these.
 test('a silent executor that answers again in the same life has not crashed', async () => {
 	const {clock, executors, scheduler, entry} = await openCrashing({
--- a/packages/scheduling/src/group-crashes.ts
+++ b/packages/scheduling/src/group-crashes.ts
@@ -27,6 +27,7 @@
 	learnPart: (entry: Entry, part: Part) => void;
 	/** The jobs to be given up; their entries are told, and answer them by that. */
 	takeCondemned: (jobs: Iterable<GroupJob>) => GroupJob[];
+	holdsSuspect: (executor: ExecutorSession) => boolean;
 };
 
 export function createGroupCrashes(ports: GroupCrashPorts): GroupCrashes {
@@ -120,5 +121,8 @@
 				return true;
 			});
 		},
+		holdsSuspect: ({runs}) =>
+			!crashes.isEmpty &&
+			[...runs.values()].some((run) => crashes.judge(run) !== 'sound'),
 	};
 }
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -38,6 +38,7 @@
 import {createJobCopies, type JobCopies} from './job-copies.js';
 import {computeLeaseCap} from './lease-cap.js';
 import {moveOverdue} from './overdue-runs.js';
+import {placeSuspects} from './place-suspects.js';
 import {placeWaiting} from './place-waiting.js';
 import {isTooLate, measureLoad} from './measure-load.js';
 import {createPlacingRound} from './placing-round.js';
@@ -305,7 +306,9 @@
 			successor: this.ports.getSuccessor(),
 			isReleased: this.#isClosed,
 			storeAgeMs: this.ports.getStoreAgeMs(),
-			free: open.map(({free}) => Math.max(0, free.cpu)),
+			free: open.map((session) =>
+				this.#crashes.holdsSuspect(session) ? 0 : Math.max(0, session.free.cpu),
+			),
 			capacity: open.reduce((sum, {capacity}) => sum + capacity.cpu, 0),
 			...measureLoad(this.#jobs.values(), this.ports.now()),
 			crashes: this.ports.crashes.listNews(this.ports.now()),
@@ -480,14 +483,14 @@
 		}
 
 		const waiting = wanted.filter((job) => this.#isSettled(job));
-		const open = this.#executors.listOpen();
+		const open = this.#placeSuspects(waiting, now);
 		placeWaiting(
 			waiting,
 			createPlacingRound(open, now, this.ports.takeElsewhere),
 			{
 				listFree: (job) => this.#listFree(job),
-				isHeld: ({id}, {index}) =>
-					this.ports.crashes.judge({job: id, index}) === 'held',
+				isSound: ({id}, {index}) =>
+					this.ports.crashes.judge({job: id, index}) === 'sound',
 				start: (job, task, session) => {
 					this.#start(job, task, session);
 				},
@@ -502,6 +505,23 @@
 		this.#outbox.flush();
 	}
 
+	/** Gives the executors that are left for other tasks. */
+	#placeSuspects(waiting: readonly GroupJob[], now: number): ExecutorSession[] {
+		const open = this.#executors.listOpen();
+		const {crashes} = this.ports;
+		return crashes.isEmpty
+			? open
+			: placeSuspects(waiting, open, {
+					now,
+					judge: crashes.judge,
+					holdsSuspect: this.#crashes.holdsSuspect,
+					listFree: (job) => this.#listFree(job),
+					start: (job, task, session) => {
+						this.#start(job, task, session);
+					},
+				});
+	}
+
 	#giveUpCondemned(now: number): void {
 		for (const job of this.#crashes.takeCondemned(this.#jobs.values())) {
 			this.#drop(job, now + dropStopMs);
--- a/packages/scheduling/src/place-waiting.ts
+++ b/packages/scheduling/src/place-waiting.ts
@@ -23,8 +23,8 @@
 export type PlacingActions<C extends Candidate> = {
 	/** Waiting tasks of which nothing runs: only these may be started or given back. */
 	listFree: (job: GroupJob) => GroupTask[];
-	/** Silent executors may have crashed under the task: it waits until that is known. */
-	isHeld: (job: GroupJob, task: GroupTask) => boolean;
+	/** No executor has crashed under the task. */
+	isSound: (job: GroupJob, task: GroupTask) => boolean;
 	start: (job: GroupJob, task: GroupTask, executor: C) => void;
 	/** Without tasks named, all that are free. */
 	giveBack: (
@@ -71,7 +71,7 @@
 function startTasks<C extends Candidate>(
 	job: GroupJob,
 	{now, candidates, hasRoomFor}: PlacingRound<C>,
-	{listFree, isHeld, start}: PlacingActions<C>,
+	{listFree, isSound, start}: PlacingActions<C>,
 ): boolean {
 	const {service, demand, estimateMs, endsAt} = job;
 	if (!hasRoomFor(service, demand)) {
@@ -79,7 +79,7 @@
 	}
 
 	for (const task of listFree(job)) {
-		if (isHeld(job, task)) {
+		if (!isSound(job, task)) {
 			continue;
 		}
 
