Show crashes that are blamed on tasks, and jobs given up for them

What operators saw: a job answered `failed` without a reason, and no figure of how many executors tasks take down. The lines of the crashes were there and no page led to them.

Ruled out: counting given-up jobs as refusals, which are answers to jobs that have not run.

--- a/packages/cli/src/explain/judge-jobs.ts
+++ b/packages/cli/src/explain/judge-jobs.ts
@@ -32,6 +32,7 @@
 /** What a scheduler logged of a late job's tasks, worst first. */
 const troubles: ReadonlyArray<[message: string, cause: string]> = [
 	['task failed', 'late: a run failed'],
+	['an executor crashed under a task', 'late: an executor crashed'],
 	['lease of a silent executor has passed', 'late: an executor fell silent'],
 	['run is neither listed nor ended', 'late: a run was lost'],
 	['start came to nothing', 'late: a start came to nothing'],
--- a/packages/host/src/scheduling/scheduling-metrics.ts
+++ b/packages/host/src/scheduling/scheduling-metrics.ts
@@ -20,9 +20,14 @@
 	metrics.jobs.inc({outcome: answer.type});
 	if (answer.type === 'refused' || answer.type === 'given-up') {
 		metrics.refusals.inc({code: answer.reason});
-	} else {
-		metrics.jobSeconds.observe({service: queue.service}, tookMs / msPerSecond);
+		return;
 	}
+
+	if (answer.type === 'failed') {
+		metrics.failures.inc({reason: answer.reason});
+	}
+
+	metrics.jobSeconds.observe({service: queue.service}, tookMs / msPerSecond);
 }
 
 /** Counts calls to executors by what came of them. */
@@ -64,6 +69,7 @@
 	token: number;
 	backlogCoreMs: number;
 	storeAgeMs: number;
+	crashesBlamed: number;
 	jobs: number;
 };
 
@@ -73,5 +79,6 @@
 	metrics.groupToken.set(gauges.token);
 	metrics.groupBacklog.set(gauges.backlogCoreMs / msPerSecond);
 	metrics.storeAgeSeconds.set(gauges.storeAgeMs / msPerSecond);
+	metrics.crashesBlamed.set(gauges.crashesBlamed);
 	metrics.entryJobs.set(gauges.jobs);
 }
--- a/packages/host/src/scheduling/start-scheduling-host.ts
+++ b/packages/host/src/scheduling/start-scheduling-host.ts
@@ -215,6 +215,7 @@
 					0,
 				) / thousandthsPerCore,
 			storeAgeMs: measureStoreAge(this.#options.surroundings.store, readNow()),
+			crashesBlamed: this.#roles.crashes.blamedCount,
 			jobs: this.#roles.entry.size,
 		});
 		return this.#options.metrics.render();
--- a/packages/scheduling/src/crash-records.ts
+++ b/packages/scheduling/src/crash-records.ts
@@ -32,6 +32,8 @@
 
 export type CrashRecords = {
 	readonly isEmpty: boolean;
+	/** Crashes that this host has blamed on tasks, each task counted. */
+	readonly blamedCount: number;
 	/** Gives how many executors have crashed under the task; undefined: this crash was known. */
 	addCrash: (
 		task: TaskName,
@@ -75,6 +77,7 @@
 	const entries = new Map<string, Entry>();
 	/** Keys of each job's tasks. */
 	const ofJob = new Map<string, Set<string>>();
+	let blamedCount = 0;
 
 	function drop(key: string, {task: {job}}: Entry): void {
 		entries.delete(key);
@@ -155,6 +158,7 @@
 		const entry = enterCrash(task, executor, now);
 		if (entry) {
 			entry.changedAt = now;
+			blamedCount += 1;
 		}
 
 		return entry?.crashed.size;
@@ -164,6 +168,9 @@
 		get isEmpty() {
 			return entries.size === 0;
 		},
+		get blamedCount() {
+			return blamedCount;
+		},
 		addCrash,
 		addSilence(task, executor, now) {
 			const entry = enterSilence(task, executor, now);
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -115,6 +115,12 @@
 			labelNames: ['code'] as const,
 			registers,
 		}),
+		failures: new Counter({
+			name: 'gentianshift_job_failures_total',
+			help: 'Jobs whose callers were told that they failed, by reason.',
+			labelNames: ['reason'] as const,
+			registers,
+		}),
 		lateAnswers: new Counter({
 			name: 'gentianshift_late_answers_total',
 			help: 'Answers of executors that came after their job had ended; dropped.',
@@ -169,6 +175,11 @@
 			help: 'Time since the store last answered this host.',
 			registers,
 		}),
+		crashesBlamed: new Gauge({
+			name: 'gentianshift_crashes_blamed',
+			help: 'Crashes of executors that this host has blamed on tasks since its start, each task counted.',
+			registers,
+		}),
 		entryJobs: new Gauge({
 			name: 'gentianshift_entry_jobs',
 			help: 'Jobs of callers at this host that have no answer yet.',
