Count silent executors before a group changes hands

What callers saw: a task that crashes its executors was started three times after three executors had crashed under it.

Cause: a holder that gave its group up before the crash was known took the run in its book with it; the next holder found another life at the address and blamed nobody.

Change: a session that is closed while its executor is silent records the silence, which its entries are told of.

Not closed: a crash whose executor is not yet known to be silent when the group changes hands.

--- a/packages/host/src/scheduling/faulty/no-fleet-crashed.test.ts
+++ b/packages/host/src/scheduling/faulty/no-fleet-crashed.test.ts
@@ -41,3 +41,18 @@
 	});
 	assert.deepEqual(broken, []);
 });
+
+// Guards against crashes that count for nobody as their group changes hands before they are known.
+test('silent executors are told of as a group changes hands', async () => {
+	const broken = await playPlan({
+		jobs: [
+			{at: 779, host: 1, tasks: 1, runMs: 600, allowanceMs: 60, crashMs: 50},
+		],
+		faults: [
+			{at: 1600, forMs: 1603, kind: 'hand-over'},
+			{at: 2400, forMs: 453, kind: 'hand-over'},
+		],
+		backMs: 508,
+	});
+	assert.deepEqual(broken, []);
+});
--- a/packages/scheduling/src/executor-session.ts
+++ b/packages/scheduling/src/executor-session.ts
@@ -158,6 +158,11 @@
 
 	/** Nothing more is sent. What runs there ends with its lease, or is the next holder's. */
 	close(): void {
+		// The next holder may find neither the executor nor what ran there.
+		if (this.silentSince !== undefined && !this.isGone) {
+			this.#crashes.noteLapsed([...this.runs.values()]);
+		}
+
 		this.#closing.abort();
 		this.ports.control.forgetExecutor(this.#executor);
 	}
