--- a/packages/host/src/scheduling/faulty/fault-plan.fixture.ts
+++ b/packages/host/src/scheduling/faulty/fault-plan.fixture.ts
@@ -21,6 +21,8 @@
 	isOnNewConnection?: boolean;
 	/** What each task takes, thousandths of a core. */
 	cpu?: number;
+	/** Its first task crashes each executor so long after its start. */
+	crashMs?: number;
 };
 
 /** Acts from `at` for `forMs`, milliseconds from the begin of the play. */
@@ -77,6 +79,8 @@
 	isUnguarded?: boolean;
 	/** Runs go on so long after a stop was answered. */
 	stopMs?: number;
+	/** How long a crashed executor is away. */
+	backMs?: number;
 };
 
 /** Jobs come and faults begin within this span. */
@@ -452,3 +456,50 @@
 	slowShrinkPlans,
 	takeoverPlans,
 );
+
+const crashingJob = fc.record({
+	at: fc.nat(spanMs),
+	host,
+	tasks: fc.integer({min: 1, max: 3}),
+	runMs: fc.constantFrom(60, 600, 1500),
+	allowanceMs: fc.constantFrom(60, 1000),
+	isOnNewConnection: fc.boolean(),
+	crashMs: fc.constantFrom(0, 5, 50, 500),
+});
+
+const backMs = fc.integer({min: 500, max: 4000});
+
+/** Jobs that crash their executors beside sound ones, while groups change hands, hosts die and orders are lost. */
+export const crashPlans: fc.Arbitrary<FaultPlan> = fc.record({
+	jobs: fc
+		.tuple(
+			fc.array(crashingJob, {minLength: 1, maxLength: 2}),
+			fc.array(job, {maxLength: 4}),
+		)
+		.map((jobs) => jobs.flat()),
+	faults: fc.array(
+		fc.oneof(
+			{weight: 3, arbitrary: handOver},
+			{weight: 2, arbitrary: resetRequests},
+			{weight: 2, arbitrary: hostFault},
+			{weight: 2, arbitrary: orderFault},
+			{weight: 1, arbitrary: executorFault},
+			{weight: 1, arbitrary: linkFault},
+			{weight: 1, arbitrary: lostHost},
+		),
+		{maxLength: 5},
+	),
+	backMs,
+});
+
+/** The same with nothing else that goes wrong. */
+export const plainCrashPlans: fc.Arbitrary<FaultPlan> = fc.record({
+	jobs: fc
+		.tuple(
+			fc.array(crashingJob, {minLength: 1, maxLength: 1}),
+			fc.array(job, {minLength: 1, maxLength: 5}),
+		)
+		.map((jobs) => jobs.flat()),
+	faults: fc.constant([]),
+	backMs,
+});
--- a/packages/host/src/scheduling/faulty/faulty-store.fixture.ts
+++ b/packages/host/src/scheduling/faulty/faulty-store.fixture.ts
@@ -35,15 +35,19 @@
 		private readonly clock: VirtualClock,
 		executors: readonly Executor[],
 	) {
-		for (const {id, address, dataCentre, service, ...rest} of executors) {
-			const {isDraining, capacity} = rest;
-			const word = {id, address, dataCentre, service, isDraining, capacity};
-			this.#words.set(id, {...word, sequence: 1});
+		for (const executor of executors) {
+			this.#enter(executor);
 		}
 
 		this.#noteList();
 	}
 
+	/** An executor has written its entry. */
+	addExecutor(executor: Executor): void {
+		this.#enter(executor);
+		this.#noteList();
+	}
+
 	setListed(id: string, isListed: boolean): void {
 		const reasons = this.#unlisted.get(id) ?? 0;
 		this.#unlisted.set(id, reasons + (isListed ? -1 : 1));
@@ -134,6 +138,12 @@
 		return new ResultAsync(Promise.resolve(ok({revision: this.#revision})));
 	}
 
+	#enter({id, address, dataCentre, service, ...rest}: Executor): void {
+		const {isDraining, capacity} = rest;
+		const word = {id, address, dataCentre, service, isDraining, capacity};
+		this.#words.set(id, {...word, sequence: 1});
+	}
+
 	#noteList(): void {
 		const words = [...this.#words.values()].filter(
 			({id}) => (this.#unlisted.get(id) ?? 0) === 0,
--- a/packages/host/src/scheduling/faulty/play-plan.fixture.ts
+++ b/packages/host/src/scheduling/faulty/play-plan.fixture.ts
@@ -2,11 +2,13 @@
 Plays a plan of jobs and faults, and tells which promises were broken.
 */
 import {
+	type Executor,
 	type ExecutorControl,
 	type JobAnswer,
 	type JobRequest,
 } from '@gentianshift/scheduling';
 import {
+	countStartsAfterCrashes,
 	createFakeExecutors,
 	findOverfull,
 	findOverlaps,
@@ -56,6 +58,12 @@
 const taskCpu = 14_000;
 /** Room that has shrunk counts so much later: time for hosts to be in touch again, and one beat of executors. */
 const roomGraceMs = 3000 + 1500;
+/** The entry of an executor that has crashed lapses after this long. */
+const entryMs = 1500;
+const usualBackMs = 2000;
+/** A task that crashes its executors is started this often at most after so many crashes. */
+const crashesToKnow = 3;
+const mostStartsAfter = 2;
 
 type PlayedJob = PlannedJob & {
 	id: string;
@@ -70,6 +78,7 @@
 	readonly clock = new VirtualClock();
 	readonly #taskMs = new Map<string, number>();
 	readonly #taskCpu = new Map<string, number>();
+	readonly #crashMs = new Map<string, number>();
 	readonly #orderRules = new Set<OrderRule>();
 	readonly #moods = new Map<FaultyHost, StoreMood>();
 	readonly #executors: FakeExecutors;
@@ -78,7 +87,11 @@
 	readonly #jobs: PlayedJob[] = [];
 
 	constructor(
-		private readonly options: {isGuarded: boolean; stopMs: number},
+		private readonly options: {
+			isGuarded: boolean;
+			stopMs: number;
+			backMs: number;
+		},
 		private readonly log: (line: string) => void,
 	) {
 		this.#executors = this.#createExecutors();
@@ -118,6 +131,10 @@
 			this.#jobs.push(played);
 			this.#taskMs.set(played.id, job.runMs);
 			this.#taskCpu.set(played.id, job.cpu ?? taskCpu);
+			if (job.crashMs !== undefined) {
+				this.#crashMs.set(played.id, job.crashMs);
+			}
+
 			this.clock.schedule(job.at, () => {
 				this.#send(played);
 			});
@@ -143,7 +160,17 @@
 		yield* findOverfull(this.#executors, roomGraceMs).map(
 			(start) => `over its room: ${start}`,
 		);
-		for (const {id, tasks, answers, sends} of this.#jobs) {
+		for (const [task, starts] of countStartsAfterCrashes(runs, crashesToKnow)) {
+			if (starts > mostStartsAfter) {
+				yield `started ${starts} times after ${crashesToKnow} crashes: ${task}`;
+			}
+		}
+
+		for (const {id, tasks, answers, sends, crashMs} of this.#jobs) {
+			if (crashMs === undefined && answers.includes('failed')) {
+				yield `sound and failed: ${id}`;
+			}
+
 			const ofJob = runs.filter(({job}) => job === id);
 			const refusals = answers.filter((answer) => answer === 'refused');
 			// A copy whose connection broke may have run; of it nobody said that it did not.
@@ -170,8 +197,15 @@
 			taskMs: ({job}) => this.#taskMs.get(job) ?? 0,
 			decideFate: (call) => this.#decideFate(call),
 			lookMs,
-			...this.options,
+			stopMs: this.options.stopMs,
+			isGuarded: this.options.isGuarded,
 			getDemand: (job) => this.#makeDemand(job),
+			findCrashMs: ({job, index}) =>
+				index === 0 ? this.#crashMs.get(job) : undefined,
+			getBackMs: () => this.options.backMs,
+			onCrash: (former, next) => {
+				this.#replaceExecutor(former, next);
+			},
 		});
 		for (const [i, fake] of executors.fakes.entries()) {
 			fake.executor.dataCentre = dataCentres[i < executorsOfFirst ? 0 : 1]!;
@@ -185,9 +219,21 @@
 		return {cpu, memoryMb: 64, accelerators: 0};
 	}
 
+	#replaceExecutor(former: Executor, next: Executor): void {
+		const {store} = this.#system;
+		this.log(`${this.clock.now} ${former.id} crashes`);
+		this.clock.schedule(entryMs, () => {
+			store.setListed(former.id, false);
+		});
+		this.clock.schedule(this.options.backMs, () => {
+			store.addExecutor(next);
+		});
+	}
+
 	#decideFate({executor}: FakeCall): CallFate {
 		for (const fault of this.#orderRules) {
-			if (executor === `e${fault.executor + 1}`) {
+			const [name] = executor.split('.', 1);
+			if (name === `e${fault.executor + 1}`) {
 				fault.seen += 1;
 				if (fault.seen % fault.every === 0) {
 					return fault.how === 'late'
@@ -315,8 +361,8 @@
 	plan: FaultPlan,
 	log: (line: string) => void = doNothing,
 ): Promise<string[]> {
-	const {isUnguarded = false, stopMs = 0} = plan;
-	return new Play({isGuarded: !isUnguarded, stopMs}, log).run(plan);
+	const {isUnguarded = false, stopMs = 0, backMs = usualBackMs} = plan;
+	return new Play({isGuarded: !isUnguarded, stopMs, backMs}, log).run(plan);
 }
 
 function doNothing(): void {
--- a/packages/host/src/scheduling/scheduling-handlers.ts
+++ b/packages/host/src/scheduling/scheduling-handlers.ts
@@ -24,7 +24,10 @@
 		| 'markLeaving'
 		| 'receiveHosts'
 	>;
-	roles: Pick<HostRoles, 'entry' | 'groups' | 'holding' | 'tellStateTo'>;
+	roles: Pick<
+		HostRoles,
+		'crashes' | 'entry' | 'groups' | 'holding' | 'tellStateTo'
+	>;
 	tables: Pick<QueueTables, 'tell' | 'receive'>;
 	/** Where a peer is dialled. */
 	findAddress: (key: string) => string;
@@ -97,12 +100,14 @@
 			}
 
 			case 'group-state': {
+				roles.crashes.learn(message.crashes ?? [], now());
 				if (groups.update(session.key, message, now())) {
 					log('group has another holder', {
 						group: message.group,
 						token: message.token,
 						holder: session.key,
 					});
+					roles.holding.releaseIfReplaced();
 					entry.handOver(message.group);
 				}
 
--- a/packages/scheduling/src/executor-session.ts
+++ b/packages/scheduling/src/executor-session.ts
@@ -15,6 +15,7 @@
 	type RunName,
 } from './executor-control.js';
 import {type AnswerTimes} from './answer-times.js';
+import {createCrashWatch, type CrashWatch} from './crash-watch.js';
 import {createExecutorLease} from './executor-lease.js';
 import {createTrust, recordFailure} from './executor-trust.js';
 import {type Executor} from './executor.js';
@@ -52,6 +53,12 @@
 	/** Starts of an earlier session with this executor among them. */
 	unsettled: UnsettledOrders;
 	onRunEnd: (run: Run, outcome: RunOutcome, session: ExecutorSession) => void;
+	/** The executor crashed while these ran there. */
+	onCrash: (executor: string, runs: readonly Run[]) => void;
+	/** The executor is silent, and the lease of these has passed. */
+	onSilence: (executor: string, runs: readonly Run[]) => void;
+	/** The executor answers in the life that was thought over, or its end was planned. */
+	onCleared: (executor: string) => void;
 	/** The executor has answered, or has more room than before; once for all ends of one report. */
 	onChange: () => void;
 	/** Another scheduler has the group. */
@@ -71,6 +78,8 @@
 	readonly #book = createRunBook();
 	readonly #lease = createExecutorLease();
 	readonly #orders: RunOrders;
+	readonly #crashes: CrashWatch;
+	#isListed = true;
 	/** Renewals in a row without an answer. */
 	#missed = 0;
 	/** The executor's clock in the newest report: an older one that comes later tells nothing. */
@@ -87,6 +96,18 @@
 	) {
 		this.#executor = executor;
 		this.#orders = this.#createOrders();
+		this.#crashes = createCrashWatch({
+			isDraining: () => this.isDraining,
+			onSilence: (runs) => {
+				ports.onSilence(this.id, runs);
+			},
+			onCleared: () => {
+				ports.onCleared(this.id);
+			},
+			onCrash: (runs) => {
+				ports.onCrash(this.id, runs);
+			},
+		});
 	}
 
 	get id(): string {
@@ -162,6 +183,8 @@
 				formerAgeMs,
 			});
 		}
+
+		this.#isListed = true;
 	}
 
 	/** Begins to follow the executor; returns at once. */
@@ -174,6 +197,11 @@
 
 	/** Nothing more is sent. What runs there ends with its lease, or is the next holder's. */
 	close(): void {
+		// The next holder may find neither the executor nor what ran there.
+		if (this.silentSince !== undefined && !this.isGone) {
+			this.#crashes.noteLapsed([...this.runs.values()]);
+		}
+
 		this.#closing.abort();
 		this.ports.control.forgetExecutor(this.#executor);
 	}
@@ -208,6 +236,11 @@
 
 	/** The store no longer lists the executor: it counts as gone, so what runs there is stopped. */
 	stopAll(): void {
+		this.#isListed = false;
+		if (this.silentSince !== undefined) {
+			this.#crashes.noteGone([...this.runs.values()]);
+		}
+
 		const stopBy = this.ports.now() + dropStopMs;
 		for (const run of this.runs.values()) {
 			this.stop(run, stopBy);
@@ -380,6 +413,10 @@
 		}
 
 		this.isReported ||= isFirst;
+		if (isFirst || this.silentSince !== undefined) {
+			this.#crashes.noteAnswer();
+		}
+
 		if (this.silentSince !== undefined) {
 			void this.#endSilence();
 		}
@@ -515,7 +552,7 @@
 			reason,
 			runs: this.runs.size,
 		});
-		this.#abandonRuns();
+		this.#crashes.noteGone(this.#abandonRuns());
 		this.ports.onChange();
 	}
 
@@ -526,7 +563,13 @@
 				executor: this.id,
 				runs: this.runs.size,
 			});
-			this.#abandonRuns();
+			const lapsed = this.#abandonRuns();
+			if (this.#isListed) {
+				this.#crashes.noteLapsed(lapsed);
+			} else {
+				this.#crashes.noteGone(lapsed);
+			}
+
 			this.ports.onChange();
 		}
 	}
@@ -546,7 +589,8 @@
 		this.#lease.setClock(clockMs, this.ports.now());
 	}
 
-	#abandonRuns(): void {
+	/** Gives the runs that the book had. */
+	#abandonRuns(): Run[] {
 		const lost = [...this.runs.values()];
 		for (const run of lost) {
 			this.#book.remove(run);
@@ -558,6 +602,8 @@
 		for (const run of lost) {
 			this.#tellEnd({run, outcome: 'lost'});
 		}
+
+		return lost;
 	}
 
 	#tellEnd({run, outcome}: {run: Run; outcome: RunOutcome}): void {
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -16,12 +16,14 @@
 	type Ends,
 } from '@gentianshift/protocol';
 import {claimRun} from './claim-run.js';
+import {type CrashRecords} from './crash-records.js';
 import {type ExecutorControl} from './executor-control.js';
 import {createEndsOutbox, type EndsOutbox} from './ends-outbox.js';
 import {createEntryContacts} from './entry-contacts.js';
 import {type ExecutorSession} from './executor-session.js';
 import {createExecutorSet, type ExecutorSet} from './executor-set.js';
 import {type Executor} from './executor.js';
+import {createGroupCrashes, type GroupCrashes} from './group-crashes.js';
 import {
 	addTasks,
 	createGroupJob,
@@ -38,6 +40,7 @@
 import {createJobCopies, type JobCopies} from './job-copies.js';
 import {computeLeaseCap} from './lease-cap.js';
 import {moveOverdue} from './overdue-runs.js';
+import {placeSuspects} from './place-suspects.js';
 import {placeWaiting} from './place-waiting.js';
 import {isTooLate, measureLoad} from './measure-load.js';
 import {createPlacingRound} from './placing-round.js';
@@ -71,6 +74,8 @@
 	wait: (ms: number, signal: AbortSignal) => Promise<void>;
 	control: ExecutorControl;
 	runTimes: RunTimes;
+	/** Shared with the entry on the same host. */
+	crashes: CrashRecords;
 	/** An executor obeys another holder. */
 	onFenced: () => void;
 	/** Room or backlog has changed. */
@@ -99,6 +104,7 @@
 	readonly #outbox: EndsOutbox;
 	readonly #startLog: StartLog;
 	readonly #copies: JobCopies;
+	readonly #crashes: GroupCrashes;
 	readonly #openedAt: number;
 	#updatedAt = 0;
 	/** After a pause, no claim is taken for ended before. */
@@ -111,9 +117,15 @@
 		this.#updatedAt = ports.readBootTime();
 		this.#outbox = createEndsOutbox(ports.token);
 		this.#startLog = createStartLog(ports);
+		this.#crashes = createGroupCrashes({
+			...ports,
+			findJob: (id) => this.#jobs.get(id),
+			findExecutor: (id) => this.#executors.sessions.get(id),
+		});
 		this.#copies = createJobCopies({
 			now: ports.now,
 			dropOthers: (entry, message) => this.#dropOthers(entry, message),
+			listCrashes: ports.crashes.listOf,
 			mayRun: (job, isMoved) =>
 				this.#executors.hasRunOf(job) ||
 				!this.#hasHeardEntries() ||
@@ -126,6 +138,9 @@
 			onRunEnd: (run, outcome, session) => {
 				this.#endRun(run, outcome, session);
 			},
+			onCrash: this.#crashes.blame,
+			onSilence: this.#crashes.noteSilence,
+			onCleared: ports.crashes.clearExecutor,
 			onChange: () => {
 				this.#place();
 				ports.onChange();
@@ -179,6 +194,11 @@
 
 	receivePart(entry: Entry, part: Part): void {
 		const now = this.ports.now();
+		this.#crashes.learnPart(entry, part);
+		if (this.ports.crashes.findCondemned(part.job) !== undefined) {
+			return;
+		}
+
 		if (this.#copies.isReplaced(part.job, entry)) {
 			this.#tellReplaced(entry, part.job, part.takenAtMs);
 			return;
@@ -293,6 +313,7 @@
 
 		this.#outbox.forgetOld(now);
 		this.#copies.forgetOld();
+		this.ports.crashes.forgetOld(now);
 		this.#executors.closeUnlisted(now);
 		this.#place();
 	}
@@ -314,9 +335,14 @@
 			successor: this.ports.getSuccessor(),
 			isReleased: this.#isClosed,
 			storeAgeMs: this.ports.getStoreAgeMs(),
-			free: open.map(({free}) => (hasRoom(free, noDemand) ? free.cpu : 0)),
+			free: open.map((session) =>
+				hasRoom(session.free, noDemand) && !this.#crashes.holdsSuspect(session)
+					? session.free.cpu
+					: 0,
+			),
 			capacity: open.reduce((sum, {capacity}) => sum + capacity.cpu, 0),
 			...measureLoad(this.#jobs.values(), this.ports.now()),
+			crashes: this.ports.crashes.listNews(this.ports.now()),
 		};
 	}
 
@@ -507,6 +533,7 @@
 		this.#isPlacing = true;
 		const now = this.ports.now();
 		const bootTime = this.ports.readBootTime();
+		this.#giveUpCondemned(now);
 		const wanted = [...this.#jobs.values()].filter(
 			(job) => !job.isDropped && hasWaiting(job) && !isLapsed(job, bootTime),
 		);
@@ -515,12 +542,14 @@
 		}
 
 		const waiting = wanted.filter((job) => this.#isSettled(job));
-		const open = this.#executors.listOpen();
+		const open = this.#placeSuspects(waiting, now);
 		placeWaiting(
 			waiting,
 			createPlacingRound(open, now, this.ports.takeElsewhere),
 			{
 				listFree: (job) => this.#listFree(job),
+				isSound: ({id}, {index}) =>
+					this.ports.crashes.judge({job: id, index}) === 'sound',
 				start: (job, task, session) => {
 					this.#start(job, task, session);
 				},
@@ -535,6 +564,29 @@
 		this.#outbox.flush();
 	}
 
+	/** Gives the executors that are left for other tasks. */
+	#placeSuspects(waiting: readonly GroupJob[], now: number): ExecutorSession[] {
+		const open = this.#executors.listOpen();
+		const {crashes} = this.ports;
+		return crashes.isEmpty
+			? open
+			: placeSuspects(waiting, open, {
+					now,
+					judge: crashes.judge,
+					holdsSuspect: this.#crashes.holdsSuspect,
+					listFree: (job) => this.#listFree(job),
+					start: (job, task, session) => {
+						this.#start(job, task, session);
+					},
+				});
+	}
+
+	#giveUpCondemned(now: number): void {
+		for (const job of this.#crashes.takeCondemned(this.#jobs.values())) {
+			this.#drop(job, now + dropStopMs);
+		}
+	}
+
 	/** Runs that executors have reported since the job was handed over, however many have yet to report. */
 	#claimReported(job: GroupJob): void {
 		if (job.movedAt === undefined) {
