Measure what a host's processor time goes into

Change: the thread's time by cause (kind of received message, update, submitted job, executor list), without what is nested, and the process's processor time, as metrics and as one log line each 10 s.

--- a/packages/host/src/scheduling/faulty/faulty-host.fixture.ts
+++ b/packages/host/src/scheduling/faulty/faulty-host.fixture.ts
@@ -14,6 +14,7 @@
 import {createExecutorLists} from '../executor-lists.js';
 import {HostRoles, type Peers} from '../host-roles.js';
 import {createSchedulingHandlers} from '../scheduling-handlers.js';
+import {createWorkMeter} from '../work-meter.js';
 import {type ExecutorSource} from '../host-dependencies.js';
 
 const updateIntervalMs = 50;
@@ -302,6 +303,7 @@
 				receiveHosts: doNothing,
 			},
 			roles,
+			work: createWorkMeter(() => clock.now),
 			tables: {sendVersion: doNothing, receive: doNothing},
 			findAddress: () => '',
 			now: () => this.#readMonotonicClock(),
--- a/packages/host/src/scheduling/scheduling-handlers.ts
+++ b/packages/host/src/scheduling/scheduling-handlers.ts
@@ -5,6 +5,7 @@
 	silenceTimeoutMs,
 	silentCloseReason,
 	type Ends,
+	type Link,
 	type Message,
 	type MeshHandlers,
 	type Part,
@@ -14,6 +15,7 @@
 import {type Directory} from '../directory.js';
 import {type HostRoles} from './host-roles.js';
 import {type QueueTables} from './queue-tables.js';
+import {type WorkMeter} from './work-meter.js';
 
 export type SchedulingHandlersOptions = {
 	directory: Pick<
@@ -29,6 +31,7 @@
 		'crashes' | 'entry' | 'groups' | 'holding' | 'sendStateTo'
 	>;
 	tables: Pick<QueueTables, 'sendVersion' | 'receive'>;
+	work: Pick<WorkMeter, 'measure'>;
 	/** The address at which this host dials the peer. */
 	findAddress: (key: string) => string;
 	now: () => number;
@@ -39,6 +42,7 @@
 	directory,
 	roles,
 	tables,
+	work,
 	findAddress,
 	now,
 	log,
@@ -65,17 +69,9 @@
 			directory.markLinkDown(link, reason);
 		},
 		onReply(link, message) {
-			if (
-				message.t === 'ends' ||
-				message.t === 'replaced' ||
-				message.t === 'claims-ended'
-			) {
-				entry.receive(link.key, message);
-			} else if (message.t === 'queue-table') {
-				tables.receive(message, (answer) => {
-					link.send(answer);
-				});
-			}
+			work.measure(message.t, () => {
+				receiveReply(link, message);
+			});
 		},
 		onSessionUp(session) {
 			directory.markSession(session);
@@ -83,12 +79,30 @@
 		onSessionDown(session) {
 			groups.markDoubtful(session.key, now());
 		},
-		onRequest: receiveRequest,
+		onRequest(session, message) {
+			work.measure(message.t, () => {
+				receiveRequest(session, message);
+			});
+		},
 		onLeaving(key, isLeaving) {
 			directory.markLeaving(key, isLeaving);
 		},
 	};
 
+	function receiveReply(link: Link, message: Message): void {
+		if (
+			message.t === 'ends' ||
+			message.t === 'replaced' ||
+			message.t === 'claims-ended'
+		) {
+			entry.receive(link.key, message);
+		} else if (message.t === 'queue-table') {
+			tables.receive(message, (answer) => {
+				link.send(answer);
+			});
+		}
+	}
+
 	function receiveRequest(session: Session, message: Message): void {
 		switch (message.t) {
 			case 'part':
--- a/packages/host/src/scheduling/scheduling-metrics.ts
+++ b/packages/host/src/scheduling/scheduling-metrics.ts
@@ -8,6 +8,7 @@
 	type JobAnswer,
 } from '@gentianshift/scheduling';
 import {type Metrics} from '@gentianshift/telemetry';
+import {type WorkRecord} from './work-meter.js';
 
 const msPerSecond = 1000;
 
@@ -72,6 +73,8 @@
 	storeAgeMs: number;
 	crashesBlamed: number;
 	jobs: number;
+	cpuSeconds: number;
+	work: ReadonlyMap<string, WorkRecord>;
 };
 
 export function setGauges(metrics: Metrics, gauges: HostGauges): void {
@@ -82,4 +85,9 @@
 	metrics.storeAgeSeconds.set(gauges.storeAgeMs / msPerSecond);
 	metrics.crashesBlamed.set(gauges.crashesBlamed);
 	metrics.entryJobs.set(gauges.jobs);
+	metrics.cpuSeconds.set(gauges.cpuSeconds);
+	for (const [cause, {seconds, count}] of gauges.work) {
+		metrics.workSeconds.set({cause}, seconds);
+		metrics.workCount.set({cause}, count);
+	}
 }
--- a/packages/host/src/scheduling/start-scheduling-host.ts
+++ b/packages/host/src/scheduling/start-scheduling-host.ts
@@ -3,6 +3,7 @@
 other hosts, and its lists of hosts, executors and queues.
 */
 import {performance} from 'node:perf_hooks';
+import process from 'node:process';
 import {loadHash, type Hash64} from '@gentianshift/membership';
 import {Mesh} from '@gentianshift/protocol';
 import {
@@ -25,6 +26,7 @@
 import {recordAnswer, setGauges, wrapControl} from './scheduling-metrics.js';
 import {measureStoreAge} from './store-age.js';
 import {type HostDependencies} from './host-dependencies.js';
+import {createWorkMeter} from './work-meter.js';
 
 /** Interval of the check for time limits that have passed: a tenth of the shortest one. */
 const updateIntervalMs = 50;
@@ -48,7 +50,11 @@
 */
 const handoverLimitMs = 2000;
 const handoverCheckMs = 20;
+/** How often the log says what this process's time went into: rare enough to cost nothing. */
+const usageLogIntervalMs = 10_000;
 const thousandthsPerCore = 1000;
+const msPerSecond = 1000;
+const microsecondsPerSecond = 1e6;
 
 export type SchedulingHostOptions = {
 	host: {name: string; dataCentre: string};
@@ -117,8 +123,10 @@
 	readonly #executors: ExecutorLists;
 	readonly #roles: HostRoles;
 	readonly #mesh: Mesh;
+	readonly #work = createWorkMeter(readNow);
 	readonly #stopController = new AbortController();
 	#timer: NodeJS.Timeout | undefined;
+	#usageTimer: NodeJS.Timeout | undefined;
 
 	constructor(options: SchedulingHostOptions, hash: Hash64) {
 		this.#options = options;
@@ -162,7 +170,9 @@
 			isCapacityEnforcingService: (service) =>
 				this.#tables.isCapacityEnforcingService(service),
 			onList: (list) => {
-				this.#roles.holding.setExecutors(list);
+				this.#work.measure('executor list', () => {
+					this.#roles.holding.setExecutors(list);
+				});
 			},
 			now: readNow,
 			wait: waitFor,
@@ -181,15 +191,22 @@
 		this.#tables.start(signal);
 		this.#executors.start(signal);
 		this.#timer = setInterval(() => {
-			this.#roles.update();
+			this.#work.measure('update', () => {
+				this.#roles.update();
+			});
 		}, updateIntervalMs);
+		this.#usageTimer = setInterval(() => {
+			this.#logUsage();
+		}, usageLogIntervalMs);
 	}
 
 	submit(
 		request: JobRequest,
 		onAnswer: (answer: JobAnswer) => void,
 	): () => void {
-		return this.#roles.submit(request, onAnswer);
+		return this.#work.measure('submit', () =>
+			this.#roles.submit(request, onAnswer),
+		);
 	}
 
 	cancel(id: string): boolean {
@@ -239,6 +256,8 @@
 			storeAgeMs: measureStoreAge(this.#options.dependencies.store, readNow()),
 			crashesBlamed: this.#roles.crashes.blamedCount,
 			jobs: this.#roles.entry.size,
+			cpuSeconds: measureCpuSeconds(),
+			work: this.#work.list(),
 		});
 		return this.#options.metrics.render();
 	}
@@ -257,12 +276,26 @@
 		this.#roles.holding.stop();
 		this.#roles.sendState();
 		clearInterval(this.#timer);
+		clearInterval(this.#usageTimer);
 		this.#stopController.abort();
 		await this.#presence.end();
 		await this.#mesh.stop();
 		await this.#options.dependencies.store.close();
 	}
 
+	#logUsage(): void {
+		const work = [...this.#work.list()].map(([cause, {seconds, count}]) => [
+			cause,
+			{ms: Math.round(seconds * msPerSecond), count},
+		]);
+		this.#options.log('processor time', {
+			cpuMs: Math.round(measureCpuSeconds() * msPerSecond),
+			work: Object.fromEntries(work) as Record<string, unknown>,
+			peers: this.#mesh.listPeers().length,
+			jobs: this.#roles.entry.size,
+		});
+	}
+
 	#createRoles(): HostRoles {
 		const {dependencies, log, host, metrics} = this.#options;
 		const {key, ownerId} = this.#identity;
@@ -331,6 +364,7 @@
 			meter: createMeter(metrics),
 			pingIntervalMs: heartbeatIntervalMs,
 			handlers: createSchedulingHandlers({
+				work: this.#work,
 				directory: this.#directory,
 				roles: this.#roles,
 				tables: this.#tables,
@@ -342,6 +376,11 @@
 	}
 }
 
+function measureCpuSeconds(): number {
+	const {user, system} = process.cpuUsage();
+	return (user + system) / microsecondsPerSecond;
+}
+
 /** Monotonic milliseconds. */
 function readNow(): number {
 	return performance.now();
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -185,6 +185,23 @@
 			help: 'Jobs of callers at this host that have no answer yet.',
 			registers,
 		}),
+		cpuSeconds: new Gauge({
+			name: 'gentianshift_cpu_seconds',
+			help: 'Processor time of this process since its start.',
+			registers,
+		}),
+		workSeconds: new Gauge({
+			name: 'gentianshift_work_seconds',
+			help: 'Time of this thread by cause: a kind of received message, or a step of the host. The rest is in libraries, the runtime and calls to executors and store.',
+			labelNames: ['cause'] as const,
+			registers,
+		}),
+		workCount: new Gauge({
+			name: 'gentianshift_work_count',
+			help: 'How often each cause of work occurred.',
+			labelNames: ['cause'] as const,
+			registers,
+		}),
 		executorCalls: new Counter({
 			name: 'gentianshift_executor_calls_total',
 			help: 'Calls to executors by kind (start, stop, renew) and outcome.',
