Do less for each call, state and request

Cause: on a host that is cold between two events each layer counts. Messages, checks and outcomes are the same.

--- a/packages/host/src/scheduling/scheduling-metrics.ts
+++ b/packages/host/src/scheduling/scheduling-metrics.ts
@@ -2,7 +2,9 @@
 Metrics of a scheduling host: jobs by outcome, calls to executors, and the host's state when the
 metrics are read.
 */
+import {ResultAsync, type Result} from 'neverthrow';
 import {
+	type CallFailure,
 	type EntryJob,
 	type ExecutorControl,
 	type JobAnswer,
@@ -37,27 +39,30 @@
 	control: ExecutorControl,
 	metrics: Metrics,
 ): ExecutorControl {
-	const makeCounters = (kind: string) => ({
-		ok() {
-			metrics.executorCalls.inc({kind, outcome: 'ok'});
-		},
-		failed({code}: {code: string}) {
-			metrics.executorCalls.inc({kind, outcome: code});
-		},
-	});
-	const start = makeCounters('start');
-	const stop = makeCounters('stop');
-	const renew = makeCounters('renew');
+	function countOutcome<T>(
+		kind: string,
+		call: ResultAsync<T, CallFailure>,
+	): ResultAsync<T, CallFailure> {
+		return new ResultAsync(waitAndCount(kind, call));
+	}
+
+	async function waitAndCount<T>(
+		kind: string,
+		call: ResultAsync<T, CallFailure>,
+	): Promise<Result<T, CallFailure>> {
+		const result = await call;
+		const outcome = result.isOk() ? 'ok' : result.error.code;
+		metrics.executorCalls.inc({kind, outcome});
+		return result;
+	}
+
 	return {
 		startTask: (executor, request) =>
-			control.startTask(executor, request).andTee(start.ok).orTee(start.failed),
+			countOutcome('start', control.startTask(executor, request)),
 		stopTask: (executor, request) =>
-			control.stopTask(executor, request).andTee(stop.ok).orTee(stop.failed),
+			countOutcome('stop', control.stopTask(executor, request)),
 		renewLease: (executor, request) =>
-			control
-				.renewLease(executor, request)
-				.andTee(renew.ok)
-				.orTee(renew.failed),
+			countOutcome('renew', control.renewLease(executor, request)),
 		forgetExecutor(executor) {
 			control.forgetExecutor(executor);
 		},
--- a/packages/protocol/src/frame.ts
+++ b/packages/protocol/src/frame.ts
@@ -24,8 +24,28 @@
 const encoder = new Encoder(cborOptions);
 const decoder = new Decoder(cborOptions);
 
-/** Encodes messages as one frame, including its length prefix. */
+/** The frame with a single message that was encoded last. */
+let lastSingle: {message: unknown; frame: Buffer} | undefined;
+
+/**
+Encodes messages as one frame, including its length prefix. A message that is sent to many peers in a row, such as a
+holder's state, is encoded once. Messages must not be changed after they were sent.
+*/
 export function encodeFrame(messages: readonly unknown[]): Buffer {
+	const [message] = messages;
+	if (messages.length !== 1) {
+		return encodeMessages(messages);
+	}
+
+	const single =
+		lastSingle && lastSingle.message === message
+			? lastSingle
+			: {message, frame: encodeMessages(messages)};
+	lastSingle = single;
+	return single.frame;
+}
+
+function encodeMessages(messages: readonly unknown[]): Buffer {
 	const body = encoder.encode(messages);
 	const frame = Buffer.allocUnsafe(lengthPrefixBytes + body.length);
 	frame.writeUInt32BE(body.length, 0);
--- a/packages/protocol/src/scheduling-messages.ts
+++ b/packages/protocol/src/scheduling-messages.ts
@@ -35,6 +35,20 @@
 /** Tokens of the holders that another entry sent tasks of the job to; absent if none is known to have done so. */
 const formerTokens = tokenRangeSchema.optional();
 
+/**
+Whole numbers of at least 0. Checked in one loop: a host receives a hundred of them some thirty times a second, and
+a schema for each costs several times as much.
+*/
+const countsSchema = z.custom<number[]>(
+	(value) =>
+		Array.isArray(value) &&
+		value.every(
+			(item) =>
+				typeof item === 'number' && Number.isSafeInteger(item) && item >= 0,
+		),
+	{error: 'expected an array of whole numbers of at least 0'},
+);
+
 /** What one task needs of an executor while it runs. */
 export const taskDemandSchema = z.object({
 	/** Thousandths of a core. */
@@ -254,7 +268,7 @@
 	/** Time since the holder last got an answer from the store. */
 	storeAgeMs: duration,
 	/** Free thousandths of a core of each executor that accepts tasks. */
-	free: z.array(count),
+	free: countsSchema,
 	/** Total thousandths of a core. */
 	capacity: count,
 	/** Queued work that can still meet its latency objective, by priority, in thousandths of a core times milliseconds. */
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -352,7 +352,6 @@
 	}
 
 	describeState(): GroupState {
-		const open = this.#executors.listOpen();
 		return {
 			t: 'group-state',
 			group: this.ports.group,
@@ -362,13 +361,7 @@
 			successor: this.ports.getSuccessor(),
 			isReleased: this.#isClosed,
 			storeAgeMs: this.ports.getStoreAgeMs(),
-			free: open.map((session) =>
-				coversDemand(session.free, noDemand) &&
-				!this.#crashes.hasSuspectRun(session)
-					? session.free.cpu
-					: 0,
-			),
-			capacity: open.reduce((sum, {capacity}) => sum + capacity.cpu, 0),
+			...this.#measureCapacity(),
 			...measureLoad(this.#jobs.values(), this.ports.now()),
 			crashes: this.ports.crashes.listRecent(this.ports.now()),
 		};
@@ -479,14 +472,27 @@
 	when many jobs arrive at once, each entry would use the same free capacity, and all these jobs would be late.
 	*/
 	#hasNoCapacityInTime(job: GroupJob, {admitInMs, tasks}: Part): boolean {
-		const state = this.describeState();
-		const fits = countFits(state.free, job.demand.cpu);
-		const limits = {
-			limitMs: admitInMs,
-			now: this.ports.now(),
-			capacity: state.capacity,
+		const {free, capacity} = this.#measureCapacity();
+		const limits = {limitMs: admitInMs, now: this.ports.now(), capacity};
+		return (
+			tasks.length > countFits(free, job.demand.cpu) &&
+			isTooLate(job, this.#jobs.values(), limits)
+		);
+	}
+
+	/** Free thousandths of a core of each open executor, and the capacity of all of them together. */
+	#measureCapacity(): Pick<GroupState, 'free' | 'capacity'> {
+		const open = this.#executors.listOpen();
+		return {
+			free: open.map((session) => {
+				const {free} = session;
+				return coversDemand(free, noDemand) &&
+					!this.#crashes.hasSuspectRun(session)
+					? free.cpu
+					: 0;
+			}),
+			capacity: open.reduce((sum, {capacity}) => sum + capacity.cpu, 0),
 		};
-		return tasks.length > fits && isTooLate(job, this.#jobs.values(), limits);
 	}
 
 	/**
