Announce a new configuration by its number

Cause: every host sent the text of each new version to every other one, 9,312 texts at 97 hosts, and parsed each text before it looked at its version. Change: the number is announced; a host whose own watch works asks for the text only if it lacks the version 100 ms later, one announcer after another; one that gets a text from a peer announces it in turn. The existing tests are unchanged.

--- a/packages/host/src/scheduling/queue-tables.test.ts
+++ b/packages/host/src/scheduling/queue-tables.test.ts
@@ -139,3 +139,55 @@
 	assert.ok(tables.isKnownService('service-8'));
 	assert.equal(tables.isKnownService('unknown-service'), false);
 });
+
+// Pattern: 97 hosts, and a configuration of a thousand queues that changes. When each host sent the
+// text to each other one, every host received and parsed it 96 times.
+test('a new version is announced by its number, and its text is asked for only if the own watch does not bring it', async () => {
+	const {tables, sent, ending} = createTables({
+		read: () => answerLater({text: '7', revision: 1}),
+		watch: () => answerLater({text: '8', revision: 2}),
+	});
+	const asked: number[] = [];
+	tables.start(ending.signal);
+	await tables.waitForTable();
+	for (let peer = 0; peer < 96; peer += 1) {
+		tables.receive({t: 'queue-table', version: 8}, () => {
+			asked.push(peer);
+		});
+	}
+
+	await delay(200);
+	ending.abort();
+	assert.equal(tables.getTable()?.version, 8);
+	assert.deepEqual(asked, []);
+	assert.deepEqual(sent, [
+		{t: 'queue-table', version: 7},
+		{t: 'queue-table', version: 8},
+	]);
+});
+
+// The store turns this host away while its peers know a new version. Guards against a host that
+// waits for one peer that does not answer, and against asking all of them at once.
+test('peers that have announced a version are asked one after another until one answers', async () => {
+	const {tables, sent, ending} = createTables({
+		read: () => errAsync({code: 'unavailable', message: 'status 503'}),
+		watch: () => errAsync({code: 'unavailable', message: 'status 503'}),
+	});
+	tables.start(ending.signal);
+	const asked: string[] = [];
+	tables.receive({t: 'queue-table', version: 9}, () => {
+		asked.push('silent');
+	});
+	tables.receive({t: 'queue-table', version: 9}, () => {
+		asked.push('answering');
+		tables.receive({t: 'queue-table', version: 9, text: '9'}, () => {
+			asked.push('again');
+		});
+	});
+	assert.deepEqual(asked, ['silent']);
+	await delay(500);
+	ending.abort();
+	assert.equal(tables.getTable()?.version, 9);
+	assert.deepEqual(asked, ['silent', 'answering']);
+	assert.deepEqual(sent, [{t: 'queue-table', version: 9}]);
+});
--- a/packages/host/src/scheduling/queue-tables.ts
+++ b/packages/host/src/scheduling/queue-tables.ts
@@ -1,9 +1,11 @@
 /**
 The operators' configuration at this host: read and watched in the store, and passed between hosts.
 
-Every host watches the store itself and sends each new version to its peers. So a host that can't
-reach the store, or whose watch has gone silent, gets the version as soon as any host that it is
-connected to has it. A version is never replaced by a lower one.
+Every host watches the store itself and announces each new version's number to peers, which ask for
+the text only if their own watch does not bring it. So a host that can't reach the store, or whose
+watch has gone silent, gets the version from a host that has it. If each host sent the text to each
+other one, a large configuration would fill the links of all hosts at each change. A version is never
+replaced by a lower one.
 */
 import {type QueueTable} from '@gentianshift/scheduling';
 import {type MessageOf} from '@gentianshift/protocol';
@@ -21,6 +23,15 @@
 /** Pause after a call that failed. */
 const retryPauseMs = 200;
 /**
+How long a host whose watch works waits for it to bring a version that a peer has announced, before
+it asks for the text.
+*/
+const ownWatchLimitMs = 100;
+/** A peer that was asked for the text has not answered by then, and the next one is asked. */
+const askAgainMs = 300;
+/** Peers that are remembered as having a version; one of them is reachable in all likelihood. */
+const maxAnnouncers = 4;
+/**
 Requests that arrive before the first configuration wait for it until this long after the start. The
 store answers within some milliseconds, and a call whose answer is lost is repeated within this
 time.
@@ -57,7 +68,7 @@
 
 export type QueueTablesOptions = {
 	source: QueueTableSource;
-	/** Sends to all connected hosts. */
+	/** Sends to the connected hosts that pass versions on. */
 	sendToPeers: (message: MessageOf<'queue-table'>) => void;
 	random: () => number;
 	log: (message: string, fields: Record<string, unknown>) => void;
@@ -75,6 +86,36 @@
 	let watchRevision = 0;
 	const firstTableController = new AbortController();
 	let firstTableWait: Promise<void> | undefined;
+	/** The last call of the store's watch succeeded. */
+	let isWatching = false;
+	let isAsking = false;
+	/** Requests to peers that have announced a version that this host lacks, the oldest first. */
+	let announcers: Array<{version: number; ask: () => void}> = [];
+
+	function getVersion(): number {
+		return table?.version ?? 0;
+	}
+
+	/** Asks one announcer after another until a version as high as theirs is in force. */
+	async function askAnnouncers(): Promise<void> {
+		isAsking = true;
+		if (isWatching) {
+			await waitFor(ownWatchLimitMs);
+		}
+
+		for (;;) {
+			announcers = announcers.filter(({version}) => version > getVersion());
+			const next = announcers.shift();
+			if (!next) {
+				break;
+			}
+
+			next.ask();
+			await waitFor(askAgainMs);
+		}
+
+		isAsking = false;
+	}
 
 	function applyText(newText: string, origin: string): boolean {
 		const decoded = source.decode(newText);
@@ -110,12 +151,33 @@
 		// Earlier history is not needed again, and the store soon discards it.
 		watchRevision = Math.max(watchRevision, read.revision);
 		if (read.text !== undefined && applyText(read.text, 'store')) {
-			sendToPeers({t: 'queue-table', version: table!.version, text: tableText});
+			sendToPeers({t: 'queue-table', version: getVersion()});
+		}
+	}
+
+	function receiveNewer(
+		{version, text}: MessageOf<'queue-table'>,
+		answer: (message: MessageOf<'queue-table'>) => void,
+	): void {
+		if (text !== undefined) {
+			if (applyText(text, 'peer')) {
+				sendToPeers({t: 'queue-table', version: getVersion()});
+			}
+
+			return;
+		}
+
+		const ask = () => {
+			answer({t: 'queue-table', version: getVersion(), isAsked: true});
+		};
+
+		announcers = [...announcers, {version, ask}].slice(-maxAnnouncers);
+		if (!isAsking) {
+			void askAnnouncers();
 		}
 	}
 
 	async function watchStore(signal: AbortSignal): Promise<void> {
-		let isWatching = false;
 		while (!signal.aborted) {
 			const result = await (isWatching
 				? source.watch(watchRevision, watchWaitMs)
@@ -155,13 +217,12 @@
 			void watchStore(signal);
 		},
 		receive(message, answer) {
-			const own = table?.version ?? 0;
-			if (message.isAsked && table) {
-				answer({t: 'queue-table', version: own, text: tableText});
-			} else if (message.version > own && message.text === undefined) {
-				answer({t: 'queue-table', version: own, isAsked: true});
-			} else if (message.text !== undefined) {
-				applyText(message.text, 'peer');
+			if (message.isAsked) {
+				if (table) {
+					answer({t: 'queue-table', version: getVersion(), text: tableText});
+				}
+			} else if (message.version > getVersion()) {
+				receiveNewer(message, answer);
 			}
 		},
 		sendVersion(send) {
