Wake hosts that nobody waits for less often

Cause: every host pings each other one each 0.9 s on two connections, reads and parses the list of all executors each 3 s, runs its round of checks each 50 ms, its view of hosts five times a second, and passes its whole list of hosts to each host that joins. Change: - the interval between pings to a peer follows from what is waited for: 0.9 s for a holder with tasks of this host and within a holder's data centre, 3 s for other holders, 30 s otherwise, 0.9 s for all once a holder has fallen silent. A host says in its hello how long it keeps silent connections; one of an earlier build does not, and is pinged as before. A connection is closed when a ping goes unanswered, so that one that was idle is not closed for its idleness. - connections to the former process of a host are closed as soon as its next process dials: with rare pings a loss of power would be noticed late. - the list of executors is read each 12 s by hosts that are not among the first three to take the group over; a gap of more than 4.4 s between reads makes it incomplete. - hosts without jobs that are not among those check their limits each 100 ms; whom to dial is worked out once for all changes of a turn; only readers pass the list of hosts on while a host reads the platform's itself. The simulated network now notices silence by the same intervals.

--- a/packages/host/src/directory.ts
+++ b/packages/host/src/directory.ts
@@ -36,6 +36,8 @@
 
 /** How often the view is looked at anew: a closed connection's grace runs out by time alone. */
 const updateEveryMs = 200;
+/** A list of this host's own that is younger than this shows that the platform answers here. */
+const freshListMs = 3000;
 
 export type DirectoryOptions = {
 	identity: Identity;
@@ -49,6 +51,8 @@
 	random: () => number;
 	/** Milliseconds after which this host takes roles although it has not reached all listed peers. */
 	settleLimitMs?: number;
+	/** How often the view is looked at anew once this host has settled; absent: as often as before. */
+	settledUpdateMs?: number;
 	/** The view changed: roles may have moved. */
 	onChange: () => void;
 };
@@ -74,6 +78,7 @@
 	/** What each peer last said of itself. */
 	readonly #leaving = new Map<string, boolean>();
 	#isSettled = false;
+	#isUpdateDue = false;
 	#isStopping = false;
 	#passedOn = '';
 	#passedOnAt = 0;
@@ -102,7 +107,7 @@
 		this.#mesh = mesh;
 		this.#signal = signal;
 		mesh.setLeaving(true);
-		const {random} = this.#options;
+		const {random, settledUpdateMs = updateEveryMs} = this.#options;
 		void repeat(async () => this.#readList(), {
 			everyMs: listEveryMs,
 			signal,
@@ -113,7 +118,11 @@
 				this.#settle();
 				this.#update();
 			},
-			{everyMs: updateEveryMs, signal, random},
+			{
+				everyMs: () => (this.#isSettled ? settledUpdateMs : updateEveryMs),
+				signal,
+				random,
+			},
 		);
 	}
 
@@ -183,7 +192,10 @@
 			address,
 			cores: link.hello.cores,
 		});
-		this.#tellHosts(link);
+		if (this.isReader() || !this.#hasFreshList()) {
+			this.#tellHosts(link);
+		}
+
 		// Looked at now, not with the next round: while no host has settled, no role is taken.
 		this.#settle();
 		this.#update();
@@ -219,7 +231,8 @@
 
 		this.#leaving.set(key, isLeaving);
 		this.view.markLeaving(key, isLeaving);
-		this.#update();
+		// Whom to dial does not depend on it.
+		this.#options.onChange();
 	}
 
 	/** What a peer of this data centre knows. */
@@ -294,6 +307,14 @@
 		}
 	}
 
+	/**
+	Whether this host has read the platform's list itself of late. While hosts can, the readers tell a host that
+	joins; if all of them did, each would parse the whole list once for every other host at a start of all.
+	*/
+	#hasFreshList(): boolean {
+		return readNow() - (this.#listed?.at ?? -Infinity) < freshListMs;
+	}
+
 	/** Addresses are told within a data centre only: between two they may differ by the side one is on. */
 	#tellHosts(link: Link): void {
 		if (link.hello.dataCentre !== this.#options.identity.dataCentre) {
@@ -326,16 +347,30 @@
 		}
 	}
 
+	/** At once for the first change of an event-loop turn, and once more at its end for all others. */
 	#update(): void {
+		this.#options.onChange();
+		if (this.#isUpdateDue) {
+			return;
+		}
+
+		this.#isUpdateDue = true;
+		this.#setPeers();
+		setImmediate(() => {
+			this.#isUpdateDue = false;
+			this.#setPeers();
+		});
+	}
+
+	#setPeers(): void {
 		const peers = this.view.listPeers(readNow());
-		this.#mesh?.setPeers([
-			...peers.map(({name, dataCentre, address}) => ({
+		this.#mesh?.setPeers(
+			peers.map(({name, dataCentre, address}) => ({
 				host: name,
 				dataCentre,
 				address,
 			})),
-		]);
-		this.#options.onChange();
+		);
 	}
 }
 
--- a/packages/host/src/scheduling/faulty/faulty-host.fixture.ts
+++ b/packages/host/src/scheduling/faulty/faulty-host.fixture.ts
@@ -197,6 +197,11 @@
 		});
 	}
 
+	/** How long this host goes without a sign of the peer before it pings. */
+	choosePingInterval(peer: string): number {
+		return this.#process?.roles.choosePingInterval(peer) ?? 0;
+	}
+
 	/** The machine's monotonic clock, which stops during a suspension. */
 	#readMonotonicClock(): number {
 		return this.#toMonotonicTime(this.environment.clock.now);
@@ -263,6 +268,7 @@
 			isKnownService: () => true,
 			isCapacityEnforcingService: () => this.environment.isCapacityEnforced,
 			isHolder: () => roles.holding.scheduler !== undefined,
+			getTakeoverRank: () => roles.getTakeoverRank(),
 			onList(list) {
 				roles.holding.setExecutors(list);
 			},
@@ -305,6 +311,7 @@
 			roles,
 			work: createWorkMeter(() => clock.now),
 			tables: {sendVersion: doNothing, receive: doNothing},
+			isAnnouncedTo: () => true,
 			findAddress: () => '',
 			now: () => this.#readMonotonicClock(),
 			log,
--- a/packages/host/src/scheduling/faulty/faulty-network.fixture.ts
+++ b/packages/host/src/scheduling/faulty/faulty-network.fixture.ts
@@ -3,7 +3,6 @@
 order, after a millisecond; connections can break, go silent, or delay messages.
 */
 import {
-	silenceTimeoutMs,
 	silentCloseReason,
 	type Link,
 	type Message,
@@ -15,6 +14,8 @@
 const latencyMs = 1;
 /** Connections are checked for silence this often, so a silent one may be noticed this much later. */
 const silenceCheckMs = 180;
+/** A ping without an answer for this long closes the connection. */
+const pongTimeoutMs = 1100;
 /** Delay before a connection that was closed for silence is opened again. */
 const redialDelayMs = 100;
 
@@ -95,12 +96,7 @@
 		}
 
 		connection.isSilent = true;
-		this.clock.schedule(silenceTimeoutMs + silenceCheckMs, () => {
-			connection.close(silentCloseReason);
-			this.clock.schedule(redialDelayMs, () => {
-				this.connect();
-			});
-		});
+		this.#closeOnceNoticed(connection, this.clock.now);
 	}
 
 	closeAllOf(host: FaultyHost): void {
@@ -125,6 +121,23 @@
 		const delayedUntil = this.#delayedUntil.get(makePairKey(from, to)) ?? 0;
 		return Math.max(this.clock.now + latencyMs, delayedUntil);
 	}
+
+	/** The host that opened the connection pings it more or less often, and closes it when no answer comes. */
+	#closeOnceNoticed(connection: Connection, silentSince: number): void {
+		const {from, to} = connection;
+		const limitMs = from.choosePingInterval(to.key) + pongTimeoutMs;
+		if (this.clock.now - silentSince < limitMs) {
+			this.clock.schedule(silenceCheckMs, () => {
+				this.#closeOnceNoticed(connection, silentSince);
+			});
+			return;
+		}
+
+		connection.close(silentCloseReason);
+		this.clock.schedule(redialDelayMs, () => {
+			this.connect();
+		});
+	}
 }
 
 class Connection {
@@ -189,7 +202,7 @@
 				handlers.onSessionDown(this.session);
 			});
 			this.from.run(({handlers}) => {
-				handlers.onLinkDown(this.link, reason);
+				handlers.onLinkDown(this.link, reason, this.#lastReplyAt);
 			});
 		}
 	}
--- a/packages/host/src/scheduling/group-holding.ts
+++ b/packages/host/src/scheduling/group-holding.ts
@@ -127,12 +127,10 @@
 	#decideTakeover(): void {
 		const {now, hostKey, listCandidates} = this.#options;
 		const at = now();
-		const rank = listCandidates().indexOf(hostKey);
-		if (
-			rank === -1 ||
-			at < this.#noTakeoverBefore ||
-			!isVacant(this.#buildHolderView(at))
-		) {
+		const isFree =
+			at >= this.#noTakeoverBefore && isVacant(this.#buildHolderView(at));
+		const rank = isFree ? listCandidates().indexOf(hostKey) : -1;
+		if (rank === -1) {
 			this.#vacantSince = undefined;
 			return;
 		}
--- a/packages/host/src/scheduling/host-roles.ts
+++ b/packages/host/src/scheduling/host-roles.ts
@@ -23,6 +23,7 @@
 import {type GroupState, type Link, type Message} from '@gentianshift/protocol';
 import {type ExecutorLists} from './executor-lists.js';
 import {GroupHolding} from './group-holding.js';
+import {choosePingInterval} from './ping-intervals.js';
 import {measureStoreAge} from './store-age.js';
 
 export type HostRolesOptions = {
@@ -63,6 +64,13 @@
 	getCores: (key: string) => number;
 };
 
+/** So many hosts take a group over before the others try. */
+const firstInLine = 3;
+/** The takeover order changes only when hosts come or go. */
+const idlenessCheckIntervalMs = 1000;
+/** A stronger host has to be there for seconds before it is asked, so it is looked for no more often than this. */
+const successorCheckIntervalMs = 500;
+
 export class HostRoles {
 	readonly groups = createGroupDirectory();
 	readonly crashes = createCrashRecords();
@@ -77,6 +85,9 @@
 	readonly #localEntry: Entry;
 	/** A host with more cores that is asked to take the group over. */
 	#successor: string | undefined;
+	#successorChosenAt = -Infinity;
+	#idlenessCheckedAt = -Infinity;
+	#isFirstInLine = true;
 	#stateSentAt = 0;
 	/** Whether the state that was last sent was of a group whose executors have all answered. */
 	#isReadyStateSent = false;
@@ -107,6 +118,39 @@
 		};
 	}
 
+	/** Interval between pings to this peer, milliseconds. */
+	choosePingInterval(peer: string): number {
+		return choosePingInterval(peer, {
+			dataCentre: this.#options.dataCentre,
+			isHolder: this.holding.scheduler !== undefined,
+			groups: this.groups.list(),
+			hasTasksIn: (group) => this.entry.hasTasksIn(group),
+			now: this.#options.now(),
+		});
+	}
+
+	/** Whether this host has no job, holds no group, and is not among the first to take one over. */
+	isIdle(): boolean {
+		const now = this.#options.now();
+		if (now - this.#idlenessCheckedAt > idlenessCheckIntervalMs) {
+			const rank = this.getTakeoverRank();
+			this.#idlenessCheckedAt = now;
+			this.#isFirstInLine = rank !== -1 && rank < firstInLine;
+		}
+
+		return (
+			!this.#isFirstInLine &&
+			this.entry.size === 0 &&
+			this.holding.scheduler === undefined
+		);
+	}
+
+	/** This host's place in the takeover order of its group, 0 for the first; -1: it takes no group. */
+	getTakeoverRank(): number {
+		const {key, peers} = this.#options;
+		return peers.listCandidates().indexOf(key);
+	}
+
 	/** Returns a function to call when the caller has disconnected. */
 	submit(
 		request: JobRequest,
@@ -230,7 +274,13 @@
 	group's state.
 	*/
 	#updateSuccessor(): void {
-		const {dataCentre, key, peers, log} = this.#options;
+		const {dataCentre, key, peers, now, log} = this.#options;
+		const isChosen = now() - this.#successorChosenAt < successorCheckIntervalMs;
+		if (isChosen && this.holding.scheduler) {
+			return;
+		}
+
+		this.#successorChosenAt = now();
 		const successor = this.holding.scheduler && this.#chooseSuccessor();
 		if (successor !== undefined && successor !== this.#successor) {
 			log('a stronger host is asked to take the group', {
--- a/packages/host/src/scheduling/scheduling-handlers.ts
+++ b/packages/host/src/scheduling/scheduling-handlers.ts
@@ -2,7 +2,6 @@
 Passes each message between scheduling hosts to the component that handles it.
 */
 import {
-	silenceTimeoutMs,
 	silentCloseReason,
 	type Ends,
 	type Link,
@@ -32,6 +31,8 @@
 	>;
 	tables: Pick<QueueTables, 'sendVersion' | 'receive'>;
 	work: Pick<WorkMeter, 'measure'>;
+	/** Whether the peer is told of this host's configuration version. */
+	isAnnouncedTo: (link: Link) => boolean;
 	/** The address at which this host dials the peer. */
 	findAddress: (key: string) => string;
 	now: () => number;
@@ -43,6 +44,7 @@
 	roles,
 	tables,
 	work,
+	isAnnouncedTo,
 	findAddress,
 	now,
 	log,
@@ -58,14 +60,16 @@
 			roles.sendStateTo(link);
 			entry.markLinkUp(link.key, link.hello.incarnation);
 			entry.sendAfterReconnect(link.key);
-			tables.sendVersion((message) => {
-				link.send(message);
-			});
+			if (isAnnouncedTo(link)) {
+				tables.sendVersion((message) => {
+					link.send(message);
+				});
+			}
 		},
-		onLinkDown(link, reason) {
+		onLinkDown(link, reason, lastReceivedAt) {
 			log('link down', {peer: link.key, reason});
-			const silentMs = reason === silentCloseReason ? silenceTimeoutMs : 0;
-			entry.markLinkDown(link.key, link.hello.incarnation, now() - silentMs);
+			const lastAliveAt = reason === silentCloseReason ? lastReceivedAt : now();
+			entry.markLinkDown(link.key, link.hello.incarnation, lastAliveAt);
 			directory.markLinkDown(link, reason);
 		},
 		onReply(link, message) {
--- a/packages/host/src/scheduling/start-scheduling-host.ts
+++ b/packages/host/src/scheduling/start-scheduling-host.ts
@@ -5,7 +5,7 @@
 import {performance} from 'node:perf_hooks';
 import process from 'node:process';
 import {loadHash, type Hash64} from '@gentianshift/membership';
-import {Mesh} from '@gentianshift/protocol';
+import {Mesh, type Link} from '@gentianshift/protocol';
 import {
 	type EntryJob,
 	type JobAnswer,
@@ -21,6 +21,7 @@
 import {createExecutorLists, type ExecutorLists} from './executor-lists.js';
 import {createHostPresence, type HostPresence} from './host-presence.js';
 import {HostRoles} from './host-roles.js';
+import {pingIntervals} from './ping-intervals.js';
 import {createQueueTables, type QueueTables} from './queue-tables.js';
 import {createSchedulingHandlers} from './scheduling-handlers.js';
 import {recordAnswer, setGauges, wrapControl} from './scheduling-metrics.js';
@@ -30,18 +31,16 @@
 
 /** Interval of the check for time limits that have passed: a tenth of the shortest one. */
 const updateIntervalMs = 50;
-/**
-Heartbeat between hosts. A scheduler's silence shows earlier by its missing state messages, which
-are more frequent; the heartbeat only finds connections that went silent. Two heartbeats may be
-missed before a connection is closed.
-*/
-const heartbeatIntervalMs = 900;
+/** The same at a host without jobs, which others go before in taking a group over. */
+const idleUpdateIntervalMs = 100;
 /**
 How long a starting host waits for connections to all listed hosts before it takes a role. After all
 hosts have lost power some start later than others, and the first ones must not wait for them. If
 two hosts take the group at once, the store lets only one of them have it.
 */
 const settleLimitMs = 250;
+/** Roles are worked out when they are asked for; this only forgets hosts that are long gone. */
+const settledUpdateMs = 1000;
 /** Name of the role that holds the group of a data centre, as input of rendezvous hashing. */
 const schedulerRole = 'scheduler';
 /**
@@ -127,6 +126,7 @@
 	readonly #stopController = new AbortController();
 	#timer: NodeJS.Timeout | undefined;
 	#usageTimer: NodeJS.Timeout | undefined;
+	#isStopped = false;
 
 	constructor(options: SchedulingHostOptions, hash: Hash64) {
 		this.#options = options;
@@ -151,6 +151,7 @@
 			hash,
 			random,
 			settleLimitMs,
+			settledUpdateMs,
 			onChange() {
 				// Roles are checked with each update.
 			},
@@ -158,7 +159,11 @@
 		this.#tables = createQueueTables({
 			source: dependencies.queueTables,
 			sendToPeers: (message) => {
-				this.#roles.sendToPeers(message);
+				for (const link of this.#mesh.listLinks()) {
+					if (this.#isAnnouncedTo(link)) {
+						link.send(message);
+					}
+				}
 			},
 			random,
 			log,
@@ -166,6 +171,7 @@
 		this.#executors = createExecutorLists({
 			source: dependencies.executors,
 			isHolder: () => this.#roles.holding.scheduler !== undefined,
+			getTakeoverRank: () => this.#roles.getTakeoverRank(),
 			isKnownService: (service) => this.#tables.isKnownService(service),
 			isCapacityEnforcingService: (service) =>
 				this.#tables.isCapacityEnforcingService(service),
@@ -190,11 +196,7 @@
 		this.#directory.start(this.#mesh, signal);
 		this.#tables.start(signal);
 		this.#executors.start(signal);
-		this.#timer = setInterval(() => {
-			this.#work.measure('update', () => {
-				this.#roles.update();
-			});
-		}, updateIntervalMs);
+		this.#scheduleUpdate();
 		this.#usageTimer = setInterval(() => {
 			this.#logUsage();
 		}, usageLogIntervalMs);
@@ -275,7 +277,8 @@
 	async stop(): Promise<void> {
 		this.#roles.holding.stop();
 		this.#roles.sendState();
-		clearInterval(this.#timer);
+		this.#isStopped = true;
+		clearTimeout(this.#timer);
 		clearInterval(this.#usageTimer);
 		this.#stopController.abort();
 		await this.#presence.end();
@@ -283,6 +286,31 @@
 		await this.#options.dependencies.store.close();
 	}
 
+	#scheduleUpdate(): void {
+		this.#timer = setTimeout(
+			() => {
+				this.#work.measure('update', () => {
+					this.#roles.update();
+				});
+				if (!this.#isStopped) {
+					this.#scheduleUpdate();
+				}
+			},
+			this.#roles.isIdle() ? idleUpdateIntervalMs : updateIntervalMs,
+		);
+	}
+
+	/**
+	Whether the peer is told of a new version of the configuration: hosts of this data centre, and the
+	holders elsewhere, which pass it on in theirs.
+	*/
+	#isAnnouncedTo({key, hello}: Link): boolean {
+		return (
+			hello.dataCentre === this.#options.host.dataCentre ||
+			this.#roles.groups.list().some(({holder}) => holder === key)
+		);
+	}
+
 	#logUsage(): void {
 		const work = [...this.#work.list()].map(([cause, {seconds, count}]) => [
 			cause,
@@ -362,12 +390,16 @@
 			localAddress: source,
 			random: Math.random,
 			meter: createMeter(metrics),
-			pingIntervalMs: heartbeatIntervalMs,
+			pingIntervalMs: pingIntervals.awaitedMs,
+			longestPingIntervalMs: pingIntervals.idleMs,
+			choosePingInterval: (key) => this.#roles.choosePingInterval(key),
+			isToldLeavingAtOnce: (peer) => peer.dataCentre === dataCentre,
 			handlers: createSchedulingHandlers({
 				work: this.#work,
 				directory: this.#directory,
 				roles: this.#roles,
 				tables: this.#tables,
+				isAnnouncedTo: (link) => this.#isAnnouncedTo(link),
 				findAddress: (key) => this.#mesh.findAddress(key) ?? '',
 				now: readNow,
 				log,
--- a/packages/protocol/src/mesh.test.ts
+++ b/packages/protocol/src/mesh.test.ts
@@ -2,7 +2,8 @@
 import net, {type AddressInfo} from 'node:net';
 import {after, test, type TestContext} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
-import {Mesh, type MeshHandlers} from './mesh.js';
+import {encodeFrame} from './frame.js';
+import {Mesh, type MeshHandlers, type MeshOptions} from './mesh.js';
 
 const incarnation = '0123456789abcdef';
 
@@ -28,6 +29,7 @@
 	host: string,
 	handlers: Partial<MeshHandlers>,
 	ownAddress?: string,
+	options: Partial<MeshOptions> = {},
 ): Promise<{mesh: Mesh; address: string}> {
 	const address = ownAddress ?? (await findFreeAddress());
 	const mesh = new Mesh({
@@ -50,6 +52,7 @@
 			onLeaving: doNothing,
 			...handlers,
 		},
+		...options,
 	});
 	await mesh.start();
 	context.after(async () => mesh.stop());
@@ -172,6 +175,56 @@
 	assert.equal(mesh.findLink('mieres_m2'), undefined);
 });
 
+test('a host that has restarted after a loss of power is dialled anew as soon as it dials this host', async (context) => {
+	// No FIN of the former process reaches this host, and the connection to it is pinged rarely. What
+	// this host sent there until its silence was noticed would be lost.
+	const address = await findFreeAddress();
+	const [ip, port] = address.split(':');
+	const formerProcess = net.createServer((socket) => {
+		context.after(() => {
+			socket.destroy();
+		});
+		const hello = {
+			t: 'hello',
+			version: 1,
+			dataCentre: 'mieres',
+			host: 'm2',
+			incarnation: 'fedcba9876543210',
+			address,
+			isLeaving: false,
+			silenceLimitMs: 20_200,
+		};
+		socket.write(encodeFrame([hello]));
+	});
+	await new Promise<void>((resolve) => {
+		formerProcess.listen(Number(port), ip, resolve);
+	});
+	const links: string[] = [];
+	const first = await startMesh(
+		context,
+		'm1',
+		{
+			onLinkUp({hello}) {
+				links.push(hello.incarnation);
+			},
+		},
+		undefined,
+		{longestPingIntervalMs: 10_000, choosePingInterval: () => 10_000},
+	);
+	first.mesh.setPeers([{dataCentre: 'mieres', host: 'm2', address}]);
+	while (links.length === 0) {
+		await delay(10);
+	}
+
+	formerProcess.close();
+	const second = await startMesh(context, 'm2', {}, address);
+	second.mesh.setPeers([
+		{dataCentre: 'mieres', host: 'm1', address: first.address},
+	]);
+	await delay(300);
+	assert.deepEqual(links, ['fedcba9876543210', incarnation]);
+});
+
 /** Starts a TCP proxy to an address; `reset` resets all its connections together. */
 async function startRelay(context: TestContext, target: string) {
 	const [ip, port] = target.split(':');
--- a/packages/protocol/src/mesh.ts
+++ b/packages/protocol/src/mesh.ts
@@ -3,22 +3,31 @@
 it accepts the connections that peers dial and answers requests on them (sessions).
 
 A firewall or NAT between two hosts can lose track of an open connection, or a host can freeze: the
-connection then stays open and no bytes arrive. Each ping is answered by a pong, and a connection without a
-received byte for `silenceTimeoutMs` is closed and dialled again. This bounds how long a request can wait on a dead link.
+connection then stays open and no bytes arrive. Each ping is answered by a pong; a connection without an answer is
+closed and dialled again (`heartbeat.ts`). This bounds how long a request can wait on a dead link.
 */
 import net from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {Connection, type Meter} from './connection.js';
+import {
+	computePingInterval,
+	computeSilenceLimit,
+	isPingDue,
+	isPongOverdue,
+	silenceTimeoutMs,
+	type HeartbeatOptions,
+	type LinkActivity,
+} from './heartbeat.js';
 import {protocolVersion, type Hello, type Message} from './messages.js';
 
 /** Default heartbeat interval. */
 export const defaultPingIntervalMs = 600;
 /** Timer ticks a heartbeat interval; each tick closes silent connections and starts due dials. */
 const ticksPerPing = 5;
-/** A connection is closed when no bytes have arrived on it for this long. */
-export const silenceTimeoutMs = 2000;
-/** Close reason of a connection without received bytes for `silenceTimeoutMs`. */
+/** Close reason of a connection on which no bytes arrive. */
 export const silentCloseReason = 'silent';
+/** Close reason of connections to the former process of a host that has restarted. */
+const restartedCloseReason = 'the peer has restarted';
 /** Time-out for establishing a TCP connection; also how long the connection of `sendGreeting` stays open. */
 const dialTimeoutMs = 1500;
 /**
@@ -35,6 +44,9 @@
 /** A tick later than this means that this process was paused; the silence of peers is then no sign of a fault of theirs. */
 const pauseThresholdMs = 1000;
 
+const livePong: Message = {t: 'pong', isLeaving: false};
+const leavingPong: Message = {t: 'pong', isLeaving: true};
+
 export type PeerAddress = {dataCentre: string; host: string; address: string};
 
 /** A connection that this host dialled and on which the peer's `hello` has arrived: this host sends requests. */
@@ -52,8 +64,11 @@
 
 export type MeshHandlers = {
 	onLinkUp: (link: Link) => void;
-	/** `reason`: the connection's close reason, such as `silentCloseReason`. */
-	onLinkDown: (link: Link, reason: string) => void;
+	/**
+	`reason`: the connection's close reason, such as `silentCloseReason`. `lastReceivedAt`: when bytes last arrived
+	on it, monotonic milliseconds.
+	*/
+	onLinkDown: (link: Link, reason: string, lastReceivedAt: number) => void;
 	/** A message that the peer sent on a link, other than `hello` and `pong`. */
 	onReply: (link: Link, message: Message) => void;
 	onSessionUp: (session: Session) => void;
@@ -67,15 +82,21 @@
 };
 
 export type MeshOptions = {
-	self: Omit<Hello, 't' | 'version' | 'isLeaving'>;
+	self: Omit<Hello, 't' | 'version' | 'isLeaving' | 'silenceLimitMs'>;
 	/** Local IP address that outgoing connections are bound to. */
 	localAddress?: string;
 	handlers: MeshHandlers;
 	meter: Meter;
 	/** Uniform in [0, 1). */
 	random: () => number;
-	/** Heartbeat interval; at most a third of `silenceTimeoutMs`, so that two lost heartbeats don't close a connection. */
+	/** Heartbeat interval; at most half of `silenceTimeoutMs`, so that a lost heartbeat doesn't close a connection. */
 	pingIntervalMs?: number;
+	/** Longest interval that `choosePingInterval` returns. */
+	longestPingIntervalMs?: number;
+	/** Interval between pings to this peer while nothing arrives from it. Absent: `pingIntervalMs`. */
+	choosePingInterval?: (key: string) => number;
+	/** Whether this peer learns at once that this host is leaving, and not with the next heartbeat. Absent: all. */
+	isToldLeavingAtOnce?: (peer: PeerAddress) => boolean;
 };
 
 /** A host's key in maps: `<data centre>_<host>`, the same form as in issuers. */
@@ -96,6 +117,8 @@
 	failedDials: number;
 	nextDialAt: number;
 	dialledAt: number;
+	/** When the first ping on the link was sent that no bytes have followed. */
+	unansweredPingAt?: number;
 };
 
 export class Mesh {
@@ -107,9 +130,17 @@
 	#lastTickAt = performance.now();
 	#tickCount = 0;
 	readonly #pingIntervalMs: number;
+	readonly #heartbeat: HeartbeatOptions;
+	readonly #silenceLimitMs: number;
 
 	constructor(private readonly options: MeshOptions) {
 		this.#pingIntervalMs = options.pingIntervalMs ?? defaultPingIntervalMs;
+		this.#heartbeat = {
+			pingIntervalMs: this.#pingIntervalMs,
+			longestPingIntervalMs:
+				options.longestPingIntervalMs ?? this.#pingIntervalMs,
+		};
+		this.#silenceLimitMs = computeSilenceLimit(this.#heartbeat);
 		this.#server = net.createServer((socket) => {
 			this.#accept(socket);
 		});
@@ -212,10 +243,11 @@
 		});
 	}
 
-	/** Sent to all linked peers at once, and from then on in each `hello`, `ping` and `pong`. */
+	/** Sent at once to the linked peers that need it, and from then on in each `hello`, `ping` and `pong`. */
 	setLeaving(isLeaving: boolean): void {
+		const {isToldLeavingAtOnce = () => true} = this.options;
 		this.#isLeaving = isLeaving;
-		this.#sendHeartbeats(Infinity);
+		this.#sendPings((peer) => isToldLeavingAtOnce(peer));
 	}
 
 	/** Sends the batched messages, closes all connections gracefully, and resolves when the server and all accepted connections are closed. */
@@ -262,7 +294,9 @@
 		this.#dialDuePeers(now);
 		this.#tickCount += 1;
 		if (this.#tickCount % ticksPerPing === 0) {
-			this.#sendHeartbeats(now - this.#pingIntervalMs);
+			this.#sendPings((peer, connection) =>
+				isPingDue(getActivity(peer, connection), this.#getInterval(peer), now),
+			);
 			this.options.handlers.onHeartbeat();
 		}
 	}
@@ -273,14 +307,38 @@
 	closed as silent.
 	*/
 	#extendSilenceLimits(now: number): void {
+		for (const peer of this.#peers.values()) {
+			if (peer.unansweredPingAt !== undefined) {
+				peer.unansweredPingAt = now;
+			}
+		}
+
 		for (const connection of this.#listConnections()) {
-			connection.lastReceivedAt = now - silenceTimeoutMs + pauseThresholdMs;
+			const limitMs = this.#accepted.has(connection)
+				? this.#silenceLimitMs
+				: silenceTimeoutMs;
+			connection.lastReceivedAt = Math.max(
+				connection.lastReceivedAt,
+				now - limitMs + pauseThresholdMs,
+			);
 		}
 	}
 
 	#closeSilentConnections(now: number): void {
-		for (const connection of this.#listConnections()) {
-			if (now - connection.lastReceivedAt > silenceTimeoutMs) {
+		for (const peer of this.#peers.values()) {
+			const {connection, link} = peer;
+			const isSilent =
+				connection !== undefined &&
+				(link
+					? isPongOverdue(getActivity(peer, connection), this.#heartbeat, now)
+					: now - connection.lastReceivedAt > silenceTimeoutMs);
+			if (isSilent) {
+				connection.close(silentCloseReason);
+			}
+		}
+
+		for (const connection of this.#accepted.keys()) {
+			if (now - connection.lastReceivedAt > this.#silenceLimitMs) {
 				connection.close(silentCloseReason);
 			}
 		}
@@ -293,11 +351,27 @@
 		return [...dialled, ...this.#accepted.keys()];
 	}
 
-	/** Pings the links without received bytes since `idleSince`; the others are known to be alive. */
-	#sendHeartbeats(idleSince: number): void {
-		for (const {link, connection} of this.#peers.values()) {
-			if (link && connection && connection.lastReceivedAt <= idleSince) {
-				link.send({t: 'ping', isLeaving: this.#isLeaving});
+	#getInterval({key, link}: Peer): number {
+		const {choosePingInterval} = this.options;
+		return computePingInterval(
+			choosePingInterval?.(key) ?? this.#pingIntervalMs,
+			this.#heartbeat,
+			link?.hello.silenceLimitMs,
+		);
+	}
+
+	/** Pings the linked peers for which `isDue` is true. */
+	#sendPings(isDue: (peer: Peer, connection: Connection) => boolean): void {
+		const ping: Message = {t: 'ping', isLeaving: this.#isLeaving};
+		for (const peer of this.#peers.values()) {
+			const {link, connection} = peer;
+			if (link && connection && isDue(peer, connection)) {
+				link.send(ping);
+				const isAnswered =
+					connection.lastReceivedAt > (peer.unansweredPingAt ?? -Infinity);
+				peer.unansweredPingAt = isAnswered
+					? performance.now()
+					: peer.unansweredPingAt;
 			}
 		}
 	}
@@ -324,7 +398,7 @@
 					this.#receiveReply(peer, connection, message);
 				},
 				onClose: (reason) => {
-					this.#endLink(peer, reason);
+					this.#endLink(peer, reason, connection.lastReceivedAt);
 				},
 			},
 			this.options.meter,
@@ -337,6 +411,7 @@
 			connection.send(this.#makeHello());
 		});
 		peer.connection = connection;
+		peer.unansweredPingAt = undefined;
 		peer.dialledAt = performance.now();
 	}
 
@@ -407,7 +482,7 @@
 		this.options.handlers.onLeaving(peer.key, hello.isLeaving);
 	}
 
-	#endLink(peer: Peer, reason: string): void {
+	#endLink(peer: Peer, reason: string, lastReceivedAt: number): void {
 		const {link} = peer;
 		peer.connection = undefined;
 		peer.link = undefined;
@@ -418,7 +493,7 @@
 		}
 
 		if (link) {
-			this.options.handlers.onLinkDown(link, reason);
+			this.options.handlers.onLinkDown(link, reason, lastReceivedAt);
 		}
 	}
 
@@ -471,7 +546,7 @@
 		}
 
 		if (message.t === 'ping') {
-			connection.send({t: 'pong', isLeaving: this.#isLeaving});
+			connection.send(this.#isLeaving ? leavingPong : livePong);
 			this.options.handlers.onLeaving(session.key, message.isLeaving);
 			return;
 		}
@@ -492,12 +567,32 @@
 				connection.send(message);
 			},
 		};
+		this.#closeConnectionsOfFormerProcess(session);
 		this.#accepted.set(connection, session);
 		connection.send(this.#makeHello());
 		this.#dialReachablePeer(session.key);
 		this.options.handlers.onSessionUp(session);
 	}
 
+	/**
+	A host that lost power sends no FIN: connections to its former process stay open until their silence is noticed.
+	What is sent on them until then is lost.
+	*/
+	#closeConnectionsOfFormerProcess({key, hello}: Session): void {
+		const peer = this.#peers.get(key);
+		if (peer?.link && peer.link.hello.incarnation !== hello.incarnation) {
+			peer.connection?.close(restartedCloseReason);
+		}
+
+		for (const [connection, session] of this.#accepted) {
+			const isFormer =
+				session?.key === key && session.hello.incarnation !== hello.incarnation;
+			if (isFormer) {
+				connection.close(restartedCloseReason);
+			}
+		}
+	}
+
 	#endSession(connection: Connection): void {
 		const session = this.#accepted.get(connection);
 		this.#accepted.delete(connection);
@@ -511,11 +606,19 @@
 			t: 'hello',
 			version: protocolVersion,
 			isLeaving: this.#isLeaving,
+			silenceLimitMs: this.#silenceLimitMs,
 			...this.options.self,
 		};
 	}
 }
 
+function getActivity(
+	{unansweredPingAt}: Peer,
+	{lastReceivedAt}: Connection,
+): LinkActivity {
+	return {lastReceivedAt, unansweredPingAt};
+}
+
 function splitAddress(address: string): [string, number] {
 	const colonIndex = address.lastIndexOf(':');
 	return [address.slice(0, colonIndex), Number(address.slice(colonIndex + 1))];
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -32,6 +32,11 @@
 	cores: z.number().positive().optional(),
 	/** The sender is being stopped: it holds no role and accepts no new jobs. */
 	isLeaving: z.boolean(),
+	/**
+	How long the sender keeps a connection that it accepted while no bytes arrive on it; absent: 2000. The other side
+	pings often enough for that.
+	*/
+	silenceLimitMs: duration.optional(),
 });
 
 /** The client's heartbeat; the server answers with `pong`. */
--- a/packages/scheduling/src/entry-jobs.ts
+++ b/packages/scheduling/src/entry-jobs.ts
@@ -119,6 +119,17 @@
 		return this.#jobs.size;
 	}
 
+	/** Whether the group has tasks of this entry's jobs. */
+	hasTasksIn(group: string): boolean {
+		for (const job of this.#jobs.values()) {
+			if (listTasksAt(job, group).length > 0) {
+				return true;
+			}
+		}
+
+		return false;
+	}
+
 	/** Number of the queue's jobs of which no task has been started. */
 	countPending(queue: string): number {
 		let count = 0;
