Keep idle connections open after a pause

What hosts would have seen: one that was frozen for a second closed its idle connections to all others 1.1 s after it went on, and dialled them again. Each update was also counted from the end of the one before, so that a starved holder's updates came later than before and could pass for a pause. Change: only a ping that waits for its answer gets more time; the interval of updates is counted from their start.

--- a/packages/host/src/scheduling/start-scheduling-host.ts
+++ b/packages/host/src/scheduling/start-scheduling-host.ts
@@ -286,17 +286,22 @@
 		await this.#options.dependencies.store.close();
 	}
 
-	#scheduleUpdate(): void {
+	/** `tookMs`: how long the last update took; the interval is counted from its start. */
+	#scheduleUpdate(tookMs = 0): void {
+		const intervalMs = this.#roles.isIdle()
+			? idleUpdateIntervalMs
+			: updateIntervalMs;
 		this.#timer = setTimeout(
 			() => {
+				const startedAt = readNow();
 				this.#work.measure('update', () => {
 					this.#roles.update();
 				});
 				if (!this.#isStopped) {
-					this.#scheduleUpdate();
+					this.#scheduleUpdate(readNow() - startedAt);
 				}
 			},
-			this.#roles.isIdle() ? idleUpdateIntervalMs : updateIntervalMs,
+			Math.max(0, intervalMs - tookMs),
 		);
 	}
 
--- a/packages/protocol/src/heartbeat.test.ts
+++ b/packages/protocol/src/heartbeat.test.ts
@@ -3,6 +3,7 @@
 import {
 	computePingInterval,
 	computeSilenceLimit,
+	findUnansweredPing,
 	isPingDue,
 	isPongOverdue,
 	silenceTimeoutMs,
@@ -22,7 +23,7 @@
 		);
 		let lastReceivedAt = 0;
 		for (let now = 0; now < 60_000; now += 900) {
-			if (isPingDue({lastReceivedAt, unansweredPingAt: 0}, intervalMs, now)) {
+			if (isPingDue({lastReceivedAt, pingedAt: 0}, intervalMs, now)) {
 				lastReceivedAt = now;
 				count += 1;
 			}
@@ -43,16 +44,16 @@
 test('a silent connection that callers wait for is noticed within the time-out', () => {
 	const lastReceivedAt = 0;
 	const intervalMs = computePingInterval(900, options, ownLimitMs);
-	let unansweredPingAt: number | undefined;
+	let pingedAt: number | undefined;
 	let closedAt: number | undefined;
 	for (let now = 0; closedAt === undefined; now += 180) {
-		const activity = {lastReceivedAt, unansweredPingAt};
+		const activity = {lastReceivedAt, pingedAt};
 		if (isPongOverdue(activity, options, now)) {
 			closedAt = now;
 		}
 
 		if (now % 900 === 0 && isPingDue(activity, intervalMs, now)) {
-			unansweredPingAt ??= now;
+			pingedAt ??= now;
 		}
 	}
 
@@ -62,12 +63,12 @@
 // A connection that was idle for ten seconds becomes one that callers wait for. Guards against
 // closing it before its peer can answer the first ping.
 test('a connection that was idle for long stays open until a ping goes unanswered', () => {
-	const activity = {lastReceivedAt: 0, unansweredPingAt: undefined};
+	const activity = {lastReceivedAt: 0, pingedAt: undefined};
 	assert.equal(isPongOverdue(activity, options, 9900), false);
-	const pinged = {lastReceivedAt: 0, unansweredPingAt: 9900};
+	const pinged = {lastReceivedAt: 0, pingedAt: 9900};
 	assert.equal(isPongOverdue(pinged, options, 10_900), false);
 	assert.equal(isPongOverdue(pinged, options, 11_100), true);
-	const answered = {lastReceivedAt: 9910, unansweredPingAt: 9900};
+	const answered = {lastReceivedAt: 9910, pingedAt: 9900};
 	assert.equal(isPongOverdue(answered, options, 12_000), false);
 });
 
@@ -78,3 +79,20 @@
 	assert.equal(computePingInterval(10_000, options, ownLimitMs), 10_000);
 	assert.equal(computePingInterval(10_000, options, 5000), 2400);
 });
+
+// A host resumes after a pause. Guards against closing all its idle connections, whose last pings
+// were answered long ago, as if those pings still waited for their answers.
+test('a ping whose answer has arrived is not waited for any more', () => {
+	assert.equal(
+		findUnansweredPing({lastReceivedAt: 9910, pingedAt: 9900}),
+		undefined,
+	);
+	assert.equal(
+		findUnansweredPing({lastReceivedAt: 9000, pingedAt: 9900}),
+		9900,
+	);
+	assert.equal(
+		findUnansweredPing({lastReceivedAt: 0, pingedAt: undefined}),
+		undefined,
+	);
+});
--- a/packages/protocol/src/heartbeat.ts
+++ b/packages/protocol/src/heartbeat.ts
@@ -21,8 +21,8 @@
 /** What arrived and was sent last on a dialled connection; monotonic milliseconds. */
 export type LinkActivity = {
 	lastReceivedAt: number;
-	/** When the first ping was sent that no bytes have followed; undefined: none waits for its answer. */
-	unansweredPingAt: number | undefined;
+	/** When the last ping was sent that was not a repeated one; undefined: none was. */
+	pingedAt: number | undefined;
 };
 
 /** How long this host keeps an accepted connection without received bytes: two pings may be missed. */
@@ -56,15 +56,24 @@
 	return now - lastReceivedAt >= intervalMs;
 }
 
+/** When the first ping was sent that no bytes have followed; undefined: none waits for its answer. */
+export function findUnansweredPing({
+	lastReceivedAt,
+	pingedAt,
+}: LinkActivity): number | undefined {
+	return pingedAt !== undefined && lastReceivedAt <= pingedAt
+		? pingedAt
+		: undefined;
+}
+
 /** Whether a ping has gone unanswered for so long that the connection counts as silent. */
 export function isPongOverdue(
-	{lastReceivedAt, unansweredPingAt}: LinkActivity,
+	activity: LinkActivity,
 	{pingIntervalMs}: HeartbeatOptions,
 	now: number,
 ): boolean {
+	const pingedAt = findUnansweredPing(activity);
 	return (
-		unansweredPingAt !== undefined &&
-		lastReceivedAt <= unansweredPingAt &&
-		now - unansweredPingAt > silenceTimeoutMs - pingIntervalMs
+		pingedAt !== undefined && now - pingedAt > silenceTimeoutMs - pingIntervalMs
 	);
 }
--- a/packages/protocol/src/mesh.test.ts
+++ b/packages/protocol/src/mesh.test.ts
@@ -225,6 +225,40 @@
 	assert.deepEqual(links, ['fedcba9876543210', incarnation]);
 });
 
+test('an idle link stays open after a pause of this process', async (context) => {
+	// The last ping was answered long before the pause. If it counted as waiting for its answer from
+	// the pause on, a host that was frozen for a second would lose its connections to all others.
+	const {address} = await startMesh(context, 'm2', {}, undefined, {
+		longestPingIntervalMs: 10_000,
+	});
+	const closeReasons: string[] = [];
+	const {mesh} = await startMesh(
+		context,
+		'm1',
+		{
+			onLinkDown(_link, reason) {
+				closeReasons.push(reason);
+			},
+		},
+		undefined,
+		{longestPingIntervalMs: 10_000, choosePingInterval: () => 10_000},
+	);
+	mesh.setPeers([{dataCentre: 'mieres', host: 'm2', address}]);
+	while (!mesh.findLink('mieres_m2')) {
+		await delay(10);
+	}
+
+	mesh.setLeaving(false);
+	await delay(100);
+	const pauseEndsAt = performance.now() + 1300;
+	while (performance.now() < pauseEndsAt) {
+		// The process does nothing else.
+	}
+
+	await delay(1700);
+	assert.deepEqual(closeReasons, []);
+});
+
 /** Starts a TCP proxy to an address; `reset` resets all its connections together. */
 async function startRelay(context: TestContext, target: string) {
 	const [ip, port] = target.split(':');
--- a/packages/protocol/src/mesh.ts
+++ b/packages/protocol/src/mesh.ts
@@ -12,6 +12,7 @@
 import {
 	computePingInterval,
 	computeSilenceLimit,
+	findUnansweredPing,
 	isPingDue,
 	isPongOverdue,
 	silenceTimeoutMs,
@@ -117,8 +118,8 @@
 	failedDials: number;
 	nextDialAt: number;
 	dialledAt: number;
-	/** When the first ping on the link was sent that no bytes have followed. */
-	unansweredPingAt?: number;
+	/** When the last ping on the link was sent that was not a repeated one. */
+	pingedAt?: number;
 };
 
 export class Mesh {
@@ -308,9 +309,11 @@
 	*/
 	#extendSilenceLimits(now: number): void {
 		for (const peer of this.#peers.values()) {
-			if (peer.unansweredPingAt !== undefined) {
-				peer.unansweredPingAt = now;
-			}
+			const {connection} = peer;
+			const isAwaited =
+				connection !== undefined &&
+				findUnansweredPing(getActivity(peer, connection)) !== undefined;
+			peer.pingedAt = isAwaited ? now : peer.pingedAt;
 		}
 
 		for (const connection of this.#listConnections()) {
@@ -367,11 +370,9 @@
 			const {link, connection} = peer;
 			if (link && connection && isDue(peer, connection)) {
 				link.send(ping);
-				const isAnswered =
-					connection.lastReceivedAt > (peer.unansweredPingAt ?? -Infinity);
-				peer.unansweredPingAt = isAnswered
-					? performance.now()
-					: peer.unansweredPingAt;
+				peer.pingedAt =
+					findUnansweredPing(getActivity(peer, connection)) ??
+					performance.now();
 			}
 		}
 	}
@@ -411,7 +412,7 @@
 			connection.send(this.#makeHello());
 		});
 		peer.connection = connection;
-		peer.unansweredPingAt = undefined;
+		peer.pingedAt = undefined;
 		peer.dialledAt = performance.now();
 	}
 
@@ -613,10 +614,10 @@
 }
 
 function getActivity(
-	{unansweredPingAt}: Peer,
+	{pingedAt}: Peer,
 	{lastReceivedAt}: Connection,
 ): LinkActivity {
-	return {lastReceivedAt, unansweredPingAt};
+	return {lastReceivedAt, pingedAt};
 }
 
 function splitAddress(address: string): [string, number] {
