--- a/packages/host/src/scheduling/start-scheduling-host.ts
+++ b/packages/host/src/scheduling/start-scheduling-host.ts
@@ -198,7 +198,7 @@
 		this.#executors.start(signal);
 		this.#scheduleUpdate();
 		this.#usageTimer = setInterval(() => {
-			this.#logUsage();
+			this.#reportUsage();
 		}, usageLogIntervalMs);
 	}
 
@@ -316,7 +316,7 @@
 		);
 	}
 
-	#logUsage(): void {
+	#reportUsage(): void {
 		const work = [...this.#work.list()].map(([cause, {seconds, count}]) => [
 			cause,
 			{ms: Math.round(seconds * msPerSecond), count},
