Give the hosts of a trial different ports, and keep the reason of a failed start

Cause: a host's three ports were drawn one by one, each closed again before the next, so two of them could be the same: 3 in 14,000 a host, some 0.13% a start of six hosts. The host then ends at its start (EADDRINUSE).

--- a/packages/trials/src/layout.ts
+++ b/packages/trials/src/layout.ts
@@ -6,7 +6,7 @@
 A host's source IP is its own, so that executors tell data centres apart by it.
 */
 import {type Executor, type ServiceSpec} from '@gentianshift/resources';
-import {findFreePort} from './ports.js';
+import {findFreePorts} from './ports.js';
 
 export type TargetLayout = {
 	executorsPerDataCentre: number;
@@ -71,11 +71,10 @@
 		})),
 	);
 	return Promise.all(
-		places.map(async (place) => ({
-			...place,
-			callersPort: await findFreePort(place.ip),
-			innerPort: await findFreePort(place.ip),
-		})),
+		places.map(async (place) => {
+			const [callersPort, innerPort] = await findFreePorts(place.ip, 2);
+			return {...place, callersPort: callersPort!, innerPort: innerPort!};
+		}),
 	);
 }
 
--- a/packages/trials/src/ports.ts
+++ b/packages/trials/src/ports.ts
@@ -11,14 +11,21 @@
 const firstPort = 18_000;
 const lastPort = 32_000;
 
-/** Finds a port that nothing listens on at this IP. */
-export async function findFreePort(ip: string): Promise<number> {
-	for (;;) {
-		const port = firstPort + Math.floor(Math.random() * (lastPort - firstPort));
-		if (await isFree(ip, port)) {
-			return port;
+/** Finds different ports that nothing listens on at this IP. */
+export async function findFreePorts(
+	ip: string,
+	count: number,
+	random: () => number = Math.random,
+): Promise<number[]> {
+	const ports = new Set<number>();
+	while (ports.size < count) {
+		const port = firstPort + Math.floor(random() * (lastPort - firstPort));
+		if (!ports.has(port) && (await isFree(ip, port))) {
+			ports.add(port);
 		}
 	}
+
+	return [...ports];
 }
 
 async function isFree(ip: string, port: number): Promise<boolean> {
--- a/packages/trials/src/processes.ts
+++ b/packages/trials/src/processes.ts
@@ -107,7 +107,7 @@
 /** Asks again and again until there is a value; throws when the limit is over. */
 export async function waitFor<T>(
 	probe: () => Promise<T | undefined> | T | undefined,
-	what: string,
+	what: string | (() => string),
 	limitMs: number,
 ): Promise<T> {
 	const end = performance.now() + limitMs;
@@ -120,5 +120,6 @@
 		await delay(pollMs);
 	}
 
-	throw new Error(`waited ${limitMs} ms for ${what}`);
+	const text = typeof what === 'string' ? what : what();
+	throw new Error(`waited ${limitMs} ms for ${text}`);
 }
--- a/packages/trials/src/scheduling/system.ts
+++ b/packages/trials/src/scheduling/system.ts
@@ -2,7 +2,7 @@
 A whole system on the users' platform's protocol, for trials: the metadata store and executors as
 stand-ins in the test's process, hosts as processes of their own, each at its own loopback IP.
 */
-import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {mkdtempSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
 import os from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
@@ -10,7 +10,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {LeasedExecutor, MetadataStore, RelayLink} from '@gentianshift/standins';
 import {request} from 'undici';
-import {findFreePort} from '../ports.js';
+import {findFreePorts} from '../ports.js';
 import {
 	endProcess,
 	ProcessGroup,
@@ -31,6 +31,8 @@
 const readyLimitMs = 15_000;
 /** Hosts hang up on a silent peer within this time, and have dialled it anew after another. */
 const hangUpMs = 3200;
+/** Characters of a host's output that tell why it is not ready. */
+const tailLength = 2000;
 
 export type SchedulingHostProcess = {
 	name: string;
@@ -200,7 +202,8 @@
 		for (const host of hosts) {
 			await waitFor(
 				async () => ((await isReady(host)) ? true : undefined),
-				`${host.name} to be ready`,
+				() =>
+					`${host.name} to be ready; it wrote last: ${readLastOutput(host)}`,
 				readyLimitMs,
 			);
 		}
@@ -276,11 +279,10 @@
 		{hasRelay, cores}: {hasRelay: boolean; cores?: number},
 	): Promise<SchedulingHostProcess> {
 		const ip = this.#takeIp();
-		const [callers, readiness, inner] = [
-			`${ip}:${await findFreePort(ip)}`,
-			`${ip}:${await findFreePort(ip)}`,
-			`${ip}:${await findFreePort(ip)}`,
-		];
+		const ports = await findFreePorts(ip, 3);
+		const [callers = '', readiness = '', inner = ''] = ports.map(
+			(port) => `${ip}:${port}`,
+		);
 		const settingsFile = path.join(this.#dir, `${name}.conf`);
 		writeFileSync(
 			settingsFile,
@@ -377,6 +379,12 @@
 	await endProcess(host.process, signal);
 }
 
+function readLastOutput({
+	process: {outputFile},
+}: SchedulingHostProcess): string {
+	return readFileSync(outputFile, 'utf8').slice(-tailLength);
+}
+
 async function isReady({readiness}: SchedulingHostProcess): Promise<boolean> {
 	try {
 		const reply = await request(`http://${readiness}/v1/readyz`, {
