Cut what trials mean to cut, and look only at what a cut closes

Cause: hosts that meet before they read the list are connected past the relays. The set-up paused the hosts of one data centre, and relied on the others' hanging up on what these had dialled; since such connections are kept for 60 s. So links out of that data centre stayed past the relays and no cut closed them, here and in the soak. And the check counted links closed by the set-up itself. Change: the hosts of each data centre are paused in turn, so that each side closes what it dialled, and the set-up waits until each host's relay carries a connection from each host outside (fails if not). The check counts only links that are closed after the cut, which is stricter. Bounds are untouched.

--- a/packages/standins/src/relay.ts
+++ b/packages/standins/src/relay.ts
@@ -50,6 +50,11 @@
 		return this.#port;
 	}
 
+	/** Connections through this link that are open now. */
+	get connectionCount(): number {
+		return this.#passages.size;
+	}
+
 	/** Opens the listening port; where it was any free one, the same is taken after a cut. */
 	async open(): Promise<void> {
 		const server = createServer((socket) => {
--- a/packages/trials/src/scheduling/cut.test.ts
+++ b/packages/trials/src/scheduling/cut.test.ts
@@ -29,6 +29,12 @@
 	return Promise.all(replies);
 }
 
+/** How many connections to other hosts it has lost so far, by its log. */
+function countClosedLinks({process}: SchedulingHostProcess): number {
+	const output = readFileSync(process.outputFile, 'utf8');
+	return output.match(/"msg":"link down"/gv)?.length ?? 0;
+}
+
 function countServed(replies: readonly JobReply[]): number {
 	return replies.filter(({state}) => state === 'completed').length;
 }
@@ -38,20 +44,21 @@
 // side are told at once, before their time is over.
 test('both sides of a cut go on serving and no task runs twice', async (context) => {
 	const system = await openSystem(context, {hasRelays: true});
-	await system.sendThroughRelays('mieres');
+	await system.sendThroughRelays();
 	const before = await submitInTurn(system.hosts, {jobs: 12, everyMs: 60});
 	assert.equal(countServed(before), 12);
 
 	const during = submitInTurn(system.hosts, {jobs: 40, everyMs: 60});
 	await delay(300);
+	const linesBefore = system.hosts.map((host) => countClosedLinks(host));
 	await system.applyCut('mieres');
 	const hit = await during;
 	const unanswered = hit.filter(({tookMs}) => tookMs > patienceMs);
 	assert.deepEqual(unanswered, []);
 	await delay(noticedMs);
-	for (const {process, name} of system.hosts) {
-		const output = readFileSync(process.outputFile, 'utf8');
-		assert.match(output, /"msg":"link down"/v, `${name} noticed no cut`);
+	for (const [i, host] of system.hosts.entries()) {
+		const closed = countClosedLinks(host) - linesBefore[i]!;
+		assert.ok(closed > 0, `${host.name} noticed no cut`);
 	}
 
 	const apart = await submitInTurn(system.hosts, {jobs: 24, everyMs: 60});
--- a/packages/trials/src/scheduling/soak-run.ts
+++ b/packages/trials/src/scheduling/soak-run.ts
@@ -46,7 +46,7 @@
 		hasRelays: true,
 	});
 	try {
-		await system.sendThroughRelays(dataCentres[0]!);
+		await system.sendThroughRelays();
 		return await runFaults(system, seed, durationMs);
 	} finally {
 		await system.end();
--- a/packages/trials/src/scheduling/system.ts
+++ b/packages/trials/src/scheduling/system.ts
@@ -31,6 +31,7 @@
 const readyLimitMs = 15_000;
 /** Hosts hang up on a silent peer within this time, and have dialled it anew after another. */
 const hangUpMs = 3200;
+const relayLimitMs = 5000;
 /** Characters of a host's output that tell why it is not ready. */
 const tailLength = 2000;
 
@@ -219,21 +220,25 @@
 	}
 
 	/**
-	Hosts that met before they had read the list are connected past the relays. A pause of one side
-	makes them hang up; dialled anew, they take the listed addresses.
+	Hosts that met before they had read the list are connected past the relays. While the hosts of a data centre are
+	paused, all others close what they dialled there; dialled anew, it is at the listed addresses.
 	*/
-	async sendThroughRelays(dataCentre: string): Promise<void> {
-		const inside = this.hosts.filter((host) => host.dataCentre === dataCentre);
-		for (const {process} of inside) {
-			process.child.kill('SIGSTOP');
+	async sendThroughRelays(): Promise<void> {
+		const dataCentres = new Set(this.hosts.map(({dataCentre}) => dataCentre));
+		for (const dataCentre of dataCentres) {
+			await this.#stopBriefly(dataCentre);
 		}
 
-		await delay(hangUpMs);
-		for (const {process} of inside) {
-			process.child.kill('SIGCONT');
+		for (const host of this.hosts) {
+			const outside = this.hosts.filter(
+				({dataCentre}) => dataCentre !== host.dataCentre,
+			);
+			await waitFor(
+				() => host.relay!.connectionCount >= outside.length || undefined,
+				`${outside.length} hosts to reach ${host.name} through its relay`,
+				relayLimitMs,
+			);
 		}
-
-		await delay(hangUpMs);
 	}
 
 	/** Cuts a data centre off from the others and from the store: nothing answers, nothing is closed. */
@@ -273,6 +278,20 @@
 		return host.process.outputFile;
 	}
 
+	async #stopBriefly(dataCentre: string): Promise<void> {
+		const inside = this.hosts.filter((host) => host.dataCentre === dataCentre);
+		for (const {process} of inside) {
+			process.child.kill('SIGSTOP');
+		}
+
+		await delay(hangUpMs);
+		for (const {process} of inside) {
+			process.child.kill('SIGCONT');
+		}
+
+		await delay(hangUpMs);
+	}
+
 	async #makeHost(
 		name: string,
 		dataCentre: string,
