Ping all peers as soon as a holder is found silent

Cause: after a holder fell silent (0.6 s) peers were pinged with the next heartbeat, up to 0.9 s later, so a host behind the same cut was found out of reach after up to 2.8 s, 2.2 s before; entries ask it in vain until then. Change: the mesh asks at each tick (0.18 s) whether pings are urgent; they are when a group's holder has fallen silent since the tick before. At most 0.6 + 0.18 + 1.1 + 0.18 s by the constants. Ruled out: to judge each peer at each tick (97 peers, 5.6 times a second, for nothing on a quiet host).

--- a/packages/host/src/scheduling/host-roles.ts
+++ b/packages/host/src/scheduling/host-roles.ts
@@ -23,7 +23,7 @@
 import {type GroupState, type Link, type Message} from '@gentianshift/protocol';
 import {type ExecutorLists} from './executor-lists.js';
 import {GroupHolding} from './group-holding.js';
-import {choosePingInterval} from './ping-intervals.js';
+import {choosePingInterval, createSilenceWatch} from './ping-intervals.js';
 import {measureStoreAge} from './store-age.js';
 
 export type HostRolesOptions = {
@@ -81,6 +81,7 @@
 	readonly #options: HostRolesOptions;
 	readonly #runTimes = createRunTimes();
 	readonly #succession = createSuccession();
+	readonly #watchSilence = createSilenceWatch();
 	/** The entry on the scheduler's own host. */
 	readonly #localEntry: Entry;
 	/** A host with more cores that is asked to take the group over. */
@@ -129,6 +130,11 @@
 		});
 	}
 
+	/** Whether a group's holder has fallen silent since the last call. */
+	hasNewSilence(): boolean {
+		return this.#watchSilence(this.groups.list(), this.#options.now());
+	}
+
 	/** Whether this host has no job, holds no group, and is not among the first to take one over. */
 	isIdle(): boolean {
 		const now = this.#options.now();
--- a/packages/host/src/scheduling/ping-intervals.test.ts
+++ b/packages/host/src/scheduling/ping-intervals.test.ts
@@ -6,6 +6,7 @@
 import {type KnownGroup} from '@gentianshift/scheduling';
 import {
 	choosePingInterval,
+	createSilenceWatch,
 	pingIntervals,
 	type PingContext,
 } from './ping-intervals.js';
@@ -81,3 +82,20 @@
 	assert.equal(atAge(9900), pingIntervals.awaitedMs);
 	assert.equal(atAge(10_100), pingIntervals.idleMs);
 });
+
+// Guards against a cut that is noticed by a heartbeat later than the holder's silence, once for each host behind it.
+test('a holder that falls silent is told once, and again when it was heard meanwhile', () => {
+	const watchSilence = createSilenceWatch();
+	const tellAtAges = (...agesMs: number[]) =>
+		watchSilence(
+			agesMs.map((ageMs, i) => makeGroup(`centre${i}`, now - ageMs)),
+			now,
+		);
+	assert.equal(tellAtAges(100, 100), false);
+	assert.equal(tellAtAges(700, 100), true);
+	assert.equal(tellAtAges(880, 100), false);
+	assert.equal(tellAtAges(1060, 700), true);
+	assert.equal(tellAtAges(100, 880), false);
+	assert.equal(tellAtAges(700, 1060), true);
+	assert.equal(tellAtAges(10_100, 10_100), false);
+});
--- a/packages/host/src/scheduling/ping-intervals.ts
+++ b/packages/host/src/scheduling/ping-intervals.ts
@@ -45,6 +45,25 @@
 	return isHolderLink ? pingIntervals.holderMs : pingIntervals.idleMs;
 }
 
+/**
+Tells, at each call, whether a group's holder has fallen silent since the call before. Peers are then pinged without
+waiting for the next heartbeat: whatever cut the holder off may have cut them off as well.
+*/
+export function createSilenceWatch(): (
+	groups: readonly KnownGroup[],
+	now: number,
+) => boolean {
+	let silentBefore = new Set<string>();
+	return (groups, now) => {
+		const silent = groups
+			.filter((known) => isSuspected(known, now))
+			.map(({holder, state: {group, token}}) => `${group} ${token} ${holder}`);
+		const hasNew = silent.some((one) => !silentBefore.has(one));
+		silentBefore = new Set(silent);
+		return hasNew;
+	};
+}
+
 /** The holder has just fallen silent: any host may be the next one, and others may be out of reach as well. */
 function isSuspected(known: KnownGroup, now: number): boolean {
 	return isSilent(known, now) && now - known.lastHeardAt < suspicionMs;
--- a/packages/host/src/scheduling/start-scheduling-host.ts
+++ b/packages/host/src/scheduling/start-scheduling-host.ts
@@ -397,6 +397,7 @@
 			pingIntervalMs: pingIntervals.awaitedMs,
 			longestPingIntervalMs: pingIntervals.idleMs,
 			choosePingInterval: (key) => this.#roles.choosePingInterval(key),
+			isPingUrgent: () => this.#roles.hasNewSilence(),
 			isToldLeavingAtOnce: (peer) => peer.dataCentre === dataCentre,
 			handlers: createSchedulingHandlers({
 				work: this.#work,
--- a/packages/protocol/src/mesh.test.ts
+++ b/packages/protocol/src/mesh.test.ts
@@ -259,6 +259,68 @@
 	assert.deepEqual(closeReasons, []);
 });
 
+test('an idle link that has gone silent is closed without waiting for a heartbeat once pings are urgent', async (context) => {
+	// A data centre is cut off. Its holder's silence is noticed first; the hosts there that hold nothing are pinged
+	// rarely, and callers would be kept waiting for what those hosts can tell.
+	const address = await findFreeAddress();
+	const [ip, port] = address.split(':');
+	const silentPeer = net.createServer((socket) => {
+		context.after(() => {
+			socket.destroy();
+		});
+		socket.write(
+			encodeFrame([
+				{
+					t: 'hello',
+					version: 1,
+					dataCentre: 'mieres',
+					host: 'm2',
+					incarnation,
+					address,
+					isLeaving: false,
+					silenceLimitMs: 20_200,
+				},
+			]),
+		);
+	});
+	await new Promise<void>((resolve) => {
+		silentPeer.listen(Number(port), ip, resolve);
+	});
+	context.after(() => {
+		silentPeer.close();
+	});
+	let isUrgent = false;
+	let closedAt = Infinity;
+	const {mesh} = await startMesh(
+		context,
+		'm1',
+		{
+			onLinkDown() {
+				closedAt = Math.min(closedAt, performance.now());
+			},
+		},
+		undefined,
+		{
+			pingIntervalMs: 900,
+			longestPingIntervalMs: 10_000,
+			choosePingInterval: () => (isUrgent ? 900 : 10_000),
+			isPingUrgent: () => isUrgent,
+		},
+	);
+	mesh.setPeers([{dataCentre: 'mieres', host: 'm2', address}]);
+	while (!mesh.findLink('mieres_m2')) {
+		await delay(10);
+	}
+
+	// Just after a heartbeat, when the next one is farthest away.
+	await delay(1000);
+	isUrgent = true;
+	const urgentAt = performance.now();
+	await delay(1700);
+	const tookMs = Math.round(closedAt - urgentAt);
+	assert.ok(tookMs <= 1500, `${tookMs} ms`);
+});
+
 /** Starts a TCP proxy to an address; `reset` resets all its connections together. */
 async function startRelay(context: TestContext, target: string) {
 	const [ip, port] = target.split(':');
--- a/packages/protocol/src/mesh.ts
+++ b/packages/protocol/src/mesh.ts
@@ -96,6 +96,8 @@
 	longestPingIntervalMs?: number;
 	/** Interval between pings to this peer while nothing arrives from it. Absent: `pingIntervalMs`. */
 	choosePingInterval?: (key: string) => number;
+	/** Asked at each timer tick; true: pings that are due go out now and not with the next heartbeat. */
+	isPingUrgent?: () => boolean;
 	/** Whether this peer learns at once that this host is leaving, and not with the next heartbeat. Absent: all. */
 	isToldLeavingAtOnce?: (peer: PeerAddress) => boolean;
 };
@@ -294,10 +296,15 @@
 		this.#closeSilentConnections(now);
 		this.#dialDuePeers(now);
 		this.#tickCount += 1;
-		if (this.#tickCount % ticksPerPing === 0) {
+		const isHeartbeat = this.#tickCount % ticksPerPing === 0;
+		const isUrgent = this.options.isPingUrgent?.() ?? false;
+		if (isHeartbeat || isUrgent) {
 			this.#sendPings((peer, connection) =>
 				isPingDue(getActivity(peer, connection), this.#getInterval(peer), now),
 			);
+		}
+
+		if (isHeartbeat) {
 			this.options.handlers.onHeartbeat();
 		}
 	}
