End the timer of a renewal's pause with the pause

Cause: a start ends the pause between two renewals of an executor, but its timer and its listener on the session's signal stayed until the second was over. Change: a pause has a signal of its own, which a start, a stop or the end of the session aborts.

--- a/packages/scheduling/src/executor-session.ts
+++ b/packages/scheduling/src/executor-session.ts
@@ -101,8 +101,8 @@
 	readonly #closing = new AbortController();
 	/** Until then none of its capacity counts as free: the executor has refused a start for lack of free capacity. */
 	#fullUntil = -Infinity;
-	/** The pause between two renewals; undefined: no pause is going on. */
-	#idlePause: {end: () => void} | undefined;
+	/** Ends the pause between two renewals; undefined: no pause is going on. */
+	#idlePause: AbortController | undefined;
 
 	constructor(
 		executor: Executor,
@@ -223,6 +223,7 @@
 		}
 
 		this.#closing.abort();
+		this.#idlePause?.abort();
 		this.ports.control.forgetExecutor(this.#executor);
 	}
 
@@ -245,7 +246,7 @@
 		};
 		this.#runTable.add(run);
 		this.#calls.start(run, spec);
-		this.#idlePause?.end();
+		this.#idlePause?.abort();
 	}
 
 	/**
@@ -254,7 +255,7 @@
 	*/
 	stop(run: Run, stopBy: number): void {
 		this.#calls.stop(run, stopBy);
-		this.#idlePause?.end();
+		this.#idlePause?.abort();
 	}
 
 	/** To be called when the store no longer lists the executor: it counts as gone, so its runs are stopped. */
@@ -333,12 +334,15 @@
 		}
 	}
 
-	/** Waits until the time is over, a start or stop is sent, or the session is closed. */
+	/**
+	Waits until the time is over, a start or stop is sent, or the session is closed. The timer ends with the pause:
+	otherwise each start would leave one behind that wakes the process later for nothing.
+	*/
 	async #waitIdle(ms: number): Promise<void> {
-		await new Promise<void>((resolve) => {
-			this.#idlePause = {end: resolve};
-			void this.ports.wait(ms, this.#closing.signal).then(resolve);
-		});
+		const pause = new AbortController();
+		this.#idlePause = pause;
+		await this.ports.wait(ms, pause.signal);
+		this.#idlePause = undefined;
 	}
 
 	/**
--- a/packages/scheduling/src/virtual-clock.fixture.ts
+++ b/packages/scheduling/src/virtual-clock.fixture.ts
@@ -6,6 +6,8 @@
 
 export class VirtualClock {
 	now = 0;
+	/** Waits that go on and can be ended by a signal. */
+	waitCount = 0;
 	readonly #timers: Timer[] = [];
 
 	/** Resolves after `ms` virtual milliseconds, or when the signal is aborted. */
@@ -15,11 +17,15 @@
 		}
 
 		await new Promise<void>((resolve) => {
+			let isOver = false;
 			const end = () => {
+				this.waitCount -= Number(signal !== undefined && !isOver);
+				isOver = true;
 				signal?.removeEventListener('abort', end);
 				resolve();
 			};
 
+			this.waitCount += Number(signal !== undefined);
 			this.schedule(ms, end);
 			signal?.addEventListener('abort', end);
 		});
