Pass recalls on through three hosts, and do not wait for each new connection

Cause: after all hosts lost power, each first request on a connection asked every linked host for other copies, and each of these passed the question on to every host that the asker had no connection to: up to 48 x 47 messages a job while half of 97 hosts are linked. And each connection that came up had each waiting job wait 100 ms more, so that jobs waited, and were refused, for as long as the mesh grew. Change: three relays a host, of its own data centre where it has three (recall-relays.ts); a host met for the first time in this process's life is waited for only in the first 100 ms of a recall; one log line a job. Ruled out: power and start (all 97 hosts served 0.6 s after the power, groups held after 0.3 to 0.5 s).

--- a/packages/scheduling/src/copy-check.ts
+++ b/packages/scheduling/src/copy-check.ts
@@ -24,6 +24,8 @@
 	/** Hosts whose entries have yet to answer, and when their time to answer ends; undefined: no entry was asked. */
 	hostsToAnswer?: Map<string, number>;
 	hostsAnswered: Set<string>;
+	/** From then on no host is waited for that connects for the first time; undefined: no entry was asked. */
+	newHostsAwaitedUntil?: number;
 };
 
 export function createCopyCheck(now: number): CopyCheck {
--- a/packages/scheduling/src/copy-recall.ts
+++ b/packages/scheduling/src/copy-recall.ts
@@ -13,10 +13,13 @@
 import {type EntryJob} from './entry-job.js';
 import {type LostHolders} from './lost-holders.js';
 import {parseProcessId} from './process-id.js';
+import {chooseRelays} from './recall-relays.js';
 import {entryAnswerLimitMs} from './timing.js';
 
 /** A host that no reachable host could pass a recall on to is ignored for this long: it causes no further recalls. */
 const ignoreUnreachableMs = 1000;
+/** Most hosts without an answer that a log line names. */
+const maxHostsLogged = 5;
 
 /** The other hosts and the connections to them. */
 export type EntryPeers = {
@@ -52,8 +55,12 @@
 	ask: (job: EntryJob) => void;
 	/** A connection to the host was established: sends the recalls that wait for it. */
 	sendPending: (host: string) => void;
-	/** A connection to the host was established: asks its entry about this job, unless it has answered. */
-	askAgain: (job: EntryJob, host: string) => void;
+	/**
+	A connection to the host was established: asks its entry about this job, unless it has answered. `isNew`: it is the first
+	one in this process's life. Such hosts are waited for only right after the others were asked: while all hosts start,
+	connections come up for seconds, and a job that waited anew with each of them would be refused.
+	*/
+	askAgain: (job: EntryJob, host: string, options: {isNew: boolean}) => void;
 	/** Whether every entry that could be asked has answered, or its time to answer is over. */
 	isAnswered: (job: EntryJob) => boolean;
 	/** Another entry asks for this entry's copy; `from` is the host that sent or forwarded the message. */
@@ -90,7 +97,10 @@
 			entry: self,
 			passTo,
 		});
-		job.copyCheck?.hostsToAnswer?.set(host, now() + entryAnswerLimitMs);
+	}
+
+	function waitForAnswer(check: CopyCheck | undefined, host: string): void {
+		check?.hostsToAnswer?.set(host, now() + entryAnswerLimitMs);
 	}
 
 	function ignoreUnreachable({hostsAnswered}: CopyCheck): void {
@@ -131,14 +141,19 @@
 				return;
 			}
 
-			const hostsToAnswer = new Map<string, number>();
-			copyCheck.hostsToAnswer = hostsToAnswer;
+			copyCheck.hostsToAnswer = new Map();
+			copyCheck.newHostsAwaitedUntil = now() + entryAnswerLimitMs;
 			const unlinked = listUnlinked();
-			for (const host of peers.listHosts()) {
-				if (peers.isLinked(host)) {
-					sendRecall(job, host, unlinked);
-				} else if (lostHolders.isReconnecting(host, now())) {
-					hostsToAnswer.set(host, now() + entryAnswerLimitMs);
+			const linked = peers.listHosts().filter((host) => peers.isLinked(host));
+			const relays = chooseRelays(unlinked, linked);
+			for (const host of linked) {
+				sendRecall(job, host, relays.get(host) ?? []);
+				waitForAnswer(copyCheck, host);
+			}
+
+			for (const host of unlinked) {
+				if (lostHolders.isReconnecting(host, now())) {
+					waitForAnswer(copyCheck, host);
 				}
 			}
 		},
@@ -154,10 +169,15 @@
 				(recall) => recall.host !== host && now() <= recall.until,
 			);
 		},
-		askAgain(job, host) {
+		askAgain(job, host, {isNew}) {
 			const {copyCheck} = job;
-			if (copyCheck?.hostsToAnswer && !copyCheck.hostsAnswered.has(host)) {
-				sendRecall(job, host, []);
+			if (!copyCheck?.hostsToAnswer || copyCheck.hostsAnswered.has(host)) {
+				return;
+			}
+
+			sendRecall(job, host, []);
+			if (!isNew || now() < (copyCheck.newHostsAwaitedUntil ?? Infinity)) {
+				waitForAnswer(copyCheck, host);
 			}
 		},
 		isAnswered({request, copyCheck}) {
@@ -166,15 +186,20 @@
 				return true;
 			}
 
-			for (const [host, until] of hostsToAnswer) {
-				if (now() > until) {
-					hostsToAnswer.delete(host);
-					log('an entry does not say whether it has a copy', {
-						job: request.id,
-						host,
-						isLinked: peers.isLinked(host),
-					});
-				}
+			const late = [...hostsToAnswer].flatMap(([host, until]) =>
+				now() > until ? host : [],
+			);
+			for (const host of late) {
+				hostsToAnswer.delete(host);
+			}
+
+			if (late.length > 0) {
+				log('entries do not say whether they have a copy', {
+					job: request.id,
+					count: late.length,
+					hosts: late.slice(0, maxHostsLogged),
+					linked: late.filter((host) => peers.isLinked(host)).length,
+				});
 			}
 
 			if (hostsToAnswer.size > 0) {
@@ -238,7 +263,7 @@
 			check.hostsAnswered.add(message.host);
 			for (const host of message.passedTo) {
 				if (!check.hostsAnswered.has(host)) {
-					check.hostsToAnswer.set(host, now() + entryAnswerLimitMs);
+					waitForAnswer(check, host);
 				}
 			}
 
--- a/packages/scheduling/src/entry-jobs.ts
+++ b/packages/scheduling/src/entry-jobs.ts
@@ -333,10 +333,11 @@
 
 	/** A connection to a host's process was established. */
 	markLinkUp(host: string, incarnation: string): void {
+		const isNew = !this.#lostHolders.hasMet(host);
 		this.#lostHolders.markConnected(host, incarnation);
 		this.#recall.sendPending(host);
 		for (const job of this.#jobs.values()) {
-			this.#recall.askAgain(job, host);
+			this.#recall.askAgain(job, host, {isNew});
 		}
 	}
 
--- a/packages/scheduling/src/lost-holders.ts
+++ b/packages/scheduling/src/lost-holders.ts
@@ -29,6 +29,8 @@
 	markDisconnected: (host: string, incarnation: string, at: number) => void;
 	/** A connection to the host is back. Only the same process as before knows what it started, so a new process does not clear the loss. */
 	markConnected: (host: string, incarnation: string) => void;
+	/** Whether this process has ever been connected to the host. */
+	hasMet: (host: string) => boolean;
 	/** Whether the connection to the host is still within the time in which it is normally re-established. */
 	isReconnecting: (host: string, now: number) => boolean;
 	/** Whether the connection to the group's holder broke and was not re-established in time. */
@@ -62,6 +64,7 @@
 ): LostHolders {
 	let lostProcesses: LostProcess[] = [];
 	const disconnectedAt = new Map<string, number>();
+	const metHosts = new Set<string>();
 
 	function listUnreachable(lostHost: string, at: number): CopyPlace[] {
 		return groups
@@ -90,11 +93,13 @@
 			});
 		},
 		markConnected(host, incarnation) {
+			metHosts.add(host);
 			disconnectedAt.delete(host);
 			lostProcesses = lostProcesses.filter(
 				(lost) => lost.host !== host || lost.incarnation !== incarnation,
 			);
 		},
+		hasMet: (host) => metHosts.has(host),
 		isReconnecting: (host, now) =>
 			now - (disconnectedAt.get(host) ?? startedAt) <= reconnectLimitMs,
 		isLost(group, now) {
