Dial the hosts that callers wait for first, and far weak ones in the background

Cause: after a loss of power a host dials and accepts 96 connections at once. Change: eight dials wait for an answer at a time; holders go first, then the hosts with the most cores, near before far; a far host is dialled four a tick, after the others, where neither of the two may hold a group. Hosts register their cores, so that the order is known before they meet. Ruled out: the mesh's own code (96 links and sessions cost 51 ms of processor time in a single process on this machine).

--- a/packages/host/src/scheduling/start-scheduling-host.ts
+++ b/packages/host/src/scheduling/start-scheduling-host.ts
@@ -5,7 +5,12 @@
 import {performance} from 'node:perf_hooks';
 import process from 'node:process';
 import {loadHash, type Hash64} from '@gentianshift/membership';
-import {Mesh, type Link} from '@gentianshift/protocol';
+import {
+	formatHostKey,
+	Mesh,
+	type Link,
+	type PeerAddress,
+} from '@gentianshift/protocol';
 import {
 	type EntryJob,
 	type JobAnswer,
@@ -18,6 +23,7 @@
 import {createIdentity} from '../identity.js';
 import {createMeter} from '../meter.js';
 import {waitFor} from '../timers.js';
+import {rankDial} from './dial-order.js';
 import {createExecutorLists, type ExecutorLists} from './executor-lists.js';
 import {createHostPresence, type HostPresence} from './host-presence.js';
 import {HostRoles} from './host-roles.js';
@@ -134,7 +140,13 @@
 		const {log, dependencies, address} = options;
 		const {random} = Math;
 		this.#presence = createHostPresence({
-			self: {...options.host, role: 'entry', address, state: 'live'},
+			self: {
+				...options.host,
+				role: 'entry',
+				address,
+				state: 'live',
+				cores: options.cores,
+			},
 			store: dependencies.store,
 			random,
 			onRegistered: () => {
@@ -315,6 +327,26 @@
 		);
 	}
 
+	#rankDial(peer: PeerAddress): number {
+		const {view} = this.#directory;
+		const {groups, holding} = this.#roles;
+		const key = formatHostKey(peer);
+		return rankDial(
+			{
+				isNear: peer.dataCentre === this.#options.host.dataCentre,
+				isHolder: groups.list().some(({holder}) => holder === key),
+				cores: view.getCores(key),
+			},
+			{
+				own: {
+					isHolder: holding.scheduler !== undefined,
+					cores: view.getCores(this.#identity.key),
+				},
+				mostCores: view.getMostCores(),
+			},
+		);
+	}
+
 	#reportUsage(): void {
 		const work = [...this.#work.list()].map(([cause, {seconds, count}]) => [
 			cause,
@@ -397,6 +429,7 @@
 			pingIntervalMs: pingIntervals.awaitedMs,
 			longestPingIntervalMs: pingIntervals.idleMs,
 			choosePingInterval: (key) => this.#roles.choosePingInterval(key),
+			rankDial: (peer) => this.#rankDial(peer),
 			isPingUrgent: () => this.#roles.hasNewSilence(),
 			isToldLeavingAtOnce: (peer) => peer.dataCentre === dataCentre,
 			handlers: createSchedulingHandlers({
--- a/packages/membership/src/host-view.ts
+++ b/packages/membership/src/host-view.ts
@@ -61,8 +61,10 @@
 	*/
 	listEligible: (dataCentre: string, now: number) => string[];
 	isLive: (key: string, now: number) => boolean;
-	/** Cores that the host said it may use; 1 if it said nothing. */
+	/** Cores that the host may use, by its own word or else the platform's list; 1 if neither says. */
 	getCores: (key: string) => number;
+	/** The most cores that any known host may use. */
+	getMostCores: () => number;
 	/**
 	Whether the platform's list has the worker as leaving; `ip`: an IP of one of its executors, with
 	or without a port.
@@ -114,8 +116,10 @@
 	readonly #reportedHosts = new Map<string, ReportedHost>();
 	readonly #contactedHosts = new Map<string, ContactedHost>();
 	#isLeaving = false;
+	#mostCores: number;
 
 	constructor(self: KnownHost) {
+		this.#mostCores = self.cores ?? defaultCores;
 		this.#self = self;
 		this.#selfKey = formatHostKey(self);
 	}
@@ -126,6 +130,10 @@
 				.filter(({role}) => role === 'entry')
 				.map((host) => [formatHostKey(host), host] as const),
 		);
+		this.#mostCores = Math.max(
+			this.#self.cores ?? defaultCores,
+			...hosts.map(({cores = defaultCores}) => cores),
+		);
 		this.#leavingWorkers = new Set(
 			hosts
 				.filter(({role, state}) => role === 'worker' && state === 'leaving')
@@ -226,7 +234,11 @@
 	getCores(key: string): number {
 		const host =
 			key === this.#selfKey ? this.#self : this.#contactedHosts.get(key)?.host;
-		return host?.cores ?? defaultCores;
+		return host?.cores ?? this.#listedHosts.get(key)?.cores ?? defaultCores;
+	}
+
+	getMostCores(): number {
+		return this.#mostCores;
 	}
 
 	isWorkerLeaving(ip: string): boolean {
--- a/packages/protocol/src/mesh.test.ts
+++ b/packages/protocol/src/mesh.test.ts
@@ -321,6 +321,40 @@
 	assert.ok(tookMs <= 1500, `${tookMs} ms`);
 });
 
+test('of many new peers a few are dialled at a time, those of the lowest rank first', async (context) => {
+	// All hosts start together. A host that worked on a hundred connections at once would have those that its
+	// callers wait for last.
+	const reached: string[] = [];
+	const peers = await Promise.all(
+		Array.from({length: 20}, async (_, i) => {
+			const host = `m${i + 10}`;
+			const server = net.createServer((socket) => {
+				reached.push(host);
+				context.after(() => {
+					socket.destroy();
+				});
+			});
+			await new Promise<void>((resolve) => {
+				server.listen(0, '127.0.0.1', resolve);
+			});
+			context.after(() => {
+				server.close();
+			});
+			const {port} = server.address() as AddressInfo;
+			return {dataCentre: 'mieres', host, address: `127.0.0.1:${port}`};
+		}),
+	);
+	const {mesh} = await startMesh(context, 'm1', {}, undefined, {
+		rankDial: ({host}) => -Number(host.slice(1)),
+	});
+	mesh.setPeers(peers);
+	await delay(100);
+	const expected = peers.slice(-8).map(({host}) => host);
+	assert.deepEqual(reached.toSorted(), expected);
+	await delay(1000);
+	assert.equal(new Set(reached).size, peers.length);
+});
+
 /** Starts a TCP proxy to an address; `reset` resets all its connections together. */
 async function startRelay(context: TestContext, target: string) {
 	const [ip, port] = target.split(':');
--- a/packages/protocol/src/mesh.ts
+++ b/packages/protocol/src/mesh.ts
@@ -41,6 +41,13 @@
 the same time would keep closing each other's dials and never connect.
 */
 const pendingDialGraceMs = 200;
+/**
+Most dials that wait for their hello at a time; older ones than `pendingDialGraceMs` don't count. A host that starts with
+hundreds of others would otherwise work on all connections at once, and have those that its callers wait for last.
+*/
+const maxPendingDials = 8;
+/** Peers that nobody waits for are dialled with the timer's ticks, so many at a time. */
+const backgroundDialsPerTick = 4;
 const maxRedialDelayMs = 2000;
 /** A tick later than this means that this process was paused; the silence of peers is then no sign of a fault of theirs. */
 const pauseThresholdMs = 1000;
@@ -96,6 +103,11 @@
 	longestPingIntervalMs?: number;
 	/** Interval between pings to this peer while nothing arrives from it. Absent: `pingIntervalMs`. */
 	choosePingInterval?: (key: string) => number;
+	/**
+	The order of dials: peers of a lower rank first. Infinity: nobody waits for the connection, and the peer is dialled in the
+	background. Absent: as they were listed.
+	*/
+	rankDial?: (peer: PeerAddress) => number;
 	/** Asked at each timer tick; true: pings that are due go out now and not with the next heartbeat. */
 	isPingUrgent?: () => boolean;
 	/** Whether this peer learns at once that this host is leaving, and not with the next heartbeat. Absent: all. */
@@ -128,6 +140,7 @@
 	#isLeaving = false;
 	readonly #peers = new Map<string, Peer>();
 	readonly #accepted = new Map<Connection, Session | undefined>();
+	readonly #dialRanks = new Map<string, number>();
 	readonly #server: net.Server;
 	#timer: NodeJS.Timeout | undefined;
 	#lastTickAt = performance.now();
@@ -294,7 +307,8 @@
 		}
 
 		this.#closeSilentConnections(now);
-		this.#dialDuePeers(now);
+		this.#dialRanks.clear();
+		this.#dialDuePeers(now, {backgroundDials: backgroundDialsPerTick});
 		this.#tickCount += 1;
 		const isHeartbeat = this.#tickCount % ticksPerPing === 0;
 		const isUrgent = this.options.isPingUrgent?.() ?? false;
@@ -384,12 +398,53 @@
 		}
 	}
 
-	#dialDuePeers(now: number): void {
+	/** Dials the first of the peers that are due; the others follow as these answer, or with a later tick. */
+	#dialDuePeers(now: number, {backgroundDials = 0} = {}): void {
+		let pendingDials = 0;
+		const due: Array<{peer: Peer; rank: number}> = [];
 		for (const peer of this.#peers.values()) {
 			if (!peer.connection && now >= peer.nextDialAt) {
-				this.#dial(peer);
+				due.push({peer, rank: this.#getDialRank(peer)});
+			} else if (this.#isDialPending(peer, now)) {
+				pendingDials += 1;
 			}
 		}
+
+		const dialCount = Math.max(0, maxPendingDials - pendingDials);
+		const awaited = due
+			.filter(({rank}) => rank !== Infinity)
+			.toSorted((a, b) => a.rank - b.rank)
+			.slice(0, dialCount);
+		const background = due
+			.filter(({rank}) => rank === Infinity)
+			.slice(0, backgroundDials);
+		for (const {peer} of [...awaited, ...background]) {
+			this.#dial(peer);
+		}
+	}
+
+	/** Kept until the next tick: while many connections come up, the peers are looked through with each. */
+	#getDialRank(peer: Peer): number {
+		const {rankDial} = this.options;
+		if (!rankDial) {
+			return 0;
+		}
+
+		let rank = this.#dialRanks.get(peer.key);
+		if (rank === undefined) {
+			rank = rankDial(peer);
+			this.#dialRanks.set(peer.key, rank);
+		}
+
+		return rank;
+	}
+
+	#isDialPending({connection, link, dialledAt}: Peer, now: number): boolean {
+		return (
+			connection !== undefined &&
+			link === undefined &&
+			now - dialledAt < pendingDialGraceMs
+		);
 	}
 
 	#dial(peer: Peer): void {
@@ -437,10 +492,7 @@
 
 		// A dial that has already failed has no connection and doesn't count as pending, however recent:
 		// otherwise the next dial would come only after the backoff.
-		const isDialPending =
-			peer.connection !== undefined &&
-			now - peer.dialledAt < pendingDialGraceMs;
-		if (peer.link !== undefined || isDialPending) {
+		if (peer.link !== undefined || this.#isDialPending(peer, now)) {
 			return;
 		}
 
@@ -488,6 +540,7 @@
 		};
 		this.options.handlers.onLinkUp(peer.link);
 		this.options.handlers.onLeaving(peer.key, hello.isLeaving);
+		this.#dialDuePeers(performance.now());
 	}
 
 	#endLink(peer: Peer, reason: string, lastReceivedAt: number): void {
@@ -500,6 +553,9 @@
 			this.#scheduleDialWithBackoff(peer);
 		}
 
+		setImmediate(() => {
+			this.#dialDuePeers(performance.now());
+		});
 		if (link) {
 			this.options.handlers.onLinkDown(link, reason, lastReceivedAt);
 		}
@@ -509,9 +565,6 @@
 	#dialWithoutBackoff(peer: Peer): void {
 		peer.failedDials = 0;
 		peer.nextDialAt = performance.now();
-		setImmediate(() => {
-			this.#dialDuePeers(performance.now());
-		});
 	}
 
 	#scheduleDialWithBackoff(peer: Peer): void {
