Let a holder say which hosts of its data centre it can't reach

Cause: a first request asked all entries for copies while any host was out of this one's reach, as that host might hold a group unknown to its former holder. Change: a state names the hosts of its data centre that the holder has no connection to. Only these, and hosts of data centres without a holder that is heard and says so, are possible holders (possible-holders.ts). Older builds leave the field out and are judged as before. Ruled out: to go without for groups that were taken just now (a state that is late would make one look younger than it is).

--- a/packages/host/src/scheduling/host-roles.ts
+++ b/packages/host/src/scheduling/host-roles.ts
@@ -342,7 +342,19 @@
 	}
 
 	#describeOwnGroup(): GroupState | undefined {
-		return this.holding.scheduler?.describeState();
+		const state = this.holding.scheduler?.describeState();
+		return state && {...state, unreachable: this.#listUnreachableNear()};
+	}
+
+	/** Hosts of this data centre to which there is no connection. */
+	#listUnreachableNear(): string[] {
+		const {dataCentre, peers} = this.#options;
+		return peers
+			.listKeys()
+			.filter(
+				(key) =>
+					key.startsWith(`${dataCentre}_`) && peers.findLink(key) === undefined,
+			);
 	}
 
 	/**
--- a/packages/protocol/src/scheduling-messages.ts
+++ b/packages/protocol/src/scheduling-messages.ts
@@ -265,6 +265,11 @@
 	successor: z.string().optional(),
 	/** The holder has given the group up, so that another host can take it. */
 	isReleased: z.boolean(),
+	/**
+	Hosts of the data centre that the holder has no connection to: one of them may hold the group by now, unknown to this holder.
+	Absent: the holder does not say.
+	*/
+	unreachable: z.array(z.string()).optional(),
 	/** Time since the holder last got an answer from the store. */
 	storeAgeMs: duration,
 	/** Free thousandths of a core of each executor that accepts tasks. */
--- a/packages/scheduling/src/copy-recall.ts
+++ b/packages/scheduling/src/copy-recall.ts
@@ -39,6 +39,11 @@
 	/** Gives up this entry's copy of the job in favour of a later one; does nothing if there is none. */
 	giveUp: (job: string) => void;
 	findTakenAt: (job: string) => number | undefined;
+	/**
+	Of these hosts, which have no connection to this one, and those that holders have none to: the hosts that may hold a group
+	without its former holder or this host knowing.
+	*/
+	listPossibleHolders: (unlinked: readonly string[]) => readonly string[];
 	/** The groups known to this host, and their holders' fencing tokens. */
 	listTokens: () => Array<[group: string, token: number]>;
 	/** Where tasks of a copy that this entry has given up may still run. */
@@ -49,8 +54,8 @@
 };
 
 export type CopyRecall = {
-	/** Whether some host that is unreachable from here may be reachable from other hosts. */
-	hasUnreachableHosts: () => boolean;
+	/** Whether a host that others may reach may hold a group, unknown to the holder that this host knows. */
+	hasPossibleHolders: () => boolean;
 	/** Asks the other entries for their copies; does nothing if that was done for this job, or if no check runs. */
 	ask: (job: EntryJob) => void;
 	/** A connection to the host was established: sends the recalls that wait for it. */
@@ -131,10 +136,10 @@
 	}
 
 	return {
-		hasUnreachableHosts: () =>
-			listUnlinked().some(
-				(host) => now() >= (ignoredUntil.get(host) ?? -Infinity),
-			),
+		hasPossibleHolders: () =>
+			ports
+				.listPossibleHolders(listUnlinked())
+				.some((host) => now() >= (ignoredUntil.get(host) ?? -Infinity)),
 		ask(job) {
 			const {copyCheck} = job;
 			if (!copyCheck || copyCheck.hostsToAnswer) {
--- a/packages/scheduling/src/copy-replacement.ts
+++ b/packages/scheduling/src/copy-replacement.ts
@@ -102,7 +102,7 @@
 	/** Whether a copy that a reachable entry sent out may run at a holder that can't be asked. */
 	function isRecallNeeded(now: number): boolean {
 		return (
-			recall.hasUnreachableHosts() ||
+			recall.hasPossibleHolders() ||
 			groups
 				.list()
 				.some(
--- a/packages/scheduling/src/entry-jobs.ts
+++ b/packages/scheduling/src/entry-jobs.ts
@@ -40,6 +40,7 @@
 	type HolderContacts,
 	type HolderMessage,
 } from './holder-contacts.js';
+import {listPossibleHolders} from './possible-holders.js';
 import {createLostHolders, type LostHolders} from './lost-holders.js';
 import {findLostTasks} from './lost-tasks.js';
 import {type RunTimes} from './run-times.js';
@@ -439,6 +440,8 @@
 			listTokens: () =>
 				groups.list().map(({state: {group, token}}) => [group, token]),
 			findTakenAt: (id) => this.#jobs.get(id)?.takenAtMs,
+			listPossibleHolders: (unlinked) =>
+				listPossibleHolders(unlinked, groups.list(), now()),
 			listPlaces: (id) => this.#holderContacts.listPlaces(id, now()),
 			listCrashes: this.#ports.crashes.listByJob,
 			log,
--- a/packages/scheduling/src/recall-relays.test.ts
+++ b/packages/scheduling/src/recall-relays.test.ts
@@ -39,6 +39,7 @@
 			// This host has no copy.
 		},
 		findTakenAt: () => undefined,
+		listPossibleHolders: (unlinked) => unlinked,
 		listTokens: () => [],
 		listPlaces: () => [],
 		listCrashes: () => undefined,
