--- a/packages/host/src/scheduling/faulty/no-crash-loop.test.ts
+++ b/packages/host/src/scheduling/faulty/no-crash-loop.test.ts
@@ -64,3 +64,25 @@
 	});
 	assert.deepEqual(violations, []);
 });
+
+// Guards against blaming a long job that ran on two executors which crashed under others.
+test('a long job does not fail because two others crash executors beside it', async () => {
+	const violations = await runPlan({
+		jobs: [
+			{at: 0, host: 0, tasks: 1, runMs: 60, allowanceMs: 60, crashAfterMs: 5},
+			{
+				at: 0,
+				host: 0,
+				tasks: 1,
+				runMs: 1500,
+				allowanceMs: 60,
+				isOnNewConnection: true,
+				crashAfterMs: 500,
+			},
+			{at: 0, host: 1, tasks: 3, runMs: 2500, allowanceMs: 60},
+		],
+		faults: [{at: 0, durationMs: 50, kind: 'cut', host: 2, peer: 0}],
+		restartDelayMs: 500,
+	});
+	assert.deepEqual(violations, []);
+});
