Send a holder's state also on connections that it has yet to dial back

Cause: a holder sent its state on the connections that it dialled only. Change: hosts that have dialled the holder and that it has no link to get the state on their connection; states are taken on either. A connection that breaks makes the holder behind it doubtful, whichever side dialled.

--- a/packages/host/src/scheduling/host-roles.ts
+++ b/packages/host/src/scheduling/host-roles.ts
@@ -20,7 +20,12 @@
 	type JobAnswer,
 	type JobRequest,
 } from '@gentianshift/scheduling';
-import {type GroupState, type Link, type Message} from '@gentianshift/protocol';
+import {
+	type GroupState,
+	type Link,
+	type Message,
+	type Session,
+} from '@gentianshift/protocol';
 import {type ExecutorLists} from './executor-lists.js';
 import {GroupHolding} from './group-holding.js';
 import {choosePingInterval, createSilenceWatch} from './ping-intervals.js';
@@ -53,6 +58,8 @@
 /** The other hosts, as far as they are known and connected. */
 export type Peers = {
 	listLinks: () => readonly Link[];
+	/** Connections of hosts that have dialled this one and that it has yet to dial. */
+	listUnlinkedSessions: () => ReadonlyArray<Pick<Session, 'send'>>;
 	/** Includes hosts to which there is no connection at the moment. */
 	listKeys: () => readonly string[];
 	findLink: (key: string) => Link | undefined;
@@ -177,7 +184,8 @@
 	}
 
 	/**
-	Sends the state of the group that this host holds, or has just given up, to all connected hosts.
+	Sends the state of the group that this host holds, or has just given up, to all connected hosts. Those that it has yet to dial
+	get it on the connection that they dialled: after a loss of power their callers wait for it.
 	*/
 	sendState(): void {
 		const state = this.#findStateToSend();
@@ -185,6 +193,9 @@
 			this.#stateSentAt = this.#options.now();
 			this.#isReadyStateSent = this.holding.scheduler?.isReady ?? false;
 			this.sendToPeers(state);
+			for (const session of this.#options.peers.listUnlinkedSessions()) {
+				session.send(state);
+			}
 		}
 	}
 
--- a/packages/host/src/scheduling/scheduling-handlers.ts
+++ b/packages/host/src/scheduling/scheduling-handlers.ts
@@ -4,6 +4,7 @@
 import {
 	silentCloseReason,
 	type Ends,
+	type GroupState,
 	type Link,
 	type Message,
 	type MeshHandlers,
@@ -68,6 +69,7 @@
 		},
 		onLinkDown(link, reason, lastReceivedAt) {
 			log('link down', {peer: link.key, reason});
+			groups.markDoubtful(link.key, now());
 			const lastAliveAt = reason === silentCloseReason ? lastReceivedAt : now();
 			entry.markLinkDown(link.key, link.hello.incarnation, lastAliveAt);
 			directory.markLinkDown(link, reason);
@@ -79,6 +81,7 @@
 		},
 		onSessionUp(session) {
 			directory.markSession(session);
+			roles.sendStateTo(session);
 		},
 		onSessionDown(session) {
 			groups.markDoubtful(session.key, now());
@@ -93,17 +96,45 @@
 		},
 	};
 
-	function receiveReply(link: Link, message: Message): void {
-		if (
-			message.t === 'ends' ||
-			message.t === 'replaced' ||
-			message.t === 'claims-ended'
-		) {
-			entry.receive(link.key, message);
-		} else if (message.t === 'queue-table') {
-			tables.receive(message, (answer) => {
-				link.send(answer);
+	function receiveState(holder: string, state: GroupState): void {
+		roles.crashes.addReported(state.crashes ?? [], now());
+		if (groups.update(holder, state, now())) {
+			log('group has another holder', {
+				group: state.group,
+				token: state.token,
+				holder,
 			});
+			roles.holding.releaseIfReplaced();
+			entry.sendGroupTasks(state.group);
+		}
+
+		entry.receiveState(state.group);
+	}
+
+	function receiveReply(link: Link, message: Message): void {
+		switch (message.t) {
+			case 'ends':
+			case 'replaced':
+			case 'claims-ended': {
+				entry.receive(link.key, message);
+
+				break;
+			}
+
+			case 'group-state': {
+				receiveState(link.key, message);
+
+				break;
+			}
+
+			case 'queue-table': {
+				tables.receive(message, (answer) => {
+					link.send(answer);
+				});
+
+				break;
+			}
+			// No default
 		}
 	}
 
@@ -118,18 +149,7 @@
 			}
 
 			case 'group-state': {
-				roles.crashes.addReported(message.crashes ?? [], now());
-				if (groups.update(session.key, message, now())) {
-					log('group has another holder', {
-						group: message.group,
-						token: message.token,
-						holder: session.key,
-					});
-					roles.holding.releaseIfReplaced();
-					entry.sendGroupTasks(message.group);
-				}
-
-				entry.receiveState(message.group);
+				receiveState(session.key, message);
 				break;
 			}
 
--- a/packages/protocol/src/mesh.test.ts
+++ b/packages/protocol/src/mesh.test.ts
@@ -355,6 +355,31 @@
 	assert.equal(new Set(reached).size, peers.length);
 });
 
+test('a host that has dialled this one counts as unlinked until it has been dialled back', async (context) => {
+	// A holder's state reaches such a host on the connection that it dialled. Otherwise its callers would wait
+	// until the holder has dialled all other hosts that started with it.
+	const listening = await startMesh(context, 'm1', {});
+	const dialling = await startMesh(context, 'm2', {});
+	dialling.mesh.setPeers([
+		{dataCentre: 'mieres', host: 'm1', address: listening.address},
+	]);
+	while (!dialling.mesh.findLink('mieres_m1')) {
+		await delay(10);
+	}
+
+	const listUnlinked = () =>
+		listening.mesh.listUnlinkedSessions().map(({key}) => key);
+	assert.deepEqual(listUnlinked(), ['mieres_m2']);
+	listening.mesh.setPeers([
+		{dataCentre: 'mieres', host: 'm2', address: dialling.address},
+	]);
+	while (!listening.mesh.findLink('mieres_m2')) {
+		await delay(10);
+	}
+
+	assert.deepEqual(listUnlinked(), []);
+});
+
 /** Starts a TCP proxy to an address; `reset` resets all its connections together. */
 async function startRelay(context: TestContext, target: string) {
 	const [ip, port] = target.split(':');
--- a/packages/protocol/src/mesh.ts
+++ b/packages/protocol/src/mesh.ts
@@ -222,6 +222,11 @@
 		return [...this.#peers.values()].flatMap((peer) => peer.link ?? []);
 	}
 
+	/** Sessions of hosts to which this one has no link yet. */
+	listUnlinkedSessions(): Session[] {
+		return this.listSessions().filter(({key}) => !this.findLink(key));
+	}
+
 	listSessions(): Session[] {
 		return [...this.#accepted.values()].filter(
 			(session) => session !== undefined,
