Tell a start to hosts that have yet to be dialled, and let large hosts take groups first

Change: leaving, or no longer, is told also on connections of hosts that have yet to be dialled; a host that dials this one is dialled back without waiting for its turn (but far weak ones); in its first second a host counts listed hosts with more cores as going before it in taking a group. Result: mesh.test (fails without the first: 100 ms limit, next ping 600 ms) and host-view.test.

--- a/packages/host/src/directory.ts
+++ b/packages/host/src/directory.ts
@@ -36,6 +36,8 @@
 
 /** How often the view is looked at anew: a closed connection's grace runs out by time alone. */
 const updateEveryMs = 200;
+/** Hosts that start together have connected by then, also those of a third of a core. */
+const startGraceMs = 1000;
 /** A list of this host's own that is younger than this shows that the platform answers here. */
 const freshListMs = 3000;
 
@@ -163,11 +165,19 @@
 		);
 	}
 
-	/** All hosts that could hold a role in a data centre, those with more processor first. */
-	listStrongest(role: string, dataCentre: string): string[] {
-		return rankByCores(this.listHolders(role, dataCentre, Infinity), (key) =>
-			this.view.getCores(key),
-		);
+	/**
+	All hosts that could hold a role in this data centre, those with more processor first. Right after the start listed hosts with
+	more processor than this one count although they have yet to connect: after a loss of power they start at the same time, and a
+	small host that went before them would be too slow for the callers that return then.
+	*/
+	listStrongest(role: string): string[] {
+		const {dataCentre} = this.#options.identity;
+		const isStarting = readNow() - this.#startedAt < startGraceMs;
+		const keys = new Set([
+			...this.listHolders(role, dataCentre, Infinity),
+			...(isStarting ? this.view.listStrongerListed() : []),
+		]);
+		return rankByCores([...keys], (key) => this.view.getCores(key));
 	}
 
 	isReader(): boolean {
--- a/packages/host/src/scheduling/start-scheduling-host.ts
+++ b/packages/host/src/scheduling/start-scheduling-host.ts
@@ -377,8 +377,7 @@
 				listKeys: () => this.#mesh.listPeers(),
 				findLink: (peer) => this.#mesh.findLink(peer),
 				listIncarnations: (peer) => this.#mesh.listIncarnations(peer),
-				listCandidates: () =>
-					this.#directory.listStrongest(schedulerRole, host.dataCentre),
+				listCandidates: () => this.#directory.listStrongest(schedulerRole),
 				getCores: (peer) => view.getCores(peer),
 			},
 			getLeaseId: () => this.#presence.getLeaseId(),
--- a/packages/membership/src/host-view.test.ts
+++ b/packages/membership/src/host-view.test.ts
@@ -123,3 +123,18 @@
 		[0.324, 1.35, 1],
 	);
 });
+
+// All hosts start together. Guards against a small host that takes a group because the large ones have yet to connect.
+test('listed hosts with more cores are known before they connect', () => {
+	const view = createHostView({...h1, cores: 0.324});
+	const far = {...buildHost('h4', {cores: 1.35}), dataCentre: 'langreo'};
+	view.applyPlatformList([
+		{...h1, cores: 0.324},
+		{...h2, cores: 1.35},
+		{...h3, cores: 0.324},
+		far,
+	]);
+	assert.deepEqual(view.listStrongerListed(), [key2]);
+	assert.equal(view.getCores(key2), 1.35);
+	assert.equal(view.getMostCores(), 1.35);
+});
--- a/packages/membership/src/host-view.ts
+++ b/packages/membership/src/host-view.ts
@@ -63,6 +63,8 @@
 	isLive: (key: string, now: number) => boolean;
 	/** Cores that the host may use, by its own word or else the platform's list; 1 if neither says. */
 	getCores: (key: string) => number;
+	/** Keys of hosts of this one's data centre that the platform lists, with more cores than this one. */
+	listStrongerListed: () => string[];
 	/** The most cores that any known host may use. */
 	getMostCores: () => number;
 	/**
@@ -237,6 +239,15 @@
 		return host?.cores ?? this.#listedHosts.get(key)?.cores ?? defaultCores;
 	}
 
+	listStrongerListed(): string[] {
+		const {dataCentre, cores: ownCores = defaultCores} = this.#self;
+		return [...this.#listedHosts].flatMap(([key, host]) =>
+			host.dataCentre === dataCentre && this.getCores(key) > ownCores
+				? key
+				: [],
+		);
+	}
+
 	getMostCores(): number {
 		return this.#mostCores;
 	}
--- a/packages/protocol/src/mesh.test.ts
+++ b/packages/protocol/src/mesh.test.ts
@@ -380,6 +380,28 @@
 	assert.deepEqual(listUnlinked(), []);
 });
 
+test('a host that has yet to dial a peer tells it on the connection that the peer dialled that it has started', async (context) => {
+	// All hosts start together. A small host takes a group because the large ones still count as starting there.
+	const told: boolean[] = [];
+	const starting = await startMesh(context, 'm1', {});
+	starting.mesh.setLeaving(true);
+	const {mesh} = await startMesh(context, 'm2', {
+		onLeaving(_key, isLeaving) {
+			told.push(isLeaving);
+		},
+	});
+	mesh.setPeers([
+		{dataCentre: 'mieres', host: 'm1', address: starting.address},
+	]);
+	while (told.length === 0) {
+		await delay(10);
+	}
+
+	starting.mesh.setLeaving(false);
+	await delay(100);
+	assert.deepEqual(told, [true, false]);
+});
+
 /** Starts a TCP proxy to an address; `reset` resets all its connections together. */
 async function startRelay(context: TestContext, target: string) {
 	const [ip, port] = target.split(':');
--- a/packages/protocol/src/mesh.ts
+++ b/packages/protocol/src/mesh.ts
@@ -264,11 +264,19 @@
 		});
 	}
 
-	/** Sent at once to the linked peers that need it, and from then on in each `hello`, `ping` and `pong`. */
+	/**
+	Sent at once to the connected peers that need it, and from then on in each `hello`, `ping` and `pong`. A peer that was not told
+	that this host has started would count it as leaving until its next ping.
+	*/
 	setLeaving(isLeaving: boolean): void {
 		const {isToldLeavingAtOnce = () => true} = this.options;
 		this.#isLeaving = isLeaving;
 		this.#sendPings((peer) => isToldLeavingAtOnce(peer));
+		for (const session of this.listUnlinkedSessions()) {
+			if (isToldLeavingAtOnce(session.hello)) {
+				session.send(isLeaving ? leavingPong : livePong);
+			}
+		}
 	}
 
 	/** Sends the batched messages, closes all connections gracefully, and resolves when the server and all accepted connections are closed. */
@@ -504,7 +512,9 @@
 		peer.connection?.close('the peer is back');
 		peer.failedDials = 0;
 		peer.nextDialAt = now;
-		this.#dialDuePeers(now);
+		if (!peer.connection && this.#getDialRank(peer) !== Infinity) {
+			this.#dial(peer);
+		}
 	}
 
 	#receiveReply(peer: Peer, connection: Connection, message: Message): void {
