Dial back in turn again

What it was for is done by states and starts told on either connection. Change: such a peer is due at once, and dialled in its turn, as before.

--- a/packages/protocol/src/mesh.ts
+++ b/packages/protocol/src/mesh.ts
@@ -512,9 +512,7 @@
 		peer.connection?.close('the peer is back');
 		peer.failedDials = 0;
 		peer.nextDialAt = now;
-		if (!peer.connection && this.#getDialRank(peer) !== Infinity) {
-			this.#dial(peer);
-		}
+		this.#dialDuePeers(now);
 	}
 
 	#receiveReply(peer: Peer, connection: Connection, message: Message): void {
