--- a/packages/host/src/scheduling/faulty/faulty-network.fixture.ts
+++ b/packages/host/src/scheduling/faulty/faulty-network.fixture.ts
@@ -117,13 +117,6 @@
 			.map(({link}) => link);
 	}
 
-	listUnlinkedSessions(to: FaultyHost): Session[] {
-		return [...this.#connections.values()]
-			.filter((connection) => connection.isOpen && connection.to === to)
-			.filter(({from}) => !this.findLink(to, from.key))
-			.map(({session}) => session);
-	}
-
 	computeArrival(from: FaultyHost, to: FaultyHost): number {
 		const delayedUntil = this.#delayedUntil.get(makePairKey(from, to)) ?? 0;
 		return Math.max(this.clock.now + latencyMs, delayedUntil);
--- a/packages/host/src/scheduling/faulty/run-plan.fixture.ts
+++ b/packages/host/src/scheduling/faulty/run-plan.fixture.ts
@@ -280,8 +280,6 @@
 					.map(({key}) => key),
 			peers: {
 				listLinks: () => this.#system.network.listLinks(host),
-				listUnlinkedSessions: () =>
-					this.#system.network.listUnlinkedSessions(host),
 				listKeys: () =>
 					this.#hosts.filter((other) => other !== host).map(({key}) => key),
 				findLink: (key) => this.#system.network.findLink(host, key),
--- a/packages/host/src/scheduling/host-roles.ts
+++ b/packages/host/src/scheduling/host-roles.ts
@@ -20,12 +20,7 @@
 	type JobAnswer,
 	type JobRequest,
 } from '@gentianshift/scheduling';
-import {
-	type GroupState,
-	type Link,
-	type Message,
-	type Session,
-} from '@gentianshift/protocol';
+import {type GroupState, type Link, type Message} from '@gentianshift/protocol';
 import {type ExecutorLists} from './executor-lists.js';
 import {GroupHolding} from './group-holding.js';
 import {choosePingInterval, createSilenceWatch} from './ping-intervals.js';
@@ -58,8 +53,6 @@
 /** The other hosts, as far as they are known and connected. */
 export type Peers = {
 	listLinks: () => readonly Link[];
-	/** Connections of hosts that have dialled this one and that it has yet to dial. */
-	listUnlinkedSessions: () => ReadonlyArray<Pick<Session, 'send'>>;
 	/** Includes hosts to which there is no connection at the moment. */
 	listKeys: () => readonly string[];
 	findLink: (key: string) => Link | undefined;
@@ -184,8 +177,7 @@
 	}
 
 	/**
-	Sends the state of the group that this host holds, or has just given up, to all connected hosts. Those that it has yet to dial
-	get it on the connection that they dialled: after a loss of power their callers wait for it.
+	Sends the state of the group that this host holds, or has just given up, to all connected hosts.
 	*/
 	sendState(): void {
 		const state = this.#findStateToSend();
@@ -193,9 +185,6 @@
 			this.#stateSentAt = this.#options.now();
 			this.#isReadyStateSent = this.holding.scheduler?.isReady ?? false;
 			this.sendToPeers(state);
-			for (const session of this.#options.peers.listUnlinkedSessions()) {
-				session.send(state);
-			}
 		}
 	}
 
--- a/packages/host/src/scheduling/scheduling-handlers.ts
+++ b/packages/host/src/scheduling/scheduling-handlers.ts
@@ -4,7 +4,6 @@
 import {
 	silentCloseReason,
 	type Ends,
-	type GroupState,
 	type Link,
 	type Message,
 	type MeshHandlers,
@@ -69,7 +68,6 @@
 		},
 		onLinkDown(link, reason, lastReceivedAt) {
 			log('link down', {peer: link.key, reason});
-			groups.markDoubtful(link.key, now());
 			const lastAliveAt = reason === silentCloseReason ? lastReceivedAt : now();
 			entry.markLinkDown(link.key, link.hello.incarnation, lastAliveAt);
 			directory.markLinkDown(link, reason);
@@ -81,7 +79,6 @@
 		},
 		onSessionUp(session) {
 			directory.markSession(session);
-			roles.sendStateTo(session);
 		},
 		onSessionDown(session) {
 			groups.markDoubtful(session.key, now());
@@ -96,45 +93,17 @@
 		},
 	};
 
-	function receiveState(holder: string, state: GroupState): void {
-		roles.crashes.addReported(state.crashes ?? [], now());
-		if (groups.update(holder, state, now())) {
-			log('group has another holder', {
-				group: state.group,
-				token: state.token,
-				holder,
-			});
-			roles.holding.releaseIfReplaced();
-			entry.sendGroupTasks(state.group);
-		}
-
-		entry.receiveState(state.group);
-	}
-
 	function receiveReply(link: Link, message: Message): void {
-		switch (message.t) {
-			case 'ends':
-			case 'replaced':
-			case 'claims-ended': {
-				entry.receive(link.key, message);
-
-				break;
-			}
-
-			case 'group-state': {
-				receiveState(link.key, message);
-
-				break;
-			}
-
-			case 'queue-table': {
-				tables.receive(message, (answer) => {
-					link.send(answer);
-				});
-
-				break;
-			}
-			// No default
+		if (
+			message.t === 'ends' ||
+			message.t === 'replaced' ||
+			message.t === 'claims-ended'
+		) {
+			entry.receive(link.key, message);
+		} else if (message.t === 'queue-table') {
+			tables.receive(message, (answer) => {
+				link.send(answer);
+			});
 		}
 	}
 
@@ -149,7 +118,18 @@
 			}
 
 			case 'group-state': {
-				receiveState(session.key, message);
+				roles.crashes.addReported(message.crashes ?? [], now());
+				if (groups.update(session.key, message, now())) {
+					log('group has another holder', {
+						group: message.group,
+						token: message.token,
+						holder: session.key,
+					});
+					roles.holding.releaseIfReplaced();
+					entry.sendGroupTasks(message.group);
+				}
+
+				entry.receiveState(message.group);
 				break;
 			}
 
--- a/packages/host/src/scheduling/start-scheduling-host.ts
+++ b/packages/host/src/scheduling/start-scheduling-host.ts
@@ -373,7 +373,6 @@
 			executors: this.#executors,
 			peers: {
 				listLinks: () => this.#mesh.listLinks(),
-				listUnlinkedSessions: () => this.#mesh.listUnlinkedSessions(),
 				listKeys: () => this.#mesh.listPeers(),
 				findLink: (peer) => this.#mesh.findLink(peer),
 				listIncarnations: (peer) => this.#mesh.listIncarnations(peer),
