Count only returns for lack of room towards a refusal

Cause: an entry refuses a job whose task was returned twice as full, but it compared that limit with the number of all returns. A task that one group had returned because another had room, or because its data centre takes no more tasks, was refused by the first group that was full. Ruled out: that schedulers send `full` for both; they send the reason. Change: returns as `full` are counted on their own.

--- a/packages/scheduling/src/entry-job.ts
+++ b/packages/scheduling/src/entry-job.ts
@@ -46,6 +46,8 @@
 	placement: number;
 	/** How often a group has returned the task for placement in another group. */
 	shifts: number;
+	/** How often a group has returned the task as it had no room in time. */
+	fullReturns: number;
 	nextAttempt: number;
 };
 
@@ -132,6 +134,7 @@
 			isDone: false,
 			placement: 0,
 			shifts: 0,
+			fullReturns: 0,
 			nextAttempt: 1,
 		})),
 		waiters: new Set(),
--- a/packages/scheduling/src/entry-jobs.test.ts
+++ b/packages/scheduling/src/entry-jobs.test.ts
@@ -5,6 +5,7 @@
 import {test} from 'node:test';
 import {
 	type Drop,
+	type Ends,
 	type Keep,
 	type Part,
 	type Replace,
@@ -301,6 +302,37 @@
 	assert.equal(answers[0]?.type, 'refused');
 });
 
+// Guards against a refusal because a data centre was evacuated: its return was counted as one for lack of room.
+test('a return for another reason does not count towards a refusal', () => {
+	const {entry, groups, clock, listParts} = createEntryJobs();
+	const answers: JobAnswer[] = [];
+	groups.update('mieres_m1', makeState('mieres'), clock.now);
+	groups.update('langreo_l1', makeState('langreo'), clock.now);
+	entry.submit(makeRequest({count: 1}), (answer) => {
+		answers.push(answer);
+	});
+	const returnTask = (
+		holder: string,
+		placement: number,
+		reason: Ends['reason'],
+	) => {
+		entry.receiveEnds(holder, {
+			t: 'ends',
+			token: 1,
+			claim: placement,
+			job: 'job1',
+			isStarted: false,
+			ends: [{index: 0, outcome: 'returned', attempt: 0, placement}],
+			reason,
+		});
+	};
+
+	returnTask('mieres_m1', 1, 'elsewhere');
+	returnTask('langreo_l1', 2, 'full');
+	assert.equal(answers.length, 0);
+	assert.equal(listParts('mieres_m1').length, 2);
+});
+
 // A group held a job for a while and returned it because another group had free capacity, which is gone by now. If admission were
 // checked again, the job would be refused after having waited.
 test('a job that was admitted is not checked for admission again when it is moved', () => {
--- a/packages/scheduling/src/entry-jobs.ts
+++ b/packages/scheduling/src/entry-jobs.ts
@@ -517,6 +517,7 @@
 
 			case 'returned': {
 				task.shifts += 1;
+				task.fullReturns += Number(message.reason === 'full');
 				task.group = undefined;
 				returned.push(task);
 				break;
@@ -584,7 +585,7 @@
 
 		if (
 			reason === 'full' &&
-			tasks.some(({shifts}) => shifts >= maxFullGroups)
+			tasks.some(({fullReturns}) => fullReturns >= maxFullGroups)
 		) {
 			this.#giveUp(job, 'no room in time');
 			return;
