Start no task in an evacuated data centre

Change: the watch of the configuration now covers all that operators write, with no further call of the store. Evacuations are a list as of the store's revision, a later one replaces an earlier one, also from a peer; a host that knows of none starts nothing for up to 2 s after its start. A holder returns what waits to its entries and reports no capacity; what runs ends in place; entries place nothing there. While all data centres are evacuated jobs are refused at once, and hosts stay ready. Pages of a read are followed by a watch from the first page's revision. Old hosts drop the new field of `queue-table` messages, and go on as before. Ruled out: a message of its own, as a host of the former build closes the connection on an unknown kind; a second watch, as each call of the store is priced.

--- a/packages/bench/src/slopes-schedulers.ts
+++ b/packages/bench/src/slopes-schedulers.ts
@@ -147,6 +147,7 @@
 			onFenced: doNothing,
 			onChange: doNothing,
 			takeCapacityElsewhere: () => 0,
+			getStartPermission: () => 'granted',
 			isListComplete: () => true,
 			isListFresh: () => true,
 			listPeers: () => [],
--- a/packages/host/src/scheduling/faulty/check-plans.fixture.ts
+++ b/packages/host/src/scheduling/faulty/check-plans.fixture.ts
@@ -15,10 +15,11 @@
 export async function checkPlans(
 	arbitrary: fc.Arbitrary<FaultPlan>,
 	planCount = 2000,
+	options?: Parameters<typeof runPlan>[1],
 ): Promise<fc.RunDetails<[FaultPlan]>> {
 	return fc.check(
 		fc.asyncProperty(arbitrary, async (plan) => {
-			assert.deepEqual(await runPlan(plan), []);
+			assert.deepEqual(await runPlan(plan, options), []);
 		}),
 		{seed, numRuns: Number(requestedPlanCount ?? planCount)},
 	);
--- a/packages/host/src/scheduling/faulty/fault-plan.fixture.ts
+++ b/packages/host/src/scheduling/faulty/fault-plan.fixture.ts
@@ -68,6 +68,10 @@
 	| {kind: 'silence'; executor: number}
 	/** The executor has only this share of its CPU capacity, and publishes that. */
 	| {kind: 'shrink'; executor: number; share: number}
+	/** Operators evacuate a data centre, given by its index, and take it back at the end. */
+	| {kind: 'evacuate'; centre: number}
+	/** The store discards its history. */
+	| {kind: 'compact'}
 	/** Each `every`-th call to the executor fails: it is lost, only its answer is lost, or it gets no answer and takes effect `lateMs` later. */
 	| {
 			kind: 'faulty-calls';
@@ -522,3 +526,86 @@
 	faults: fc.constant([]),
 	restartDelayMs,
 });
+
+/** One executor of two places carries a job of two tasks of 600 ms each. */
+const soundJobIntervalMs = 700;
+const soundEvacuationIntervalMs = 1900;
+
+const evacuation = fc.record({
+	at: longPlanStart,
+	durationMs: fc.integer({min: 50, max: 6000}),
+	kind: fc.constant('evacuate' as const),
+	centre: fc.nat(dataCentres.length - 1),
+});
+
+const compaction = fc.record({
+	at: longPlanStart,
+	durationMs: fc.constant(0),
+	kind: fc.constant('compact' as const),
+});
+
+const jobDuringEvacuation = fc.record({
+	at: longPlanStart,
+	host,
+	tasks: fc.integer({min: 1, max: 3}),
+	runMs: fc.constantFrom(60, 600, 1500),
+	allowanceMs: fc.constantFrom(60, 1000),
+	isOnNewConnection: fc.boolean(),
+});
+
+/** Data centres are evacuated and taken back while groups change holders, hosts die, connections break and the store is away for some. */
+export const evacuationPlans: fc.Arbitrary<FaultPlan> = fc.record({
+	jobs: fc.array(jobDuringEvacuation, {minLength: 6, maxLength: 20}),
+	faults: fc
+		.tuple(
+			fc.array(evacuation, {minLength: 1, maxLength: 3}),
+			fc.array(
+				fc.oneof(
+					{weight: 3, arbitrary: drawInLongPlan(handOver)},
+					{weight: 2, arbitrary: drawInLongPlan(hostFault)},
+					{weight: 2, arbitrary: drawInLongPlan(storeFault)},
+					{weight: 2, arbitrary: compaction},
+					{weight: 1, arbitrary: drawInLongPlan(linkFault)},
+					{weight: 1, arbitrary: drawInLongPlan(callFault)},
+				),
+				{maxLength: 4},
+			),
+		)
+		.map((faults) => faults.flat()),
+});
+
+/** One data centre at a time is evacuated, nothing else goes wrong, and the other has room for all jobs. */
+export const soundEvacuationPlans: fc.Arbitrary<FaultPlan> = fc.record({
+	jobs: fc
+		.array(
+			fc.record({
+				host,
+				tasks: fc.integer({min: 1, max: 2}),
+				runMs: fc.constantFrom(60, 600),
+				isOnNewConnection: fc.boolean(),
+			}),
+			{minLength: 4, maxLength: 8},
+		)
+		.map((jobs) =>
+			jobs.map((one, i) => ({
+				...one,
+				at: i * soundJobIntervalMs,
+				allowanceMs: 1000,
+			})),
+		),
+	faults: fc
+		.array(
+			fc.record({
+				durationMs: fc.integer({min: 50, max: soundEvacuationIntervalMs - 100}),
+				centre: fc.nat(dataCentres.length - 1),
+			}),
+			{minLength: 1, maxLength: 3},
+		)
+		.map((faults) =>
+			faults.map((one, i) => ({
+				...one,
+				kind: 'evacuate' as const,
+				at: i * soundEvacuationIntervalMs,
+			})),
+		),
+});
--- a/packages/host/src/scheduling/faulty/faulty-host.fixture.ts
+++ b/packages/host/src/scheduling/faulty/faulty-host.fixture.ts
@@ -15,7 +15,12 @@
 import {HostRoles, type Peers} from '../host-roles.js';
 import {createSchedulingHandlers} from '../scheduling-handlers.js';
 import {createWorkMeter} from '../work-meter.js';
-import {type ExecutorSource} from '../host-dependencies.js';
+import {
+	type ExecutorSource,
+	type OperatorSource,
+} from '../host-dependencies.js';
+import {createEvacuations} from '../evacuations.js';
+import {createOperatorWatch} from '../operator-watch.js';
 
 const updateIntervalMs = 50;
 
@@ -30,6 +35,7 @@
 	clock: VirtualClock;
 	store: CoordinationStore;
 	executors: ExecutorSource;
+	operators: Pick<OperatorSource, 'read' | 'watch'>;
 	control: ExecutorControl;
 	/** Executors refuse starts that exceed their capacity. */
 	isCapacityEnforced: boolean;
@@ -276,6 +282,33 @@
 			random: () => 0.5,
 			log,
 		});
+		const evacuations = createEvacuations({
+			onChange() {
+				for (const link of peers.listLinks()) {
+					link.send({
+						t: 'queue-table',
+						version: 0,
+						evacuations: evacuations.getList(),
+					});
+				}
+
+				roles.applyEvacuations();
+			},
+			wait,
+			log,
+		});
+		const operatorWatch = createOperatorWatch({
+			source: {
+				read: () => waitWhileFrozen(this.environment.operators.read()),
+				watch: (after, waitMs) =>
+					waitWhileFrozen(this.environment.operators.watch(after, waitMs)),
+			},
+			onRead: evacuations.applyRead,
+			onChange: evacuations.applyChange,
+			wait,
+			random: () => 0.5,
+			log,
+		});
 		const roles = new HostRoles({
 			dataCentre: this.dataCentre,
 			key: this.key,
@@ -285,6 +318,7 @@
 			),
 			control: wrapControl(this.environment.control, waitWhileFrozen),
 			executors: lists,
+			evacuations,
 			peers: {...peers, listCandidates: listTakeoverOrder, getCores: () => 1},
 			getLeaseId: () => 1,
 			now: () => this.#readMonotonicClock(),
@@ -309,13 +343,16 @@
 			},
 			roles,
 			work: createWorkMeter(() => clock.now),
-			tables: {sendVersion: doNothing, receive: doNothing},
+			tables: {getVersion: () => 0, receive: doNothing},
+			evacuations,
 			isAnnouncedTo: () => true,
 			findAddress: () => '',
 			now: () => this.#readMonotonicClock(),
 			log,
 		});
 		lists.start(abortController.signal);
+		evacuations.start(abortController.signal);
+		operatorWatch.start(abortController.signal);
 		return {roles, handlers, abortController};
 	}
 
--- a/packages/host/src/scheduling/faulty/faulty-store.fixture.ts
+++ b/packages/host/src/scheduling/faulty/faulty-store.fixture.ts
@@ -1,7 +1,7 @@
 /**
 The platform's store on a virtual clock: the keys that name each group's holder, and the executors' registrations as hosts list them.
 */
-import {err, errAsync, ok, ResultAsync} from 'neverthrow';
+import {err, errAsync, ok, ResultAsync, type Result} from 'neverthrow';
 import {
 	type CoordinationStore,
 	type Executor,
@@ -10,7 +10,13 @@
 	type StoreItem,
 } from '@gentianshift/scheduling';
 import {type VirtualClock} from '@gentianshift/scheduling/fixtures';
-import {type ExecutorSource} from '../host-dependencies.js';
+import {
+	type EvacuationChange,
+	type ExecutorSource,
+	type OperatorChange,
+	type OperatorSource,
+} from '../host-dependencies.js';
+import {type EvacuationSpan} from './evacuated-starts.fixture.js';
 
 const answerDelayMs = 4;
 /** Time-out of a call that gets no answer. */
@@ -32,6 +38,12 @@
 		registrations: ExecutorRegistration[];
 	}> = [];
 
+	readonly #evacuationChanges: Array<EvacuationChange & {at: number}> = [];
+	/** Watches from an earlier revision than this get no changes: that history was discarded. */
+	#oldestRevision = firstRevision;
+	/** End the watches that wait for a change. */
+	readonly #watchers = new Set<AbortController>();
+
 	/** The current registration of each executor, by id. */
 	readonly #registrations = new Map<string, ExecutorRegistration>();
 
@@ -58,6 +70,39 @@
 		this.#appendList();
 	}
 
+	/** Records that operators evacuate a data centre, or take it back. */
+	setEvacuated(dataCentre: string, isEvacuated: boolean): void {
+		this.#revision += 1;
+		const revision = this.#revision;
+		const at = this.clock.now;
+		this.#evacuationChanges.push({dataCentre, isEvacuated, revision, at});
+		this.#endWatches();
+	}
+
+	/** When each data centre was evacuated; `until` is infinite for one that was not taken back. */
+	listEvacuations(): EvacuationSpan[] {
+		const spans: EvacuationSpan[] = [];
+		for (const {dataCentre, isEvacuated, at} of this.#evacuationChanges) {
+			const open = spans.find(
+				(span) => span.dataCentre === dataCentre && span.until === Infinity,
+			);
+			if (open && !isEvacuated) {
+				open.until = at;
+			} else if (!open && isEvacuated) {
+				spans.push({dataCentre, from: at, until: Infinity});
+			}
+		}
+
+		return spans;
+	}
+
+	/** Discards the history: hosts that watch have to read again. */
+	compact(): void {
+		this.#revision += 1;
+		this.#oldestRevision = this.#revision;
+		this.#endWatches();
+	}
+
 	/** Updates the capacity in the executor's registration. */
 	setCapacity(id: string, capacity: ExecutorRegistration['capacity']): void {
 		const registration = this.#registrations.get(id)!;
@@ -70,6 +115,7 @@
 	createClient(getMode: () => StoreMode): {
 		store: CoordinationStore;
 		executors: ExecutorSource;
+		operators: Pick<OperatorSource, 'read' | 'watch'>;
 	} {
 		let answeredAt: number | undefined;
 		const call = <T>(
@@ -120,9 +166,64 @@
 							),
 					),
 			},
+			operators: {
+				read: () =>
+					call(
+						() =>
+							new ResultAsync(
+								Promise.resolve(
+									ok({
+										evacuated: this.#listEvacuated(),
+										revision: this.#revision,
+									}),
+								),
+							),
+					),
+				watch: (after, waitMs) =>
+					call(() => new ResultAsync(this.#watchChanges(after, waitMs))),
+			},
 		};
 	}
 
+	#endWatches(): void {
+		for (const watcher of this.#watchers) {
+			watcher.abort();
+		}
+
+		this.#watchers.clear();
+	}
+
+	#listEvacuated(): string[] {
+		const evacuated = new Set<string>();
+		for (const {dataCentre, isEvacuated} of this.#evacuationChanges) {
+			if (isEvacuated) {
+				evacuated.add(dataCentre);
+			} else {
+				evacuated.delete(dataCentre);
+			}
+		}
+
+		return [...evacuated];
+	}
+
+	async #watchChanges(
+		after: number,
+		waitMs: number,
+	): Promise<Result<OperatorChange, StoreFailure>> {
+		const listChanges = () =>
+			this.#evacuationChanges.filter(({revision}) => revision > after);
+		if (listChanges().length === 0 && after >= this.#oldestRevision) {
+			const watcher = new AbortController();
+			this.#watchers.add(watcher);
+			await this.clock.wait(waitMs, watcher.signal);
+			this.#watchers.delete(watcher);
+		}
+
+		return after < this.#oldestRevision
+			? err(makeFailure('compacted'))
+			: ok({evacuationChanges: listChanges(), revision: this.#revision});
+	}
+
 	#commit({
 		expected = [],
 		write = [],
--- a/packages/host/src/scheduling/faulty/no-token-twice.test.ts
+++ b/packages/host/src/scheduling/faulty/no-token-twice.test.ts
@@ -25,10 +25,12 @@
 				{at: 100, durationMs: 8000, kind: 'cut', host: 0, peer: 1},
 			],
 		},
-		(line) => {
-			const [, token] =
-				/ group taken .*"group":"mieres","token":(\d+)/v.exec(line) ?? [];
-			takenTokens.push(...(token === undefined ? [] : [token]));
+		{
+			log(line) {
+				const [, token] =
+					/ group taken .*"group":"mieres","token":(\d+)/v.exec(line) ?? [];
+				takenTokens.push(...(token === undefined ? [] : [token]));
+			},
 		},
 	);
 	assert.deepEqual(takenTokens, [...new Set(takenTokens)]);
--- a/packages/host/src/scheduling/faulty/run-plan.fixture.ts
+++ b/packages/host/src/scheduling/faulty/run-plan.fixture.ts
@@ -23,6 +23,7 @@
 	type CallFault,
 	type ShrinkFault,
 } from './start-fault.fixture.js';
+import {findEvacuatedStarts} from './evacuated-starts.fixture.js';
 import {FaultyHost} from './faulty-host.fixture.js';
 import {FaultyNetwork} from './faulty-network.fixture.js';
 import {FaultyStore, type StoreMode} from './faulty-store.fixture.js';
@@ -91,6 +92,8 @@
 			isCapacityEnforced: boolean;
 			stopDelayMs: number;
 			restartDelayMs: number;
+			/** Nothing of the plan is a reason not to complete a job. */
+			areAllCompleted: boolean;
 		},
 		private readonly log: (line: string) => void,
 	) {
@@ -162,11 +165,20 @@
 			host.kill();
 		}
 
-		return [...this.#checkInvariants()];
+		return [...this.#checkInvariants(faults)];
 	}
 
-	*#checkInvariants(): Generator<string> {
+	*#checkInvariants(faults: readonly PlannedFault[]): Generator<string> {
 		const {runs} = this.#executors;
+		yield* findEvacuatedStarts(
+			runs.map((run) => ({...run, dataCentre: this.#findDataCentre(run)})),
+			this.#system.store.listEvacuations(),
+			faults.map((fault) => ({
+				fault,
+				from: startUpMs + fault.at,
+				until: startUpMs + fault.at + fault.durationMs,
+			})),
+		).map((start) => `task started in an evacuated data centre: ${start}`);
 		yield* findOverlaps(runs).map(
 			(pair) => `task ran twice at a time: ${pair}`,
 		);
@@ -203,6 +215,10 @@
 			if (answers.length === 0) {
 				yield `job without an answer: ${id}`;
 			}
+
+			if (this.options.areAllCompleted && answers.at(-1) !== 'completed') {
+				yield `job not completed: ${id} ${answers.join(' ')}`;
+			}
 		}
 	}
 
@@ -230,6 +246,13 @@
 		return executors;
 	}
 
+	#findDataCentre({executor}: {executor: string}): string {
+		const [name] = executor.split('.', 1);
+		return this.#executors.fakes.find(
+			(fake) => fake.executor.id.split('.', 1)[0] === name,
+		)!.executor.dataCentre;
+	}
+
 	#makeDemand(job: string): JobRequest['demand'] {
 		const cpu = this.#cpuByJob.get(job) ?? defaultTaskCpu;
 		return {cpu, memoryMb: 64, accelerators: 0};
@@ -375,7 +398,10 @@
 /** Simulates the plan; returns a line for each violation of an invariant, none if all held. */
 export async function runPlan(
 	plan: FaultPlan,
-	log: (line: string) => void = doNothing,
+	{
+		areAllCompleted = false,
+		log = doNothing,
+	}: {areAllCompleted?: boolean; log?: (line: string) => void} = {},
 ): Promise<string[]> {
 	const {
 		isUnguarded = false,
@@ -383,7 +409,12 @@
 		restartDelayMs = defaultRestartDelayMs,
 	} = plan;
 	return new Simulation(
-		{isCapacityEnforced: !isUnguarded, stopDelayMs, restartDelayMs},
+		{
+			isCapacityEnforced: !isUnguarded,
+			stopDelayMs,
+			restartDelayMs,
+			areAllCompleted,
+		},
 		log,
 	).run(plan);
 }
--- a/packages/host/src/scheduling/faulty/start-fault.fixture.ts
+++ b/packages/host/src/scheduling/faulty/start-fault.fixture.ts
@@ -37,7 +37,7 @@
 	fault: PlannedFault,
 	system: FaultySystem,
 ): () => void {
-	const {hosts, storeModes, callFaults} = system;
+	const {hosts, callFaults} = system;
 	switch (fault.kind) {
 		case 'kill':
 		case 'kill-resend-at-once':
@@ -53,13 +53,7 @@
 		}
 
 		case 'hand-over': {
-			const holder = hosts.find(
-				({isHolder, dataCentre}) => isHolder && dataCentre === dataCentres[0],
-			);
-			holder?.setStopping(true);
-			return () => {
-				holder?.setStopping(false);
-			};
+			return startHandOver(system);
 		}
 
 		case 'cut':
@@ -69,12 +63,10 @@
 			return startLinkFault(fault, system);
 		}
 
-		case 'store': {
-			const host = hosts[fault.host]!;
-			storeModes.set(host, fault.how);
-			return () => {
-				storeModes.delete(host);
-			};
+		case 'store':
+		case 'evacuate':
+		case 'compact': {
+			return startStoreFault(fault, system);
 		}
 
 		case 'unlist':
@@ -96,6 +88,44 @@
 	}
 }
 
+function startHandOver({hosts}: FaultySystem): () => void {
+	const holder = hosts.find(
+		({isHolder, dataCentre}) => isHolder && dataCentre === dataCentres[0],
+	);
+	holder?.setStopping(true);
+	return () => {
+		holder?.setStopping(false);
+	};
+}
+
+function startStoreFault(
+	fault: Extract<PlannedFault, {kind: 'store' | 'evacuate' | 'compact'}>,
+	{hosts, store, storeModes}: FaultySystem,
+): () => void {
+	switch (fault.kind) {
+		case 'store': {
+			const host = hosts[fault.host]!;
+			storeModes.set(host, fault.how);
+			return () => {
+				storeModes.delete(host);
+			};
+		}
+
+		case 'evacuate': {
+			const dataCentre = dataCentres[fault.centre]!;
+			store.setEvacuated(dataCentre, true);
+			return () => {
+				store.setEvacuated(dataCentre, false);
+			};
+		}
+
+		case 'compact': {
+			store.compact();
+			return doNothing;
+		}
+	}
+}
+
 function startHostFault(
 	fault: Extract<
 		PlannedFault,
--- a/packages/host/src/scheduling/group-holding.test.ts
+++ b/packages/host/src/scheduling/group-holding.test.ts
@@ -90,6 +90,7 @@
 				// Nobody is notified.
 			},
 			takeCapacityElsewhere: () => 0,
+			getStartPermission: () => 'granted',
 			isListComplete: () => true,
 			isListFresh: () => true,
 			listPeers: () => [],
--- a/packages/host/src/scheduling/host-dependencies.ts
+++ b/packages/host/src/scheduling/host-dependencies.ts
@@ -11,22 +11,44 @@
 	type StoreFailure,
 } from '@gentianshift/scheduling';
 
-/** The operators' configuration, as text that hosts pass on without parsing it. */
-export type ConfigurationRead = {
-	/** Undefined: there is no configuration yet, or it has not changed. */
-	text?: string;
+/** All that operators have written. */
+export type OperatorRead = {
+	/**
+	The configuration, as text that hosts pass on without parsing it. Undefined: there is none yet.
+	*/
+	configuration?: string;
+	/** The data centres that are evacuated. */
+	evacuated: string[];
 	/** The store's revision at the time of the read; the next watch starts after it. */
 	revision: number;
 };
 
-export type QueueTableSource = {
-	read: () => ResultAsync<ConfigurationRead, StoreFailure>;
+/** What operators have changed since the revision after which a watch started. */
+export type OperatorChange = {
+	/** Undefined: the configuration has not changed. */
+	configuration?: string;
+	/** In the order in which they were made. */
+	evacuationChanges: EvacuationChange[];
+	/** As in `OperatorRead`. */
+	revision: number;
+};
+
+export type EvacuationChange = {
+	dataCentre: string;
+	/** False: the data centre was taken back. */
+	isEvacuated: boolean;
+	/** The store's revision of the change. */
+	revision: number;
+};
+
+export type OperatorSource = {
+	read: () => ResultAsync<OperatorRead, StoreFailure>;
 	/** Waits for a change after a revision. */
 	watch: (
 		afterRevision: number,
 		waitMs: number,
-	) => ResultAsync<ConfigurationRead, StoreFailure>;
-	/** The error says what is wrong with the text. */
+	) => ResultAsync<OperatorChange, StoreFailure>;
+	/** Decodes the configuration; the error says what is wrong with the text. */
 	decode: (text: string) => Result<QueueTable, string>;
 };
 
@@ -39,7 +61,7 @@
 
 export type HostDependencies = {
 	store: CoordinationStore;
-	queueTables: QueueTableSource;
+	operators: OperatorSource;
 	executors: ExecutorSource;
 	control: ExecutorControl;
 };
--- a/packages/host/src/scheduling/host-roles.ts
+++ b/packages/host/src/scheduling/host-roles.ts
@@ -17,10 +17,12 @@
 	type EntryPeers,
 	type EntryPorts,
 	type ExecutorControl,
+	type GroupDirectory,
 	type JobAnswer,
 	type JobRequest,
 } from '@gentianshift/scheduling';
 import {type GroupState, type Link, type Message} from '@gentianshift/protocol';
+import {type Evacuations} from './evacuations.js';
 import {type ExecutorLists} from './executor-lists.js';
 import {GroupHolding} from './group-holding.js';
 import {choosePingInterval, createSilenceWatch} from './ping-intervals.js';
@@ -35,6 +37,7 @@
 	store: CoordinationStore;
 	control: ExecutorControl;
 	executors: Pick<ExecutorLists, 'list' | 'refresh' | 'isComplete' | 'isFresh'>;
+	evacuations: Pick<Evacuations, 'getPermission' | 'isEvacuated'>;
 	peers: Peers;
 	getLeaseId: () => number | undefined;
 	now: () => number;
@@ -72,7 +75,7 @@
 const successorCheckIntervalMs = 500;
 
 export class HostRoles {
-	readonly groups = createGroupDirectory();
+	readonly groups: GroupDirectory;
 	readonly crashes = createCrashRecords();
 	readonly entry: EntryJobs;
 	readonly holding: GroupHolding;
@@ -95,6 +98,9 @@
 
 	constructor(options: HostRolesOptions) {
 		this.#options = options;
+		this.groups = createGroupDirectory({
+			isEvacuated: options.evacuations.isEvacuated,
+		});
 		this.holding = this.#createHolding();
 		this.entry = new EntryJobs({
 			self: options.processId,
@@ -176,6 +182,16 @@
 		}
 	}
 
+	/** To be called when data centres were evacuated or taken back. */
+	applyEvacuations(): void {
+		// Entries learn first that the group has no room, and then get back what waited there.
+		this.#refreshOwnState();
+		this.sendState();
+		this.holding.scheduler?.applyStartPermission();
+
+		this.entry.placeWaitingJobs();
+	}
+
 	/**
 	Sends the state of the group that this host holds, or has just given up, to all connected hosts.
 	*/
@@ -221,6 +237,7 @@
 	#createHolding(): GroupHolding {
 		const {dataCentre, key, processId, store, now, peers, executors, control} =
 			this.#options;
+		const {evacuations} = this.#options;
 		return new GroupHolding({
 			group: dataCentre,
 			hostKey: key,
@@ -245,6 +262,7 @@
 				},
 				takeCapacityElsewhere: (cpu, tasks) =>
 					this.groups.takeElsewhere({home: dataCentre, cpu, tasks}, now()),
+				getStartPermission: () => evacuations.getPermission(dataCentre),
 				isListComplete: () => executors.isComplete(),
 				isListFresh: () => executors.isFresh(),
 				listPeers: peers.listKeys,
--- a/packages/host/src/scheduling/queue-tables.test.ts
+++ b/packages/host/src/scheduling/queue-tables.test.ts
@@ -8,36 +8,74 @@
 import {errAsync, ok, okAsync, ResultAsync} from 'neverthrow';
 import {type MessageOf} from '@gentianshift/protocol';
 import {type StoreFailure} from '@gentianshift/scheduling';
+import {waitFor} from '../timers.js';
+import {createOperatorWatch} from './operator-watch.js';
 import {createQueueTables} from './queue-tables.js';
-import {
-	type ConfigurationRead,
-	type QueueTableSource,
-} from './host-dependencies.js';
 
-function createTables(source: Pick<QueueTableSource, 'read' | 'watch'>) {
+type ConfigurationRead = {text?: string; revision: number};
+type ConfigurationSource = {
+	read: () => ResultAsync<ConfigurationRead, StoreFailure>;
+	watch: (after: number) => ResultAsync<ConfigurationRead, StoreFailure>;
+};
+
+/** The tables of a host with the watch that brings them the store's configuration. */
+function createTables({read, watch}: ConfigurationSource) {
 	const sent: Array<MessageOf<'queue-table'>> = [];
 	const ending = new AbortController();
-	const tables = createQueueTables({
+	const log = () => undefined;
+	const applyRead = ({configuration}: {configuration?: string}) => {
+		if (configuration !== undefined) {
+			tables.applyText(configuration);
+		}
+	};
+
+	const operatorWatch = createOperatorWatch({
 		source: {
-			...source,
-			decode: (text) =>
-				ok({
-					version: Number(text),
-					queues: [],
-					services: [`service-${text}`],
-					capacityEnforcingServices: [],
-					maxBodyBytes: 1000,
-				}),
+			read: () =>
+				read().map(({text, revision}) => ({
+					configuration: text,
+					evacuated: [],
+					revision,
+				})),
+			watch: (after) =>
+				watch(after).map(({text, revision}) => ({
+					configuration: text,
+					evacuationChanges: [],
+					revision,
+				})),
 		},
+		onRead: applyRead,
+		onChange: applyRead,
+		wait: waitFor,
+		random: () => 0,
+		log,
+	});
+	const tables = createQueueTables({
+		decode: (text) =>
+			ok({
+				version: Number(text),
+				queues: [],
+				services: [`service-${text}`],
+				capacityEnforcingServices: [],
+				maxBodyBytes: 1000,
+			}),
+		isWatching: operatorWatch.isWatching,
 		sendToPeers(message) {
 			sent.push(message);
 		},
-		random: () => 0,
-		log() {
-			// Not read.
-		},
+		log,
 	});
-	return {tables, sent, ending};
+	return {
+		tables: {
+			...tables,
+			start(signal: AbortSignal) {
+				tables.start(signal);
+				operatorWatch.start(signal);
+			},
+		},
+		sent,
+		ending,
+	};
 }
 
 /** The answer to a read, which takes some milliseconds as in the store. */
--- a/packages/host/src/scheduling/queue-tables.ts
+++ b/packages/host/src/scheduling/queue-tables.ts
@@ -1,5 +1,5 @@
 /**
-The operators' configuration at this host: read and watched in the store, and passed between hosts.
+The operators' configuration at this host: as the store's watch brings it, and passed between hosts.
 
 Every host watches the store itself and announces each new version's number to peers, which ask for
 the text only if their own watch does not bring it. So a host that can't reach the store, or whose
@@ -10,18 +10,8 @@
 import {type QueueTable} from '@gentianshift/scheduling';
 import {type MessageOf} from '@gentianshift/protocol';
 import {waitFor} from '../timers.js';
-import {
-	type ConfigurationRead,
-	type QueueTableSource,
-} from './host-dependencies.js';
+import {type OperatorSource} from './host-dependencies.js';
 
-/**
-How long one watch waits. A watch that has gone silent is noticed no sooner, so this stays under the
-two seconds within which a change must be in force also on hosts that no peer informs.
-*/
-const watchWaitMs = 1500;
-/** Pause after a call that failed. */
-const retryPauseMs = 200;
 /**
 How long a host whose watch works waits for it to bring a version that a peer has announced, before
 it asks for the text.
@@ -57,37 +47,37 @@
 	*/
 	waitForTable: () => Promise<QueueTable | undefined>;
 	start: (signal: AbortSignal) => void;
+	/** Handles the configuration as the store holds it. */
+	applyText: (text: string) => void;
 	/** Handles a peer's version, or its request for this host's version. */
 	receive: (
 		message: MessageOf<'queue-table'>,
 		answer: (message: MessageOf<'queue-table'>) => void,
 	) => void;
-	/** Sends this host's version number to a new peer. */
-	sendVersion: (send: (message: MessageOf<'queue-table'>) => void) => void;
+	/** 0: no configuration is known yet. */
+	getVersion: () => number;
 };
 
 export type QueueTablesOptions = {
-	source: QueueTableSource;
+	decode: OperatorSource['decode'];
+	/** Whether the watch of the store works, which brings changes sooner than a peer's text does. */
+	isWatching: () => boolean;
 	/** Sends to the connected hosts that pass versions on. */
 	sendToPeers: (message: MessageOf<'queue-table'>) => void;
-	random: () => number;
 	log: (message: string, fields: Record<string, unknown>) => void;
 };
 
 export function createQueueTables({
-	source,
+	decode,
+	isWatching,
 	sendToPeers,
-	random,
 	log,
 }: QueueTablesOptions): QueueTables {
 	let table: QueueTable | undefined;
 	let tableText = '';
 	const knownServices = new Set<string>();
-	let watchRevision = 0;
 	const firstTableController = new AbortController();
 	let firstTableWait: Promise<void> | undefined;
-	/** The last call of the store's watch succeeded. */
-	let isWatching = false;
 	let isAsking = false;
 	/** Requests to peers that have announced a version that this host lacks, the oldest first. */
 	let announcers: Array<{version: number; ask: () => void}> = [];
@@ -99,7 +89,7 @@
 	/** Asks one announcer after another until a version as high as theirs is in force. */
 	async function askAnnouncers(): Promise<void> {
 		isAsking = true;
-		if (isWatching) {
+		if (isWatching()) {
 			await waitFor(ownWatchLimitMs);
 		}
 
@@ -118,7 +108,7 @@
 	}
 
 	function applyText(newText: string, origin: string): boolean {
-		const decoded = source.decode(newText);
+		const decoded = decode(newText);
 		if (decoded.isErr()) {
 			log('configuration is not valid', {origin, reason: decoded.error});
 			return false;
@@ -147,14 +137,6 @@
 		return true;
 	}
 
-	function applyRead(read: ConfigurationRead): void {
-		// Earlier history is not needed again, and the store soon discards it.
-		watchRevision = Math.max(watchRevision, read.revision);
-		if (read.text !== undefined && applyText(read.text, 'store')) {
-			sendToPeers({t: 'queue-table', version: getVersion()});
-		}
-	}
-
 	function receiveNewer(
 		{version, text}: MessageOf<'queue-table'>,
 		answer: (message: MessageOf<'queue-table'>) => void,
@@ -177,28 +159,6 @@
 		}
 	}
 
-	async function watchStore(signal: AbortSignal): Promise<void> {
-		while (!signal.aborted) {
-			const result = await (isWatching
-				? source.watch(watchRevision, watchWaitMs)
-				: source.read());
-			if (result.isOk()) {
-				applyRead(result.value);
-				isWatching = watchRevision > 0;
-			} else {
-				log('configuration can not be read', {
-					code: result.error.code,
-					reason: result.error.message,
-				});
-				isWatching = false;
-			}
-
-			if (!isWatching) {
-				await waitFor(retryPauseMs * (0.5 + random()), signal);
-			}
-		}
-	}
-
 	return {
 		getTable: () => table,
 		isKnownService: (service) =>
@@ -214,7 +174,11 @@
 				firstTableLimitMs,
 				AbortSignal.any([signal, firstTableController.signal]),
 			);
-			void watchStore(signal);
+		},
+		applyText(text) {
+			if (applyText(text, 'store')) {
+				sendToPeers({t: 'queue-table', version: getVersion()});
+			}
 		},
 		receive(message, answer) {
 			if (message.isAsked) {
@@ -225,10 +189,6 @@
 				receiveNewer(message, answer);
 			}
 		},
-		sendVersion(send) {
-			if (table) {
-				send({t: 'queue-table', version: table.version});
-			}
-		},
+		getVersion,
 	};
 }
--- a/packages/host/src/scheduling/scheduling-handlers.ts
+++ b/packages/host/src/scheduling/scheduling-handlers.ts
@@ -6,12 +6,14 @@
 	type Ends,
 	type Link,
 	type Message,
+	type MessageOf,
 	type MeshHandlers,
 	type Part,
 	type Session,
 } from '@gentianshift/protocol';
 import {type Entry} from '@gentianshift/scheduling';
 import {type Directory} from '../directory.js';
+import {type Evacuations} from './evacuations.js';
 import {type HostRoles} from './host-roles.js';
 import {type QueueTables} from './queue-tables.js';
 import {type WorkMeter} from './work-meter.js';
@@ -29,9 +31,10 @@
 		HostRoles,
 		'crashes' | 'entry' | 'groups' | 'holding' | 'sendStateTo'
 	>;
-	tables: Pick<QueueTables, 'sendVersion' | 'receive'>;
+	tables: Pick<QueueTables, 'getVersion' | 'receive'>;
+	evacuations: Pick<Evacuations, 'getList' | 'receive'>;
 	work: Pick<WorkMeter, 'measure'>;
-	/** Whether the peer is told of this host's configuration version. */
+	/** Whether the peer is told of this host's configuration version and evacuations. */
 	isAnnouncedTo: (link: Link) => boolean;
 	/** The address at which this host dials the peer. */
 	findAddress: (key: string) => string;
@@ -43,6 +46,7 @@
 	directory,
 	roles,
 	tables,
+	evacuations,
 	work,
 	isAnnouncedTo,
 	findAddress,
@@ -61,8 +65,10 @@
 			entry.markLinkUp(link.key, link.hello.incarnation);
 			entry.sendAfterReconnect(link.key);
 			if (isAnnouncedTo(link)) {
-				tables.sendVersion((message) => {
-					link.send(message);
+				link.send({
+					t: 'queue-table',
+					version: tables.getVersion(),
+					evacuations: evacuations.getList(),
 				});
 			}
 		},
@@ -101,12 +107,23 @@
 		) {
 			entry.receive(link.key, message);
 		} else if (message.t === 'queue-table') {
-			tables.receive(message, (answer) => {
-				link.send(answer);
-			});
+			receiveQueueTable(message, link);
 		}
 	}
 
+	function receiveQueueTable(
+		message: MessageOf<'queue-table'>,
+		peer: Pick<Link, 'send'>,
+	): void {
+		if (message.evacuations) {
+			evacuations.receive(message.evacuations);
+		}
+
+		tables.receive(message, (answer) => {
+			peer.send(answer);
+		});
+	}
+
 	function receiveRequest(session: Session, message: Message): void {
 		switch (message.t) {
 			case 'part':
@@ -149,9 +166,7 @@
 			}
 
 			case 'queue-table': {
-				tables.receive(message, (answer) => {
-					session.send(answer);
-				});
+				receiveQueueTable(message, session);
 				break;
 			}
 
--- a/packages/host/src/scheduling/scheduling-metrics.ts
+++ b/packages/host/src/scheduling/scheduling-metrics.ts
@@ -77,6 +77,7 @@
 	backlogCoreMs: number;
 	storeAgeMs: number;
 	crashesBlamed: number;
+	evacuatedDataCentres: readonly string[];
 	jobs: number;
 	cpuSeconds: number;
 	work: ReadonlyMap<string, WorkRecord>;
@@ -89,6 +90,11 @@
 	metrics.groupBacklog.set(gauges.backlogCoreMs / msPerSecond);
 	metrics.storeAgeSeconds.set(gauges.storeAgeMs / msPerSecond);
 	metrics.crashesBlamed.set(gauges.crashesBlamed);
+	metrics.evacuated.reset();
+	for (const dataCentre of gauges.evacuatedDataCentres) {
+		metrics.evacuated.set({data_centre: dataCentre}, 1);
+	}
+
 	metrics.entryJobs.set(gauges.jobs);
 	metrics.cpuSeconds.set(gauges.cpuSeconds);
 	for (const [cause, {seconds, count}] of gauges.work) {
--- a/packages/host/src/scheduling/start-scheduling-host.ts
+++ b/packages/host/src/scheduling/start-scheduling-host.ts
@@ -9,6 +9,7 @@
 	formatHostKey,
 	Mesh,
 	type Link,
+	type MessageOf,
 	type PeerAddress,
 } from '@gentianshift/protocol';
 import {
@@ -24,9 +25,11 @@
 import {createMeter} from '../meter.js';
 import {waitFor} from '../timers.js';
 import {rankDial} from './dial-order.js';
+import {createEvacuations, type Evacuations} from './evacuations.js';
 import {createExecutorLists, type ExecutorLists} from './executor-lists.js';
 import {createHostPresence, type HostPresence} from './host-presence.js';
 import {HostRoles} from './host-roles.js';
+import {createOperatorWatch, type OperatorWatch} from './operator-watch.js';
 import {pingIntervals} from './ping-intervals.js';
 import {createQueueTables, type QueueTables} from './queue-tables.js';
 import {createSchedulingHandlers} from './scheduling-handlers.js';
@@ -98,8 +101,8 @@
 	/** Metrics in Prometheus text format. */
 	exportMetrics: () => Promise<string>;
 	/**
-	Whether this host can serve callers: it has a configuration, a group takes tasks, and it is not
-	stopping.
+	Whether this host can answer callers: it has a configuration, a group takes tasks or all data
+	centres are evacuated, and it is not stopping.
 	*/
 	isReady: () => boolean;
 	/**
@@ -125,6 +128,8 @@
 	readonly #presence: HostPresence;
 	readonly #directory: Directory;
 	readonly #tables: QueueTables;
+	readonly #evacuations: Evacuations;
+	readonly #operatorWatch: OperatorWatch;
 	readonly #executors: ExecutorLists;
 	readonly #roles: HostRoles;
 	readonly #mesh: Mesh;
@@ -169,14 +174,36 @@
 			},
 		});
 		this.#tables = createQueueTables({
-			source: dependencies.queueTables,
+			decode: dependencies.operators.decode,
+			isWatching: () => this.#operatorWatch.isWatching(),
 			sendToPeers: (message) => {
-				for (const link of this.#mesh.listLinks()) {
-					if (this.#isAnnouncedTo(link)) {
-						link.send(message);
-					}
-				}
+				this.#publishToNear(message);
+			},
+			log,
+		});
+		this.#evacuations = createEvacuations({
+			onChange: () => {
+				this.#publishToNear({
+					t: 'queue-table',
+					version: this.#tables.getVersion(),
+					evacuations: this.#evacuations.getList(),
+				});
+				this.#roles.applyEvacuations();
+			},
+			wait: waitFor,
+			log,
+		});
+		this.#operatorWatch = createOperatorWatch({
+			source: dependencies.operators,
+			onRead: (read) => {
+				this.#evacuations.applyRead(read);
+				this.#applyConfiguration(read.configuration);
 			},
+			onChange: (change) => {
+				this.#evacuations.applyChange(change);
+				this.#applyConfiguration(change.configuration);
+			},
+			wait: waitFor,
 			random,
 			log,
 		});
@@ -206,6 +233,8 @@
 		this.#presence.start(signal);
 		this.#directory.start(this.#mesh, signal);
 		this.#tables.start(signal);
+		this.#evacuations.start(signal);
+		this.#operatorWatch.start(signal);
 		this.#executors.start(signal);
 		this.#scheduleUpdate();
 		this.#usageTimer = setInterval(() => {
@@ -249,8 +278,10 @@
 
 	isReady(): boolean {
 		const {groups, isStopping} = this.#roles;
-		const hasOpenGroup = groups.listOpen(readNow()).length > 0;
-		return !isStopping && this.getTable() !== undefined && hasOpenGroup;
+		// While every data centre is evacuated a host is as healthy as before, and refuses jobs at once.
+		const canAnswer =
+			groups.listOpen(readNow()).length > 0 || groups.areAllEvacuated();
+		return !isStopping && this.getTable() !== undefined && canAnswer;
 	}
 
 	async exportMetrics(): Promise<string> {
@@ -268,6 +299,7 @@
 				) / thousandthsPerCore,
 			storeAgeMs: measureStoreAge(this.#options.dependencies.store, readNow()),
 			crashesBlamed: this.#roles.crashes.blamedCount,
+			evacuatedDataCentres: this.#evacuations.list(),
 			jobs: this.#roles.entry.size,
 			cpuSeconds: measureCpuSeconds(),
 			work: this.#work.list(),
@@ -316,9 +348,23 @@
 		);
 	}
 
+	#applyConfiguration(text: string | undefined): void {
+		if (text !== undefined) {
+			this.#tables.applyText(text);
+		}
+	}
+
+	#publishToNear(message: MessageOf<'queue-table'>): void {
+		for (const link of this.#mesh.listLinks()) {
+			if (this.#isAnnouncedTo(link)) {
+				link.send(message);
+			}
+		}
+	}
+
 	/**
-	Whether the peer is told of a new version of the configuration: hosts of this data centre, and the
-	holders elsewhere, which pass it on in theirs.
+	Whether the peer is told of a new version of the configuration and of evacuations: hosts of this
+	data centre, and the holders elsewhere, which pass them on in theirs.
 	*/
 	#isAnnouncedTo({key, hello}: Link): boolean {
 		return (
@@ -371,6 +417,7 @@
 			store: dependencies.store,
 			control: wrapControl(dependencies.control, metrics),
 			executors: this.#executors,
+			evacuations: this.#evacuations,
 			peers: {
 				listLinks: () => this.#mesh.listLinks(),
 				listKeys: () => this.#mesh.listPeers(),
@@ -436,6 +483,7 @@
 				directory: this.#directory,
 				roles: this.#roles,
 				tables: this.#tables,
+				evacuations: this.#evacuations,
 				isAnnouncedTo: (link) => this.#isAnnouncedTo(link),
 				findAddress: (key) => this.#mesh.findAddress(key) ?? '',
 				now: readNow,
--- a/packages/protocol/src/scheduling-messages.ts
+++ b/packages/protocol/src/scheduling-messages.ts
@@ -292,13 +292,22 @@
 	job: jobId,
 });
 
-/** The newest queue configuration that the sender knows, as the platform's text. */
+/** The data centres that are evacuated, as of a revision of the store; a list of a later revision replaces it. */
+export const evacuationListSchema = z.object({
+	revision: count,
+	dataCentres: z.array(nameSchema),
+});
+
+/** The newest queue configuration that the sender knows, as the platform's text, and the evacuations. */
 export const queueTableSchema = z.object({
 	t: z.literal('queue-table'),
+	/** 0: none is known. */
 	version: count,
 	/** Absent if only the version is announced; a peer with an older version then requests the text. */
 	text: z.string().optional(),
 	isAsked: z.boolean().optional(),
+	/** Absent: not announced here, or not known. */
+	evacuations: evacuationListSchema.optional(),
 });
 
 export const schedulingMessageSchemas = [
@@ -330,4 +339,5 @@
 export type Ends = z.infer<typeof endsSchema>;
 export type TaskCrashes = z.infer<typeof taskCrashesSchema>;
 export type TaskEnd = z.infer<typeof taskEndSchema>;
+export type EvacuationList = z.infer<typeof evacuationListSchema>;
 export type GroupState = z.infer<typeof groupStateSchema>;
--- a/packages/scheduling/src/entry-jobs.test.ts
+++ b/packages/scheduling/src/entry-jobs.test.ts
@@ -23,7 +23,10 @@
 	const clock = {now: 1000};
 	const sent: Array<{holder: string; message: {t: string}}> = [];
 	const answered: EntryJob[] = [];
-	const groups = createGroupDirectory();
+	const evacuated = new Set<string>();
+	const groups = createGroupDirectory({
+		isEvacuated: (group) => evacuated.has(group),
+	});
 	const entry = new EntryJobs({
 		self: 'mieres_m9.p1',
 		peers: {listHosts: () => [], isLinked: () => false, send: () => false},
@@ -49,7 +52,7 @@
 			.filter(({message}) => message.t === 'part')
 			.filter((one) => one.holder === holder)
 			.map(({message}) => message as Part);
-	return {clock, sent, answered, groups, entry, listParts};
+	return {clock, sent, answered, groups, evacuated, entry, listParts};
 }
 
 /** Wall clock when a test begins, milliseconds since 1970. */
@@ -333,6 +336,19 @@
 	assert.equal(listParts('mieres_m1').length, 2);
 });
 
+// Guards against callers that wait for a scheduler although none may start anything.
+test('a job is refused at once while all data centres are evacuated', () => {
+	const {entry, groups, clock, evacuated} = createEntryJobs();
+	groups.update('mieres_m1', makeState('mieres'), clock.now);
+	groups.update('langreo_l1', makeState('langreo'), clock.now);
+	evacuated.add('mieres').add('langreo');
+	const answers: JobAnswer[] = [];
+	entry.submit(makeRequest({count: 1}), (answer) => {
+		answers.push(answer);
+	});
+	assert.equal(answers[0]?.type, 'refused');
+});
+
 // A group held a job for a while and returned it because another group had free capacity, which is gone by now. If admission were
 // checked again, the job would be refused after having waited.
 test('a job that was admitted is not checked for admission again when it is moved', () => {
--- a/packages/scheduling/src/entry-jobs.ts
+++ b/packages/scheduling/src/entry-jobs.ts
@@ -605,7 +605,12 @@
 				known.group === avoidedGroup ? {...known, free: []} : known,
 			);
 		if (openGroups.length === 0) {
-			this.#waitForScheduler(job, now);
+			if (ports.groups.areAllEvacuated()) {
+				this.#giveUp(job, 'all data centres are evacuated', maxRetryAfterMs);
+			} else {
+				this.#waitForScheduler(job, now);
+			}
+
 			return;
 		}
 
--- a/packages/scheduling/src/group-directory.ts
+++ b/packages/scheduling/src/group-directory.ts
@@ -37,6 +37,8 @@
 	from which states are missing is listed with no free capacity, and is used only if no other group has any.
 	*/
 	listOpen: (now: number) => OpenGroup[];
+	/** Whether groups are known, and the data centres of all of them are evacuated: no task can be placed anywhere. */
+	areAllEvacuated: () => boolean;
 	/** One line of text about each group, for the log. */
 	describe: (now: number) => string[];
 	/** The connection to a holder broke: its groups count as silent unless its next state arrives within half of the usual time. */
@@ -65,7 +67,14 @@
 		: holder < known.holder;
 }
 
-export function createGroupDirectory(): GroupDirectory {
+export type GroupDirectoryOptions = {
+	/** Whether no task may be started in this data centre; absent: that is not known of any. */
+	isEvacuated?: (group: string) => boolean;
+};
+
+export function createGroupDirectory({
+	isEvacuated = () => false,
+}: GroupDirectoryOptions = {}): GroupDirectory {
 	const groups = new Map<string, KnownGroup>();
 	const directory: GroupDirectory = {
 		update(holder, state, now) {
@@ -111,6 +120,7 @@
 					(known) =>
 						!isSilent(known, now) &&
 						!known.state.isReleased &&
+						!isEvacuated(known.state.group) &&
 						known.state.capacity > 0,
 				)
 				.map(({state, free, lastHeardAt}) => ({
@@ -121,11 +131,15 @@
 					lateBacklog: state.lateBacklog,
 					running: state.running,
 				})),
+		areAllEvacuated: () =>
+			groups.size > 0 &&
+			[...groups.keys()].every((group) => isEvacuated(group)),
 		describe: (now) =>
 			[...groups.values()].map(({state, holder, lastHeardAt, free}) => {
 				const ageMs = Math.round(now - lastHeardAt);
 				const released = state.isReleased ? ' released' : '';
-				return `${state.group}: ${holder} token ${state.token}${released}, last state ${ageMs} ms ago, ${free.length} executors open, capacity ${state.capacity}`;
+				const evacuated = isEvacuated(state.group) ? ' evacuated' : '';
+				return `${state.group}: ${holder} token ${state.token}${released}${evacuated}, last state ${ageMs} ms ago, ${free.length} executors open, capacity ${state.capacity}`;
 			}),
 		markDoubtful(holder, now) {
 			for (const known of groups.values()) {
--- a/packages/scheduling/src/group-scheduler.fixture.ts
+++ b/packages/scheduling/src/group-scheduler.fixture.ts
@@ -7,7 +7,7 @@
 	type FakeExecutors,
 } from './fake-executors.fixture.js';
 import {type Entry} from './group-job.js';
-import {GroupScheduler} from './group-scheduler.js';
+import {GroupScheduler, type StartPermission} from './group-scheduler.js';
 import {createCrashRecords} from './crash-records.js';
 import {createRunTimes} from './run-times.js';
 import {VirtualClock} from './virtual-clock.fixture.js';
@@ -43,6 +43,7 @@
 		capacityElsewhere = 0,
 		isListComplete = true,
 		peers = [],
+		getStartPermission = () => 'granted',
 		log = () => undefined,
 	}: {
 		/** Number of tasks for which other groups have free capacity. */
@@ -50,6 +51,7 @@
 		isListComplete?: boolean;
 		/** Keys of the other hosts. */
 		peers?: readonly string[];
+		getStartPermission?: () => StartPermission;
 		log?: (message: string, fields: Record<string, unknown>) => void;
 	} = {},
 ): GroupScheduler {
@@ -77,6 +79,7 @@
 		listPeers: () => peers,
 		isLeaving: () => false,
 		getSuccessor: () => undefined,
+		getStartPermission,
 		isListComplete: () => isListComplete,
 		isListFresh: () => true,
 		getStoreAgeMs: () => 0,
@@ -92,10 +95,11 @@
 */
 export async function openScheduler(
 	options: Parameters<typeof createFakeExecutors>[1],
+	schedulerOptions?: Parameters<typeof createScheduler>[3],
 ) {
 	const clock = new VirtualClock();
 	const executors = createFakeExecutors(clock, options);
-	const scheduler = createScheduler(clock, executors, 1);
+	const scheduler = createScheduler(clock, executors, 1, schedulerOptions);
 	await clock.run(10);
 	return {clock, executors, scheduler, entry: createEntry()};
 }
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -68,6 +68,12 @@
 /** Time after a pause within which entries that still wait have answered a new state message of this host. */
 const pauseGraceMs = 2 * stateIntervalMs;
 
+/**
+Whether tasks may be started on the group's executors. `evacuated`: operators want none there until they take the
+data centre back; `unknown`: whether they do has yet to be learned.
+*/
+export type StartPermission = 'granted' | 'evacuated' | 'unknown';
+
 export type GroupPorts = {
 	/** The data centre whose executors these are. */
 	group: string;
@@ -89,6 +95,7 @@
 	returns for how many of `tasks`.
 	*/
 	takeCapacityElsewhere: (cpu: number, tasks: number) => number;
+	getStartPermission: () => StartPermission;
 	/**
 	Whether the list of the group's executors is complete: none is missing because its registration had expired
 	for a while.
@@ -245,11 +252,8 @@
 			this.#claimTask(job, task);
 		}
 
-		if (
-			!job.isStarted &&
-			!part.isMoved &&
-			this.#hasNoCapacityInTime(job, part)
-		) {
+		const isJudged = !job.isStarted && !part.isMoved && !this.#isEvacuated();
+		if (isJudged && this.#hasNoCapacityInTime(job, part)) {
 			this.#giveBack(job, 'full');
 		}
 
@@ -345,6 +349,23 @@
 		this.#runPlacingRound();
 	}
 
+	/** To be called when the data centre was evacuated or taken back. What runs there goes on; what waits is handed back. */
+	applyStartPermission(): void {
+		const permission = this.ports.getStartPermission();
+		const states = [...this.#jobs.values()].flatMap(({tasks}) =>
+			[...tasks.values()].map(({state}) => state),
+		);
+		this.ports.log('starts on the executors of the group', {
+			group: this.ports.group,
+			token: this.ports.token,
+			permission,
+			jobs: this.#jobs.size,
+			waiting: states.filter((state) => state === 'waiting').length,
+			running: states.filter((state) => state === 'started').length,
+		});
+		this.#runPlacingRound();
+	}
+
 	/** Another holder takes over: this one sends nothing more, and runs go on under their leases. */
 	close(): void {
 		this.#isClosed = true;
@@ -480,9 +501,20 @@
 		);
 	}
 
+	#isEvacuated(): boolean {
+		return this.ports.getStartPermission() === 'evacuated';
+	}
+
+	/** Executors that may be sent a start now. */
+	#listUsable(): ExecutorSession[] {
+		return this.ports.getStartPermission() === 'granted'
+			? this.#executors.listOpen()
+			: [];
+	}
+
 	/** Free thousandths of a core of each open executor, and the capacity of all of them together. */
 	#measureCapacity(): Pick<GroupState, 'free' | 'capacity'> {
-		const open = this.#executors.listOpen();
+		const open = this.#listUsable();
 		return {
 			free: open.map((session) => {
 				const {free} = session;
@@ -594,7 +626,15 @@
 			this.#takeOverReported(job);
 		}
 
-		const waiting = wanted.filter((job) => this.#isRunStateKnown(job));
+		if (this.#isEvacuated()) {
+			for (const job of wanted) {
+				this.#giveBack(job, 'elsewhere');
+			}
+		}
+
+		const waiting = wanted.filter(
+			(job) => hasWaiting(job) && this.#isRunStateKnown(job),
+		);
 		const open = this.#placeSuspects(waiting, now);
 		placeWaiting(
 			waiting,
@@ -619,7 +659,7 @@
 
 	/** Starts suspects; returns the executors that remain for other tasks. */
 	#placeSuspects(waiting: readonly GroupJob[], now: number): ExecutorSession[] {
-		const open = this.#executors.listOpen();
+		const open = this.#listUsable();
 		const {crashes} = this.ports;
 		return crashes.isEmpty
 			? open
--- a/packages/scheduling/src/load-system.fixture.ts
+++ b/packages/scheduling/src/load-system.fixture.ts
@@ -165,15 +165,16 @@
 }: {executorsEach?: number; services?: readonly string[]} = {}) {
 	const clock = new VirtualClock();
 	const taskMs = new Map<string, number[]>();
+	const evacuated = new Set<string>();
 	const groups = dataCentres.map((name) =>
-		createGroup(clock, {name, executorsEach, services, taskMs}),
+		createGroup(clock, {name, executorsEach, services, taskMs, evacuated}),
 	);
 	const entries = new Map<DataCentre, EntryJobs>();
 	for (const group of groups) {
 		entries.set(group.name, createEntryJobs(clock, group, groups));
 	}
 
-	return {clock, groups, taskMs, entries};
+	return {clock, groups, taskMs, entries, evacuated};
 }
 
 type Group = ReturnType<typeof createGroup>;
@@ -185,14 +186,18 @@
 		executorsEach,
 		services,
 		taskMs,
+		evacuated,
 	}: {
 		name: DataCentre;
 		executorsEach: number;
 		services: readonly string[];
 		taskMs: ReadonlyMap<string, number[]>;
+		evacuated: ReadonlySet<string>;
 	},
 ) {
-	const directory = createGroupDirectory();
+	const directory = createGroupDirectory({
+		isEvacuated: (group) => evacuated.has(group),
+	});
 	const runTimes = createRunTimes();
 	const crashes = createCrashRecords();
 	const executors = createFakeExecutors(clock, {
@@ -223,6 +228,7 @@
 		onChange: doNothing,
 		takeCapacityElsewhere: (cpu, tasks) =>
 			directory.takeElsewhere({home: name, cpu, tasks}, clock.now),
+		getStartPermission: () => (evacuated.has(name) ? 'evacuated' : 'granted'),
 		isListComplete: () => true,
 		isListFresh: () => true,
 		listPeers: () => [],
@@ -279,6 +285,21 @@
 	return entry;
 }
 
+/** Evacuates a data centre, or takes it back; all hosts learn of it at once. */
+export function setEvacuated(
+	{groups, evacuated}: LoadSystem,
+	name: DataCentre,
+	isEvacuated: boolean,
+): void {
+	if (isEvacuated) {
+		evacuated.add(name);
+	} else {
+		evacuated.delete(name);
+	}
+
+	groups.find((group) => group.name === name)!.scheduler.applyStartPermission();
+}
+
 /**
 Submits the jobs and runs until all are answered, or the last one's time-out has passed; returns what each caller got.
 */
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -180,6 +180,12 @@
 			help: 'Crashes of executors that this host has blamed on tasks since its start, each task counted.',
 			registers,
 		}),
+		evacuated: new Gauge({
+			name: 'gentianshift_evacuated',
+			help: 'Data centres that this host knows to be evacuated: 1 for each.',
+			labelNames: ['data_centre'],
+			registers,
+		}),
 		entryJobs: new Gauge({
 			name: 'gentianshift_entry_jobs',
 			help: 'Jobs of callers at this host that have no answer yet.',
