Name the evacuated data centre apart from the host's own in log lines

Cause: each line has the data centre of the host that wrote it under the same name, so the lines on evacuations seemed to be about another one. Change: they name it as the group, as other lines do.

--- a/packages/host/src/scheduling/evacuations.ts
+++ b/packages/host/src/scheduling/evacuations.ts
@@ -69,7 +69,7 @@
 		const ended = formerDataCentres.filter((name) => !isEvacuated(name));
 		for (const dataCentre of started) {
 			log('data centre is evacuated', {
-				dataCentre,
+				group: dataCentre,
 				revision: list.revision,
 				origin,
 			});
@@ -77,7 +77,7 @@
 
 		for (const dataCentre of ended) {
 			log('data centre is taken back', {
-				dataCentre,
+				group: dataCentre,
 				revision: list.revision,
 				origin,
 			});
