Leave the former holder out of the order of takeover

Cause: a holder that loses power keeps a connection that seems sound for up to two seconds, and was the first in the order of takeover of its own group. Change: hosts rank themselves without the former holder. Ruled out: that the store or the list of executors took the time (some ms in the log). The new test fails on the code before.

--- a/packages/host/src/scheduling/group-holding.test.ts
+++ b/packages/host/src/scheduling/group-holding.test.ts
@@ -48,11 +48,13 @@
 		isProcessGone = false,
 		refreshExecutors = async () => undefined,
 		listExecutors = () => [],
+		candidates = ['mieres_m1', 'mieres_m2'],
 	}: {
 		groups?: GroupDirectory;
 		isProcessGone?: boolean;
 		refreshExecutors?: () => Promise<void>;
 		listExecutors?: () => readonly Executor[];
+		candidates?: readonly string[];
 	} = {},
 ): GroupHolding {
 	const unused = () =>
@@ -65,7 +67,7 @@
 		store,
 		groups,
 		now: () => clock.now,
-		listCandidates: () => ['mieres_m1', 'mieres_m2'],
+		listCandidates: () => candidates,
 		hasPeers: () => true,
 		getLeaseId: () => 1,
 		listExecutors,
@@ -223,6 +225,22 @@
 	assert.ok(holding.scheduler);
 });
 
+// Guards against a wait for a holder that has lost power: its connection seems sound for two seconds, and
+// the next host left it the first turn to take its own group over.
+test('the first host after a silent holder takes the group over at once', async () => {
+	const clock = {now: 1000};
+	const groups = createGroupDirectory();
+	groups.update('mieres_m2', makeState({token: 50}), clock.now);
+	const holding = createHolding(createStore(storedHolder), clock, {
+		groups,
+		candidates: ['mieres_m2', 'mieres_m1', 'mieres_m3'],
+	});
+	await runFor(holding, clock, holderSilenceMs);
+	assert.equal(holding.scheduler, undefined);
+	await runFor(holding, clock, 100);
+	assert.ok(holding.scheduler);
+});
+
 // An executor begins to drain, and three seconds later another host takes its group over. With its
 // list from before, that host would start a task that is cut off when the executor ends.
 test('a host that takes a group over reads the executors before it schedules', async () => {
--- a/packages/host/src/scheduling/group-holding.ts
+++ b/packages/host/src/scheduling/group-holding.ts
@@ -125,11 +125,10 @@
 	}
 
 	#decideTakeover(): void {
-		const {now, hostKey, listCandidates} = this.#options;
-		const at = now();
+		const at = this.#options.now();
 		const isFree =
 			at >= this.#noTakeoverBefore && isVacant(this.#buildHolderView(at));
-		const rank = isFree ? listCandidates().indexOf(hostKey) : -1;
+		const rank = isFree ? this.#findRank() : -1;
 		if (rank === -1) {
 			this.#vacantSince = undefined;
 			return;
@@ -148,6 +147,18 @@
 		}
 	}
 
+	/**
+	This host's place among those that may take the group over; -1: it is none of them. A former holder
+	does not count: it is gone, leaving or cut off, but its connection may seem sound for seconds.
+	*/
+	#findRank(): number {
+		const {groups, group, hostKey, listCandidates} = this.#options;
+		const former = groups.findGroup(group)?.holder;
+		return listCandidates()
+			.filter((key) => key === hostKey || key !== former)
+			.indexOf(hostKey);
+	}
+
 	#buildHolderView(at: number): HolderView {
 		const {groups, group, hostKey, ports} = this.#options;
 		const known = groups.findGroup(group);
