Run tasks only where their job allows it

Cause: the adapter dropped a job's `required_label` and `anti_affinity`, and a queue's `recommendation`, without a word: a job with a required label ran anywhere, and starts on a queue with approvals were refused by one executor after another. Change: a job's constraints travel with its parts; executors tell their labels, a group's state says which of them it has. A task is started only on an executor with the label that runs fewer tasks of the job than allowed, runs of an earlier holder and runs being stopped included. A job whose label no group has is refused at once, a part whose label the group has not is returned at once. Not done: `affinity` and `rack_local` are still no preference (a remote run takes longer, and breaks no rule); a shift between groups does not look at labels, so tasks with constraints are not shifted for room.

--- a/packages/protocol/src/scheduling-messages.ts
+++ b/packages/protocol/src/scheduling-messages.ts
@@ -57,6 +57,14 @@
 	accelerators: count,
 });
 
+/** Where the tasks of a job may run. */
+export const taskConstraintsSchema = z.object({
+	/** A label that the executor must have. */
+	requiredLabel: z.string().optional(),
+	/** So many tasks of the job may run on one executor at a time. */
+	maxPerExecutor: z.number().int().min(1).optional(),
+});
+
 /**
 A task that the entry requests: its index in the job, the number of its next attempt, and its placement
 number, which the entry increases each time it places the task. `ends` messages return the placement number. Thereby a
@@ -102,6 +110,8 @@
 	maxAttempts: z.number().int().min(1),
 	spec: z.string(),
 	demand: taskDemandSchema,
+	/** Absent: the tasks may run on any executor of the service. */
+	constraints: taskConstraintsSchema.optional(),
 	/** The entry's estimate of one task's run time. */
 	estimateMs: duration,
 	/** Time until the job's latency objective; negative if the objective has been missed. */
@@ -276,6 +286,8 @@
 	free: countsSchema,
 	/** Total thousandths of a core. */
 	capacity: count,
+	/** Labels that some executor has. Absent: the holder does not say. */
+	labels: z.array(z.string()).optional(),
 	/** Queued work that can still meet its latency objective, by priority, in thousandths of a core times milliseconds. */
 	backlog: z.array(z.number()),
 	/** Queued work that will miss its objective, in the same form; it is scheduled after all other work of its priority. */
@@ -326,6 +338,7 @@
 ] as const;
 
 export type TaskDemand = z.infer<typeof taskDemandSchema>;
+export type TaskConstraints = z.infer<typeof taskConstraintsSchema>;
 export type Part = z.infer<typeof partSchema>;
 export type Keep = z.infer<typeof keepSchema>;
 export type ClaimsEnded = z.infer<typeof claimsEndedSchema>;
--- a/packages/scheduling/src/entry-job.ts
+++ b/packages/scheduling/src/entry-job.ts
@@ -3,7 +3,7 @@
 
 Times named `…At` and `…Until` are milliseconds of the entry's steady clock.
 */
-import {type TaskDemand} from '@gentianshift/protocol';
+import {type TaskConstraints, type TaskDemand} from '@gentianshift/protocol';
 import {type CopyCheck} from './copy-check.js';
 import {type Queue} from './queue-table.js';
 
@@ -16,6 +16,8 @@
 	/** Number of tasks. */
 	count: number;
 	demand: TaskDemand;
+	/** Undefined: the tasks may run on any executor of the service. */
+	constraints?: TaskConstraints;
 	/** Run time of one task, as the caller declared it. */
 	declaredMs: number;
 	/** How much longer the caller waits, from now. */
--- a/packages/scheduling/src/entry-jobs.test.ts
+++ b/packages/scheduling/src/entry-jobs.test.ts
@@ -801,3 +801,29 @@
 	const parts = [...listParts('mieres_m1'), ...listParts('langreo_l1')];
 	assert.deepEqual(parts.at(-1)!.crashes, crashes);
 });
+
+// Guards against jobs that are sent to a data centre without an executor that may run them, or that wait although none
+// has one.
+test('a job that requires a label goes to a group that has it, or is refused at once', () => {
+	const {entry, groups, clock, listParts} = createEntryJobs();
+	groups.update('mieres_m1', makeState('mieres', {labels: ['r1']}), clock.now);
+	groups.update(
+		'langreo_l1',
+		makeState('langreo', {labels: ['r2', 'ssd']}),
+		clock.now,
+	);
+	const answers: JobAnswer[] = [];
+	const submit = (id: string, requiredLabel: string) => {
+		const request = makeRequest({count: 2});
+		entry.submit({...request, id, constraints: {requiredLabel}}, (answer) => {
+			answers.push(answer);
+		});
+	};
+
+	submit('job1', 'ssd');
+	assert.equal(listParts('mieres_m1').length, 0);
+	const [part] = listParts('langreo_l1');
+	assert.deepEqual(part?.constraints, {requiredLabel: 'ssd'});
+	submit('job2', 'gpu');
+	assert.equal(answers[0]?.type, 'refused');
+});
--- a/packages/scheduling/src/entry-jobs.ts
+++ b/packages/scheduling/src/entry-jobs.ts
@@ -44,6 +44,7 @@
 import {createLostHolders, type LostHolders} from './lost-holders.js';
 import {findLostTasks} from './lost-tasks.js';
 import {type RunTimes} from './run-times.js';
+import {hasRequiredLabel} from './task-constraints.js';
 import {clockSlackMs, orphanLimitMs} from './timing.js';
 import {makePart} from './make-part.js';
 import {placeJob} from './place-job.js';
@@ -598,13 +599,9 @@
 	#placeTasks(job: EntryJob, tasks: EntryTask[], avoidedGroup?: string): void {
 		const ports = this.#ports;
 		const now = ports.now();
-		const {queue, demand} = job.request;
-		const openGroups = ports.groups
-			.listOpen(now)
-			.map((known) =>
-				known.group === avoidedGroup ? {...known, free: []} : known,
-			);
-		if (openGroups.length === 0) {
+		const {queue, demand, constraints} = job.request;
+		const allOpenGroups = ports.groups.listOpen(now);
+		if (allOpenGroups.length === 0) {
 			if (ports.groups.areAllEvacuated()) {
 				this.#giveUp(job, 'all data centres are evacuated', maxRetryAfterMs);
 			} else {
@@ -614,6 +611,16 @@
 			return;
 		}
 
+		const openGroups = allOpenGroups
+			.filter(({labels}) => hasRequiredLabel(labels, constraints))
+			.map((known) =>
+				known.group === avoidedGroup ? {...known, free: []} : known,
+			);
+		if (openGroups.length === 0) {
+			this.#giveUp(job, 'no executor has the required label', maxRetryAfterMs);
+			return;
+		}
+
 		const ownPlaces = this.#holderContacts.listPlaces(job.request.id, now);
 		this.#replacement.askGroups(job, ownPlaces, now);
 		const obstacle = this.#replacement.findObstacle(job, now);
--- a/packages/scheduling/src/executor-session.ts
+++ b/packages/scheduling/src/executor-session.ts
@@ -151,6 +151,10 @@
 		return this.#executor.capacity;
 	}
 
+	get labels(): readonly string[] {
+		return this.#executor.labels ?? [];
+	}
+
 	get isDraining(): boolean {
 		return this.#executor.isDraining;
 	}
--- a/packages/scheduling/src/executor-set.ts
+++ b/packages/scheduling/src/executor-set.ts
@@ -20,6 +20,8 @@
 	setListed: (executors: readonly Executor[]) => void;
 	/** Sessions of listed executors that may be sent a start now. */
 	listOpen: () => ExecutorSession[];
+	/** The labels of listed executors, each once. */
+	listLabels: () => string[];
 	/** Every executor has reported what runs there or is gone, and there is at least one. */
 	hasAllReported: () => boolean;
 	/** A run of the task on any of the executors, including one that is being stopped. */
@@ -42,6 +44,7 @@
 	/** By executor id, including executors whose session is closed. */
 	const unansweredStarts = new Map<string, UnansweredStarts>();
 	let listedIds: ReadonlySet<string> = new Set();
+	let labels: string[] = [];
 
 	function openSession(executor: Executor): void {
 		const {id} = executor;
@@ -69,6 +72,7 @@
 		sessions,
 		setListed(executors) {
 			listedIds = new Set(executors.map(({id}) => id));
+			labels = [...new Set(executors.flatMap((one) => one.labels ?? []))];
 			for (const executor of executors) {
 				const session = sessions.get(executor.id);
 				if (session) {
@@ -90,6 +94,7 @@
 			[...sessions.values()].filter(
 				({id, isOpen}) => isOpen && listedIds.has(id),
 			),
+		listLabels: () => labels,
 		hasAllReported: () =>
 			sessions.size > 0 &&
 			[...sessions.values()].every(
--- a/packages/scheduling/src/executor.ts
+++ b/packages/scheduling/src/executor.ts
@@ -18,6 +18,8 @@
 	*/
 	isCapacityEnforced: boolean;
 	capacity: TaskDemand;
+	/** What the executor says of its kind and place; jobs may require one. */
+	labels?: readonly string[];
 	/** When this host first read this capacity from the executor's newest registration; this host's clock. */
 	capacityReadAt: number;
 };
--- a/packages/scheduling/src/group-directory.ts
+++ b/packages/scheduling/src/group-directory.ts
@@ -130,6 +130,7 @@
 					backlog: state.backlog,
 					lateBacklog: state.lateBacklog,
 					running: state.running,
+					labels: state.labels,
 				})),
 		areAllEvacuated: () =>
 			groups.size > 0 &&
--- a/packages/scheduling/src/group-job.ts
+++ b/packages/scheduling/src/group-job.ts
@@ -6,6 +6,7 @@
 	type Ends,
 	type Part,
 	type Replaced,
+	type TaskConstraints,
 	type TaskDemand,
 } from '@gentianshift/protocol';
 import {type RankedJob} from './rank-jobs.js';
@@ -60,6 +61,7 @@
 	spec: string;
 	maxAttempts: number;
 	demand: TaskDemand;
+	constraints?: TaskConstraints;
 	/** When the caller stops waiting, on this host's clock. */
 	deadlineAt: number;
 	tasks: Map<number, GroupTask>;
@@ -110,6 +112,7 @@
 		spec: part.spec,
 		maxAttempts: part.maxAttempts,
 		demand: part.demand,
+		constraints: part.constraints,
 		estimateMs: part.estimateMs,
 		remainingWork:
 			part.remaining * part.estimateMs * Math.max(1, part.demand.cpu),
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -47,6 +47,7 @@
 import {createPlacingRound} from './placing-round.js';
 import {countFits, coversDemand, noDemand} from './free-capacity.js';
 import {type Run, type RunOutcome} from './run.js';
+import {hasRequiredLabel} from './task-constraints.js';
 import {type RunTimes} from './run-times.js';
 import {createStartLog, type StartLog} from './start-log.js';
 import {
@@ -253,7 +254,11 @@
 		}
 
 		const isJudged = !job.isStarted && !part.isMoved && !this.#isEvacuated();
-		if (isJudged && this.#hasNoCapacityInTime(job, part)) {
+		const hasNoExecutor = !hasRequiredLabel(
+			this.#executors.listLabels(),
+			job.constraints,
+		);
+		if (isJudged && (hasNoExecutor || this.#hasNoCapacityInTime(job, part))) {
 			this.#giveBack(job, 'full');
 		}
 
@@ -382,6 +387,7 @@
 			successor: this.ports.getSuccessor(),
 			isReleased: this.#isClosed,
 			storeAgeMs: this.ports.getStoreAgeMs(),
+			labels: this.#executors.listLabels(),
 			...this.#measureCapacity(),
 			...measureLoad(this.#jobs.values(), this.ports.now()),
 			crashes: this.ports.crashes.listRecent(this.ports.now()),
--- a/packages/scheduling/src/make-part.ts
+++ b/packages/scheduling/src/make-part.ts
@@ -24,7 +24,7 @@
 	tasks: readonly EntryTask[],
 	{isMoved, claim, state, now, crashes}: PartContext,
 ): Part {
-	const {queue, id, spec, demand} = job.request;
+	const {queue, id, spec, demand, constraints} = job.request;
 	return {
 		t: 'part',
 		job: id,
@@ -38,6 +38,7 @@
 		maxAttempts: queue.maxAttempts,
 		spec,
 		demand,
+		constraints,
 		estimateMs: job.estimateMs,
 		dueInMs: job.dueAt - now,
 		admitInMs: getLatestEnd(job) - now,
--- a/packages/scheduling/src/place-job.ts
+++ b/packages/scheduling/src/place-job.ts
@@ -25,6 +25,8 @@
 	lateBacklog: readonly number[];
 	/** Processor that running tasks use, by priority, in thousandths of a core. */
 	running: readonly number[];
+	/** Labels that some executor has; undefined: not known. */
+	labels?: readonly string[];
 };
 
 export type JobPlacementRequest = {
--- a/packages/scheduling/src/place-suspects.ts
+++ b/packages/scheduling/src/place-suspects.ts
@@ -11,6 +11,7 @@
 import {chooseExecutor, type ExecutorCandidate} from './place-task.js';
 import {compareJobs} from './rank-jobs.js';
 import {coversDemand} from './free-capacity.js';
+import {isAllowedOn} from './task-constraints.js';
 
 /** Largest share of all executors that run suspects or are kept free for one; at least one executor. */
 const maxSuspectShare = 0.25;
@@ -80,11 +81,11 @@
 	executors: ReadonlySet<C>,
 	now: number,
 ): C | undefined {
-	const {service, demand, estimateMs, deadlineAt} = job;
+	const {id, constraints, service, demand, estimateMs, deadlineAt} = job;
 	const idle = [...executors].filter(({runCount}) => runCount === 0);
 	const idleExecutor = chooseExecutor(
 		idle,
-		{service, demand, estimateMs, deadlineAt, avoid},
+		{id, constraints, service, demand, estimateMs, deadlineAt, avoid},
 		now,
 	);
 	const isUrgent = now + urgentRunTimes * estimateMs >= deadlineAt;
@@ -99,15 +100,17 @@
 }
 
 function findLeastBusy<C extends ExecutorCandidate>(
-	{service, demand}: GroupJob,
+	job: GroupJob,
 	executors: ReadonlySet<C>,
 	isSuitable: (executor: C) => boolean,
 ): C | undefined {
+	const {service, demand} = job;
 	return [...executors]
 		.filter(
 			(executor) =>
 				executor.service === service &&
 				coversDemand(executor.capacity, demand) &&
+				isAllowedOn(executor, job) &&
 				isSuitable(executor),
 		)
 		.toSorted((a, b) => a.runCount - b.runCount || b.free.cpu - a.free.cpu)[0];
--- a/packages/scheduling/src/place-task.ts
+++ b/packages/scheduling/src/place-task.ts
@@ -5,7 +5,7 @@
 tasks can start at once. An executor that has proved slow, or is doubted, is used only when no other has free
 capacity; a slow one never for a task that it could not end in time.
 */
-import {type TaskDemand} from '@gentianshift/protocol';
+import {type TaskConstraints, type TaskDemand} from '@gentianshift/protocol';
 import {
 	computeSlowness,
 	isDoubted,
@@ -13,6 +13,8 @@
 	type ExecutorTrust,
 } from './executor-trust.js';
 import {coversDemand} from './free-capacity.js';
+import {type Run} from './run.js';
+import {isAllowedOn} from './task-constraints.js';
 
 export type ExecutorCandidate = {
 	id: string;
@@ -23,9 +25,16 @@
 	/** Whether the executor's lease can be extended far enough for a new run; undefined counts as true. */
 	isLeaseExtendable?: boolean;
 	trust: ExecutorTrust;
+	labels?: readonly string[];
+	/** What runs there. */
+	runs?: ReadonlyMap<string, Run>;
 };
 
 export type TaskRequirements = {
+	/** The job's id. */
+	id: string;
+	/** Undefined: any executor of the service will do. */
+	constraints?: TaskConstraints;
 	service: string;
 	demand: TaskDemand;
 	estimateMs: number;
@@ -81,7 +90,11 @@
 	const slowness = computeSlowness(candidate.trust, now);
 	const isInTime =
 		slowness < slowFactor || now + task.estimateMs * slowness < task.deadlineAt;
-	return isAvailable(candidate, task, now) && isInTime;
+	return (
+		isAvailable(candidate, task, now) &&
+		isAllowedOn(candidate, task) &&
+		isInTime
+	);
 }
 
 /**
--- a/packages/scheduling/src/place-waiting.ts
+++ b/packages/scheduling/src/place-waiting.ts
@@ -78,7 +78,7 @@
 	{now, candidates, hasCapacityFor}: PlacingRound<C>,
 	{listStartable, isSound, start}: PlacingActions<C>,
 ): boolean {
-	const {service, demand, estimateMs, deadlineAt} = job;
+	const {id, constraints, service, demand, estimateMs, deadlineAt} = job;
 	if (!hasCapacityFor(service, demand)) {
 		return false;
 	}
@@ -89,7 +89,15 @@
 		}
 
 		const {avoid} = task;
-		const requirements = {service, demand, estimateMs, deadlineAt, avoid};
+		const requirements = {
+			id,
+			constraints,
+			service,
+			demand,
+			estimateMs,
+			deadlineAt,
+			avoid,
+		};
 		const executor = chooseExecutor(candidates, requirements, now);
 		if (!executor) {
 			return false;
@@ -101,13 +109,18 @@
 	return true;
 }
 
-/** Returns tasks that find no free capacity here while another group has some for them now. */
+/**
+Returns tasks that find no free capacity here while another group has some for them now. What is free elsewhere is not
+known by label, so tasks with constraints stay.
+*/
 function shiftTasks<C extends ExecutorCandidate>(
 	job: GroupJob,
 	{takeCapacityElsewhere}: PlacingRound<C>,
 	{listStartable, giveBack}: PlacingActions<C>,
 ): void {
-	const waiting = listWaiting(job).filter((task) => isShiftable(task));
+	const waiting = job.constraints
+		? []
+		: listWaiting(job).filter((task) => isShiftable(task));
 	const shiftCount =
 		waiting.length === 0
 			? 0
--- a/packages/scheduling/src/queue-table.ts
+++ b/packages/scheduling/src/queue-table.ts
@@ -18,6 +18,8 @@
 	/** The latency objective is `slackFactor` times the longest task's run time, plus this. */
 	allowanceMs: number;
 	slackFactor: number;
+	/** Executors run tasks of this queue only with an approval, which this program does not ask for. */
+	requiresApproval?: boolean;
 };
 
 export type QueueTable = {
