Blame a task that was never alone only for a third crash

Cause: a suspect whose time runs out is started beside other tasks. Change: records say on which executors a task ran alone, with crashes, silences and messages. Two crashes condemn a task that was alone in one of them, three any other. Weighed: no start of a suspect beside others, which keeps two crashes for all; but each task on an executor that is lost is a suspect, and would wait for an idle executor. Older hosts drop the new field, and count as before.

--- a/packages/host/src/scheduling/scheduling-handlers.ts
+++ b/packages/host/src/scheduling/scheduling-handlers.ts
@@ -64,12 +64,10 @@
 			roles.sendStateTo(link);
 			entry.markLinkUp(link.key, link.hello.incarnation);
 			entry.sendAfterReconnect(link.key);
-			if (isAnnouncedTo(link)) {
-				link.send({
-					t: 'queue-table',
-					version: tables.getVersion(),
-					evacuations: evacuations.getList(),
-				});
+			const version = tables.getVersion();
+			const list = evacuations.getList();
+			if (isAnnouncedTo(link) && (version > 0 || list)) {
+				link.send({t: 'queue-table', version, evacuations: list});
 			}
 		},
 		onLinkDown(link, reason, lastReceivedAt) {
--- a/packages/protocol/src/scheduling-messages.ts
+++ b/packages/protocol/src/scheduling-messages.ts
@@ -87,6 +87,8 @@
 	crashed: z.array(z.string()),
 	/** Ids of the incarnations that have crashed or are unreachable; it isn't known which. */
 	silent: z.array(z.string()),
+	/** Those of both lists that ran nothing beside the task. Absent: not known. */
+	alone: z.array(z.string()).optional(),
 });
 
 /** Absent if none are known. */
--- a/packages/scheduling/src/crash-records.test.ts
+++ b/packages/scheduling/src/crash-records.test.ts
@@ -7,21 +7,43 @@
 test('a task is condemned once two executors have crashed under it', () => {
 	const records = createCrashRecords();
 	assert.equal(records.judge(task), 'sound');
-	assert.equal(records.addCrash(task, 'e1', 0), 1);
+	assert.equal(records.addCrash(task, 'e1', {now: 0, isAlone: true}), 1);
 	assert.equal(records.judge(task), 'suspect');
-	assert.equal(records.addCrash(task, 'e2', 10), 2);
+	assert.equal(records.addCrash(task, 'e2', {now: 10, isAlone: true}), 2);
 	assert.equal(records.judge(task), 'condemned');
 	assert.equal(records.findCondemnedTask('job1'), 0);
 	assert.equal(records.findCondemnedTask('job2'), undefined);
 });
 
+// Guards against blaming a sound task for what ran beside it on two executors: only what ran alone is proved.
+test('a task that was never alone is condemned by a third crash', () => {
+	const records = createCrashRecords();
+	records.addCrash(task, 'e1', {now: 0, isAlone: false});
+	records.addCrash(task, 'e2', {now: 10, isAlone: false});
+	assert.equal(records.judge(task), 'suspect');
+	records.addReported(
+		[{...task, crashed: ['e1'], silent: [], alone: ['e1']}],
+		20,
+	);
+	assert.equal(records.judge(task), 'condemned');
+	const others = createCrashRecords();
+	for (const executor of ['e1', 'e2', 'e3']) {
+		others.addCrash(task, executor, {now: 0, isAlone: false});
+	}
+
+	assert.equal(others.judge(task), 'condemned');
+});
+
 // Guards against counting a crash twice because two hosts report it.
 test('a crash that several hosts report counts once', () => {
 	const records = createCrashRecords();
-	records.addCrash(task, 'e1', 0);
+	records.addCrash(task, 'e1', {now: 0, isAlone: true});
 	records.addReported([{...task, crashed: ['e1'], silent: []}], 5);
 	records.addReported([{...task, crashed: ['e1'], silent: ['e1']}], 6);
-	assert.equal(records.addCrash(task, 'e1', 7), undefined);
+	assert.equal(
+		records.addCrash(task, 'e1', {now: 7, isAlone: true}),
+		undefined,
+	);
 	assert.equal(records.judge(task), 'suspect');
 });
 
@@ -29,9 +51,9 @@
 // confirmed.
 test('a task is held while silent executors may have crashed under it', () => {
 	const records = createCrashRecords();
-	records.addSilence(task, 'e1', 0);
+	records.addSilence(task, 'e1', {now: 0, isAlone: true});
 	assert.equal(records.judge(task), 'suspect');
-	records.addSilence(task, 'e2', 0);
+	records.addSilence(task, 'e2', {now: 0, isAlone: true});
 	assert.equal(records.judge(task), 'held');
 	records.confirmCrash('e1', 10);
 	assert.equal(records.judge(task), 'held');
@@ -42,8 +64,8 @@
 // Guards against taking a lost connection to an executor for a crash.
 test('an executor that answers again has not crashed', () => {
 	const records = createCrashRecords();
-	records.addSilence(task, 'e1', 0);
-	records.addCrash(task, 'e2', 0);
+	records.addSilence(task, 'e1', {now: 0, isAlone: true});
+	records.addCrash(task, 'e2', {now: 0, isAlone: true});
 	records.clearExecutor('e1');
 	records.clearExecutor('e2');
 	assert.equal(records.judge(task), 'sound');
@@ -51,8 +73,8 @@
 
 test('a silence that is neither confirmed as a crash nor cleared expires', () => {
 	const records = createCrashRecords();
-	records.addSilence(task, 'e1', 0);
-	records.addSilence(task, 'e2', 0);
+	records.addSilence(task, 'e1', {now: 0, isAlone: true});
+	records.addSilence(task, 'e2', {now: 0, isAlone: true});
 	records.forgetOld(9000);
 	assert.equal(records.judge(task), 'held');
 	records.forgetOld(11_000);
@@ -67,13 +89,13 @@
 		0,
 	);
 	assert.equal(records.listRecent(0), undefined);
-	records.addCrash(task, 'e1', 0);
+	records.addCrash(task, 'e1', {now: 0, isAlone: true});
 	assert.deepEqual(records.listRecent(1000), [
-		{...task, crashed: ['e1'], silent: []},
+		{...task, crashed: ['e1'], silent: [], alone: ['e1']},
 	]);
 	assert.equal(records.listRecent(3000), undefined);
 	assert.deepEqual(records.listByJob('job1'), [
-		{...task, crashed: ['e1'], silent: []},
+		{...task, crashed: ['e1'], silent: [], alone: ['e1']},
 	]);
 });
 
@@ -81,7 +103,10 @@
 test('records are bounded in number and age', () => {
 	const records = createCrashRecords();
 	for (let index = 0; index < 5000; index += 1) {
-		records.addCrash({job: `job${index}`, index}, 'e1', index);
+		records.addCrash({job: `job${index}`, index}, 'e1', {
+			now: index,
+			isAlone: true,
+		});
 	}
 
 	assert.equal(records.listByJob('job0'), undefined);
--- a/packages/scheduling/src/crash-records.ts
+++ b/packages/scheduling/src/crash-records.ts
@@ -2,7 +2,8 @@
 Records which executors crashed while they ran a task. An executor has a new id after each restart, so a crash
 that several hosts report counts once.
 
-A task under which `crashLimit` executors have crashed is condemned: every host gives up its job. An executor
+A task under which `crashLimit` executors have crashed is condemned: every host gives up its job. If another task
+ran beside it each time, that one may be the cause, and one crash more is needed. An executor
 that stays silent until its lease has expired may have crashed or may only be unreachable; which of the two
 becomes known seconds later. Until then the silence counts against another start of the task, but does not
 condemn it.
@@ -10,8 +11,10 @@
 import {type TaskCrashes} from '@gentianshift/protocol';
 import {formatTaskKey} from './run.js';
 
-/** Number of crashed executors after which a task is not started again. */
+/** Number of crashed executors after which a task is not started again, if it was alone on one of them. */
 export const crashLimit = 2;
+/** Likewise for a task that was alone on none of them. */
+export const sharedCrashLimit = 3;
 /** Callers have stopped resending a job by then. */
 const recordRetentionMs = 60_000;
 /** By then a silent executor has answered again, or its registration in the store has expired. */
@@ -28,6 +31,12 @@
 
 type TaskName = {job: string; index: number};
 
+type CrashContext = {
+	now: number;
+	/** Nothing else ran on the executor. */
+	isAlone: boolean;
+};
+
 /**
 - `sound`: no executor is known to have crashed or fallen silent under the task.
 - `suspect`: an executor has crashed under the task, or may have.
@@ -44,10 +53,10 @@
 	addCrash: (
 		task: TaskName,
 		executor: string,
-		now: number,
+		context: CrashContext,
 	) => number | undefined;
 	/** Records that the executor is silent and its lease has expired. */
-	addSilence: (task: TaskName, executor: string, now: number) => void;
+	addSilence: (task: TaskName, executor: string, context: CrashContext) => void;
 	/** Records that a silent executor has crashed. Returns the tasks for which this crash was new. */
 	confirmCrash: (executor: string, now: number) => TaskName[];
 	/** Removes the executor from all tasks: it answers under the same id, so it has not crashed. */
@@ -72,6 +81,8 @@
 	crashed: Set<string>;
 	/** Silent executors, and since when this host has known that they are silent. */
 	silent: Map<string, number>;
+	/** Those of both on which the task was alone. */
+	alone: Set<string>;
 	/** When this host last recorded a crash or silence that it noticed itself, not one that another host reported. */
 	noticedAt: number;
 	updatedAt: number;
@@ -79,7 +90,7 @@
 
 /**
 @example
-records.addCrash({job: 'a1', index: 0}, 'i-1', now); // 1
+records.addCrash({job: 'a1', index: 0}, 'i-1', {now, isAlone: true}); // 1
 records.judge({job: 'a1', index: 0}); // 'suspect'
 */
 export function createCrashRecords(): CrashRecords {
@@ -111,6 +122,7 @@
 			task: {job, index},
 			crashed: new Set(),
 			silent: new Map(),
+			alone: new Set(),
 			noticedAt: -Infinity,
 			updatedAt: now,
 		};
@@ -165,10 +177,14 @@
 	function addCrash(
 		task: TaskName,
 		executor: string,
-		now: number,
+		{now, isAlone}: CrashContext,
 	): number | undefined {
 		const record = recordCrash(task, executor, now);
 		if (record) {
+			if (isAlone) {
+				record.alone.add(executor);
+			}
+
 			record.noticedAt = now;
 			blamedCount += 1;
 		}
@@ -184,9 +200,13 @@
 			return blamedCount;
 		},
 		addCrash,
-		addSilence(task, executor, now) {
+		addSilence(task, executor, {now, isAlone}) {
 			const record = recordSilence(task, executor, now);
 			if (record) {
+				if (isAlone) {
+					record.alone.add(executor);
+				}
+
 				record.noticedAt = now;
 			}
 		},
@@ -195,17 +215,19 @@
 				.filter(({silent}) => silent.has(executor))
 				.map(({task}) => task);
 			return tasks.filter(
-				(task) => addCrash(task, executor, now) !== undefined,
+				// Whether the task was alone was recorded with the silence.
+				(task) => addCrash(task, executor, {now, isAlone: false}) !== undefined,
 			);
 		},
 		clearExecutor(executor) {
 			for (const record of records.values()) {
 				record.crashed.delete(executor);
 				record.silent.delete(executor);
+				record.alone.delete(executor);
 			}
 		},
 		addReported(reported, now) {
-			for (const {job, index, crashed, silent} of reported) {
+			for (const {job, index, crashed, silent, alone = []} of reported) {
 				for (const executor of crashed) {
 					recordCrash({job, index}, executor, now);
 				}
@@ -213,6 +235,10 @@
 				for (const executor of silent) {
 					recordSilence({job, index}, executor, now);
 				}
+
+				for (const executor of alone) {
+					records.get(formatTaskKey({job, index}))?.alone.add(executor);
+				}
 			}
 		},
 		judge(task) {
@@ -260,12 +286,13 @@
 	};
 }
 
-function judgeRecord({crashed, silent}: CrashRecord): CrashVerdict {
-	if (crashed.size >= crashLimit) {
+function judgeRecord({crashed, silent, alone}: CrashRecord): CrashVerdict {
+	const limit = alone.size > 0 ? crashLimit : sharedCrashLimit;
+	if (crashed.size >= limit) {
 		return 'condemned';
 	}
 
-	if (crashed.size + silent.size >= crashLimit) {
+	if (crashed.size + silent.size >= limit) {
 		return 'held';
 	}
 
@@ -277,10 +304,11 @@
 ): TaskCrashes[] | undefined {
 	const rows = records
 		.filter(({crashed, silent}) => crashed.size + silent.size > 0)
-		.map(({task, crashed, silent}) => ({
+		.map(({task, crashed, silent, alone}) => ({
 			...task,
 			crashed: [...crashed],
 			silent: [...silent.keys()],
+			alone: [...alone],
 		}));
 	return rows.length > 0 ? rows : undefined;
 }
--- a/packages/scheduling/src/group-crashes.ts
+++ b/packages/scheduling/src/group-crashes.ts
@@ -70,8 +70,9 @@
 
 	return {
 		blameRuns(executor, runs) {
+			const context = {now: now(), isAlone: runs.length === 1};
 			for (const run of runs) {
-				const count = crashes.addCrash(run, executor, now());
+				const count = crashes.addCrash(run, executor, context);
 				if (count !== undefined) {
 					log('an executor crashed under a task', {
 						executor,
@@ -92,8 +93,9 @@
 			sendCrashesToEntries(runs);
 		},
 		recordSilence(executor, runs) {
+			const context = {now: now(), isAlone: runs.length === 1};
 			for (const run of runs) {
-				crashes.addSilence(run, executor, now());
+				crashes.addSilence(run, executor, context);
 			}
 
 			sendCrashesToEntries(runs);
