--- a/packages/scheduling/src/crash-records.ts
+++ b/packages/scheduling/src/crash-records.ts
@@ -227,7 +227,9 @@
 			}
 		},
 		addReported(reported, now) {
-			for (const {job, index, crashed, silent, alone = []} of reported) {
+			for (const {job, index, crashed, silent, ...row} of reported) {
+				// A host of an earlier build does not say, and condemns a task after two crashes.
+				const alone = row.alone ?? [...crashed, ...silent];
 				for (const executor of crashed) {
 					recordCrash({job, index}, executor, now);
 				}
