Confirm no copy before executors have told what runs, and look up the permission less often

A holder also keeps its start permission, as of its last update or change, as it is asked for several times a part. Ruled out: to wait for a complete list of executors in all cases, as after a loss of power each caller on a new connection would wait for a second.

--- a/packages/host/src/scheduling/faulty/no-task-twice.test.ts
+++ b/packages/host/src/scheduling/faulty/no-task-twice.test.ts
@@ -102,6 +102,51 @@
 			],
 		},
 	},
+	{
+		situation:
+			'an executor was silent while its group changed holders, and the first entry host of a job had given its copy up',
+		plan: {
+			jobs: [
+				{
+					at: 0,
+					host: 0,
+					tasks: 1,
+					runMs: 60,
+					allowanceMs: 60,
+					isOnNewConnection: false,
+					crashAfterMs: 500,
+				},
+				{
+					at: 59,
+					host: 1,
+					tasks: 1,
+					runMs: 1500,
+					allowanceMs: 60,
+					isOnNewConnection: false,
+				},
+			],
+			faults: [
+				{
+					at: 800,
+					durationMs: 400,
+					kind: 'faulty-calls',
+					executor: 0,
+					how: 'lost',
+					every: 1,
+					lateMs: 200,
+				},
+				{at: 803, durationMs: 50, kind: 'hand-over'},
+				{
+					at: 790,
+					durationMs: 9,
+					kind: 'reset-resend-at-once',
+					host: 1,
+					noticeDelayMs: 0,
+				},
+			],
+			restartDelayMs: 500,
+		},
+	},
 	{
 		situation:
 			'a holder whose machine was suspended treated claims that entry hosts had renewed before as fresh',
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -125,6 +125,8 @@
 	readonly #crashes: GroupCrashes;
 	readonly #openedAt: number;
 	#updatedAt = 0;
+	/** As of the last update or change. */
+	#permission: StartPermission;
 	/** After a pause of this host, no claim counts as ended and no run as overdue before this time. */
 	#checksClaimsFrom = 0;
 	#isClosed = false;
@@ -133,6 +135,7 @@
 	constructor(private readonly ports: GroupPorts) {
 		this.#openedAt = ports.now();
 		this.#updatedAt = ports.readBootTime();
+		this.#permission = ports.getStartPermission();
 		this.#outbox = createEndsOutbox(ports.token);
 		this.#startLog = createStartLog(ports);
 		this.#crashes = createGroupCrashes({
@@ -147,6 +150,7 @@
 			mayRun: (job, isMoved) =>
 				this.#executors.hasRunOfJob(job) ||
 				!this.#hasHeardFromEntries() ||
+				!this.#hasRunReports() ||
 				(isMoved && !this.#hasReportsSince(this.#openedAt)),
 		});
 		this.#executors = createExecutorSet({
@@ -254,11 +258,10 @@
 		}
 
 		const isJudged = !job.isStarted && !part.isMoved && !this.#isEvacuated();
-		const hasNoExecutor = !hasRequiredLabel(
-			this.#executors.listLabels(),
-			job.constraints,
-		);
-		if (isJudged && (hasNoExecutor || this.#hasNoCapacityInTime(job, part))) {
+		if (
+			isJudged &&
+			(this.#hasNoExecutorFor(job) || this.#hasNoCapacityInTime(job, part))
+		) {
 			this.#giveBack(job, 'full');
 		}
 
@@ -338,6 +341,7 @@
 	*/
 	update(): void {
 		const now = this.ports.now();
+		this.#permission = this.ports.getStartPermission();
 		this.#checkPause();
 		if (now >= this.#checksClaimsFrom) {
 			this.#dropEndedClaims(now);
@@ -356,14 +360,14 @@
 
 	/** To be called when the data centre was evacuated or taken back. What runs there goes on; what waits is handed back. */
 	applyStartPermission(): void {
-		const permission = this.ports.getStartPermission();
+		this.#permission = this.ports.getStartPermission();
 		const states = [...this.#jobs.values()].flatMap(({tasks}) =>
 			[...tasks.values()].map(({state}) => state),
 		);
 		this.ports.log('starts on the executors of the group', {
 			group: this.ports.group,
 			token: this.ports.token,
-			permission,
+			permission: this.#permission,
 			jobs: this.#jobs.size,
 			waiting: states.filter((state) => state === 'waiting').length,
 			running: states.filter((state) => state === 'started').length,
@@ -507,15 +511,20 @@
 		);
 	}
 
+	#hasNoExecutorFor({constraints}: GroupJob): boolean {
+		return (
+			constraints !== undefined &&
+			!hasRequiredLabel(this.#executors.listLabels(), constraints)
+		);
+	}
+
 	#isEvacuated(): boolean {
-		return this.ports.getStartPermission() === 'evacuated';
+		return this.#permission === 'evacuated';
 	}
 
 	/** Executors that may be sent a start now. */
 	#listUsable(): ExecutorSession[] {
-		return this.ports.getStartPermission() === 'granted'
-			? this.#executors.listOpen()
-			: [];
+		return this.#permission === 'granted' ? this.#executors.listOpen() : [];
 	}
 
 	/** Free thousandths of a core of each open executor, and the capacity of all of them together. */
@@ -605,6 +614,17 @@
 		);
 	}
 
+	/**
+	Whether every listed executor has reported its runs to this holder, or runs of an earlier one must be over. An
+	entry that gave up a copy may not know that the group has changed hands.
+	*/
+	#hasRunReports(): boolean {
+		return (
+			this.#executors.hasAllReported() ||
+			this.ports.now() - this.#openedAt > orphanLimitMs + clockSlackMs
+		);
+	}
+
 	/** Whether all runs that an earlier holder started by `at` are known, or must be over by now. */
 	#hasReportsSince(at: number): boolean {
 		return (
