Look at a job's constraints last when an executor is chosen

Cause: each look at an executor called the check of constraints, also for jobs without. Change: executors without room are left first, and jobs without constraints skip the check.

--- a/packages/scheduling/src/place-task.ts
+++ b/packages/scheduling/src/place-task.ts
@@ -87,14 +87,15 @@
 	task: TaskRequirements,
 	now: number,
 ): boolean {
+	if (!isAvailable(candidate, task, now)) {
+		return false;
+	}
+
 	const slowness = computeSlowness(candidate.trust, now);
 	const isInTime =
 		slowness < slowFactor || now + task.estimateMs * slowness < task.deadlineAt;
-	return (
-		isAvailable(candidate, task, now) &&
-		isAllowedOn(candidate, task) &&
-		isInTime
-	);
+	const isAllowed = !task.constraints || isAllowedOn(candidate, task);
+	return isInTime && isAllowed;
 }
 
 /**
