--- a/packages/bench/src/slopes-schedulers.ts
+++ b/packages/bench/src/slopes-schedulers.ts
@@ -10,6 +10,7 @@
 	createCrashRecords,
 	createRunTimes,
 	GroupScheduler,
+	singleGroupLayout,
 	type CallFailure,
 	type Entry,
 	type Executor,
@@ -137,6 +138,10 @@
 		};
 		this.scheduler = new GroupScheduler({
 			group: 'mieres',
+			dataCentre: 'mieres',
+			getLayout: () => singleGroupLayout,
+			hasRunsOutside: false,
+			isHeldElsewhere: () => false,
 			token: 1,
 			now: readNow,
 			readBootTime: readNow,
--- a/packages/host/src/scheduling/faulty/faulty-host.fixture.ts
+++ b/packages/host/src/scheduling/faulty/faulty-host.fixture.ts
@@ -9,6 +9,7 @@
 	type JobAnswer,
 	type JobRequest,
 } from '@gentianshift/scheduling';
+import {loadHash} from '@gentianshift/membership';
 import {type VirtualClock} from '@gentianshift/scheduling/fixtures';
 import {ResultAsync} from 'neverthrow';
 import {createExecutorLists} from '../executor-lists.js';
@@ -22,6 +23,7 @@
 import {createEvacuations} from '../evacuations.js';
 import {createOperatorWatch} from '../operator-watch.js';
 
+const hash = await loadHash();
 const updateIntervalMs = 50;
 
 export type HostIdentity = {
@@ -39,6 +41,8 @@
 	control: ExecutorControl;
 	/** Executors refuse starts that exceed their capacity. */
 	isCapacityEnforced: boolean;
+	/** Most groups that a data centre is divided into. */
+	maxGroups: number;
 	/** Keys of the data centre's hosts, in the order in which they may take over the group. */
 	listTakeoverOrder: () => readonly string[];
 	peers: Omit<Peers, 'listCandidates' | 'getCores'>;
@@ -79,7 +83,7 @@
 	}
 
 	get isHolder(): boolean {
-		return this.#process?.roles.holding.scheduler !== undefined;
+		return this.#process?.roles.holdings.isHolder ?? false;
 	}
 
 	get hello(): Hello {
@@ -132,7 +136,10 @@
 		this.#deferredWork = [];
 		this.#frozenUntil = 0;
 		process?.abortController.abort();
-		process?.roles.holding.scheduler?.close();
+		for (const scheduler of process?.roles.holdings.schedulers ?? []) {
+			scheduler.close();
+		}
+
 		return this.#takeCallers();
 	}
 
@@ -273,9 +280,9 @@
 			},
 			isKnownService: () => true,
 			isCapacityEnforcingService: () => this.environment.isCapacityEnforced,
-			isHolder: () => roles.holding.scheduler !== undefined,
+			isHolder: () => roles.holdings.isHolder,
 			onList(list) {
-				roles.holding.setExecutors(list);
+				roles.holdings.setExecutors(list);
 			},
 			now: () => this.#readMonotonicClock(),
 			wait,
@@ -325,6 +332,9 @@
 			readBootTime: () => clock.now,
 			readWallClock: () => clock.now + this.identity.wallClockOffsetMs,
 			wait,
+			random: () => 0.5,
+			hash,
+			maxGroups: this.environment.maxGroups,
 			defer(work) {
 				clock.schedule(0, work);
 			},
--- a/packages/host/src/scheduling/faulty/run-plan.fixture.ts
+++ b/packages/host/src/scheduling/faulty/run-plan.fixture.ts
@@ -294,6 +294,7 @@
 			...client,
 			control: this.#executors.control satisfies ExecutorControl,
 			isCapacityEnforced: this.options.isCapacityEnforced,
+			maxGroups: 1,
 			listTakeoverOrder: () =>
 				this.#hosts
 					.filter(
--- a/packages/host/src/scheduling/group-holding.test.ts
+++ b/packages/host/src/scheduling/group-holding.test.ts
@@ -11,6 +11,7 @@
 	createCrashRecords,
 	createRunTimes,
 	holderSilenceMs,
+	singleGroupLayout,
 	type CoordinationStore,
 	type Executor,
 	type GroupDirectory,
@@ -61,6 +62,14 @@
 		errAsync({code: 'unreachable' as const, message: 'unused'});
 	return new GroupHolding({
 		group: 'mieres',
+		dataCentre: 'mieres',
+		layout: {
+			get: () => singleGroupLayout,
+			measureAge: () => Infinity,
+			isRecentlyChanged: () => false,
+			refresh: async () => true,
+		},
+		isAssigned: () => true,
 		hostKey: 'mieres_m1',
 		processId: 'mieres_m1.a1',
 		isProcessGone: () => isProcessGone,
--- a/packages/host/src/scheduling/group-holding.ts
+++ b/packages/host/src/scheduling/group-holding.ts
@@ -1,5 +1,5 @@
 /**
-Whether this host schedules the executors of its data centre. It takes the group when it has no
+Whether this host schedules a group of executors of its data centre. It takes the group when it has no
 working holder, and gives it up when another host has a higher fencing token.
 
 The store arbitrates: the group's key changes hands by compare-and-swap, and the key's revision
@@ -11,8 +11,10 @@
 import {
 	computeSlot,
 	computeTakeoverDelay,
+	getDataCentre,
 	GroupScheduler,
 	holderSilenceMs,
+	isSilent,
 	isVacant,
 	makeStorelessToken,
 	makeStoreToken,
@@ -24,10 +26,18 @@
 	type KnownGroup,
 	type StoreFailure,
 } from '@gentianshift/scheduling';
+import {type GroupLayouts} from './group-layouts.js';
 
 export type GroupHoldingOptions = {
-	/** The data centre whose executors are scheduled. */
 	group: string;
+	/** The data centre whose executors the group has. */
+	dataCentre: string;
+	layout: Pick<
+		GroupLayouts,
+		'get' | 'measureAge' | 'isRecentlyChanged' | 'refresh'
+	>;
+	/** Whether the executor belongs to the group by the present layout. */
+	isAssigned: (executor: string) => boolean;
 	/** This host's key, `<data centre>_<host>`. */
 	hostKey: string;
 	/** This process as the store names it: `<host key>.<incarnation>`. */
@@ -50,7 +60,18 @@
 	listExecutors: () => readonly Executor[];
 	/** Reads the list of executors again; resolves when it has been read, or can't be. */
 	refreshExecutors: () => Promise<void>;
-	ports: Omit<GroupPorts, 'group' | 'token' | 'now' | 'onFenced' | 'log'>;
+	ports: Omit<
+		GroupPorts,
+		| 'group'
+		| 'dataCentre'
+		| 'token'
+		| 'getLayout'
+		| 'hasRunsOutside'
+		| 'isHeldElsewhere'
+		| 'now'
+		| 'onFenced'
+		| 'log'
+	>;
 	/** This host has taken the group, or given it up. */
 	onChange: () => void;
 	log: (message: string, fields: Record<string, unknown>) => void;
@@ -58,6 +79,8 @@
 
 /** How long this host does not take the group after executors have obeyed another holder. */
 const fencedPauseMs = 1000;
+/** By then the holder of another group of the data centre knows a new layout, if anybody can tell it. */
+const layoutNoticeMs = 1000;
 /** Pause after a failed takeover: each attempt costs two calls of the store. */
 const takeoverRetryMs = 150;
 
@@ -114,7 +137,7 @@
 	}
 
 	setExecutors(executors: readonly Executor[]): void {
-		this.#scheduler?.setExecutors(this.#listGroupExecutors(executors));
+		this.#scheduler?.setExecutors(...this.#splitExecutors(executors));
 	}
 
 	#isSuperseded({state, holder}: KnownGroup): boolean {
@@ -181,14 +204,10 @@
 		const token = isStoreReached
 			? await this.#takeWithStore()
 			: this.#takeWithoutStore();
-		if (token !== undefined && isStoreReached) {
-			// This host did not hold the group, so its list of executors may be seconds old. With
-			// that list it would start tasks on an executor that has begun to drain since.
-			await this.#options.refreshExecutors();
-		}
-
+		const isLayoutKnown =
+			token === undefined || !isStoreReached || (await this.#refreshLists());
 		this.#isTakingOver = false;
-		if (token === undefined) {
+		if (token === undefined || !isLayoutKnown) {
 			this.#noTakeoverBefore = this.#options.now() + takeoverRetryMs;
 			return;
 		}
@@ -196,6 +215,20 @@
 		this.#startScheduler(token, isStoreReached);
 	}
 
+	/**
+	This host did not hold the group, so its list of executors may be seconds old. With that list it would start tasks on
+	an executor that has begun to drain since. With an earlier layout it would call executors of other groups' holders.
+	False: the layout is not known.
+	*/
+	async #refreshLists(): Promise<boolean> {
+		const {layout, refreshExecutors} = this.#options;
+		const [isLayoutRead] = await Promise.all([
+			layout.refresh(),
+			refreshExecutors(),
+		]);
+		return isLayoutRead || layout.get().revision > 0;
+	}
+
 	async #takeWithStore(): Promise<number | undefined> {
 		const {store, group, processId, getLeaseId, log} = this.#options;
 		const leaseId = getLeaseId();
@@ -275,7 +308,7 @@
 	}
 
 	#startScheduler(token: number, isStoreReached: boolean): void {
-		const {group, groups, now, ports, listExecutors, log, onChange, hostKey} =
+		const {group, dataCentre, layout, groups, now, ports, log, hostKey} =
 			this.#options;
 		const known = groups.findGroup(group);
 		if (known && known.state.token >= token) {
@@ -294,7 +327,11 @@
 		this.#scheduler = new GroupScheduler({
 			...ports,
 			group,
+			dataCentre,
 			token,
+			getLayout: layout.get,
+			hasRunsOutside: this.#hasRunsOutside(known),
+			isHeldElsewhere: (executor) => this.#isHeldElsewhere(executor),
 			now,
 			log,
 			onFenced: () => {
@@ -303,8 +340,8 @@
 			},
 		});
 		groups.update(hostKey, this.#scheduler.describeState(), now());
-		this.#scheduler.setExecutors(this.#listGroupExecutors(listExecutors()));
-		onChange();
+		this.setExecutors(this.#options.listExecutors());
+		this.#options.onChange();
 	}
 
 	#giveUp(reason: string, successor?: string): void {
@@ -334,8 +371,52 @@
 		this.#options.onChange();
 	}
 
-	#listGroupExecutors(executors: readonly Executor[]): Executor[] {
-		const {group} = this.#options;
-		return executors.filter(({dataCentre}) => dataCentre === group);
+	/** The group's executors, and those of the data centre's other groups. */
+	#splitExecutors(executors: readonly Executor[]): [Executor[], Executor[]] {
+		const {dataCentre, isAssigned} = this.#options;
+		const near = executors.filter((one) => one.dataCentre === dataCentre);
+		return [
+			near.filter(({id}) => isAssigned(id)),
+			near.filter(({id}) => !isAssigned(id)),
+		];
+	}
+
+	/**
+	Whether the group's former holder may have runs on executors that have since been assigned to other groups. After a
+	start of all hosts nobody knows of a former holder, and what it ran is over.
+	*/
+	#hasRunsOutside(former: KnownGroup | undefined): boolean {
+		const {layout} = this.#options;
+		if (!former) {
+			return layout.isRecentlyChanged();
+		}
+
+		const {releasing = [], layout: formerLayout} = former.state;
+		const formerRevision = formerLayout?.revision ?? 0;
+		return releasing.length > 0 || formerRevision !== layout.get().revision;
+	}
+
+	/**
+	Whether the holder of another group may still run tasks on the executor: it releases it, or does not know the present
+	layout yet. A call with this holder's higher token would end these runs.
+	*/
+	#isHeldElsewhere(executor: string): boolean {
+		const {group, groups, dataCentre, layout, now} = this.#options;
+		const {revision} = layout.get();
+		const isNew = layout.measureAge() < layoutNoticeMs;
+		return groups
+			.list()
+			.filter(
+				(known) =>
+					getDataCentre(known.state) === dataCentre &&
+					known.state.group !== group &&
+					!known.state.isReleased &&
+					!isSilent(known, now()),
+			)
+			.some(
+				({state}) =>
+					state.releasing?.includes(executor) === true ||
+					(isNew && (state.layout?.revision ?? 0) < revision),
+			);
 	}
 }
--- a/packages/host/src/scheduling/host-roles.ts
+++ b/packages/host/src/scheduling/host-roles.ts
@@ -1,13 +1,11 @@
 /**
-The two roles of a scheduling host: the entry, which accepts its callers' jobs, and, while this host
-holds the group of its data centre, the group's scheduler. Connections, clocks and lists are passed
-in.
+The two roles of a scheduling host: the entry, which accepts its callers' jobs, and the schedulers of
+the groups that this host holds in its data centre. Connections, clocks and lists are passed in.
 */
 import {
 	createCrashRecords,
 	createGroupDirectory,
 	createRunTimes,
-	createSuccession,
 	EntryJobs,
 	parseProcessId,
 	stateIntervalMs,
@@ -18,13 +16,16 @@
 	type EntryPorts,
 	type ExecutorControl,
 	type GroupDirectory,
+	type GroupScheduler,
+	type KnownGroup,
 	type JobAnswer,
 	type JobRequest,
 } from '@gentianshift/scheduling';
 import {type GroupState, type Link, type Message} from '@gentianshift/protocol';
 import {type Evacuations} from './evacuations.js';
 import {type ExecutorLists} from './executor-lists.js';
-import {GroupHolding} from './group-holding.js';
+import {GroupHoldings} from './group-holdings.js';
+import {createGroupLayouts, type GroupLayouts} from './group-layouts.js';
 import {choosePingInterval, createSilenceWatch} from './ping-intervals.js';
 import {measureStoreAge} from './store-age.js';
 
@@ -46,6 +47,12 @@
 	/** Milliseconds since 1970. */
 	readWallClock: () => number;
 	wait: (ms: number, signal?: AbortSignal) => Promise<void>;
+	/** Returns a number from 0 up to 1. */
+	random: () => number;
+	/** Assigns executors to groups; the same on all hosts. */
+	hash: (text: string) => bigint;
+	/** Most groups that operators want a data centre to have. */
+	maxGroups: number;
 	/** Runs work after the current event-loop callback has ended. */
 	defer: (work: () => void) => void;
 	/** Called for each job, before its caller is answered. */
@@ -61,52 +68,47 @@
 	findLink: (key: string) => Link | undefined;
 	/** Incarnations of that host whose processes are connected to this one. */
 	listIncarnations: (key: string) => readonly string[];
-	/** Hosts that could hold the group of this data centre, the preferred one first. */
+	/** Hosts that could hold a group of this data centre, the preferred one first. */
 	listCandidates: () => readonly string[];
 	/** Processor cores that a host may use. */
 	getCores: (key: string) => number;
 };
 
-/** So many hosts take a group over before the others try. */
-const firstInLine = 3;
 /** The takeover order changes only when hosts come or go. */
 const idlenessCheckIntervalMs = 1000;
-/** A stronger host has to be there for seconds before it is asked, so it is looked for no more often than this. */
-const successorCheckIntervalMs = 500;
 
 export class HostRoles {
 	readonly groups: GroupDirectory;
 	readonly crashes = createCrashRecords();
 	readonly entry: EntryJobs;
-	readonly holding: GroupHolding;
+	readonly holdings: GroupHoldings;
+	readonly layouts: GroupLayouts;
 	/** Set when the host stops: it then takes no role any more. */
 	isStopping = false;
 	readonly #options: HostRolesOptions;
 	readonly #runTimes = createRunTimes();
-	readonly #succession = createSuccession();
 	readonly #watchSilence = createSilenceWatch();
 	/** The entry on the scheduler's own host. */
 	readonly #localEntry: Entry;
-	/** A host with more cores that is asked to take the group over. */
-	#successor: string | undefined;
-	#successorChosenAt = -Infinity;
 	#idlenessCheckedAt = -Infinity;
 	#isFirstInLine = true;
 	#stateSentAt = 0;
-	/** Whether the state that was last sent was of a group whose executors have all answered. */
-	#isReadyStateSent = false;
+	/** Groups whose state was sent after all of their executors had answered. */
+	readonly #readyStatesSent = new Set<string>();
 
 	constructor(options: HostRolesOptions) {
 		this.#options = options;
 		this.groups = createGroupDirectory({
 			isEvacuated: options.evacuations.isEvacuated,
 		});
-		this.holding = this.#createHolding();
+		this.layouts = this.#createLayouts();
+		this.holdings = this.#createHoldings();
 		this.entry = new EntryJobs({
 			self: options.processId,
 			peers: this.#createEntryPeers(),
 			home: options.dataCentre,
 			now: options.now,
+			random: options.random,
 			readWallClock: options.readWallClock,
 			groups: this.groups,
 			runTimes: this.#runTimes,
@@ -129,7 +131,7 @@
 	choosePingInterval(peer: string): number {
 		return choosePingInterval(peer, {
 			dataCentre: this.#options.dataCentre,
-			isHolder: this.holding.scheduler !== undefined,
+			isHolder: this.holdings.isHolder,
 			groups: this.groups.list(),
 			hasTasksIn: (group) => this.entry.hasTasksIn(group),
 			now: this.#options.now(),
@@ -145,16 +147,12 @@
 	isIdle(): boolean {
 		const now = this.#options.now();
 		if (now - this.#idlenessCheckedAt > idlenessCheckIntervalMs) {
-			const {key, peers} = this.#options;
-			const rank = peers.listCandidates().indexOf(key);
 			this.#idlenessCheckedAt = now;
-			this.#isFirstInLine = rank !== -1 && rank < firstInLine;
+			this.#isFirstInLine = this.holdings.isFirstInLine();
 		}
 
 		return (
-			!this.#isFirstInLine &&
-			this.entry.size === 0 &&
-			this.holding.scheduler === undefined
+			!this.#isFirstInLine && this.entry.size === 0 && !this.holdings.isHolder
 		);
 	}
 
@@ -163,19 +161,21 @@
 		request: JobRequest,
 		onAnswer: (answer: JobAnswer) => void,
 	): () => void {
-		this.#refreshOwnState();
+		this.#refreshOwnStates();
 		return this.entry.submit(request, onAnswer);
 	}
 
 	/** Acts on time limits that have passed; to be called about every 50 ms. */
 	update(): void {
-		this.holding.update();
-		this.#updateSuccessor();
-		// Answers the state of the previous update, before the state is refreshed. After a pause of
+		this.holdings.update();
+		// Answers the states of the previous update, before they are refreshed. After a pause of
 		// this process, the disconnections of callers that left meanwhile are then read before
 		// their jobs' claims are renewed.
-		this.entry.renewClaims(this.#options.dataCentre);
-		this.#refreshOwnState();
+		for (const group of this.holdings.listHeld()) {
+			this.entry.renewClaims(group);
+		}
+
+		this.#refreshOwnStates();
 		this.entry.update();
 		if (this.#options.now() - this.#stateSentAt >= stateIntervalMs) {
 			this.sendState();
@@ -184,37 +184,50 @@
 
 	/** To be called when data centres were evacuated or taken back. */
 	applyEvacuations(): void {
-		// Entries learn first that the group has no room, and then get back what waited there.
-		this.#refreshOwnState();
+		// Entries learn first that the groups have no room, and then get back what waited there.
+		this.#refreshOwnStates();
 		this.sendState();
-		this.holding.scheduler?.applyStartPermission();
+		for (const scheduler of this.holdings.schedulers) {
+			scheduler.applyStartPermission();
+		}
 
 		this.entry.placeWaitingJobs();
 	}
 
 	/**
-	Sends the state of the group that this host holds, or has just given up, to all connected hosts.
+	Sends the states of the groups that this host holds, or has given up, to all connected hosts.
 	*/
 	sendState(): void {
-		const state = this.#findStateToSend();
-		if (state) {
-			this.#stateSentAt = this.#options.now();
-			this.#isReadyStateSent = this.holding.scheduler?.isReady ?? false;
+		this.#stateSentAt = this.#options.now();
+		for (const state of this.#listStatesToSend()) {
+			this.#markSent(state);
 			this.sendToPeers(state);
 		}
 	}
 
 	/**
-	Sends the state to one host that has just been connected: it may have treated the group as
+	Sends the states to one host that has just been connected: it may have treated the groups as
 	unreachable since its previous connection broke.
 	*/
 	sendStateTo(peer: Pick<Link, 'send'>): void {
-		const state = this.#findStateToSend();
-		if (state) {
+		for (const state of this.#listStatesToSend()) {
 			peer.send(state);
 		}
 	}
 
+	/** Handles the state of a group that another host holds. Returns whether the group has another holder or token. */
+	receiveState(holder: string, state: GroupState): boolean {
+		const isNew = this.groups.update(holder, state, this.#options.now());
+		this.layouts.noteState(state);
+		if (isNew) {
+			this.holdings.releaseIfReplaced(state.group);
+			this.entry.sendGroupTasks(state.group);
+		}
+
+		this.entry.receiveState(state.group);
+		return isNew;
+	}
+
 	sendToPeers(message: Message): void {
 		for (const link of this.#options.peers.listLinks()) {
 			link.send(message);
@@ -234,12 +247,32 @@
 		};
 	}
 
-	#createHolding(): GroupHolding {
-		const {dataCentre, key, processId, store, now, peers, executors, control} =
+	#createLayouts(): GroupLayouts {
+		const {dataCentre, key, store, now, readWallClock, log} = this.#options;
+		return createGroupLayouts({
+			dataCentre,
+			store,
+			groups: this.groups,
+			self: key,
+			now,
+			readWallClock,
+			onChange: () => {
+				this.holdings.applyLayout();
+				this.#refreshOwnStates();
+				this.sendState();
+			},
+			log,
+		});
+	}
+
+	#createHoldings(): GroupHoldings {
+		const {dataCentre, key, processId, store, now, peers, executors} =
 			this.#options;
-		const {evacuations} = this.#options;
-		return new GroupHolding({
-			group: dataCentre,
+		return new GroupHoldings({
+			dataCentre,
+			layouts: this.layouts,
+			hash: this.#options.hash,
+			maxGroups: this.#options.maxGroups,
 			hostKey: key,
 			processId,
 			isProcessGone: (id) => this.#isProcessGone(id),
@@ -247,37 +280,45 @@
 			groups: this.groups,
 			now,
 			listCandidates: peers.listCandidates,
+			getCores: peers.getCores,
 			hasPeers: () => peers.listLinks().length > 0,
 			getLeaseId: this.#options.getLeaseId,
 			listExecutors: () => executors.list(),
 			refreshExecutors: async () => executors.refresh(),
-			ports: {
-				wait: this.#options.wait,
-				readBootTime: this.#options.readBootTime,
-				control,
-				runTimes: this.#runTimes,
-				crashes: this.crashes,
-				onChange: () => {
-					this.#sendFirstReadyState();
-				},
-				takeCapacityElsewhere: (cpu, tasks) =>
-					this.groups.takeElsewhere({home: dataCentre, cpu, tasks}, now()),
-				getStartPermission: () => evacuations.getPermission(dataCentre),
-				isListComplete: () => executors.isComplete(),
-				isListFresh: () => executors.isFresh(),
-				listPeers: peers.listKeys,
-				isLeaving: () => this.isStopping,
-				getSuccessor: () => this.#successor,
-				getStoreAgeMs: () => measureStoreAge(store, now()),
-			},
+			isListComplete: () => executors.isComplete(),
+			ports: (group) => this.#createGroupPorts(group),
 			onChange: () => {
 				this.sendState();
-				this.entry.sendGroupTasks(dataCentre);
+				for (const group of this.holdings.listHeld()) {
+					this.entry.sendGroupTasks(group);
+				}
 			},
 			log: this.#options.log,
 		});
 	}
 
+	#createGroupPorts(group: string) {
+		const {dataCentre, store, now, peers, executors, control, evacuations} =
+			this.#options;
+		return {
+			wait: this.#options.wait,
+			readBootTime: this.#options.readBootTime,
+			control,
+			runTimes: this.#runTimes,
+			crashes: this.crashes,
+			onChange: () => {
+				this.#sendFirstReadyState(group);
+			},
+			takeCapacityElsewhere: (cpu: number, tasks: number) =>
+				this.groups.takeElsewhere({group, dataCentre, cpu, tasks}, now()),
+			getStartPermission: () => evacuations.getPermission(dataCentre),
+			isListFresh: () => executors.isFresh(),
+			listPeers: peers.listKeys,
+			isLeaving: () => this.isStopping,
+			getStoreAgeMs: () => measureStoreAge(store, now()),
+		};
+	}
+
 	/**
 	Whether that process is known to have ended: its host is connected to this one, but only as
 	other incarnations.
@@ -288,44 +329,6 @@
 		return incarnations.length > 0 && !incarnations.includes(incarnation);
 	}
 
-	/**
-	Chooses the stronger host that the holder asks to take its group; the request is a field of the
-	group's state.
-	*/
-	#updateSuccessor(): void {
-		const {dataCentre, key, peers, now, log} = this.#options;
-		const isChosen = now() - this.#successorChosenAt < successorCheckIntervalMs;
-		if (isChosen && this.holding.scheduler) {
-			return;
-		}
-
-		this.#successorChosenAt = now();
-		const successor = this.holding.scheduler && this.#chooseSuccessor();
-		if (successor !== undefined && successor !== this.#successor) {
-			log('a stronger host is asked to take the group', {
-				group: dataCentre,
-				successor,
-				cores: peers.getCores(successor),
-				ownCores: peers.getCores(key),
-			});
-		}
-
-		this.#successor = successor;
-	}
-
-	#chooseSuccessor(): string | undefined {
-		const {key, peers, now} = this.#options;
-		const [strongest] = peers.listCandidates();
-		const candidate =
-			strongest === undefined
-				? undefined
-				: {key: strongest, cores: peers.getCores(strongest)};
-		return this.#succession.choose(candidate, {
-			ownCores: peers.getCores(key),
-			now: now(),
-		});
-	}
-
 	#sendToHolder(
 		holder: string,
 		message: Parameters<EntryPorts['send']>[1],
@@ -336,32 +339,55 @@
 			return link !== undefined;
 		}
 
-		const {scheduler} = this.holding;
-		if (!scheduler) {
-			return false;
+		const schedulers = this.holdings.listAddressed(message);
+		for (const scheduler of schedulers) {
+			scheduler.receive(this.#localEntry, message);
 		}
 
-		scheduler.receive(this.#localEntry, message);
-		return true;
+		return schedulers.length > 0;
 	}
 
-	/** Lets the entry on this host see the scheduler's current free capacity. */
-	#refreshOwnState(): void {
-		const state = this.#describeOwnGroup();
-		if (state) {
+	/** Lets the entry on this host see the schedulers' current free capacity. */
+	#refreshOwnStates(): void {
+		for (const scheduler of this.holdings.schedulers) {
+			const state = this.#describeGroup(scheduler);
 			this.groups.update(this.#options.key, state, this.#options.now());
 		}
 	}
 
-	#findStateToSend(): GroupState | undefined {
-		const known = this.groups.findGroup(this.#options.dataCentre);
-		const isOwn = known?.holder === this.#options.key;
-		return this.#describeOwnGroup() ?? (isOwn ? known.state : undefined);
+	/** The states of the groups that this host holds, and the last ones of those that it has given up to nobody yet. */
+	#listStatesToSend(): GroupState[] {
+		const held = this.holdings.schedulers.map((scheduler) =>
+			this.#describeGroup(scheduler),
+		);
+		const heldGroups = new Set(held.map(({group}) => group));
+		const givenUp = this.groups
+			.list()
+			.filter(
+				({state, holder}) =>
+					this.#isOwn(holder) && !heldGroups.has(state.group),
+			)
+			.map(({state}) => state);
+		return [...held, ...givenUp];
+	}
+
+	#isOwn(holder: KnownGroup['holder']): boolean {
+		return holder === this.#options.key;
 	}
 
-	#describeOwnGroup(): GroupState | undefined {
-		const state = this.holding.scheduler?.describeState();
-		return state && {...state, unreachable: this.#listUnreachableNear()};
+	#describeGroup(scheduler: GroupScheduler): GroupState {
+		return {
+			...scheduler.describeState(),
+			unreachable: this.#listUnreachableNear(),
+		};
+	}
+
+	#markSent({group}: GroupState): void {
+		if (this.holdings.findScheduler(group)?.isReady) {
+			this.#readyStatesSent.add(group);
+		} else {
+			this.#readyStatesSent.delete(group);
+		}
 	}
 
 	/** Hosts of this data centre to which there is no connection. */
@@ -380,9 +406,10 @@
 	reports no free capacity until then, and all entries wait for that state, so it must not wait
 	for the next regular one.
 	*/
-	#sendFirstReadyState(): void {
-		if (!this.#isReadyStateSent && this.holding.scheduler?.isReady) {
-			this.#refreshOwnState();
+	#sendFirstReadyState(group: string): void {
+		const isReady = this.holdings.findScheduler(group)?.isReady;
+		if (isReady && !this.#readyStatesSent.has(group)) {
+			this.#refreshOwnStates();
 			this.sendState();
 			this.entry.placeWaitingJobs();
 		}
--- a/packages/host/src/scheduling/scheduling-handlers.ts
+++ b/packages/host/src/scheduling/scheduling-handlers.ts
@@ -29,7 +29,7 @@
 	>;
 	roles: Pick<
 		HostRoles,
-		'crashes' | 'entry' | 'groups' | 'holding' | 'sendStateTo'
+		'crashes' | 'entry' | 'groups' | 'holdings' | 'sendStateTo' | 'receiveState'
 	>;
 	tables: Pick<QueueTables, 'getVersion' | 'receive'>;
 	evacuations: Pick<Evacuations, 'getList' | 'receive'>;
@@ -53,7 +53,7 @@
 	now,
 	log,
 }: SchedulingHandlersOptions): MeshHandlers {
-	const {entry, groups, holding} = roles;
+	const {entry, groups, holdings} = roles;
 	return {
 		onHeartbeat() {
 			// Nothing is sent with the heartbeat: holders send their state more often.
@@ -134,17 +134,14 @@
 
 			case 'group-state': {
 				roles.crashes.addReported(message.crashes ?? [], now());
-				if (groups.update(session.key, message, now())) {
+				if (roles.receiveState(session.key, message)) {
 					log('group has another holder', {
 						group: message.group,
 						token: message.token,
 						holder: session.key,
 					});
-					roles.holding.releaseIfReplaced();
-					entry.sendGroupTasks(message.group);
 				}
 
-				entry.receiveState(message.group);
 				break;
 			}
 
@@ -181,29 +178,28 @@
 		session: Session,
 		message: Extract<Message, {t: 'part' | 'replace' | 'drop' | 'keep'}>,
 	): void {
-		const {scheduler} = holding;
+		const schedulers = holdings.listAddressed(message);
 		const from: Entry = {
 			key: `${session.key}.${session.hello.incarnation}`,
 			send(reply) {
 				session.send(reply);
 			},
 		};
-		if (!scheduler) {
-			if (message.t === 'part') {
-				session.send(makeReleasedReply(message));
-			}
-
-			return;
+		for (const scheduler of schedulers) {
+			scheduler.receive(from, message);
 		}
 
-		scheduler.receive(from, message);
+		if (schedulers.length === 0 && message.t === 'part') {
+			session.send(makeReleasedReply(message));
+		}
 	}
 }
 
 /** The reply of a host that does not hold the group: it runs none of these tasks. */
-function makeReleasedReply({job, token, claim, tasks}: Part): Ends {
+function makeReleasedReply({group, job, token, claim, tasks}: Part): Ends {
 	return {
 		t: 'ends',
+		group,
 		job,
 		token,
 		claim,
--- a/packages/host/src/scheduling/scheduling-metrics.ts
+++ b/packages/host/src/scheduling/scheduling-metrics.ts
@@ -7,6 +7,7 @@
 	type CallFailure,
 	type EntryJob,
 	type ExecutorControl,
+	type GroupLayout,
 	type JobAnswer,
 } from '@gentianshift/scheduling';
 import {type Metrics} from '@gentianshift/telemetry';
@@ -69,12 +70,21 @@
 	};
 }
 
-/** The host's state as gauges, set when the metrics are read. */
-export type HostGauges = {
+export type GroupGauges = {
+	group: string;
+	token: number;
 	openExecutors: number;
 	allExecutors: number;
-	token: number;
+	/** Executors of other groups on which runs have yet to end. */
+	releasing: number;
 	backlogCoreMs: number;
+};
+
+/** The host's state as gauges, set when the metrics are read. */
+export type HostGauges = {
+	/** The groups that this host holds. */
+	groups: readonly GroupGauges[];
+	layout: GroupLayout;
 	storeAgeMs: number;
 	crashesBlamed: number;
 	evacuatedDataCentres: readonly string[];
@@ -84,10 +94,8 @@
 };
 
 export function setGauges(metrics: Metrics, gauges: HostGauges): void {
-	metrics.executors.set({state: 'open'}, gauges.openExecutors);
-	metrics.executors.set({state: 'all'}, gauges.allExecutors);
-	metrics.groupToken.set(gauges.token);
-	metrics.groupBacklog.set(gauges.backlogCoreMs / msPerSecond);
+	setGroupGauges(metrics, gauges.groups);
+	metrics.groupCount.set(gauges.layout.count);
 	metrics.storeAgeSeconds.set(gauges.storeAgeMs / msPerSecond);
 	metrics.crashesBlamed.set(gauges.crashesBlamed);
 	metrics.evacuated.reset();
@@ -102,3 +110,21 @@
 		metrics.workCount.set({cause}, count);
 	}
 }
+
+/** Groups that the host no longer holds have no values. */
+function setGroupGauges(
+	{executors, groupToken, groupBacklog}: Metrics,
+	groups: readonly GroupGauges[],
+): void {
+	for (const gauge of [executors, groupToken, groupBacklog]) {
+		gauge.reset();
+	}
+
+	for (const {group, token, backlogCoreMs, ...counts} of groups) {
+		executors.set({group, state: 'open'}, counts.openExecutors);
+		executors.set({group, state: 'all'}, counts.allExecutors);
+		executors.set({group, state: 'releasing'}, counts.releasing);
+		groupToken.set({group}, token);
+		groupBacklog.set({group}, backlogCoreMs / msPerSecond);
+	}
+}
--- a/packages/host/src/scheduling/start-scheduling-host.ts
+++ b/packages/host/src/scheduling/start-scheduling-host.ts
@@ -14,6 +14,7 @@
 } from '@gentianshift/protocol';
 import {
 	type EntryJob,
+	type GroupScheduler,
 	type JobAnswer,
 	type JobRequest,
 	type QueueTable,
@@ -33,7 +34,12 @@
 import {pingIntervals} from './ping-intervals.js';
 import {createQueueTables, type QueueTables} from './queue-tables.js';
 import {createSchedulingHandlers} from './scheduling-handlers.js';
-import {recordAnswer, setGauges, wrapControl} from './scheduling-metrics.js';
+import {
+	recordAnswer,
+	setGauges,
+	wrapControl,
+	type GroupGauges,
+} from './scheduling-metrics.js';
 import {measureStoreAge} from './store-age.js';
 import {type HostDependencies} from './host-dependencies.js';
 import {createWorkMeter} from './work-meter.js';
@@ -61,6 +67,8 @@
 /** How often the log says what this process's time went into: rare enough to cost nothing. */
 const usageLogIntervalMs = 10_000;
 const thousandthsPerCore = 1000;
+/** More than any data centre of the size to design for needs. */
+const defaultMaxGroups = 16;
 const msPerSecond = 1000;
 const microsecondsPerSecond = 1e6;
 
@@ -74,6 +82,8 @@
 	seeds: readonly string[];
 	/** Processor cores that this host may use; undefined: not known. */
 	cores?: number;
+	/** Most groups that the executors of a data centre are divided into; absent: as many as its hosts can hold. */
+	maxGroups?: number;
 	dependencies: HostDependencies;
 	metrics: Metrics;
 	log: (message: string, fields: Record<string, unknown>) => void;
@@ -134,6 +144,7 @@
 	readonly #roles: HostRoles;
 	readonly #mesh: Mesh;
 	readonly #work = createWorkMeter(readNow);
+	readonly #hash: Hash64;
 	readonly #stopController = new AbortController();
 	#timer: NodeJS.Timeout | undefined;
 	#usageTimer: NodeJS.Timeout | undefined;
@@ -141,6 +152,7 @@
 
 	constructor(options: SchedulingHostOptions, hash: Hash64) {
 		this.#options = options;
+		this.#hash = hash;
 		this.#identity = createIdentity({host: options.host});
 		const {log, dependencies, address} = options;
 		const {random} = Math;
@@ -209,13 +221,13 @@
 		});
 		this.#executors = createExecutorLists({
 			source: dependencies.executors,
-			isHolder: () => this.#roles.holding.scheduler !== undefined,
+			isHolder: () => this.#roles.holdings.isHolder,
 			isKnownService: (service) => this.#tables.isKnownService(service),
 			isCapacityEnforcingService: (service) =>
 				this.#tables.isCapacityEnforcingService(service),
 			onList: (list) => {
 				this.#work.measure('executor list', () => {
-					this.#roles.holding.setExecutors(list);
+					this.#roles.holdings.setExecutors(list);
 				});
 			},
 			now: readNow,
@@ -285,18 +297,10 @@
 	}
 
 	async exportMetrics(): Promise<string> {
-		const {scheduler} = this.#roles.holding;
-		const state = scheduler?.describeState();
-		const {open, all} = scheduler?.countExecutors() ?? {open: 0, all: 0};
+		const {holdings, layouts} = this.#roles;
 		setGauges(this.#options.metrics, {
-			openExecutors: open,
-			allExecutors: all,
-			token: state?.token ?? 0,
-			backlogCoreMs:
-				[...(state?.backlog ?? []), ...(state?.lateBacklog ?? [])].reduce(
-					(sum, work) => sum + work,
-					0,
-				) / thousandthsPerCore,
+			groups: holdings.schedulers.map((scheduler) => describeGauges(scheduler)),
+			layout: layouts.get(),
 			storeAgeMs: measureStoreAge(this.#options.dependencies.store, readNow()),
 			crashesBlamed: this.#roles.crashes.blamedCount,
 			evacuatedDataCentres: this.#evacuations.list(),
@@ -312,13 +316,13 @@
 		this.#directory.startStopping();
 		this.#roles.sendState();
 		const limitAt = readNow() + handoverLimitMs;
-		while (this.#roles.holding.scheduler && readNow() < limitAt) {
+		while (this.#roles.holdings.isHolder && readNow() < limitAt) {
 			await waitFor(handoverCheckMs);
 		}
 	}
 
 	async stop(): Promise<void> {
-		this.#roles.holding.stop();
+		this.#roles.holdings.stop();
 		this.#roles.sendState();
 		this.#isStopped = true;
 		clearTimeout(this.#timer);
@@ -375,7 +379,7 @@
 
 	#rankDial(peer: PeerAddress): number {
 		const {view} = this.#directory;
-		const {groups, holding} = this.#roles;
+		const {groups, holdings} = this.#roles;
 		const key = formatHostKey(peer);
 		return rankDial(
 			{
@@ -385,7 +389,7 @@
 			},
 			{
 				own: {
-					isHolder: holding.scheduler !== undefined,
+					isHolder: holdings.isHolder,
 					cores: view.getCores(this.#identity.key),
 				},
 				mostCores: view.getMostCores(),
@@ -434,6 +438,9 @@
 			}),
 			readWallClock: Date.now,
 			wait: waitFor,
+			random: Math.random,
+			hash: this.#hash,
+			maxGroups: this.#options.maxGroups ?? defaultMaxGroups,
 			defer(work) {
 				setImmediate(work);
 			},
@@ -493,6 +500,21 @@
 	}
 }
 
+function describeGauges(scheduler: GroupScheduler): GroupGauges {
+	const {group, token, backlog, lateBacklog, releasing} =
+		scheduler.describeState();
+	const {open, all} = scheduler.countExecutors();
+	const work = [...backlog, ...lateBacklog].reduce((sum, one) => sum + one, 0);
+	return {
+		group,
+		token,
+		openExecutors: open,
+		allExecutors: all,
+		releasing: releasing?.length ?? 0,
+		backlogCoreMs: work / thousandthsPerCore,
+	};
+}
+
 function measureCpuSeconds(): number {
 	const {user, system} = process.cpuUsage();
 	return (user + system) / microsecondsPerSecond;
--- a/packages/protocol/src/scheduling-messages.ts
+++ b/packages/protocol/src/scheduling-messages.ts
@@ -26,6 +26,12 @@
 */
 const claim = count;
 
+/**
+The group that a message is about: a host may hold several. Absent if the sender is of an earlier build, in which each
+host holds one group at most.
+*/
+const group = nameSchema.optional();
+
 /** When the entry accepted the job, Unix time in milliseconds by the entry's clock. Distinguishes copies of the job accepted at different times. */
 const takenAtMs = z.number();
 
@@ -100,6 +106,7 @@
 */
 export const partSchema = z.object({
 	t: z.literal('part'),
+	group,
 	job: jobId,
 	takenAtMs,
 	...answeredStateFields,
@@ -135,6 +142,7 @@
 /** The entry no longer needs the job's tasks: the job ended, its caller disconnected, or its time is up. */
 export const dropSchema = z.object({
 	t: z.literal('drop'),
+	group,
 	job: jobId,
 	/** A copy of the job that the same entry accepted later is not affected. */
 	takenAtMs,
@@ -148,6 +156,7 @@
 */
 export const replaceSchema = z.object({
 	t: z.literal('replace'),
+	group,
 	job: jobId,
 	/** Of two copies, the one that was accepted later is kept. */
 	takenAtMs,
@@ -159,6 +168,7 @@
 /** Answer to `replace`: no task of another copy runs any more; or, if `isRefused`, another entry has a later copy, and this copy must not start. */
 export const replacedSchema = z.object({
 	t: z.literal('replaced'),
+	group,
 	job: jobId,
 	takenAtMs,
 	isRefused: z.boolean(),
@@ -216,6 +226,7 @@
 */
 export const keepSchema = z.object({
 	t: z.literal('keep'),
+	group,
 	...answeredStateFields,
 	claims: z.array(claim),
 });
@@ -223,6 +234,7 @@
 /** A holder's answer to `keep`: it has no tasks under these claims, and no call that it made still runs one. */
 export const claimsEndedSchema = z.object({
 	t: z.literal('claims-ended'),
+	group,
 	token: count,
 	claims: z.array(claim),
 });
@@ -244,6 +256,7 @@
 
 export const endsSchema = z.object({
 	t: z.literal('ends'),
+	group,
 	job: jobId,
 	/** The sending holder's token, and the claim that the ends belong to. A message from before the tasks were placed here again names an older pair, and so returns none of them. */
 	token: count,
@@ -262,8 +275,24 @@
 /** A holder's state message, sent to all hosts: which host schedules the group, and the group's free capacity and load. */
 export const groupStateSchema = z.object({
 	t: z.literal('group-state'),
-	/** The group's data centre. */
 	group: nameSchema,
+	/** The data centre whose executors the group has. Absent: the data centre of the group's name. */
+	dataCentre: nameSchema.optional(),
+	/**
+	How the data centre's executors are divided into groups, as far as the holder knows. Absent: the sender is of an
+	earlier build, and the group has all executors of its data centre.
+	*/
+	layout: z
+		.object({
+			revision: count,
+			count: z.number().int().min(1),
+			changedAtMs: z.number(),
+		})
+		.optional(),
+	/**
+	Executors that belong to another group by this layout, and on which runs of this holder have yet to end. Absent: none.
+	*/
+	releasing: z.array(z.string()).optional(),
 	/** Higher with each new holder. */
 	token: count,
 	/** The holder's monotonic clock when it sent this message, milliseconds; entries return it as `stateAt`. */
--- a/packages/scheduling/src/copy-recall.test.ts
+++ b/packages/scheduling/src/copy-recall.test.ts
@@ -35,6 +35,7 @@
 		},
 		home: 'mieres',
 		now: () => clock.now,
+		random: () => 0.5,
 		readWallClock: () => 1_700_000_000_000 + clock.now,
 		groups,
 		runTimes: createRunTimes(),
--- a/packages/scheduling/src/copy-replacement.ts
+++ b/packages/scheduling/src/copy-replacement.ts
@@ -44,7 +44,7 @@
 	) => void;
 	/** The group has a new holder, or the connection to its holder is back: asks the holder again. */
 	askAgain: (job: EntryJob, group: string, now: number) => void;
-	/** A holder's answer: it runs no other copy of the job. */
+	/** A holder's answer: its group runs no other copy of the job. */
 	recordConfirmation: (
 		job: EntryJob,
 		holder: string,
@@ -86,6 +86,7 @@
 		if (holder !== undefined) {
 			send(holder, {
 				t: 'replace',
+				group,
 				job: job.request.id,
 				takenAtMs: job.takenAtMs,
 				timeLeftMs: job.callerDeadlineAt - now,
@@ -212,8 +213,13 @@
 
 			sendTo(job, group, now);
 		},
-		recordConfirmation(job, holder, {message: {formerTokens}, now}) {
+		recordConfirmation(job, holder, {message, now}) {
+			const {formerTokens} = message;
 			for (const group of job.copyCheck?.groupsToConfirm ?? []) {
+				if (group !== (message.group ?? group)) {
+					continue;
+				}
+
 				const place = findPlace(job, group, now);
 				const isOutdated =
 					place !== undefined && (formerTokens?.[1] ?? -1) < place.tokens[1];
--- a/packages/scheduling/src/ends-outbox.ts
+++ b/packages/scheduling/src/ends-outbox.ts
@@ -32,8 +32,14 @@
 	forgetOld: (now: number) => void;
 };
 
-/** `token`: the fencing token of the holder that sends the ends. */
-export function createEndsOutbox(token: number): EndsOutbox {
+/** `token`: the fencing token of the group's holder, which sends the ends. */
+export function createEndsOutbox({
+	group,
+	token,
+}: {
+	group: string;
+	token: number;
+}): EndsOutbox {
 	const sentEnds = createSentEnds();
 	const queuedEnds = new Map<GroupJob, TaskEnd[]>();
 
@@ -60,11 +66,11 @@
 			}
 
 			if (ends.length > 0) {
-				send(job, {token, ends, reason});
+				send(job, {group, token, ends, reason});
 			}
 		},
 		sendStarted(job) {
-			send(job, {token, ends: []});
+			send(job, {group, token, ends: []});
 		},
 		addSentEnds(job, {tasks}) {
 			for (const [index, , placement] of tasks) {
@@ -79,7 +85,7 @@
 		flush() {
 			for (const [job, ends] of queuedEnds) {
 				if (!job.isDropped || job.isOrphaned) {
-					send(job, {token, ends});
+					send(job, {group, token, ends});
 				}
 			}
 
@@ -91,7 +97,7 @@
 
 function send(
 	{id, claim, entry, isStarted}: GroupJob,
-	ends: Pick<Ends, 'token' | 'ends' | 'reason'>,
+	ends: Pick<Ends, 'group' | 'token' | 'ends' | 'reason'>,
 ): void {
 	entry.send({t: 'ends', job: id, claim, isStarted, ...ends});
 }
--- a/packages/scheduling/src/entry-jobs.test.ts
+++ b/packages/scheduling/src/entry-jobs.test.ts
@@ -32,6 +32,7 @@
 		peers: {listHosts: () => [], isLinked: () => false, send: () => false},
 		home: 'mieres',
 		now: () => clock.now,
+		random: () => 0.5,
 		readWallClock: () => startsAtMs + clock.now - 1000,
 		groups,
 		runTimes: createRunTimes(),
@@ -603,6 +604,7 @@
 	const keep = sent.at(-1)?.message;
 	assert.deepEqual(keep, {
 		t: 'keep',
+		group: 'mieres',
 		token: 1,
 		stateAt: 5_000_150,
 		claims: [part.claim],
--- a/packages/scheduling/src/entry-jobs.ts
+++ b/packages/scheduling/src/entry-jobs.ts
@@ -48,6 +48,7 @@
 import {clockSlackMs, orphanLimitMs} from './timing.js';
 import {makePart} from './make-part.js';
 import {placeJob} from './place-job.js';
+import {parseProcessId} from './process-id.js';
 import {isLate} from './rank-jobs.js';
 
 /** Attempts that a lost scheduler may have started without the entry learning of them; a new start is numbered beyond them. */
@@ -74,6 +75,8 @@
 	/** This host's data centre. */
 	home: string;
 	now: () => number;
+	/** Returns a number from 0 up to 1. */
+	random: () => number;
 	/** Milliseconds since 1970. */
 	readWallClock: () => number;
 	groups: GroupDirectory;
@@ -208,17 +211,11 @@
 
 	/** The holder has no tasks under these claims, although this entry still wants them: sends the tasks again. */
 	receiveClaimsEnded(holder: string, {token, claims}: ClaimsEnded): void {
-		const known = this.#ports.groups
-			.list()
-			.find(
-				(candidate) =>
-					candidate.holder === holder && candidate.state.token === token,
-			);
-		if (!known) {
+		const group = this.#findGroupOf(holder, token);
+		if (group === undefined) {
 			return;
 		}
 
-		const {group} = known.state;
 		for (const job of this.#jobs.values()) {
 			if (claims.includes(job.claims.get(group) ?? -1)) {
 				this.#sendUnderNewClaim(job, group);
@@ -287,7 +284,7 @@
 			job.firstStartReportedAt ??= this.#ports.now();
 		}
 
-		const from = this.#findGroupOf(holder);
+		const from = this.#findGroupOf(holder, message.token);
 		const returned: EntryTask[] = [];
 		for (const end of message.ends) {
 			this.#receiveEnd(job, end, {holder, message, returned});
@@ -383,8 +380,10 @@
 		}
 
 		this.placeWaitingJobs();
-		for (const {state} of this.#ports.groups.list()) {
-			if (state.group !== this.#ports.home) {
+		const ownHost = parseProcessId(this.#ports.self).host;
+		for (const {state, holder} of this.#ports.groups.list()) {
+			// The claims at this host's own groups are renewed by its roles, before they refresh the groups' states.
+			if (holder !== ownHost) {
 				this.renewClaims(state.group);
 			}
 		}
@@ -544,6 +543,7 @@
 			holder: known.holder,
 			message: {
 				t: 'drop',
+				group,
 				job: job.request.id,
 				takenAtMs: job.takenAtMs,
 				claim,
@@ -639,6 +639,7 @@
 			isLate: isLate(job, now),
 			home: ports.home,
 			limitMs: getLatestEnd(job) - now,
+			random: ports.random,
 		});
 		if (spread.type === 'refused') {
 			ports.log('no group can serve the tasks in time', {
@@ -771,8 +772,10 @@
 		this.#holderContacts.sendPart(holder, part);
 	}
 
-	#findGroupOf(holder: string): string | undefined {
-		return this.#ports.groups.list().find((known) => known.holder === holder)
+	#findGroupOf(holder: string, token: number): string | undefined {
+		return this.#ports.groups
+			.list()
+			.find((known) => known.holder === holder && known.state.token === token)
 			?.state.group;
 	}
 
@@ -860,7 +863,7 @@
 			if (known) {
 				this.#holderContacts.sendDrop({
 					holder: known.holder,
-					message: {t: 'drop', job: id, takenAtMs: job.takenAtMs},
+					message: {t: 'drop', group, job: id, takenAtMs: job.takenAtMs},
 					place:
 						findPlace(job, known, now) ??
 						this.#replacement.findPlace(job, group, now),
--- a/packages/scheduling/src/executor-set.ts
+++ b/packages/scheduling/src/executor-set.ts
@@ -1,6 +1,7 @@
 /**
-The executors of a group, each with one session. A session is opened when the store lists the executor, and closed
-when the executor is no longer listed and nothing runs there.
+The executors of a group, each with one session. A session is opened when the store lists the executor and no other
+group's holder has one, and closed when the executor is no longer listed, or belongs to another group, and nothing runs
+there.
 */
 import {createAnswerTimes} from './answer-times.js';
 import {ExecutorSession, type SessionPorts} from './executor-session.js';
@@ -15,9 +16,16 @@
 	readonly sessions: ReadonlyMap<string, ExecutorSession>;
 	/**
 	Sets the group's executors as the store lists them now: opens sessions for new ones, stops all runs on unlisted
-	ones.
+	ones. `foreign`: executors of other groups. What this scheduler runs there is left to end.
 	*/
-	setListed: (executors: readonly Executor[]) => void;
+	setListed: (
+		executors: readonly Executor[],
+		foreign: readonly Executor[],
+	) => void;
+	/** Opens sessions with listed executors that another group's holder has released. */
+	openAwaited: () => void;
+	/** Executors of other groups with which there still is a session. */
+	listReleasing: () => string[];
 	/** Sessions of listed executors that may be sent a start now. */
 	listOpen: () => ExecutorSession[];
 	/** The labels of listed executors, each once. */
@@ -37,13 +45,19 @@
 };
 
 export function createExecutorSet(
-	ports: Omit<SessionPorts, 'unansweredStarts' | 'answerTimes'>,
+	ports: Omit<SessionPorts, 'unansweredStarts' | 'answerTimes'> & {
+		/** Whether another group's holder may still call the executor. */
+		isHeldElsewhere: (executor: string) => boolean;
+	},
 ): ExecutorSet {
 	const sessions = new Map<string, ExecutorSession>();
 	const answerTimes = createAnswerTimes();
 	/** By executor id, including executors whose session is closed. */
 	const unansweredStarts = new Map<string, UnansweredStarts>();
 	let listedIds: ReadonlySet<string> = new Set();
+	let foreignIds: ReadonlySet<string> = new Set();
+	/** Listed executors that another group's holder has yet to release. */
+	let awaited: readonly Executor[] = [];
 	let labels: string[] = [];
 
 	function openSession(executor: Executor): void {
@@ -59,6 +73,16 @@
 		session.open();
 	}
 
+	function openIfReleased(executors: readonly Executor[]): void {
+		awaited = executors.filter(({id}) => ports.isHeldElsewhere(id));
+		const held = new Set(awaited);
+		for (const executor of executors) {
+			if (!held.has(executor)) {
+				openSession(executor);
+			}
+		}
+	}
+
 	function forgetOldStarts(now: number): void {
 		for (const [id, starts] of unansweredStarts) {
 			starts.forgetOld(now);
@@ -70,26 +94,30 @@
 
 	return {
 		sessions,
-		setListed(executors) {
+		setListed(executors, foreign) {
 			listedIds = new Set(executors.map(({id}) => id));
+			foreignIds = new Set(foreign.map(({id}) => id));
 			labels = [...new Set(executors.flatMap((one) => one.labels ?? []))];
 			for (const executor of executors) {
-				const session = sessions.get(executor.id);
-				if (session) {
-					session.update(executor);
-				} else {
-					openSession(executor);
-				}
+				sessions.get(executor.id)?.update(executor);
 			}
 
+			openIfReleased(executors.filter(({id}) => !sessions.has(id)));
 			// The next holder would not learn of an unlisted executor, and could start the tasks that run there a
 			// second time.
 			for (const [id, session] of sessions) {
-				if (!listedIds.has(id)) {
+				if (!listedIds.has(id) && !foreignIds.has(id)) {
 					session.stopAll();
 				}
 			}
 		},
+		openAwaited() {
+			if (awaited.length > 0) {
+				openIfReleased(awaited);
+			}
+		},
+		listReleasing: () =>
+			[...sessions.keys()].filter((id) => foreignIds.has(id)),
 		listOpen: () =>
 			[...sessions.values()].filter(
 				({id, isOpen}) => isOpen && listedIds.has(id),
--- a/packages/scheduling/src/fencing-token.ts
+++ b/packages/scheduling/src/fencing-token.ts
@@ -18,6 +18,12 @@
 	return revision * takeoversPerRevision * slotCount;
 }
 
+/** The store's revision that the token was made of; undefined: the group was taken without the store since then. */
+export function getStoreRevision(token: number): number | undefined {
+	const revision = token / (takeoversPerRevision * slotCount);
+	return Number.isInteger(revision) ? revision : undefined;
+}
+
 /** The slot of a host: always the same for the same name, independent of which other hosts are alive. */
 export function computeSlot(host: string): number {
 	return createHash('sha256').update(host).digest().readUInt32BE(0) % slotCount;
--- a/packages/scheduling/src/group-crashes.ts
+++ b/packages/scheduling/src/group-crashes.ts
@@ -41,6 +41,7 @@
 		if (known) {
 			entry.send({
 				t: 'ends',
+				group,
 				job: id,
 				token,
 				claim,
--- a/packages/scheduling/src/group-directory.test.ts
+++ b/packages/scheduling/src/group-directory.test.ts
@@ -20,6 +20,7 @@
 		isLate: false,
 		home: 'mieres',
 		limitMs: 200,
+		random: () => 0.5,
 	});
 	return spread.type === 'placed' ? [...spread.shares.keys()] : [];
 }
--- a/packages/scheduling/src/group-directory.ts
+++ b/packages/scheduling/src/group-directory.ts
@@ -26,9 +26,12 @@
 	list: () => KnownGroup[];
 	/** Subtracts tasks sent to a group from its free capacity, until its next state arrives. */
 	takeCapacity: (group: string, cpu: number, tasks: number) => void;
-	/** Reserves free capacity for tasks of that size in groups other than `home`; returns for how many tasks. */
+	/**
+	Reserves free capacity for tasks of that size in groups other than `group`, those of its data centre first; returns
+	for how many tasks.
+	*/
 	takeElsewhere: (
-		request: {home: string; cpu: number; tasks: number},
+		request: {group: string; dataCentre: string; cpu: number; tasks: number},
 		now: number,
 	) => number;
 	/**
@@ -45,6 +48,14 @@
 	markDoubtful: (holder: string, now: number) => void;
 };
 
+/** The data centre of the group's executors. Hosts of an earlier build have one group a data centre, of the same name. */
+export function getDataCentre({
+	dataCentre,
+	group,
+}: Pick<GroupState, 'dataCentre' | 'group'>): string {
+	return dataCentre ?? group;
+}
+
 export function isSilent({lastHeardAt}: KnownGroup, now: number): boolean {
 	return now - lastHeardAt > stateStaleMs;
 }
@@ -102,14 +113,20 @@
 				known.free = takeFits(known.free, cpu, tasks);
 			}
 		},
-		takeElsewhere({home, cpu, tasks}, now) {
+		takeElsewhere({group: own, dataCentre, cpu, tasks}, now) {
+			const others = directory
+				.listOpen(now)
+				.filter(({group}) => group !== own)
+				.toSorted(
+					(a, b) =>
+						Number(b.dataCentre === dataCentre) -
+						Number(a.dataCentre === dataCentre),
+				);
 			let taken = 0;
-			for (const {group, free} of directory.listOpen(now)) {
-				if (group !== home) {
-					const fits = Math.min(tasks - taken, countFits(free, cpu));
-					directory.takeCapacity(group, cpu, fits);
-					taken += fits;
-				}
+			for (const {group, free} of others) {
+				const fits = Math.min(tasks - taken, countFits(free, cpu));
+				directory.takeCapacity(group, cpu, fits);
+				taken += fits;
 			}
 
 			return taken;
@@ -120,11 +137,12 @@
 					(known) =>
 						!isSilent(known, now) &&
 						!known.state.isReleased &&
-						!isEvacuated(known.state.group) &&
+						!isEvacuated(getDataCentre(known.state)) &&
 						known.state.capacity > 0,
 				)
 				.map(({state, free, lastHeardAt}) => ({
 					group: state.group,
+					dataCentre: getDataCentre(state),
 					free: now - lastHeardAt > stateLateMs ? [] : free,
 					capacity: state.capacity,
 					backlog: state.backlog,
@@ -134,12 +152,14 @@
 				})),
 		areAllEvacuated: () =>
 			groups.size > 0 &&
-			[...groups.keys()].every((group) => isEvacuated(group)),
+			[...groups.values()].every(({state}) =>
+				isEvacuated(getDataCentre(state)),
+			),
 		describe: (now) =>
 			[...groups.values()].map(({state, holder, lastHeardAt, free}) => {
 				const ageMs = Math.round(now - lastHeardAt);
 				const released = state.isReleased ? ' released' : '';
-				const evacuated = isEvacuated(state.group) ? ' evacuated' : '';
+				const evacuated = isEvacuated(getDataCentre(state)) ? ' evacuated' : '';
 				return `${state.group}: ${holder} token ${state.token}${released}${evacuated}, last state ${ageMs} ms ago, ${free.length} executors open, capacity ${state.capacity}`;
 			}),
 		markDoubtful(holder, now) {
--- a/packages/scheduling/src/group-scheduler.fixture.ts
+++ b/packages/scheduling/src/group-scheduler.fixture.ts
@@ -8,6 +8,7 @@
 } from './fake-executors.fixture.js';
 import {type Entry} from './group-job.js';
 import {GroupScheduler, type StartPermission} from './group-scheduler.js';
+import {singleGroupLayout, type GroupLayout} from './group-layout.js';
 import {createCrashRecords} from './crash-records.js';
 import {createRunTimes} from './run-times.js';
 import {VirtualClock} from './virtual-clock.fixture.js';
@@ -45,6 +46,9 @@
 		peers = [],
 		getStartPermission = () => 'granted',
 		log = () => undefined,
+		layout = singleGroupLayout,
+		hasRunsOutside = false,
+		isHeldElsewhere = () => false,
 	}: {
 		/** Number of tasks for which other groups have free capacity. */
 		capacityElsewhere?: number;
@@ -53,11 +57,18 @@
 		peers?: readonly string[];
 		getStartPermission?: () => StartPermission;
 		log?: (message: string, fields: Record<string, unknown>) => void;
+		layout?: GroupLayout;
+		hasRunsOutside?: boolean;
+		isHeldElsewhere?: (executor: string) => boolean;
 	} = {},
 ): GroupScheduler {
 	let capacityLeftElsewhere = capacityElsewhere;
 	const scheduler = new GroupScheduler({
 		group: 'mieres',
+		dataCentre: 'mieres',
+		getLayout: () => layout,
+		hasRunsOutside,
+		isHeldElsewhere,
 		token,
 		now: () => clock.now,
 		readBootTime: () => clock.now,
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -1,5 +1,5 @@
 /**
-Schedules tasks on a group of executors, those of one data centre. It keeps the group's queue and the free capacity
+Schedules tasks on a group of executors, all or some of those of one data centre. It keeps the group's queue and the free capacity
 of its executors, and is the only one that calls these executors while it holds the group.
 
 Entries hand over parts of jobs, each under a claim that the entry has to renew. A task is started when an
@@ -24,6 +24,7 @@
 import {type ExecutorSession} from './executor-session.js';
 import {createExecutorSet, type ExecutorSet} from './executor-set.js';
 import {type Executor} from './executor.js';
+import {type GroupLayout} from './group-layout.js';
 import {createGroupCrashes, type GroupCrashes} from './group-crashes.js';
 import {
 	addTasks,
@@ -76,9 +77,19 @@
 export type StartPermission = 'granted' | 'evacuated' | 'unknown';
 
 export type GroupPorts = {
-	/** The data centre whose executors these are. */
 	group: string;
+	/** The data centre whose executors the group has. */
+	dataCentre: string;
 	token: number;
+	/** How the data centre's executors are divided into groups now. */
+	getLayout: () => GroupLayout;
+	/**
+	Whether the group's former holder may have runs on executors that belong to other groups by the present layout. What
+	the group's own executors report then does not show all of its runs.
+	*/
+	hasRunsOutside: boolean;
+	/** Whether another group's holder may still call the executor, so that this one must not do so yet. */
+	isHeldElsewhere: (executor: string) => boolean;
 	now: () => number;
 	/** Like `now`, but also counts the time for which this machine was suspended; claims are timed by it. */
 	readBootTime: () => number;
@@ -136,7 +147,7 @@
 		this.#openedAt = ports.now();
 		this.#updatedAt = ports.readBootTime();
 		this.#permission = ports.getStartPermission();
-		this.#outbox = createEndsOutbox(ports.token);
+		this.#outbox = createEndsOutbox(ports);
 		this.#startLog = createStartLog(ports);
 		this.#crashes = createGroupCrashes({
 			...ports,
@@ -144,6 +155,7 @@
 			findExecutor: (id) => this.#executors.sessions.get(id),
 		});
 		this.#copies = createJobCopies({
+			group: ports.group,
 			now: ports.now,
 			dropOthers: (entry, message) => this.#dropOtherCopies(entry, message),
 			listCrashes: ports.crashes.listByJob,
@@ -170,15 +182,25 @@
 		});
 	}
 
+	get token(): number {
+		return this.ports.token;
+	}
+
 	/** Whether every executor has answered, or has had enough time to. */
 	get isReady(): boolean {
 		const age = this.ports.now() - this.#openedAt;
 		return this.#executors.hasAllReported() || age > orphanLimitMs;
 	}
 
-	/** Sets the group's executors as the store lists them now. */
-	setExecutors(executors: readonly Executor[]): void {
-		this.#executors.setListed(executors);
+	/**
+	Sets the group's executors as the store lists them now. `foreign`: those of the data centre's other groups; runs
+	that this scheduler has there are left to end.
+	*/
+	setExecutors(
+		executors: readonly Executor[],
+		foreign: readonly Executor[] = [],
+	): void {
+		this.#executors.setListed(executors, foreign);
 		this.#runPlacingRound();
 	}
 
@@ -331,7 +353,7 @@
 				group,
 				token,
 			});
-			entry.send({t: 'claims-ended', token, claims: [...unknown]});
+			entry.send({t: 'claims-ended', group, token, claims: [...unknown]});
 		}
 	}
 
@@ -354,6 +376,7 @@
 		this.#outbox.forgetOld(now);
 		this.#copies.forgetOld();
 		this.ports.crashes.forgetOld(now);
+		this.#executors.openAwaited();
 		this.#executors.closeUnlisted(now);
 		this.#runPlacingRound();
 	}
@@ -385,6 +408,9 @@
 		return {
 			t: 'group-state',
 			group: this.ports.group,
+			dataCentre: this.ports.dataCentre,
+			layout: this.ports.getLayout(),
+			releasing: this.#listReleasing(),
 			token: this.ports.token,
 			at: this.ports.readBootTime(),
 			isLeaving: this.ports.isLeaving(),
@@ -495,7 +521,8 @@
 
 	/** Informs an entry that its copy of the job was replaced, so that it stops waiting. */
 	#sendReplaced(entry: Entry, job: string, takenAtMs: number): void {
-		entry.send({t: 'replaced', job, takenAtMs, isRefused: true});
+		const {group} = this.ports;
+		entry.send({t: 'replaced', group, job, takenAtMs, isRefused: true});
 	}
 
 	/**
@@ -620,16 +647,22 @@
 	*/
 	#hasRunReports(): boolean {
 		return (
-			this.#executors.hasAllReported() ||
+			(this.#executors.hasAllReported() && !this.ports.hasRunsOutside) ||
 			this.ports.now() - this.#openedAt > orphanLimitMs + clockSlackMs
 		);
 	}
 
+	#listReleasing(): string[] | undefined {
+		const releasing = this.#executors.listReleasing();
+		return releasing.length > 0 ? releasing : undefined;
+	}
+
 	/** Whether all runs that an earlier holder started by `at` are known, or must be over by now. */
 	#hasReportsSince(at: number): boolean {
 		return (
 			this.ports.now() - at > orphanLimitMs + clockSlackMs ||
-			(this.ports.isListComplete() &&
+			(!this.ports.hasRunsOutside &&
+				this.ports.isListComplete() &&
 				this.ports.isListFresh() &&
 				this.#executors.hasAllReported())
 		);
--- a/packages/scheduling/src/holder-contacts.ts
+++ b/packages/scheduling/src/holder-contacts.ts
@@ -63,7 +63,7 @@
 		},
 		sendKeep({holder, state: {group, token, at}}, claims) {
 			lastAnswered.set(group, {token, at});
-			send(holder, {t: 'keep', token, stateAt: at, claims});
+			send(holder, {t: 'keep', group, token, stateAt: at, claims});
 		},
 		sendReplace(holder, message) {
 			send(holder, message);
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -7,6 +7,8 @@
 export type * from './executor-control.js';
 export {type Entry} from './group-job.js';
 export * from './group-directory.js';
+export * from './group-layout.js';
+export * from './rank-group-hosts.js';
 export * from './group-scheduler.js';
 export * from './queue-table.js';
 export * from './run-times.js';
--- a/packages/scheduling/src/job-copies.test.ts
+++ b/packages/scheduling/src/job-copies.test.ts
@@ -26,6 +26,7 @@
 function createCopies() {
 	const clock = {now: 0};
 	const copies = createJobCopies({
+		group: 'mieres',
 		now: () => clock.now,
 		mayRun: () => false,
 		dropOthers: () => false,
--- a/packages/scheduling/src/job-copies.ts
+++ b/packages/scheduling/src/job-copies.ts
@@ -17,6 +17,7 @@
 import {dropStopLimitMs, orphanStopLimitMs} from './timing.js';
 
 export type CopyPorts = {
+	group: string;
 	now: () => number;
 	/** Stops all copies of the job except this one of the entry; true: one of them came from an earlier holder of the group. */
 	dropOthers: (entry: Entry, message: Replace) => boolean;
@@ -60,6 +61,7 @@
 }
 
 export function createJobCopies({
+	group,
 	now,
 	dropOthers,
 	mayRun,
@@ -81,6 +83,7 @@
 	): void {
 		entry.send({
 			t: 'replaced',
+			group,
 			job,
 			takenAtMs,
 			isRefused,
--- a/packages/scheduling/src/load-system.fixture.ts
+++ b/packages/scheduling/src/load-system.fixture.ts
@@ -10,6 +10,7 @@
 import {createFakeExecutors} from './fake-executors.fixture.js';
 import {createGroupDirectory, type GroupDirectory} from './group-directory.js';
 import {type Entry} from './group-job.js';
+import {singleGroupLayout} from './group-layout.js';
 import {GroupScheduler} from './group-scheduler.js';
 import {type HolderMessage} from './holder-contacts.js';
 import {type Queue} from './queue-table.js';
@@ -217,6 +218,10 @@
 	});
 	const scheduler = new GroupScheduler({
 		group: name,
+		dataCentre: name,
+		getLayout: () => singleGroupLayout,
+		hasRunsOutside: false,
+		isHeldElsewhere: () => false,
 		token: 1,
 		now: () => clock.now,
 		readBootTime: () => clock.now,
@@ -227,7 +232,10 @@
 		onFenced: doNothing,
 		onChange: doNothing,
 		takeCapacityElsewhere: (cpu, tasks) =>
-			directory.takeElsewhere({home: name, cpu, tasks}, clock.now),
+			directory.takeElsewhere(
+				{group: name, dataCentre: name, cpu, tasks},
+				clock.now,
+			),
 		getStartPermission: () => (evacuated.has(name) ? 'evacuated' : 'granted'),
 		isListComplete: () => true,
 		isListFresh: () => true,
@@ -253,6 +261,7 @@
 		peers: {listHosts: () => [], isLinked: () => false, send: () => false},
 		home: name,
 		now: () => clock.now,
+		random: () => 0.5,
 		readWallClock: () => clock.now,
 		groups: directory,
 		runTimes: runTimes satisfies RunTimes,
--- a/packages/scheduling/src/make-part.ts
+++ b/packages/scheduling/src/make-part.ts
@@ -27,6 +27,7 @@
 	const {queue, id, spec, demand, constraints} = job.request;
 	return {
 		t: 'part',
+		group: state.group,
 		job: id,
 		takenAtMs: job.takenAtMs,
 		token: state.token,
--- a/packages/scheduling/src/place-job.test.ts
+++ b/packages/scheduling/src/place-job.test.ts
@@ -12,6 +12,7 @@
 function makeGroup(group: string, fields: Partial<OpenGroup> = {}): OpenGroup {
 	return {
 		group,
+		dataCentre: group,
 		free: [32_000, 32_000],
 		capacity: 64_000,
 		backlog: [0, 0, 0, 0],
@@ -32,6 +33,7 @@
 		isLate: false,
 		home: 'mieres',
 		limitMs: 400,
+		random: () => 0.5,
 		...request,
 	};
 }
--- a/packages/scheduling/src/place-job.ts
+++ b/packages/scheduling/src/place-job.ts
@@ -10,9 +10,12 @@
 */
 import {type TaskDemand} from '@gentianshift/protocol';
 import {countFits} from './free-capacity.js';
+import {orderGroups} from './order-groups.js';
 
 export type OpenGroup = {
 	group: string;
+	/** The data centre whose executors the group has. */
+	dataCentre: string;
 	/** Free processor of each open executor, in thousandths of a core. */
 	free: readonly number[];
 	capacity: number;
@@ -40,6 +43,8 @@
 	home: string;
 	/** The job is refused if it would take longer than this from now, milliseconds. */
 	limitMs: number;
+	/** Returns a number from 0 up to 1. */
+	random: () => number;
 };
 
 export type JobPlacement =
@@ -61,7 +66,12 @@
 would have been started next.
 */
 export function estimateWaitMs(
-	{capacity, backlog, lateBacklog, running}: Omit<OpenGroup, 'group' | 'free'>,
+	{
+		capacity,
+		backlog,
+		lateBacklog,
+		running,
+	}: Omit<OpenGroup, 'group' | 'dataCentre' | 'free'>,
 	{
 		demand: {cpu},
 		priority,
@@ -96,7 +106,7 @@
 	request: JobPlacementRequest,
 ): JobPlacement {
 	const shares = new Map<string, number>();
-	const ranked = rankGroups(candidates, request);
+	const ranked = orderGroups(candidates, request, request.random);
 	let unplaced = request.count;
 	for (const candidate of ranked) {
 		const startable = Math.min(
@@ -132,19 +142,6 @@
 	return {type: 'placed', shares};
 }
 
-/** Sorts the entry's own data centre first, then the groups with the most free capacity. */
-function rankGroups(
-	candidates: readonly OpenGroup[],
-	{home, demand: {cpu}}: JobPlacementRequest,
-): OpenGroup[] {
-	return candidates.toSorted((a, b) => {
-		const homeFirst = Number(b.group === home) - Number(a.group === home);
-		return homeFirst === 0
-			? countFits(b.free, cpu) - countFits(a.free, cpu)
-			: homeFirst;
-	});
-}
-
 /**
 Distributes waiting tasks in proportion to capacity over the groups whose wait is close to the shortest, the
 shortest wait first.
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -156,18 +156,25 @@
 	return {
 		executors: new Gauge({
 			name: 'gentianshift_group_executors',
-			help: 'Executors of the group that this host schedules: open (they take tasks) and all.',
-			labelNames: ['state'] as const,
+			help: 'Executors of the groups that this host schedules: open (they take tasks), all, and releasing (they belong to another group, and runs have yet to end there).',
+			labelNames: ['group', 'state'] as const,
 			registers,
 		}),
 		groupToken: new Gauge({
 			name: 'gentianshift_group_token',
-			help: 'Fencing token of the group that this host schedules; 0: none.',
+			help: 'Fencing tokens of the groups that this host schedules.',
+			labelNames: ['group'] as const,
 			registers,
 		}),
 		groupBacklog: new Gauge({
 			name: 'gentianshift_group_backlog_core_seconds',
 			help: 'Work that waits at this host for room on executors.',
+			labelNames: ['group'] as const,
+			registers,
+		}),
+		groupCount: new Gauge({
+			name: 'gentianshift_groups',
+			help: 'Number of groups into which the executors of this data centre are divided.',
 			registers,
 		}),
 		storeAgeSeconds: new Gauge({
