--- a/packages/host/src/scheduling/faulty/fault-plan.fixture.ts
+++ b/packages/host/src/scheduling/faulty/fault-plan.fixture.ts
@@ -8,10 +8,10 @@
 import fc from 'fast-check';
 
 export const dataCentres = ['mieres', 'langreo'] as const;
-/** Two hosts in each data centre, two executors in the first and one in the second. */
+/** Two hosts in each data centre, two executors in the first and one in the second; plans with several groups have more. */
 export const hostCount = 4;
-export const executorCount = 3;
-export const firstCentreExecutorCount = 2;
+export const executorCounts = {total: 3, firstCentre: 2};
+export const dividedExecutorCounts = {total: 9, firstCentre: 6};
 
 export type PlannedJob = {
 	at: number;
@@ -70,6 +70,11 @@
 	| {kind: 'shrink'; executor: number; share: number}
 	/** Operators evacuate a data centre, given by its index, and take it back at the end. */
 	| {kind: 'evacuate'; centre: number}
+	/**
+	A layout with so many groups is written for a data centre, given by its index. `isTold`: the holder of its first group
+	learns of it at once, as if it had written the layout; otherwise a holder wrote it and died.
+	*/
+	| {kind: 'divide'; centre: number; count: number; isTold: boolean}
 	/** The store discards its history. */
 	| {kind: 'compact'}
 	/** Each `every`-th call to the executor fails: it is lost, only its answer is lost, or it gets no answer and takes effect `lateMs` later. */
@@ -85,6 +90,8 @@
 export type FaultPlan = {
 	jobs: PlannedJob[];
 	faults: PlannedFault[];
+	/** Number of groups of each data centre from the start, with more executors; absent: one, with few. */
+	groups?: number;
 	/** Executors accept starts that exceed their capacity. */
 	isUnguarded?: boolean;
 	/** A run goes on for this long after its stop was answered. */
@@ -99,7 +106,7 @@
 const clusterIntervalMs = 800;
 const clusterSpreadMs = 250;
 const host = fc.nat(hostCount - 1);
-const executor = fc.nat(executorCount - 1);
+const executor = fc.nat(executorCounts.total - 1);
 const clusteredStart = fc
 	.tuple(fc.nat(planSpanMs / clusterIntervalMs), fc.nat(clusterSpreadMs))
 	.map(([cluster, offset]) => cluster * clusterIntervalMs + offset);
@@ -609,3 +616,62 @@
 			})),
 		),
 });
+
+const division = fc.record({
+	...clusteredTiming,
+	kind: fc.constant('divide' as const),
+	centre: fc.nat(dataCentres.length - 1),
+	count: fc.integer({min: 2, max: 3}),
+	isTold: fc.boolean(),
+});
+
+const dividedJobs = fc.array(
+	fc.record({
+		at: fc.nat(planSpanMs),
+		host,
+		tasks: fc.integer({min: 1, max: 6}),
+		runMs: fc.constantFrom(60, 600, 1500, 2500),
+		allowanceMs: fc.constantFrom(60, 1000),
+		isOnNewConnection: fc.boolean(),
+	}),
+	{minLength: 1, maxLength: 8},
+);
+
+/** The executors of a data centre are divided into more groups while hosts, connections, the store and calls fail. */
+export const divisionPlans: fc.Arbitrary<FaultPlan> = fc.record({
+	groups: fc.constantFrom(1, 2),
+	jobs: dividedJobs,
+	faults: fc.array(
+		fc.oneof(
+			{weight: 4, arbitrary: division},
+			{weight: 2, arbitrary: handOver},
+			{weight: 2, arbitrary: hostFault},
+			{weight: 1, arbitrary: hostLoss},
+			{weight: 1, arbitrary: connectionReset},
+			{weight: 1, arbitrary: callFault},
+			{weight: 1, arbitrary: executorFault},
+			{weight: 1, arbitrary: linkFault},
+			{weight: 1, arbitrary: storeFault},
+		),
+		{minLength: 1, maxLength: 7},
+	),
+});
+
+/** Only divisions, told at once, and groups that change hands: no reason to lose or refuse a job. */
+export const soundDivisionPlans: fc.Arbitrary<FaultPlan> = fc.record({
+	groups: fc.constant(1),
+	jobs: fc.array(
+		fc.record({
+			at: fc.nat(planSpanMs),
+			host,
+			tasks: fc.integer({min: 1, max: 4}),
+			runMs: fc.constantFrom(60, 200, 600),
+			allowanceMs: fc.constant(1000),
+		}),
+		{minLength: 1, maxLength: 6},
+	),
+	faults: fc.array(
+		division.map((fault) => ({...fault, isTold: true})),
+		{minLength: 1, maxLength: 2},
+	),
+});
--- a/packages/host/src/scheduling/faulty/faulty-host.fixture.ts
+++ b/packages/host/src/scheduling/faulty/faulty-host.fixture.ts
@@ -86,6 +86,17 @@
 		return this.#process?.roles.holdings.isHolder ?? false;
 	}
 
+	holdsGroup(group: string): boolean {
+		return this.#process?.roles.holdings.findScheduler(group) !== undefined;
+	}
+
+	/** Has the host read the layout of its data centre now. */
+	refreshLayout(): void {
+		this.run(({roles}) => {
+			void roles.layouts.refresh();
+		});
+	}
+
 	get hello(): Hello {
 		return {
 			t: 'hello',
--- a/packages/host/src/scheduling/faulty/faulty-store.fixture.ts
+++ b/packages/host/src/scheduling/faulty/faulty-store.fixture.ts
@@ -70,6 +70,18 @@
 		this.#appendList();
 	}
 
+	/** Writes a layout with more groups, as the holder of the data centre's first group does; a smaller number is ignored. */
+	setGroupCount(dataCentre: string, count: number): void {
+		const key = `gentianshift/layouts/${dataCentre}`;
+		const former = this.#items.get(key)?.value ?? '{"count":1}';
+		const {count: formerCount} = JSON.parse(former) as {count: number};
+		if (count > formerCount) {
+			this.#revision += 1;
+			const value = JSON.stringify({count, changedAtMs: this.clock.now});
+			this.#items.set(key, {key, value, revision: this.#revision});
+		}
+	}
+
 	/** Records that operators evacuate a data centre, or take it back. */
 	setEvacuated(dataCentre: string, isEvacuated: boolean): void {
 		this.#revision += 1;
--- a/packages/host/src/scheduling/faulty/run-plan.fixture.ts
+++ b/packages/host/src/scheduling/faulty/run-plan.fixture.ts
@@ -29,8 +29,8 @@
 import {FaultyStore, type StoreMode} from './faulty-store.fixture.js';
 import {
 	dataCentres,
-	executorCount,
-	firstCentreExecutorCount,
+	dividedExecutorCounts,
+	executorCounts,
 	hostCount,
 	type FaultPlan,
 	type PlannedFault,
@@ -92,6 +92,8 @@
 			isCapacityEnforced: boolean;
 			stopDelayMs: number;
 			restartDelayMs: number;
+			/** Number of groups of each data centre; undefined: one, with few executors. */
+			groups: number | undefined;
 			/** Nothing of the plan is a reason not to complete a job. */
 			areAllCompleted: boolean;
 		},
@@ -120,6 +122,10 @@
 	}
 
 	async run({jobs, faults}: FaultPlan): Promise<string[]> {
+		for (const dataCentre of dataCentres) {
+			this.#system.store.setGroupCount(dataCentre, this.options.groups ?? 1);
+		}
+
 		for (const host of this.#hosts) {
 			host.start();
 		}
@@ -223,8 +229,12 @@
 	}
 
 	#createExecutors(): FakeExecutors {
+		const {total, firstCentre} =
+			this.options.groups === undefined
+				? executorCounts
+				: dividedExecutorCounts;
 		const executors = createFakeExecutors(this.clock, {
-			count: executorCount,
+			count: total,
 			taskMs: ({job}) => this.#runMsByJob.get(job) ?? 0,
 			decideOutcome: (call) => this.#decideFate(call),
 			pollIntervalMs,
@@ -239,8 +249,7 @@
 			},
 		});
 		for (const [i, fake] of executors.fakes.entries()) {
-			fake.executor.dataCentre =
-				dataCentres[i < firstCentreExecutorCount ? 0 : 1]!;
+			fake.executor.dataCentre = dataCentres[i < firstCentre ? 0 : 1]!;
 		}
 
 		return executors;
@@ -408,12 +417,14 @@
 		isUnguarded = false,
 		stopDelayMs = 0,
 		restartDelayMs = defaultRestartDelayMs,
+		groups,
 	} = plan;
 	return new Simulation(
 		{
 			isCapacityEnforced: !isUnguarded,
 			stopDelayMs,
 			restartDelayMs,
+			groups,
 			areAllCompleted,
 		},
 		log,
--- a/packages/host/src/scheduling/faulty/start-fault.fixture.ts
+++ b/packages/host/src/scheduling/faulty/start-fault.fixture.ts
@@ -38,6 +38,10 @@
 	system: FaultySystem,
 ): () => void {
 	const {hosts, callFaults} = system;
+	if ('peer' in fault) {
+		return startLinkFault(fault, system);
+	}
+
 	switch (fault.kind) {
 		case 'kill':
 		case 'kill-resend-at-once':
@@ -56,15 +60,9 @@
 			return startHandOver(system);
 		}
 
-		case 'cut':
-		case 'delay-messages':
-		case 'delay-connection':
-		case 'silent-connection': {
-			return startLinkFault(fault, system);
-		}
-
 		case 'store':
 		case 'evacuate':
+		case 'divide':
 		case 'compact': {
 			return startStoreFault(fault, system);
 		}
@@ -99,7 +97,10 @@
 }
 
 function startStoreFault(
-	fault: Extract<PlannedFault, {kind: 'store' | 'evacuate' | 'compact'}>,
+	fault: Extract<
+		PlannedFault,
+		{kind: 'store' | 'evacuate' | 'divide' | 'compact'}
+	>,
 	{hosts, store, storeModes}: FaultySystem,
 ): () => void {
 	switch (fault.kind) {
@@ -119,6 +120,17 @@
 			};
 		}
 
+		case 'divide': {
+			const dataCentre = dataCentres[fault.centre]!;
+			store.setGroupCount(dataCentre, fault.count);
+			const first = hosts.find((host) => host.holdsGroup(dataCentre));
+			if (fault.isTold) {
+				first?.refreshLayout();
+			}
+
+			return doNothing;
+		}
+
 		case 'compact': {
 			store.compact();
 			return doNothing;
--- a/packages/scheduling/src/group-layout.ts
+++ b/packages/scheduling/src/group-layout.ts
@@ -65,6 +65,10 @@
 	maxGroups,
 }: GroupCountInput): number {
 	const mostCores = Math.max(0, ...cores);
+	if (mostCores === 0) {
+		return current;
+	}
+
 	const strongHosts = cores.filter(
 		(own) => own >= mostCores * minCoresShare,
 	).length;
@@ -74,7 +78,7 @@
 		strongHosts,
 		Math.floor(executors / minExecutorsPerGroup),
 	);
-	return Math.max(1, current, Math.min(maxGroups, wanted));
+	return Math.max(current, Math.min(maxGroups, wanted));
 }
 
 /**
