Tell successors that runs may go on outside a group

A group changed hands twice within a second of a division: the second successor relied on executors' reports, as its predecessor had no executors to release itself, while a run of the holder before it went on on an executor of another group.

--- a/packages/host/src/scheduling/group-holding.ts
+++ b/packages/host/src/scheduling/group-holding.ts
@@ -391,9 +391,9 @@
 			return layout.isRecentlyChanged();
 		}
 
-		const {releasing = [], layout: formerLayout} = former.state;
+		const {hasRunsOutside = false, layout: formerLayout} = former.state;
 		const formerRevision = formerLayout?.revision ?? 0;
-		return releasing.length > 0 || formerRevision !== layout.get().revision;
+		return hasRunsOutside || formerRevision !== layout.get().revision;
 	}
 
 	/**
--- a/packages/host/src/scheduling/group-holdings.ts
+++ b/packages/host/src/scheduling/group-holdings.ts
@@ -3,7 +3,7 @@
 each over, and how many there are.
 */
 import {
-	assignExecutor,
+	chooseExecutorGroup,
 	chooseGroupCount,
 	computeCoresPerGroup,
 	createSuccession,
@@ -205,7 +205,7 @@
 			return known;
 		}
 
-		const group = assignExecutor(executor, this.#listNames(), hash);
+		const group = chooseExecutorGroup(executor, this.#listNames(), hash);
 		groups.set(executor, group);
 		return group;
 	}
--- a/packages/scheduling/src/group-layout.test.ts
+++ b/packages/scheduling/src/group-layout.test.ts
@@ -5,7 +5,7 @@
 import {createHash} from 'node:crypto';
 import {test} from 'node:test';
 import {
-	assignExecutor,
+	chooseExecutorGroup,
 	chooseGroupCount,
 	listGroupNames,
 	type GroupCountInput,
@@ -28,7 +28,7 @@
 function assignAll(count: number, groups: number): string[] {
 	const names = listGroupNames('mieres', groups);
 	return Array.from({length: count}, (_, i) =>
-		assignExecutor(`i-${i}`, names, hash),
+		chooseExecutorGroup(`i-${i}`, names, hash),
 	);
 }
 
--- a/packages/scheduling/src/group-layout.ts
+++ b/packages/scheduling/src/group-layout.ts
@@ -85,7 +85,7 @@
 Returns the group that the executor belongs to, by rendezvous hashing: one group more takes its executors evenly from
 the others, which exchange none among themselves.
 */
-export function assignExecutor(
+export function chooseExecutorGroup(
 	id: string,
 	groups: readonly string[],
 	hash: (text: string) => bigint,
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -410,7 +410,7 @@
 			group: this.ports.group,
 			dataCentre: this.ports.dataCentre,
 			layout: this.ports.getLayout(),
-			releasing: this.#listReleasing(),
+			...this.#describeRelease(),
 			token: this.ports.token,
 			at: this.ports.readBootTime(),
 			isLeaving: this.ports.isLeaving(),
@@ -648,13 +648,27 @@
 	#hasRunReports(): boolean {
 		return (
 			(this.#executors.hasAllReported() && !this.ports.hasRunsOutside) ||
-			this.ports.now() - this.#openedAt > orphanLimitMs + clockSlackMs
+			this.#hasOutlivedEarlierRuns()
 		);
 	}
 
-	#listReleasing(): string[] | undefined {
+	/** A successor in the first second of this holder can't see the runs outside the group either. */
+	#describeRelease(): Pick<GroupState, 'releasing' | 'hasRunsOutside'> {
 		const releasing = this.#executors.listReleasing();
-		return releasing.length > 0 ? releasing : undefined;
+		if (releasing.length > 0) {
+			return {releasing, hasRunsOutside: true};
+		}
+
+		return this.ports.hasRunsOutside && !this.#hasOutlivedEarlierRuns()
+			? {hasRunsOutside: true}
+			: {};
+	}
+
+	/** Whether so much time has passed that no run of an earlier holder goes on. */
+	#hasOutlivedEarlierRuns(): boolean {
+		return (
+			this.ports.now() - this.#openedAt > orphanLimitMs + clockSlackMs
+		);
 	}
 
 	/** Whether all runs that an earlier holder started by `at` are known, or must be over by now. */
--- a/packages/scheduling/src/place-job.ts
+++ b/packages/scheduling/src/place-job.ts
@@ -10,7 +10,7 @@
 */
 import {type TaskDemand} from '@gentianshift/protocol';
 import {countFits} from './free-capacity.js';
-import {orderGroups} from './order-groups.js';
+import {rankGroups} from './rank-groups.js';
 
 export type OpenGroup = {
 	group: string;
@@ -106,7 +106,7 @@
 	request: JobPlacementRequest,
 ): JobPlacement {
 	const shares = new Map<string, number>();
-	const ranked = orderGroups(candidates, request, request.random);
+	const ranked = rankGroups(candidates, request, request.random);
 	let unplaced = request.count;
 	for (const candidate of ranked) {
 		const startable = Math.min(
--- a/packages/scheduling/src/possible-holders.ts
+++ b/packages/scheduling/src/possible-holders.ts
@@ -28,7 +28,7 @@
 	}
 
 	for (const host of unlinked) {
-		if (!areAllVouchedFor(vouching.get(parseDataCentre(host)) ?? [])) {
+		if (!hasAllVouchers(vouching.get(parseDataCentre(host)) ?? [])) {
 			possible.add(host);
 		}
 	}
@@ -37,7 +37,7 @@
 }
 
 /** Whether these holders speak for each group of their data centre: a host may hold one that has not told its state yet. */
-function areAllVouchedFor(vouching: readonly KnownGroup[]): boolean {
+function hasAllVouchers(vouching: readonly KnownGroup[]): boolean {
 	const counts = vouching.map(({state: {layout}}) => layout?.count ?? 1);
 	return vouching.length > 0 && vouching.length >= Math.max(...counts);
 }
--- a/packages/scheduling/src/rank-group-hosts.ts
+++ b/packages/scheduling/src/rank-group-hosts.ts
@@ -27,7 +27,7 @@
 	const held = new Map(hosts.map(({key}) => [key, 0]));
 	const assigned = new Map<string, GroupHost>();
 	for (const group of groups) {
-		const [first] = sortByCoresPerGroup(hosts, held);
+		const [first] = rankByCoresPerGroup(hosts, held);
 		if (first) {
 			assigned.set(group, first);
 			held.set(first.key, held.get(first.key)! + 1);
@@ -38,7 +38,7 @@
 		groups.map((group) => {
 			const first = assigned.get(group);
 			const others = hosts.filter(({key}) => key !== first?.key);
-			const order = sortByCoresPerGroup(others, held).map(({key}) => key);
+			const order = rankByCoresPerGroup(others, held).map(({key}) => key);
 			return [group, first ? [first.key, ...order] : order];
 		}),
 	);
@@ -49,7 +49,7 @@
 	return cores / Math.max(1, groups);
 }
 
-function sortByCoresPerGroup(
+function rankByCoresPerGroup(
 	hosts: readonly GroupHost[],
 	held: ReadonlyMap<string, number>,
 ): GroupHost[] {
--- a/packages/scheduling/src/order-groups.test.ts
+++ b/packages/scheduling/src/rank-groups.test.ts
@@ -5,7 +5,7 @@
 import {test} from 'node:test';
 import {createDraw} from '@gentianshift/standins';
 import {takeFits} from './free-capacity.js';
-import {orderGroups} from './order-groups.js';
+import {rankGroups} from './rank-groups.js';
 import {type OpenGroup} from './place-job.js';
 
 const cpu = 8000;
@@ -29,7 +29,7 @@
 }
 
 function listOrder(groups: readonly OpenGroup[], random = () => 0.5): string[] {
-	return orderGroups(groups, request, random).map(({group}) => group);
+	return rankGroups(groups, request, random).map(({group}) => group);
 }
 
 test('all groups of the own data centre go before those of others', () => {
@@ -73,7 +73,7 @@
 	for (let entry = 0; entry < 10; entry += 1) {
 		let known = states;
 		for (let job = 0; job < 4; job += 1) {
-			const [first] = orderGroups(known, request, () => draw.drawUniform());
+			const [first] = rankGroups(known, request, () => draw.drawUniform());
 			sent.set(first!.group, (sent.get(first!.group) ?? 0) + request.count);
 			known = known.map((group) =>
 				group.group === first!.group
--- a/packages/scheduling/src/order-groups.ts
+++ b/packages/scheduling/src/rank-groups.ts
@@ -25,7 +25,7 @@
 	priority: number;
 };
 
-export function orderGroups(
+export function rankGroups(
 	candidates: readonly OpenGroup[],
 	{home, count, demand: {cpu}}: GroupOrderRequest,
 	random: () => number,
