Compute an executor's lease only if it may be chosen for a task

Cause: for each task `chooseExecutor` asked every open executor with free capacity whether its lease could be extended (a walk over its runs and two readings of the clock), how slow it had proved, and for its free capacity three times.

Change: an executor is passed over at once if it has no more free capacity than the best one so far, as demerits only lower its weight. Its lease is looked at last. Its free capacity is computed once per choice, and the clock is read for it only after a refused start.

--- a/packages/scheduling/src/executor-session.ts
+++ b/packages/scheduling/src/executor-session.ts
@@ -172,7 +172,10 @@
 
 	/** Free capacity. Negative if the capacity has shrunk below what the runs use. */
 	get free(): TaskDemand {
-		return this.ports.now() < this.#fullUntil || this.#hasUnknownRuns()
+		// Asked of each executor for each task: the clock is read only after a refused start.
+		const isFull =
+			this.#fullUntil > -Infinity && this.ports.now() < this.#fullUntil;
+		return isFull || this.#hasUnknownRuns()
 			? noFreeCapacity
 			: removeDemand(this.#executor.capacity, this.#runTable.usedDemand);
 	}
--- a/packages/scheduling/src/place-task.ts
+++ b/packages/scheduling/src/place-task.ts
@@ -52,11 +52,13 @@
 	let best: C | undefined;
 	let bestWeight = -Infinity;
 	for (const candidate of candidates) {
-		if (!isSuitable(candidate, task, now)) {
+		// Demerits only lower the weight. This comparison passes over most executors before their lease is computed.
+		const {free} = candidate;
+		if (free.cpu <= bestWeight || !isSuitable(candidate, free, task, now)) {
 			continue;
 		}
 
-		const weight = weighExecutor(candidate, task, now);
+		const weight = weighExecutor(candidate, free, task, now);
 		if (weight > bestWeight) {
 			best = candidate;
 			bestWeight = weight;
@@ -72,22 +74,33 @@
 	task: Pick<TaskRequirements, 'service' | 'demand'>,
 	now: number,
 ): boolean {
-	const {service, free, trust, runCount} = candidate;
+	return canTake(candidate, candidate.free, task, now);
+}
+
+/** The lease is looked at last: it depends on every run of the executor. */
+function canTake(
+	candidate: ExecutorCandidate,
+	free: TaskDemand,
+	{service, demand}: Pick<TaskRequirements, 'service' | 'demand'>,
+	now: number,
+): boolean {
+	const {trust} = candidate;
 	return (
-		service === task.service &&
+		candidate.service === service &&
 		now >= trust.pausedUntil &&
-		coversDemand(free, task.demand) &&
-		candidate.isLeaseExtendable !== false &&
-		!(isDoubted(trust) && runCount > 0)
+		coversDemand(free, demand) &&
+		!(isDoubted(trust) && candidate.runCount > 0) &&
+		candidate.isLeaseExtendable !== false
 	);
 }
 
 function isSuitable(
 	candidate: ExecutorCandidate,
+	free: TaskDemand,
 	task: TaskRequirements,
 	now: number,
 ): boolean {
-	if (!isAvailable(candidate, task, now)) {
+	if (!canTake(candidate, free, task, now)) {
 		return false;
 	}
 
@@ -105,7 +118,8 @@
 const demeritWeight = 1e9;
 
 function weighExecutor(
-	{id, free, trust}: ExecutorCandidate,
+	{id, trust}: ExecutorCandidate,
+	free: TaskDemand,
 	{avoid}: TaskRequirements,
 	now: number,
 ): number {
