Count a job's tasks by state instead of walking them in each round

Cause: each part, report and update runs a placing round. Each round walked the tasks of all jobs for those that wait, also when none did, and then listed all executors for nothing. Jobs that wait were sorted by a comparison that computes both ranks anew each time, and each of them listed its waiting tasks for other groups that were known to be full. `measureLoad` walked all tasks twice for each part that found no free capacity, and `#removeIfOver` those of its job at each end.

Change: a job keeps the numbers of its waiting and of its started tasks. `state` is read-only, so that the type checker finds a change that goes past `setTaskState` and its counts. Ranks are computed once per job and round. A round without waiting jobs lists no executors. The order of starts, returned tasks and messages does not change. The backlog in the state message is now a product instead of a sum of equal terms and may differ in the last bit.

--- a/packages/scheduling/src/group-job.ts
+++ b/packages/scheduling/src/group-job.ts
@@ -22,13 +22,16 @@
 	send: (message: Ends | Replaced | ClaimsEnded) => void;
 };
 
+export type TaskState = 'waiting' | 'started' | 'over';
+
 export type GroupTask = {
 	index: number;
 	/** The entry's number for this placement of the task; higher for each later one. */
 	placement: number;
 	/** Attempt number of the next start. */
 	nextAttempt: number;
-	state: 'waiting' | 'started' | 'over';
+	/** Changed only by `setTaskState`, which counts the tasks of the job by state. */
+	readonly state: TaskState;
 	/** The executor of the current run. */
 	executor?: string;
 	failures: number;
@@ -65,6 +68,8 @@
 	/** When the caller stops waiting, on this host's clock. */
 	deadlineAt: number;
 	tasks: Map<number, GroupTask>;
+	/** How many of `tasks` wait, and how many have been started and are not over. */
+	taskCounts: {waiting: number; started: number};
 	/** Run times of the tasks that have ended here: their sum and number. */
 	endedRunTimes: {sumMs: number; count: number};
 	/** A task of the job has been started here. */
@@ -119,6 +124,7 @@
 		dueAt: now + part.dueInMs,
 		deadlineAt: now + part.timeLeftMs,
 		tasks: new Map(),
+		taskCounts: {waiting: 0, started: 0},
 		endedRunTimes: {sumMs: 0, count: 0},
 		isStarted: false,
 		isDropped: false,
@@ -147,6 +153,7 @@
 			(known.state === 'over' && known.placement < task.placement)
 		) {
 			job.tasks.set(task.index, task);
+			job.taskCounts.waiting += 1;
 			added.push(task);
 		}
 	}
@@ -174,25 +181,26 @@
 	}
 }
 
-export function hasWaiting({tasks}: GroupJob): boolean {
-	for (const {state} of tasks.values()) {
-		if (state === 'waiting') {
-			return true;
-		}
-	}
-
-	return false;
+/** Changes the state of a task of the job. */
+export function setTaskState(
+	{taskCounts}: GroupJob,
+	task: GroupTask,
+	state: TaskState,
+): void {
+	taskCounts.waiting += Number(state === 'waiting');
+	taskCounts.waiting -= Number(task.state === 'waiting');
+	taskCounts.started += Number(state === 'started');
+	taskCounts.started -= Number(task.state === 'started');
+	const changeable: {state: TaskState} = task;
+	changeable.state = state;
 }
 
-export function countWaiting({tasks}: GroupJob): number {
-	let count = 0;
-	for (const {state} of tasks.values()) {
-		count += Number(state === 'waiting');
-	}
-
-	return count;
+export function hasWaiting({taskCounts}: GroupJob): boolean {
+	return taskCounts.waiting > 0;
 }
 
 export function listWaiting(job: GroupJob): GroupTask[] {
-	return [...job.tasks.values()].filter(({state}) => state === 'waiting');
+	return hasWaiting(job)
+		? [...job.tasks.values()].filter(({state}) => state === 'waiting')
+		: [];
 }
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -32,6 +32,7 @@
 	hasWaiting,
 	hasClaimEnded,
 	listWaiting,
+	setTaskState,
 	type Entry,
 	type GroupJob,
 	type GroupTask,
@@ -548,7 +549,7 @@
 	*/
 	#claimTask(job: GroupJob, task: GroupTask): void {
 		if (this.#outbox.hasSentEnd(job, task)) {
-			task.state = 'over';
+			setTaskState(job, task, 'over');
 			this.#removeIfOver(job);
 			return;
 		}
@@ -563,7 +564,7 @@
 			this.#endTask(job, task, {outcome: 'done', attempt: claim.attempt});
 		} else if (claim) {
 			const {run, executor} = claim;
-			task.state = 'started';
+			setTaskState(job, task, 'started');
 			task.executor = executor;
 			task.startedAt = run.startedAt;
 			task.nextAttempt = Math.max(task.nextAttempt, run.attempt + 1);
@@ -661,7 +662,7 @@
 		const waiting = wanted.filter(
 			(job) => hasWaiting(job) && this.#isRunStateKnown(job),
 		);
-		const open = this.#placeSuspects(waiting, now);
+		const open = waiting.length > 0 ? this.#placeSuspects(waiting, now) : [];
 		placeWaiting(
 			waiting,
 			createPlacingRound(open, now, this.ports.takeCapacityElsewhere),
@@ -736,7 +737,7 @@
 	#startTask(job: GroupJob, task: GroupTask, session: ExecutorSession): void {
 		const attempt = task.nextAttempt;
 		task.nextAttempt += 1;
-		task.state = 'started';
+		setTaskState(job, task, 'started');
 		task.executor = session.id;
 		task.startedAt = this.ports.now();
 		const {capacityAgeMs} = session;
@@ -757,7 +758,7 @@
 	): void {
 		this.#outbox.sendReturned(job, tasks, reason, this.ports.now());
 		for (const task of tasks) {
-			task.state = 'over';
+			setTaskState(job, task, 'over');
 		}
 
 		this.#removeIfOver(job);
@@ -832,7 +833,7 @@
 			task.avoid.add(session.id);
 		}
 
-		task.state = 'waiting';
+		setTaskState(job, task, 'waiting');
 		task.executor = undefined;
 		if (outcome === 'unstarted') {
 			task.nextAttempt += unstartedAttemptStep;
@@ -842,12 +843,12 @@
 	/** The run of a dropped job's task has ended. If the entry was only silent, the task is returned to it. */
 	#endDropped(job: GroupJob, task: GroupTask): void {
 		if (job.isOrphaned) {
-			task.state = 'waiting';
+			setTaskState(job, task, 'waiting');
 			this.#giveBack(job, 'elsewhere');
 			return;
 		}
 
-		task.state = 'over';
+		setTaskState(job, task, 'over');
 		this.#removeIfOver(job);
 	}
 
@@ -856,7 +857,7 @@
 		{index, placement}: GroupTask,
 		end: Omit<TaskEnd, 'index' | 'placement'>,
 	): void {
-		job.tasks.get(index)!.state = 'over';
+		setTaskState(job, job.tasks.get(index)!, 'over');
 		this.#outbox.add(job, {index, placement, ...end}, this.ports.now());
 		this.#removeIfOver(job);
 	}
@@ -866,7 +867,7 @@
 		job.isDropped = true;
 		for (const task of job.tasks.values()) {
 			if (task.state === 'waiting') {
-				task.state = 'over';
+				setTaskState(job, task, 'over');
 			} else if (task.state === 'started') {
 				const found = this.#executors.findRun({job: job.id, index: task.index});
 				found?.session.stop(found.run, stopBy);
@@ -924,8 +925,8 @@
 	}
 
 	#removeIfOver(job: GroupJob): void {
-		const isOver = [...job.tasks.values()].every(({state}) => state === 'over');
-		if (isOver && this.#jobs.get(job.id) === job) {
+		const {waiting, started} = job.taskCounts;
+		if (waiting + started === 0 && this.#jobs.get(job.id) === job) {
 			this.#jobs.delete(job.id);
 		}
 	}
--- a/packages/scheduling/src/measure-load.ts
+++ b/packages/scheduling/src/measure-load.ts
@@ -21,17 +21,12 @@
 			continue;
 		}
 
-		const {priority, demand, estimateMs, tasks} = job;
+		const {priority, demand, estimateMs, taskCounts} = job;
 		const waiting = isLate(job, now) ? lateBacklog : backlog;
 
 		const level = Math.min(priority, priorityCount - 1);
-		for (const {state} of tasks.values()) {
-			if (state === 'waiting') {
-				waiting[level]! += estimateMs * demand.cpu;
-			} else if (state === 'started') {
-				running[level]! += demand.cpu;
-			}
-		}
+		waiting[level]! += taskCounts.waiting * estimateMs * demand.cpu;
+		running[level]! += taskCounts.started * demand.cpu;
 	}
 
 	return {backlog, lateBacklog, running};
--- a/packages/scheduling/src/place-waiting.ts
+++ b/packages/scheduling/src/place-waiting.ts
@@ -9,7 +9,6 @@
 */
 import {type Ends} from '@gentianshift/protocol';
 import {
-	countWaiting,
 	isPastLatestStart,
 	listWaiting,
 	type GroupJob,
@@ -17,7 +16,7 @@
 } from './group-job.js';
 import {chooseExecutor, type ExecutorCandidate} from './place-task.js';
 import {type PlacingRound} from './placing-round.js';
-import {compareJobs} from './rank-jobs.js';
+import {rankJobs} from './rank-jobs.js';
 
 /**
 A task is returned for placement in another group this often at most: what is known of the free capacity there is
@@ -44,7 +43,7 @@
 	round: PlacingRound<C>,
 	actions: PlacingActions<C>,
 ): void {
-	const ranked = jobs.toSorted((a, b) => compareJobs(a, b, round.now));
+	const ranked = rankJobs(jobs, round.now);
 	let aheadMs = 0;
 	for (const job of ranked) {
 		if (isPastLatestStart(job, round.now)) {
@@ -68,7 +67,7 @@
 	job: GroupJob,
 	{capacityCpu}: PlacingRound<C>,
 ): number {
-	const work = countWaiting(job) * job.estimateMs * job.demand.cpu;
+	const work = job.taskCounts.waiting * job.estimateMs * job.demand.cpu;
 	return capacityCpu > 0 ? work / capacityCpu : 0;
 }
 
@@ -115,12 +114,14 @@
 */
 function shiftTasks<C extends ExecutorCandidate>(
 	job: GroupJob,
-	{takeCapacityElsewhere}: PlacingRound<C>,
+	{hasNoneElsewhere, takeCapacityElsewhere}: PlacingRound<C>,
 	{listStartable, giveBack}: PlacingActions<C>,
 ): void {
-	const waiting = job.constraints
-		? []
-		: listWaiting(job).filter((task) => isShiftable(task));
+	if (job.constraints !== undefined || hasNoneElsewhere(job.demand.cpu)) {
+		return;
+	}
+
+	const waiting = listWaiting(job).filter((task) => isShiftable(task));
 	const shiftCount =
 		waiting.length === 0
 			? 0
--- a/packages/scheduling/src/placing-round.ts
+++ b/packages/scheduling/src/placing-round.ts
@@ -15,6 +15,8 @@
 	now: number;
 	/** Whether an executor that may take a task now has free capacity for this demand. */
 	hasCapacityFor: (service: string, demand: TaskDemand) => boolean;
+	/** Whether other groups were found to have no free capacity for tasks of `cpu` thousandths of a core. */
+	hasNoneElsewhere: (cpu: number) => boolean;
 	/**
 	Reserves free capacity in other groups, as far as it is known, for tasks of `cpu` thousandths of a core; returns
 	for how many of `tasks`.
@@ -31,6 +33,11 @@
 	const lastRefused = new Map<string, TaskDemand>();
 	/** Least processor demand, in thousandths of a core, for which other groups have no free capacity. */
 	let refusedElsewhereCpu = Infinity;
+
+	function hasNoneElsewhere(cpu: number): boolean {
+		return cpu >= refusedElsewhereCpu;
+	}
+
 	return {
 		candidates,
 		capacityCpu: candidates.reduce((sum, {capacity}) => sum + capacity.cpu, 0),
@@ -49,8 +56,9 @@
 
 			return hasCapacity;
 		},
+		hasNoneElsewhere,
 		takeCapacityElsewhere(cpu, tasks) {
-			if (cpu >= refusedElsewhereCpu) {
+			if (hasNoneElsewhere(cpu)) {
 				return 0;
 			}
 
--- a/packages/scheduling/src/rank-jobs.test.ts
+++ b/packages/scheduling/src/rank-jobs.test.ts
@@ -3,7 +3,8 @@
 */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {compareJobs, type RankedJob} from './rank-jobs.js';
+import {createDraw} from '@gentianshift/standins';
+import {compareJobs, rankJobs, type RankedJob} from './rank-jobs.js';
 
 function makeJob(job: Partial<RankedJob> = {}): RankedJob {
 	return {
@@ -41,3 +42,22 @@
 	const late = makeJob({remainingWork: 1, dueAt: 50});
 	assert.ok(compareJobs(makeJob(), late, 0) < 0);
 });
+
+// Placing rounds rank jobs by keys that are computed once, suspects and admission by comparing two jobs. If the two
+// differed, jobs would be admitted by another order than the one in which they are started.
+test('ranking by keys gives the order of comparing jobs, and keeps that of equal ones', () => {
+	const draw = createDraw(9);
+	for (let i = 0; i < 200; i += 1) {
+		const jobs = Array.from({length: 30}, (_, id) => ({
+			id,
+			priority: draw.drawOne([0, 1, 2]),
+			remainingWork: draw.drawOne([0, 320_000, 6_400_000]),
+			dueAt: draw.drawOne([90, 100, 300, 500]),
+			estimateMs: draw.drawOne([10, 50, 200]),
+		}));
+		assert.deepEqual(
+			rankJobs(jobs, 60),
+			jobs.toSorted((a, b) => compareJobs(a, b, 60)),
+		);
+	}
+});
--- a/packages/scheduling/src/rank-jobs.ts
+++ b/packages/scheduling/src/rank-jobs.ts
@@ -38,6 +38,26 @@
 	return dueAt - estimateMs + remainingWork / usualExecutorCpu;
 }
 
+/** Returns the jobs in the order of their starts; those of equal rank stay in their order. */
+export function rankJobs<J extends RankedJob>(
+	jobs: readonly J[],
+	now: number,
+): J[] {
+	// Computed once for each job: a sort compares each of them many times.
+	const keys = jobs.map((job) => ({
+		job,
+		priority: job.priority,
+		lateness: Number(isLate(job, now)),
+		rank: computeRank(job),
+	}));
+	return keys
+		.toSorted(
+			(a, b) =>
+				a.priority - b.priority || a.lateness - b.lateness || a.rank - b.rank,
+		)
+		.map(({job}) => job);
+}
+
 /** Negative: a goes before b. */
 export function compareJobs(a: RankedJob, b: RankedJob, now: number): number {
 	if (a.priority !== b.priority) {
