End the pause between two renewals without making an error

Cause: a start or stop ends the pause between two renewals by an abort signal without a reason, for which Node makes a DOMException with its stack, also for a pause that a former start had ended in the same turn.

Change: the pause is ended once, with a constant reason, which nobody reads.

--- a/packages/scheduling/src/executor-session.ts
+++ b/packages/scheduling/src/executor-session.ts
@@ -51,6 +51,9 @@
 */
 const failedStartPauseMs = 150;
 
+/** Why the pause between two renewals ends early; nobody reads it. */
+const pauseEnded = 'a start or stop is sent, or the session is closed';
+
 export type SessionPorts = {
 	now: () => number;
 	wait: (ms: number, signal: AbortSignal) => Promise<void>;
@@ -241,7 +244,7 @@
 		}
 
 		this.#closing.abort();
-		this.#idlePause?.abort();
+		this.#endIdlePause();
 		this.ports.control.forgetExecutor(this.#executor);
 	}
 
@@ -264,7 +267,7 @@
 		};
 		this.#runTable.add(run);
 		this.#calls.start(run, spec);
-		this.#idlePause?.abort();
+		this.#endIdlePause();
 	}
 
 	/**
@@ -273,7 +276,7 @@
 	*/
 	stop(run: Run, stopBy: number): void {
 		this.#calls.stop(run, stopBy);
-		this.#idlePause?.abort();
+		this.#endIdlePause();
 	}
 
 	/** To be called when the store no longer lists the executor: it counts as gone, so its runs are stopped. */
@@ -362,6 +365,12 @@
 		this.#idlePause = undefined;
 	}
 
+	#endIdlePause(): void {
+		// Without a reason, each call makes an error with its stack, also when the pause has been ended already.
+		this.#idlePause?.abort(pauseEnded);
+		this.#idlePause = undefined;
+	}
+
 	/**
 	Renews the lease once, and handles the ends in the reply; returns the pause until the next renewal, milliseconds.
 	*/
