--- a/packages/scheduling/src/executor-session.ts
+++ b/packages/scheduling/src/executor-session.ts
@@ -29,6 +29,7 @@
 } from './free-capacity.js';
 import {createRunTable} from './run-table.js';
 import {createRunCalls, callRetryMs, type RunCalls} from './run-calls.js';
+import {type RunIndex} from './run-index.js';
 import {formatTaskKey, type Run, type RunOutcome} from './run.js';
 import {
 	claimLimitMs,
@@ -50,6 +51,9 @@
 */
 const failedStartPauseMs = 150;
 
+/** Why the pause between two renewals ends early; nobody reads it. */
+const pauseEnded = 'a start or stop is sent, or the session is closed';
+
 export type SessionPorts = {
 	now: () => number;
 	wait: (ms: number, signal: AbortSignal) => Promise<void>;
@@ -61,6 +65,8 @@
 	answerTimes: AnswerTimes;
 	/** Unanswered starts sent to this executor, including those of earlier sessions. */
 	unansweredStarts: UnansweredStarts;
+	/** Names the sessions with runs of a job; this session keeps its runs entered there. */
+	runIndex: RunIndex<ExecutorSession>;
 	onRunEnd: (run: Run, outcome: RunOutcome, session: ExecutorSession) => void;
 	/** The executor crashed while these runs were on it. */
 	onCrash: (executor: string, runs: readonly Run[]) => void;
@@ -89,7 +95,15 @@
 	/** This process of the executor has ended. */
 	isGone = false;
 	#executor: Executor;
-	readonly #runTable = createRunTable();
+	readonly #runTable = createRunTable({
+		onAdd: ({job}) => {
+			this.ports.runIndex.add(job, this);
+		},
+		onRemove: ({job}) => {
+			this.ports.runIndex.remove(job, this);
+		},
+	});
+
 	readonly #lease = createExecutorLease();
 	readonly #calls: RunCalls;
 	readonly #crashWatch: CrashWatch;
@@ -161,7 +175,10 @@
 
 	/** Free capacity. Negative if the capacity has shrunk below what the runs use. */
 	get free(): TaskDemand {
-		return this.ports.now() < this.#fullUntil || this.#hasUnknownRuns()
+		// Asked of each executor for each task: the clock is read only after a refused start.
+		const isFull =
+			this.#fullUntil > -Infinity && this.ports.now() < this.#fullUntil;
+		return isFull || this.#hasUnknownRuns()
 			? noFreeCapacity
 			: removeDemand(this.#executor.capacity, this.#runTable.usedDemand);
 	}
@@ -227,7 +244,7 @@
 		}
 
 		this.#closing.abort();
-		this.#idlePause?.abort();
+		this.#endIdlePause();
 		this.ports.control.forgetExecutor(this.#executor);
 	}
 
@@ -250,7 +267,7 @@
 		};
 		this.#runTable.add(run);
 		this.#calls.start(run, spec);
-		this.#idlePause?.abort();
+		this.#endIdlePause();
 	}
 
 	/**
@@ -259,7 +276,7 @@
 	*/
 	stop(run: Run, stopBy: number): void {
 		this.#calls.stop(run, stopBy);
-		this.#idlePause?.abort();
+		this.#endIdlePause();
 	}
 
 	/** To be called when the store no longer lists the executor: it counts as gone, so its runs are stopped. */
@@ -285,9 +302,8 @@
 			return undefined;
 		}
 
-		this.#runTable.changeDemand(run, demand);
+		this.#runTable.claim(run, demand);
 		this.#fullUntil = -Infinity;
-		run.isUnclaimed = false;
 		return run;
 	}
 
@@ -349,6 +365,12 @@
 		this.#idlePause = undefined;
 	}
 
+	#endIdlePause(): void {
+		// Without a reason, each call makes an error with its stack, also when the pause has been ended already.
+		this.#idlePause?.abort(pauseEnded);
+		this.#idlePause = undefined;
+	}
+
 	/**
 	Renews the lease once, and handles the ends in the reply; returns the pause until the next renewal, milliseconds.
 	*/
@@ -450,6 +472,10 @@
 			now,
 			assumedDemand: this.#estimateDemand(),
 		});
+		if (this.hasUnclaimedRuns) {
+			this.ports.runIndex.unclaimed.add(this);
+		}
+
 		if (found.length > 0) {
 			this.#lease.assumeRenewed(now);
 		}
@@ -529,8 +555,7 @@
 	*/
 	#hasUnknownRuns(): boolean {
 		return (
-			!this.#executor.isCapacityEnforced &&
-			[...this.runs.values()].some(({isUnclaimed}) => isUnclaimed)
+			!this.#executor.isCapacityEnforced && this.#runTable.unclaimedRunCount > 0
 		);
 	}
 
