--- a/packages/scheduling/src/run-index.test.ts
+++ b/packages/scheduling/src/run-index.test.ts
@@ -53,9 +53,13 @@
 			onCleared: doNothing,
 			onChange: doNothing,
 			onFenced: doNothing,
+			isHeldElsewhere: () => false,
 			log: doNothing,
 		});
-		set.setListed(executors.fakes.map(({executor}) => executor));
+		set.setListed(
+			executors.fakes.map(({executor}) => executor),
+			[],
+		);
 		return set;
 	}
 
@@ -134,7 +138,10 @@
 				set = openHolder(step);
 			} else if (step % 40 === 0) {
 				const left = executors.fakes.filter(() => draw.drawUniform() < 0.9);
-				set.setListed(left.map(({executor}) => executor));
+				set.setListed(
+					left.map(({executor}) => executor),
+					[],
+				);
 				set.closeUnlisted(clock.now);
 			}
 
