Give up a job under whose task executors crashed instead of failing it

Cause: a job with a condemned task was answered `failed`, although none of its runs had ended so.

Change: the entry answers `given-up` (504) with the reason "executors crashed under its task" and the longest Retry-After, 10 s. It is never `refused`: a task is condemned only after runs of the job began, perhaps of an earlier copy, so the answer that nothing has run would be untrue. Later copies are not started, as before.

Tests that asserted `failed`: entry-jobs asserts the whole new answer, twice. The simulation of drawn plans reports a job that is blamed though it crashes no executor, by the reason, and also any job that is `failed` without a failed run.

--- a/packages/host/src/scheduling/faulty/no-crash-loop.test.ts
+++ b/packages/host/src/scheduling/faulty/no-crash-loop.test.ts
@@ -1,5 +1,5 @@
 /**
-A task that crashes every executor that runs it is not started over and over, and jobs beside it don't fail. Random plans as in
+A task that crashes every executor that runs it is not started over and over, and jobs beside it are not blamed. Random plans as in
 `no-task-twice`.
 */
 import assert from 'node:assert/strict';
@@ -19,7 +19,7 @@
 });
 
 // Guards against blaming jobs that ran beside the task that crashed the executor.
-test('no job fails because it runs beside a job that crashes executors', () => {
+test('no job is blamed because it runs beside a job that crashes executors', () => {
 	assert.ok(!crashOnlyResult.failed, fc.defaultReportMessage(crashOnlyResult));
 });
 
@@ -66,7 +66,7 @@
 });
 
 // Guards against blaming a long job that ran on two executors which crashed under others.
-test('a long job does not fail because two others crash executors beside it', async () => {
+test('a long job is not blamed because two others crash executors beside it', async () => {
 	const violations = await runPlan({
 		jobs: [
 			{at: 0, host: 0, tasks: 1, runMs: 60, allowanceMs: 60, crashAfterMs: 5},
--- a/packages/host/src/scheduling/faulty/run-plan.fixture.ts
+++ b/packages/host/src/scheduling/faulty/run-plan.fixture.ts
@@ -66,9 +66,13 @@
 const crashLimit = 3;
 const maxStartsAfterCrashLimit = 2;
 
+const crashReason = 'executors crashed under its task';
+
 type SimulatedJob = PlannedJob & {
 	id: string;
 	answers: Array<JobAnswer['type']>;
+	/** A copy was given up because executors crashed under a task of the job. */
+	isBlamed: boolean;
 	sendCount: number;
 	/** The last copy was sent again at once after its connection broke. */
 	isSentAtOnce: boolean;
@@ -131,6 +135,7 @@
 				...job,
 				id: `job${i}`,
 				answers: [],
+				isBlamed: false,
 				sendCount: 0,
 				isSentAtOnce: false,
 			};
@@ -191,12 +196,18 @@
 			}
 		}
 
-		for (const {id, tasks, answers, sendCount, crashAfterMs} of this.#jobs) {
-			if (crashAfterMs === undefined && answers.includes('failed')) {
-				yield `job failed although it crashes no executor: ${id}`;
+		for (const job of this.#jobs) {
+			const {id, tasks, answers, sendCount, crashAfterMs, isBlamed} = job;
+			if (crashAfterMs === undefined && isBlamed) {
+				yield `job blamed for crashes although it crashes no executor: ${id}`;
 			}
 
 			const jobRuns = runs.filter(({job}) => job === id);
+			const hasFailedRun = jobRuns.some(({outcome}) => outcome === 'failed');
+			if (answers.includes('failed') && !hasFailedRun) {
+				yield `job failed although none of its runs has: ${id}`;
+			}
+
 			const refusals = answers.filter((answer) => answer === 'refused');
 			// Refusals say that no task has run; a copy whose connection broke got no answer, and may have run.
 			if (refusals.length === sendCount && jobRuns.length > 0) {
@@ -335,6 +346,7 @@
 		host.submit(this.#makeRequest(job), (answer) => {
 			this.log(`${this.clock.now} caller of ${job.id} gets ${answer.type}`);
 			job.answers.push(answer.type);
+			job.isBlamed ||= 'reason' in answer && answer.reason === crashReason;
 			if (answer.type === 'given-up') {
 				this.#sendAgain(job);
 			}
--- a/packages/scheduling/src/entry-jobs.test.ts
+++ b/packages/scheduling/src/entry-jobs.test.ts
@@ -746,7 +746,7 @@
 });
 
 // Otherwise a job that crashes executors would start again each time its caller submits it.
-test('a job under which executors have crashed fails at once, and again when it is resubmitted', () => {
+test('a job under which executors have crashed is given up at once, and again when it is resubmitted', () => {
 	const {entry, groups, clock, sent, listParts} = createEntryJobs();
 	groups.update('mieres_m1', makeState('mieres'), clock.now);
 	const answers: JobAnswer[] = [];
@@ -775,15 +775,16 @@
 		ends: [],
 		crashes,
 	});
-	const failed = {
-		type: 'failed',
-		task: 1,
+	// Not `failed`, as no run has ended so; not `refused` the second time either, as runs of the first copy began.
+	const givenUp = {
+		type: 'given-up',
 		reason: 'executors crashed under its task',
+		retryAfterMs: 10_000,
 	};
-	assert.deepEqual(answers, [failed]);
+	assert.deepEqual(answers, [givenUp]);
 	assert.equal(sent.at(-1)!.message.t, 'drop');
 	submit();
-	assert.deepEqual(answers, [failed, failed]);
+	assert.deepEqual(answers, [givenUp, givenUp]);
 	assert.equal(listParts('mieres_m1').length, 1);
 });
 
--- a/packages/scheduling/src/entry-jobs.ts
+++ b/packages/scheduling/src/entry-jobs.ts
@@ -167,7 +167,7 @@
 		});
 		job.waiters.add(onAnswer);
 		this.#jobs.set(request.id, job);
-		if (!this.#failIfCondemned(job)) {
+		if (!this.#giveUpIfCondemned(job)) {
 			this.#placeTasks(job, job.tasks);
 		}
 
@@ -278,7 +278,7 @@
 		}
 
 		this.#ports.crashes.addReported(message.crashes ?? [], this.#ports.now());
-		if (this.#failIfCondemned(job)) {
+		if (this.#giveUpIfCondemned(job)) {
 			return;
 		}
 
@@ -392,7 +392,7 @@
 		this.#holderContacts.forgetOld(now);
 		this.#ports.crashes.forgetOld(now);
 		for (const job of this.#jobs.values()) {
-			if (this.#failIfCondemned(job)) {
+			if (this.#giveUpIfCondemned(job)) {
 				continue;
 			}
 
@@ -404,18 +404,19 @@
 		}
 	}
 
-	/** Fails a job under whose tasks too many executors have crashed; no task of it is started again, whoever submits it. */
-	#failIfCondemned(job: EntryJob): boolean {
-		const task = this.#ports.crashes.findCondemnedTask(job.request.id);
-		if (task === undefined) {
+	/**
+	Gives up a job under whose tasks too many executors have crashed; no task of it is started again, whoever submits
+	it. None of its runs has ended as failed, so its caller must not be told that it has.
+	*/
+	#giveUpIfCondemned(job: EntryJob): boolean {
+		const {id} = job.request;
+		if (this.#ports.crashes.findCondemnedTask(id) === undefined) {
 			return false;
 		}
 
-		this.#answer(job, {
-			type: 'failed',
-			task,
-			reason: 'executors crashed under its task',
-		});
+		// Executors crashed under runs of the job, perhaps of an earlier copy: the answer must not be that nothing has run.
+		job.isStarted = true;
+		this.#giveUp(job, 'executors crashed under its task', maxRetryAfterMs);
 		return true;
 	}
 
@@ -450,7 +451,7 @@
 	}
 
 	#placeIfWaiting(job: EntryJob): void {
-		if (!this.#failIfCondemned(job) && this.#waitingJobs.delete(job)) {
+		if (!this.#giveUpIfCondemned(job) && this.#waitingJobs.delete(job)) {
 			this.#placeUnplaced(job);
 		}
 	}
