Blame no task for executors that are lost in a wave

Cause: a task that lost two executors was condemned even if executors restarted under all kinds of work at that time.

The field `excused` tells other hosts; hosts of the previous build ignore it and see a silence. - Excused tasks and suspects run on executors that have been up for 2 s, if there are any. - A crash watch reports the crash of an executor without runs too, as evidence of a wave. Its test expects this report, with an empty list of blamed runs.

A job that crashes executors takes down two, or three if it was alone on none, without a wave, also while a few other executors restart all the time.

--- a/packages/protocol/src/scheduling-messages.ts
+++ b/packages/protocol/src/scheduling-messages.ts
@@ -89,6 +89,8 @@
 	silent: z.array(z.string()),
 	/** Those of both lists that ran nothing beside the task. Absent: not known. */
 	alone: z.array(z.string()).optional(),
+	/** Ids of the incarnations whose loss does not count against the task, as many executors were lost with it. Absent: none. */
+	excused: z.array(z.string()).optional(),
 });
 
 /** Absent if none are known. */
--- a/packages/scheduling/src/crash-records.test.ts
+++ b/packages/scheduling/src/crash-records.test.ts
@@ -114,3 +114,48 @@
 	records.forgetOld(100_000);
 	assert.ok(records.isEmpty);
 });
+
+// Guards against giving up sound tasks whose executors were lost with many others, and against a task that crashes
+// executors without end while others are lost.
+test('two losses of a task are excused, further ones count', () => {
+	const records = createCrashRecords();
+	const verdicts: string[] = [];
+	for (const executor of ['e1', 'e2', 'e3', 'e4']) {
+		records.addSilence(task, executor, {now: 0, isAlone: true});
+		records.ignoreLoss(executor, 0);
+		records.addCrash(task, executor, {now: 0, isAlone: true});
+		verdicts.push(records.judge(task));
+	}
+
+	assert.deepEqual(verdicts, ['excused', 'excused', 'suspect', 'condemned']);
+});
+
+// Guards against a task that another host holds back because of a silence that its holder has excused.
+test('an excused loss is reported, and does not count elsewhere', () => {
+	const holder = createCrashRecords();
+	const entry = createCrashRecords();
+	holder.addSilence(task, 'e1', {now: 0, isAlone: true});
+	const former = holder.listByJob('job1')!;
+	entry.addReported(former, 0);
+	entry.addSilence(task, 'e2', {now: 0, isAlone: true});
+	assert.equal(entry.judge(task), 'held');
+	holder.ignoreLoss('e1', 10);
+	entry.addReported(holder.listRecent(20)!, 20);
+	assert.equal(entry.judge(task), 'suspect');
+	entry.addReported(former, 30);
+	assert.equal(entry.judge(task), 'suspect');
+	entry.clearExecutor('e2');
+	assert.equal(entry.judge(task), 'excused');
+	entry.forgetOld(11_000);
+	assert.ok(entry.isEmpty);
+});
+
+// Guards against a crash that never counts because an earlier silence of the same process was excused.
+test('a crash counts after the executor has answered again', () => {
+	const records = createCrashRecords();
+	records.addSilence(task, 'e1', {now: 0, isAlone: true});
+	records.ignoreLoss('e1', 0);
+	records.clearExecutor('e1');
+	assert.equal(records.addCrash(task, 'e1', {now: 10, isAlone: true}), 1);
+	assert.equal(records.judge(task), 'suspect');
+});
--- a/packages/scheduling/src/crash-records.ts
+++ b/packages/scheduling/src/crash-records.ts
@@ -1,12 +1,15 @@
 /**
-Records which executors crashed while they ran a task. An executor has a new id after each restart, so a crash
-that several hosts report counts once.
+Records which executors crashed while they ran a task. The name of an executor stands for one of its processes, so
+a crash that several hosts report counts once, and a later crash of the restarted executor counts anew.
 
 A task under which `crashLimit` executors have crashed is condemned: every host gives up its job. If another task
 ran beside it each time, that one may be the cause, and one crash more is needed. An executor
 that stays silent until its lease has expired may have crashed or may only be unreachable; which of the two
 becomes known seconds later. Until then the silence counts against another start of the task, but does not
 condemn it.
+
+A crash in a wave (`crash-waves.ts`) is excused: it does not count against the task. At most `maxExcusedCrashes` are,
+so that a task which crashes its executors during a wave takes down only so many more.
 */
 import {type TaskCrashes} from '@gentianshift/protocol';
 import {formatTaskKey} from './run.js';
@@ -15,6 +18,11 @@
 export const crashLimit = 2;
 /** Likewise for a task that was alone on none of them. */
 export const sharedCrashLimit = 3;
+/**
+Number of crashes of a task that are excused. A sound task rarely loses its executor three times in one wave, as a
+run takes far less time than passes between two restarts of an executor.
+*/
+export const maxExcusedCrashes = 2;
 /** Callers have stopped resending a job by then. */
 const recordRetentionMs = 60_000;
 /** By then a silent executor has answered again, or its registration in the store has expired. */
@@ -39,11 +47,14 @@
 
 /**
 - `sound`: no executor is known to have crashed or fallen silent under the task.
+- `excused`: executors have crashed under the task, or may have, but only in waves. It may run beside others, on an
+  executor that has been up for a while: a further crash would say more about the task there.
 - `suspect`: an executor has crashed under the task, or may have.
 - `held`: as many executors as condemn the task may have crashed; it is not started until this is known.
 - `condemned`: the task is never started again.
 */
-export type CrashVerdict = 'sound' | 'suspect' | 'held' | 'condemned';
+export type CrashVerdict =
+	'sound' | 'excused' | 'suspect' | 'held' | 'condemned';
 
 export type CrashRecords = {
 	readonly isEmpty: boolean;
@@ -59,6 +70,13 @@
 	addSilence: (task: TaskName, executor: string, context: CrashContext) => void;
 	/** Records that a silent executor has crashed. Returns the tasks for which this crash was new. */
 	confirmCrash: (executor: string, now: number) => TaskName[];
+	/**
+	The executor was lost in a wave: its loss does not count against the tasks that ran there, except those for which
+	`maxExcusedCrashes` are excused already.
+	*/
+	ignoreLoss: (executor: string, now: number) => void;
+	/** Lists the tasks that ran on the executor when it fell silent. */
+	listSilent: (executor: string) => TaskName[];
 	/** Removes the executor from all tasks: it answers under the same id, so it has not crashed. */
 	clearExecutor: (executor: string) => void;
 	/** Adds what another host has reported. */
@@ -83,6 +101,8 @@
 	silent: Map<string, number>;
 	/** Those of both on which the task was alone. */
 	alone: Set<string>;
+	/** Executors whose crash or silence does not count. */
+	excused: Set<string>;
 	/** When this host last recorded a crash or silence that it noticed itself, not one that another host reported. */
 	noticedAt: number;
 	updatedAt: number;
@@ -123,6 +143,7 @@
 			crashed: new Set(),
 			silent: new Map(),
 			alone: new Set(),
+			excused: new Set(),
 			noticedAt: -Infinity,
 			updatedAt: now,
 		};
@@ -148,6 +169,7 @@
 
 		const record = refreshRecord(task, now);
 		record.silent.delete(executor);
+		record.excused.delete(executor);
 		record.crashed.add(executor);
 		return record;
 	}
@@ -164,7 +186,9 @@
 		const known = records.get(formatTaskKey(task));
 		const isKnown =
 			known !== undefined &&
-			(known.crashed.has(executor) || known.silent.has(executor));
+			(known.crashed.has(executor) ||
+				known.silent.has(executor) ||
+				known.excused.has(executor));
 		if (isKnown) {
 			return undefined;
 		}
@@ -174,11 +198,27 @@
 		return record;
 	}
 
+	function listSilent(executor: string): TaskName[] {
+		return [...records.values()]
+			.filter(({silent}) => silent.has(executor))
+			.map(({task}) => task);
+	}
+
+	function recordExcuse(record: CrashRecord, executor: string): void {
+		record.silent.delete(executor);
+		record.alone.delete(executor);
+		record.excused.add(executor);
+	}
+
 	function addCrash(
 		task: TaskName,
 		executor: string,
 		{now, isAlone}: CrashContext,
 	): number | undefined {
+		if (records.get(formatTaskKey(task))?.excused.has(executor)) {
+			return undefined;
+		}
+
 		const record = recordCrash(task, executor, now);
 		if (record) {
 			if (isAlone) {
@@ -192,6 +232,18 @@
 		return record?.crashed.size;
 	}
 
+	/** The host that noticed the loss decides; a crash that counts at another host goes on counting there. */
+	function addReportedExcuse(
+		task: TaskName,
+		executor: string,
+		now: number,
+	): void {
+		const known = records.get(formatTaskKey(task));
+		if (!known?.crashed.has(executor) && !known?.excused.has(executor)) {
+			recordExcuse(refreshRecord(task, now), executor);
+		}
+	}
+
 	return {
 		get isEmpty() {
 			return records.size === 0;
@@ -211,16 +263,26 @@
 			}
 		},
 		confirmCrash(executor, now) {
-			const tasks = [...records.values()]
-				.filter(({silent}) => silent.has(executor))
-				.map(({task}) => task);
-			return tasks.filter(
+			return listSilent(executor).filter(
 				// Whether the task was alone was recorded with the silence.
 				(task) => addCrash(task, executor, {now, isAlone: false}) !== undefined,
 			);
 		},
+		ignoreLoss(executor, now) {
+			for (const record of records.values()) {
+				if (
+					record.silent.has(executor) &&
+					record.excused.size < maxExcusedCrashes
+				) {
+					recordExcuse(record, executor);
+					record.noticedAt = now;
+				}
+			}
+		},
+		listSilent,
 		clearExecutor(executor) {
 			for (const record of records.values()) {
+				record.excused.delete(executor);
 				record.crashed.delete(executor);
 				record.silent.delete(executor);
 				record.alone.delete(executor);
@@ -230,6 +292,7 @@
 			for (const {job, index, crashed, silent, ...row} of reported) {
 				// A host of an earlier build does not say, and condemns a task after two crashes.
 				const alone = row.alone ?? [...crashed, ...silent];
+				const {excused = []} = row;
 				for (const executor of crashed) {
 					recordCrash({job, index}, executor, now);
 				}
@@ -238,8 +301,15 @@
 					recordSilence({job, index}, executor, now);
 				}
 
+				const record = records.get(formatTaskKey({job, index}));
 				for (const executor of alone) {
-					records.get(formatTaskKey({job, index}))?.alone.add(executor);
+					if (!record?.excused.has(executor)) {
+						record?.alone.add(executor);
+					}
+				}
+
+				for (const executor of excused) {
+					addReportedExcuse({job, index}, executor, now);
 				}
 			}
 		},
@@ -280,7 +350,10 @@
 				}
 
 				const isUnused = record.crashed.size + record.silent.size === 0;
-				if (isUnused || now - record.updatedAt > recordRetentionMs) {
+				const isExcuseOld = now - record.updatedAt > silenceRetentionMs;
+				if (isUnused && (record.excused.size === 0 || isExcuseOld)) {
+					deleteRecord(key, record);
+				} else if (now - record.updatedAt > recordRetentionMs) {
 					deleteRecord(key, record);
 				}
 			}
@@ -288,7 +361,12 @@
 	};
 }
 
-function judgeRecord({crashed, silent, alone}: CrashRecord): CrashVerdict {
+function judgeRecord({
+	crashed,
+	silent,
+	alone,
+	excused,
+}: CrashRecord): CrashVerdict {
 	const limit = alone.size > 0 ? crashLimit : sharedCrashLimit;
 	if (crashed.size >= limit) {
 		return 'condemned';
@@ -298,19 +376,27 @@
 		return 'held';
 	}
 
-	return crashed.size + silent.size > 0 ? 'suspect' : 'sound';
+	if (crashed.size + silent.size > 0) {
+		return 'suspect';
+	}
+
+	return excused.size > 0 ? 'excused' : 'sound';
 }
 
 function toTaskCrashes(
 	records: readonly CrashRecord[],
 ): TaskCrashes[] | undefined {
 	const rows = records
-		.filter(({crashed, silent}) => crashed.size + silent.size > 0)
-		.map(({task, crashed, silent, alone}) => ({
+		.filter(
+			({crashed, silent, excused}) =>
+				crashed.size + silent.size + excused.size > 0,
+		)
+		.map(({task, crashed, silent, alone, excused}) => ({
 			...task,
 			crashed: [...crashed],
 			silent: [...silent.keys()],
 			alone: [...alone],
+			...(excused.size > 0 && {excused: [...excused]}),
 		}));
 	return rows.length > 0 ? rows : undefined;
 }
--- a/packages/scheduling/src/crash-watch.test.ts
+++ b/packages/scheduling/src/crash-watch.test.ts
@@ -59,7 +59,7 @@
 	watch.noteLeaseExpired([makeRun(0)]);
 	watch.noteAnswer();
 	watch.noteProcessEnded([]);
-	assert.deepEqual(calls, ['silence 0', 'cleared']);
+	assert.deepEqual(calls, ['silence 0', 'cleared', 'crash ']);
 });
 
 // Guards against taking a planned shutdown of an executor for a crash.
--- a/packages/scheduling/src/crash-watch.ts
+++ b/packages/scheduling/src/crash-watch.ts
@@ -11,6 +11,7 @@
 	onSilence: (runs: readonly Run[]) => void;
 	/** The executor has not crashed, or its shutdown was planned. */
 	onNotCrashed: () => void;
+	/** Also called without runs: crashes of executors that ran nothing show that tasks are not the cause. */
 	onCrash: (runs: readonly Run[]) => void;
 };
 
@@ -42,7 +43,7 @@
 			expiredRuns = [];
 			if (ports.isDraining()) {
 				ports.onNotCrashed();
-			} else if (suspects.length > 0) {
+			} else {
 				ports.onCrash(suspects);
 			}
 		},
--- a/packages/scheduling/src/crashes.test.ts
+++ b/packages/scheduling/src/crashes.test.ts
@@ -140,3 +140,72 @@
 	assert.equal(executors.runs.length, 2);
 	assert.equal(countCrashes(entry.endMessages), 2);
 });
+
+// Guards against a task that goes on crashing executors because a few others restart again and again meanwhile.
+test('a task is given up after two crashes also while other executors restart all the time', async () => {
+	const {clock, executors, scheduler, entry} = await openCrashing({
+		count: 12,
+		getRestartMs: () => 200,
+		onCrash() {
+			clock.schedule(200, () => {
+				scheduler.setExecutors(executors.fakes.map(({executor}) => executor));
+			});
+		},
+	});
+	const restarting = executors.fakes.slice(8);
+	// Less capacity, so that the first run of the task is not on one of them.
+	for (const fake of restarting) {
+		executors.setCapacity(fake, {...fake.executor.capacity, cpu: 16_000});
+	}
+
+	const crashAll = (): void => {
+		for (const fake of restarting) {
+			executors.crash(fake);
+		}
+
+		clock.schedule(700, crashAll);
+	};
+
+	crashAll();
+	await runFor(clock, 4000, [[scheduler, entry]]);
+	scheduler.receivePart(entry, makePart(clock, {timeLeftMs: longMs}));
+	await runFor(clock, 10_000, [[scheduler, entry]]);
+	assert.equal(executors.runs.length, 2);
+	assert.equal(countCrashes(entry.endMessages), 2);
+});
+
+// Guards against giving up a job whose executors were restarted with others, which ran nothing.
+test('a task that loses three executors with others is completed', async () => {
+	const {clock, executors, scheduler, entry} = await openCrashing({
+		count: 24,
+		taskMs: 400,
+		findCrashMs: undefined,
+	});
+	await runFor(clock, 2500, [[scheduler, entry]]);
+	scheduler.receivePart(
+		entry,
+		makePart(clock, {estimateMs: 400, timeLeftMs: longMs}),
+	);
+	for (let losses = 0; losses < 3; losses += 1) {
+		for (let i = 0; i < 60 && executors.runs.length === losses; i += 1) {
+			await runFor(clock, 50, [[scheduler, entry]]);
+		}
+
+		const {executor: id} = executors.runs.at(-1)!;
+		const steady = executors.fakes.filter(({life}) => life === 1);
+		for (const fake of [
+			...steady.filter(({executor}) => executor.id === id),
+			...steady.filter(({executor}) => executor.id !== id).slice(0, 4),
+		]) {
+			executors.crash(fake);
+		}
+	}
+
+	await runFor(clock, 8000, [[scheduler, entry]]);
+	assert.deepEqual(
+		executors.runs.map(({isCrashed}) => isCrashed ?? false),
+		[true, true, true, false],
+	);
+	assert.equal(executors.runs.at(-1)!.outcome, 'done');
+	assert.ok(countCrashes(entry.endMessages) <= 1);
+});
--- a/packages/scheduling/src/executor-session.ts
+++ b/packages/scheduling/src/executor-session.ts
@@ -82,6 +82,8 @@
 	readonly trust = createTrust();
 	/** The executor has reported to this scheduler all that runs on it. */
 	hasReported = false;
+	/** When `hasReported` became true. */
+	reportedAt = Infinity;
 	/**
 	Since when the executor does not answer, or has unanswered starts still to be cancelled; undefined: neither holds.
 	*/
@@ -459,6 +461,10 @@
 			this.#stopLateStarts(found, now);
 		}
 
+		if (isFirst) {
+			this.reportedAt = now;
+		}
+
 		this.hasReported ||= isFirst;
 		if (isFirst || this.silentSince !== undefined) {
 			this.#crashWatch.noteAnswer();
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -160,9 +160,9 @@
 			onRunEnd: (run, outcome, session) => {
 				this.#endRun(run, outcome, session);
 			},
-			onCrash: this.#crashes.blameRuns,
+			onCrash: this.#crashes.recordCrash,
 			onSilence: this.#crashes.recordSilence,
-			onCleared: ports.crashes.clearExecutor,
+			onCleared: this.#crashes.clearExecutor,
 			onChange: () => {
 				this.#runPlacingRound();
 				ports.onChange();
@@ -379,6 +379,7 @@
 	close(): void {
 		this.#isClosed = true;
 		this.#executors.closeAll();
+		this.#crashes.settleCrashes({isClosing: true});
 	}
 
 	describeState(): GroupState {
@@ -693,6 +694,7 @@
 					now,
 					judge: crashes.judge,
 					hasSuspectRun: this.#crashes.hasSuspectRun,
+					getUpSince: ({reportedAt}) => reportedAt,
 					listStartable: (job) => this.#listStartable(job),
 					start: (job, task, session) => {
 						this.#startTask(job, task, session);
@@ -701,6 +703,7 @@
 	}
 
 	#giveUpCondemned(now: number): void {
+		this.#crashes.settleCrashes({isClosing: false});
 		for (const job of this.#crashes.takeCondemnedJobs(this.#jobs.values())) {
 			this.#dropAndStop(job, now + dropStopLimitMs);
 		}
--- a/packages/scheduling/src/load-system.fixture.ts
+++ b/packages/scheduling/src/load-system.fixture.ts
@@ -85,6 +85,8 @@
 	from: DataCentre;
 	at: number;
 	answer: JobAnswer['type'];
+	/** Why the job was not completed. */
+	reason?: string;
 	tookMs: number;
 	/** The latency objective, computed from the actual run time of the longest task. */
 	objectiveMs: number;
@@ -162,12 +164,29 @@
 export function createLoadSystem({
 	executorsEach = 11,
 	services = ['meals'],
-}: {executorsEach?: number; services?: readonly string[]} = {}) {
+	getRestartMs,
+	findCrashMs,
+}: {
+	executorsEach?: number;
+	services?: readonly string[];
+	/** How long a crashed executor is down. Until it is back, the former process stays listed. */
+	getRestartMs?: () => number;
+	/** How long after its start a task crashes its executor; undefined: it does not. */
+	findCrashMs?: (task: {job: string; index: number}) => number | undefined;
+} = {}) {
 	const clock = new VirtualClock();
 	const taskMs = new Map<string, number[]>();
 	const evacuated = new Set<string>();
 	const groups = dataCentres.map((name) =>
-		createGroup(clock, {name, executorsEach, services, taskMs, evacuated}),
+		createGroup(clock, {
+			name,
+			executorsEach,
+			services,
+			taskMs,
+			evacuated,
+			getRestartMs,
+			findCrashMs,
+		}),
 	);
 	const entries = new Map<DataCentre, EntryJobs>();
 	for (const group of groups) {
@@ -187,12 +206,17 @@
 		services,
 		taskMs,
 		evacuated,
+		getRestartMs,
+		findCrashMs,
 	}: {
 		name: DataCentre;
 		executorsEach: number;
 		services: readonly string[];
 		taskMs: ReadonlyMap<string, number[]>;
 		evacuated: ReadonlySet<string>;
+		getRestartMs: (() => number) | undefined;
+		findCrashMs:
+			((task: {job: string; index: number}) => number | undefined) | undefined;
 	},
 ) {
 	const directory = createGroupDirectory({
@@ -203,8 +227,16 @@
 	const executors = createFakeExecutors(clock, {
 		count: executorsEach,
 		taskMs: ({job, index}) => taskMs.get(job)![index]!,
+		getRestartMs,
+		findCrashMs,
+		onCrash(former, next) {
+			clock.schedule(getRestartMs?.() ?? 0, () => {
+				listed = listed.map((one) => (one.id === former.id ? next : one));
+				scheduler.setExecutors(listed);
+			});
+		},
 	});
-	const listed = executors.fakes.map((fake, i) => {
+	let listed = executors.fakes.map((fake, i) => {
 		const cpu = i % 3 === 0 ? 48_000 : 32_000;
 		fake.executor = {
 			...fake.executor,
@@ -392,7 +424,7 @@
 
 function describeOutcome(
 	{kind, from, at, taskMs}: PlannedJob,
-	{type}: JobAnswer,
+	answer: JobAnswer,
 	endedAt: number,
 ): Outcome {
 	const {slackFactor, allowanceMs} = queueDefaults;
@@ -400,7 +432,8 @@
 		queue: kind.queue,
 		from,
 		at,
-		answer: type,
+		answer: answer.type,
+		reason: 'reason' in answer ? answer.reason : undefined,
 		tookMs: endedAt - at,
 		objectiveMs: slackFactor * Math.max(...taskMs) + allowanceMs,
 	};
--- a/packages/scheduling/src/place-suspects.test.ts
+++ b/packages/scheduling/src/place-suspects.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {type CrashVerdict} from './crash-records.js';
 import {createTrust} from './executor-trust.js';
 import {createEntry, makePart} from './group-scheduler.fixture.js';
 import {addTasks, createGroupJob, listWaiting} from './group-job.js';
@@ -23,9 +24,18 @@
 	executors: ExecutorCandidate[],
 	{
 		suspects = 1,
+		verdict = 'suspect',
 		holding = [],
+		restarted = [],
 		timeLeftMs = 5000,
-	}: {suspects?: number; holding?: string[]; timeLeftMs?: number} = {},
+	}: {
+		suspects?: number;
+		verdict?: CrashVerdict;
+		holding?: string[];
+		/** Executors that have just restarted. */
+		restarted?: string[];
+		timeLeftMs?: number;
+	} = {},
 ) {
 	const part = makePart(new VirtualClock(), {
 		tasks: [
@@ -40,8 +50,9 @@
 	const started: string[] = [];
 	const left = placeSuspects([job], executors, {
 		now: 0,
-		judge: ({index}) => (index < suspects ? 'suspect' : 'sound'),
+		judge: ({index}) => (index < suspects ? verdict : 'sound'),
 		hasSuspectRun: ({id}) => holding.includes(id),
+		getUpSince: ({id}) => (restarted.includes(id) ? 0 : -Infinity),
 		listStartable: listWaiting,
 		start(_job, {index}, {id}) {
 			started.push(`${index} on ${id}`);
@@ -82,3 +93,32 @@
 		0,
 	);
 });
+
+// Guards against a suspect that is started on an executor which restarts again and again, and is blamed for it.
+test('a suspect runs on an executor that has been up for a while, if there is one', () => {
+	const executors = [makeExecutor('e1', 0), makeExecutor('e2', 1)];
+	const {started, left} = place(executors, {restarted: ['e1']});
+	assert.deepEqual(started, []);
+	assert.deepEqual(left, ['e1']);
+	const all = place(executors, {restarted: ['e1', 'e2']});
+	assert.deepEqual(all.started, ['0 on e1']);
+});
+
+// Guards against a suspect that waits for an executor which cannot run it.
+test('executors of another service do not count for a suspect', () => {
+	const other = {...makeExecutor('e1', 0), service: 'drinks'};
+	const executors = [other, makeExecutor('e2', 0)];
+	const {started} = place(executors, {restarted: ['e2']});
+	assert.deepEqual(started, ['0 on e2']);
+});
+
+// Guards against tasks that wait for an idle executor because they lost theirs with many others.
+test('a task whose losses were excused runs beside others, on an executor that has been up for a while', () => {
+	const executors = [makeExecutor('e1', 0), makeExecutor('e2', 1)];
+	const {started, left} = place(executors, {
+		verdict: 'excused',
+		restarted: ['e1'],
+	});
+	assert.deepEqual(started, ['0 on e2']);
+	assert.deepEqual(left, ['e1', 'e2']);
+});
--- a/packages/scheduling/src/place-suspects.ts
+++ b/packages/scheduling/src/place-suspects.ts
@@ -1,12 +1,14 @@
 /**
 Places suspects, tasks under which an executor has crashed or may have: each alone on an executor, so that
-another crash is blamed on no other task.
+another crash is blamed on no other task. Tasks whose losses were excused need not be alone.
 
 Tasks that merely shared an executor with the cause of a crash are suspects too, and are cleared when they
-complete. The number of executors put at risk at a time is bounded. Under load no executor becomes idle by
+complete. The number of executors put at risk at a time is bounded. Executors that have restarted lately may do so again, and the
+suspect would be blamed for it, so others are preferred. Under load no executor becomes idle by
 itself, so the least busy one gets no new tasks until it is idle.
 */
 import {type CrashVerdict} from './crash-records.js';
+import {steadyUptimeMs} from './crash-waves.js';
 import {type GroupJob, type GroupTask} from './group-job.js';
 import {chooseExecutor, type ExecutorCandidate} from './place-task.js';
 import {compareJobs} from './rank-jobs.js';
@@ -23,6 +25,8 @@
 	judge: (task: {job: string; index: number}) => CrashVerdict;
 	/** Whether one of the executor's runs is of a suspect. */
 	hasSuspectRun: (executor: C) => boolean;
+	/** Since when this process of the executor has been known to be up. */
+	getUpSince: (executor: C) => number;
 	/** Lists waiting tasks of which nothing runs. */
 	listStartable: (job: GroupJob) => GroupTask[];
 	start: (job: GroupJob, task: GroupTask, executor: C) => void;
@@ -30,7 +34,7 @@
 
 type Suspect = {job: GroupJob; task: GroupTask};
 
-/** Starts suspects; returns the executors that remain for other tasks. */
+/** Starts suspects and tasks whose losses were excused; returns the executors that remain for other tasks. */
 export function placeSuspects<C extends ExecutorCandidate>(
 	jobs: readonly GroupJob[],
 	executors: readonly C[],
@@ -39,22 +43,30 @@
 	const available = new Set(
 		executors.filter((executor) => !actions.hasSuspectRun(executor)),
 	);
+	for (const {job, task} of listByVerdict(jobs, 'excused', actions)) {
+		const suitable = pickSteady(listSuitable(job, available), actions);
+		const executor = chooseForTask({job, task}, suitable, actions.now);
+		if (executor) {
+			actions.start(job, task, executor);
+		}
+	}
+
 	const maxReserved = Math.max(
 		1,
 		Math.floor(executors.length * maxSuspectShare),
 	);
-	for (const suspect of listSuspects(jobs, actions)) {
+	for (const suspect of listByVerdict(jobs, 'suspect', actions)) {
 		if (executors.length - available.size >= maxReserved) {
 			break;
 		}
 
-		const executor = findExecutor(suspect, available, actions.now);
+		const suitable = pickSteady(listSuitable(suspect.job, available), actions);
+		const executor = findExecutor(suspect, suitable, actions.now);
 		if (executor) {
 			actions.start(suspect.job, suspect.task, executor);
 		}
 
-		const reserved =
-			executor ?? findLeastBusy(suspect.job, available, () => true);
+		const reserved = executor ?? findLeastBusy(suitable);
 		if (reserved) {
 			available.delete(reserved);
 		}
@@ -63,55 +75,77 @@
 	return [...available];
 }
 
-function listSuspects<C extends ExecutorCandidate>(
+/** Returns the executors that have been up for a while, or all if none has: a new holder has just met all of them. */
+function pickSteady<C extends ExecutorCandidate>(
+	executors: readonly C[],
+	{now, getUpSince}: SuspectActions<C>,
+): readonly C[] {
+	const steady = executors.filter(
+		(executor) => now - getUpSince(executor) >= steadyUptimeMs,
+	);
+	return steady.length > 0 ? steady : executors;
+}
+
+/** Lists the startable tasks with this verdict, those of the most urgent job first. */
+function listByVerdict<C extends ExecutorCandidate>(
 	jobs: readonly GroupJob[],
+	verdict: CrashVerdict,
 	{now, judge, listStartable}: SuspectActions<C>,
 ): Suspect[] {
 	return jobs
 		.toSorted((a, b) => compareJobs(a, b, now))
 		.flatMap((job) =>
 			listStartable(job)
-				.filter(({index}) => judge({job: job.id, index}) === 'suspect')
+				.filter(({index}) => judge({job: job.id, index}) === verdict)
 				.map((task) => ({job, task})),
 		);
 }
 
 function findExecutor<C extends ExecutorCandidate>(
+	suspect: Suspect,
+	executors: readonly C[],
+	now: number,
+): C | undefined {
+	const {demand, estimateMs, deadlineAt} = suspect.job;
+	const idle = executors.filter(({runCount}) => runCount === 0);
+	const isUrgent = now + urgentRunTimes * estimateMs >= deadlineAt;
+	return (
+		chooseForTask(suspect, idle, now) ??
+		(isUrgent
+			? findLeastBusy(executors.filter(({free}) => coversDemand(free, demand)))
+			: undefined)
+	);
+}
+
+function chooseForTask<C extends ExecutorCandidate>(
 	{job, task: {avoid}}: Suspect,
-	executors: ReadonlySet<C>,
+	executors: readonly C[],
 	now: number,
 ): C | undefined {
 	const {id, constraints, service, demand, estimateMs, deadlineAt} = job;
-	const idle = [...executors].filter(({runCount}) => runCount === 0);
-	const idleExecutor = chooseExecutor(
-		idle,
+	return chooseExecutor(
+		executors,
 		{id, constraints, service, demand, estimateMs, deadlineAt, avoid},
 		now,
 	);
-	const isUrgent = now + urgentRunTimes * estimateMs >= deadlineAt;
-	return (
-		idleExecutor ??
-		(isUrgent ? findLeastBusy(job, executors, hasCapacityForTask) : undefined)
-	);
-
-	function hasCapacityForTask({free}: C): boolean {
-		return coversDemand(free, demand);
-	}
 }
 
-function findLeastBusy<C extends ExecutorCandidate>(
+function listSuitable<C extends ExecutorCandidate>(
 	job: GroupJob,
 	executors: ReadonlySet<C>,
-	isSuitable: (executor: C) => boolean,
+): C[] {
+	return [...executors].filter(
+		(executor) =>
+			executor.service === job.service &&
+			coversDemand(executor.capacity, job.demand) &&
+			isAllowedOn(executor, job),
+	);
+}
+
+function findLeastBusy<C extends ExecutorCandidate>(
+	executors: readonly C[],
 ): C | undefined {
-	const {service, demand} = job;
-	return [...executors]
-		.filter(
-			(executor) =>
-				executor.service === service &&
-				coversDemand(executor.capacity, demand) &&
-				isAllowedOn(executor, job) &&
-				isSuitable(executor),
-		)
-		.toSorted((a, b) => a.runCount - b.runCount || b.free.cpu - a.free.cpu)[0];
+	return executors.toSorted(
+		(a, b) => a.runCount - b.runCount || b.free.cpu - a.free.cpu,
+	)[0];
 }
