Withdraw tasks that no executor has seen before a job is given up

Cause: an entry kept a job until its caller's deadline when the holder that had its tasks was late, and then answered 504, because it could not know whether a task had been started just then.

Change: once the rest of the useful time is shorter than the estimate and one exchange, and no start was reported, the entry sends the holders a `drop` with the new optional field `withdrawal` (token, claim, tasks). A holder that has started none of them returns them and remembers that, so that a late part starts nothing; the caller gets 503. If a task was started, the job goes on until the caller's deadline. The message's `claim` is 0: a holder of the previous build, which does not know the field, drops nothing. The same is done when one group has returned tasks and others still have the rest.

Each withdrawal is logged and counted by outcome (gentianshift_withdrawals_total).

--- a/packages/host/src/scheduling/faulty/fault-plan.fixture.ts
+++ b/packages/host/src/scheduling/faulty/fault-plan.fixture.ts
@@ -312,6 +312,51 @@
 		}),
 );
 
+/**
+More work than the executors can end in time, with messages that are delayed or lost for about as long as an answer to a withdrawal of
+tasks is waited for, and executors that are freed meanwhile.
+*/
+export const withdrawalPlans: fc.Arbitrary<FaultPlan> = fc.record({
+	jobs: fc.array(
+		fc.record({
+			at: fc.nat(planSpanMs / 4),
+			host,
+			tasks: fc.integer({min: 1, max: 6}),
+			runMs: fc.constantFrom(60, 200, 600),
+			allowanceMs: fc.constantFrom(60, 200),
+		}),
+		{minLength: 12, maxLength: 30},
+	),
+	faults: fc.array(
+		fc.oneof(
+			{
+				weight: 8,
+				arbitrary: fc.record({
+					at: fc.nat(planSpanMs),
+					durationMs: fc.integer({min: 20, max: 400}),
+					kind: fc.constant('delay-connection' as const),
+					host,
+					peer: host,
+					direction: fc.constantFrom('asked' as const, 'answered' as const),
+				}),
+			},
+			{
+				weight: 2,
+				arbitrary: fc.record({
+					at: fc.nat(planSpanMs),
+					durationMs: fc.integer({min: 20, max: 500}),
+					kind: fc.constant('freeze' as const),
+					host,
+				}),
+			},
+			{weight: 1, arbitrary: linkFault},
+			{weight: 1, arbitrary: handOver},
+			{weight: 1, arbitrary: hostFault},
+		),
+		{minLength: 3, maxLength: 10},
+	),
+});
+
 /** Machines are suspended while hosts die and connections between hosts break or delay messages. */
 export const suspensionPlans: fc.Arbitrary<FaultPlan> = fc.record({
 	jobs: fc.array(job, {minLength: 1, maxLength: 6}),
--- a/packages/host/src/scheduling/faulty/faulty-host.fixture.ts
+++ b/packages/host/src/scheduling/faulty/faulty-host.fixture.ts
@@ -331,6 +331,7 @@
 			onAnswer() {
 				// The simulated caller gets the answer through `submit`.
 			},
+			onWithdrawal: doNothing,
 			log,
 		});
 		const handlers = createSchedulingHandlers({
--- a/packages/host/src/scheduling/host-roles.ts
+++ b/packages/host/src/scheduling/host-roles.ts
@@ -20,6 +20,7 @@
 	type GroupDirectory,
 	type JobAnswer,
 	type JobRequest,
+	type WithdrawalOutcome,
 } from '@gentianshift/scheduling';
 import {type GroupState, type Link, type Message} from '@gentianshift/protocol';
 import {type Evacuations} from './evacuations.js';
@@ -50,6 +51,8 @@
 	defer: (work: () => void) => void;
 	/** Called for each job, before its caller is answered. */
 	onAnswer: (job: EntryJob, answer: JobAnswer, tookMs: number) => void;
+	/** Called once for each withdrawal of a job's tasks. */
+	onWithdrawal: (outcome: WithdrawalOutcome) => void;
 	log: (message: string, fields: Record<string, unknown>) => void;
 };
 
@@ -114,6 +117,7 @@
 			send: (holder, message) => this.#sendToHolder(holder, message),
 			log: options.log,
 			onAnswer: options.onAnswer,
+			onWithdrawal: options.onWithdrawal,
 		});
 		this.#localEntry = {
 			key: options.processId,
--- a/packages/host/src/scheduling/scheduling-metrics.ts
+++ b/packages/host/src/scheduling/scheduling-metrics.ts
@@ -8,6 +8,7 @@
 	type EntryJob,
 	type ExecutorControl,
 	type JobAnswer,
+	type WithdrawalOutcome,
 } from '@gentianshift/scheduling';
 import {type Metrics} from '@gentianshift/telemetry';
 import {type WorkRecord} from './work-meter.js';
@@ -34,6 +35,14 @@
 	metrics.jobSeconds.observe({service: queue.service}, tookMs / msPerSecond);
 }
 
+/** Counts a withdrawal of a job's tasks by its outcome. */
+export function recordWithdrawal(
+	metrics: Metrics,
+	outcome: WithdrawalOutcome,
+): void {
+	metrics.withdrawals.inc({outcome});
+}
+
 /** Counts calls to executors by outcome. */
 export function wrapControl(
 	control: ExecutorControl,
--- a/packages/host/src/scheduling/start-scheduling-host.ts
+++ b/packages/host/src/scheduling/start-scheduling-host.ts
@@ -33,7 +33,12 @@
 import {pingIntervals} from './ping-intervals.js';
 import {createQueueTables, type QueueTables} from './queue-tables.js';
 import {createSchedulingHandlers} from './scheduling-handlers.js';
-import {recordAnswer, setGauges, wrapControl} from './scheduling-metrics.js';
+import {
+	recordAnswer,
+	recordWithdrawal,
+	setGauges,
+	wrapControl,
+} from './scheduling-metrics.js';
 import {measureStoreAge} from './store-age.js';
 import {type HostDependencies} from './host-dependencies.js';
 import {createWorkMeter} from './work-meter.js';
@@ -440,6 +445,9 @@
 			onAnswer: (job, answer, tookMs) => {
 				this.#reportAnswer(job, answer, tookMs);
 			},
+			onWithdrawal(outcome) {
+				recordWithdrawal(metrics, outcome);
+			},
 			log,
 		});
 	}
--- a/packages/protocol/src/scheduling-messages.ts
+++ b/packages/protocol/src/scheduling-messages.ts
@@ -140,6 +140,14 @@
 	takenAtMs,
 	/** Only tasks under this claim or an earlier one are dropped; the job continues elsewhere. Absent: all tasks of the job. */
 	claim: claim.optional(),
+	/**
+	The entry withdraws these tasks, which it placed under this claim at the holder with this token, unless one of them was started.
+	The holder answers with `ends`: the tasks as `returned`, or `isStarted`. The message's own `claim` is then 0, so a holder that
+	does not know this field drops nothing and does not answer.
+	*/
+	withdrawal: z
+		.object({token: count, claim, tasks: z.array(taskPlacementSchema)})
+		.optional(),
 });
 
 /**
--- a/packages/scheduling/src/copy-recall.test.ts
+++ b/packages/scheduling/src/copy-recall.test.ts
@@ -49,6 +49,9 @@
 		onAnswer() {
 			// The tests read the answers that callers receive.
 		},
+		onWithdrawal() {
+			// No task is withdrawn here.
+		},
 	});
 	const receiveStates = () => {
 		groups.update('mieres_m1', makeState('mieres'), clock.now);
--- a/packages/scheduling/src/ends-outbox.ts
+++ b/packages/scheduling/src/ends-outbox.ts
@@ -8,12 +8,15 @@
 import {type GroupJob, type GroupTask} from './group-job.js';
 import {createSentEnds} from './sent-ends.js';
 
+/** What messages say of a job. */
+export type EndedJob = Pick<GroupJob, 'id' | 'claim' | 'entry' | 'isStarted'>;
+
 export type EndsOutbox = {
 	/** Queues an end for the next `flush`. */
 	add: (job: GroupJob, end: TaskEnd, now: number) => void;
 	/** Sends at once that these tasks are returned to the entry, as they are not started here. */
 	sendReturned: (
-		job: GroupJob,
+		job: EndedJob,
 		tasks: readonly GroupTask[],
 		reason: NonNullable<Ends['reason']>,
 		now: number,
@@ -22,11 +25,14 @@
 	Sends at once that the first task of the job is being started: the entry may no longer refuse the job as
 	unstarted.
 	*/
-	sendStarted: (job: GroupJob) => void;
+	sendStarted: (job: EndedJob) => void;
 	/** Queues the ends that were sent before for tasks of this part: they may not have arrived. */
 	addSentEnds: (job: GroupJob, part: Part) => void;
 	/** The end of this placement of the task was sent to its entry. */
-	hasSentEnd: (job: GroupJob, task: GroupTask) => boolean;
+	hasSentEnd: (
+		job: Pick<GroupJob, 'id' | 'entry'>,
+		task: Pick<GroupTask, 'index' | 'placement'>,
+	) => boolean;
 	/** Sends the queued ends. */
 	flush: () => void;
 	forgetOld: (now: number) => void;
@@ -90,7 +96,7 @@
 }
 
 function send(
-	{id, claim, entry, isStarted}: GroupJob,
+	{id, claim, entry, isStarted}: EndedJob,
 	ends: Pick<Ends, 'token' | 'ends' | 'reason'>,
 ): void {
 	entry.send({t: 'ends', job: id, claim, isStarted, ...ends});
--- a/packages/scheduling/src/entry-job.ts
+++ b/packages/scheduling/src/entry-job.ts
@@ -46,6 +46,8 @@
 	isDone: boolean;
 	/** Incremented each time the entry places the task, so that reports about an earlier placement are recognized. */
 	placement: number;
+	/** The placement that the entry withdrew last; undefined: it withdrew none. */
+	withdrawnPlacement?: number;
 	/** How often a group has returned the task for placement in another group. */
 	shifts: number;
 	/** How often a group has returned the task as it had no room in time. */
--- a/packages/scheduling/src/entry-jobs.test.ts
+++ b/packages/scheduling/src/entry-jobs.test.ts
@@ -18,11 +18,13 @@
 import {createCrashRecords} from './crash-records.js';
 import {createRunTimes} from './run-times.js';
 import {stateStaleMs} from './timing.js';
+import {type WithdrawalOutcome} from './withdrawals.js';
 
 function createEntryJobs() {
 	const clock = {now: 1000};
 	const sent: Array<{holder: string; message: {t: string}}> = [];
 	const answered: EntryJob[] = [];
+	const withdrawals: WithdrawalOutcome[] = [];
 	const evacuated = new Set<string>();
 	const groups = createGroupDirectory({
 		isEvacuated: (group) => evacuated.has(group),
@@ -46,13 +48,25 @@
 		onAnswer(job) {
 			answered.push(job);
 		},
+		onWithdrawal(outcome) {
+			withdrawals.push(outcome);
+		},
 	});
 	const listParts = (holder: string) =>
 		sent
 			.filter(({message}) => message.t === 'part')
 			.filter((one) => one.holder === holder)
 			.map(({message}) => message as Part);
-	return {clock, sent, answered, groups, evacuated, entry, listParts};
+	return {
+		clock,
+		sent,
+		answered,
+		withdrawals,
+		groups,
+		evacuated,
+		entry,
+		listParts,
+	};
 }
 
 /** Wall clock when a test begins, milliseconds since 1970. */
--- a/packages/scheduling/src/entry-jobs.ts
+++ b/packages/scheduling/src/entry-jobs.ts
@@ -49,6 +49,14 @@
 import {makePart} from './make-part.js';
 import {placeJob} from './place-job.js';
 import {isLate} from './rank-jobs.js';
+import {
+	createWithdrawals,
+	hasBegun,
+	isWaitingInVain,
+	listPlacedGroups,
+	type WithdrawalOutcome,
+	type Withdrawals,
+} from './withdrawals.js';
 
 /** Attempts that a lost scheduler may have started without the entry learning of them; a new start is numbered beyond them. */
 const maxUnreportedAttempts = 16;
@@ -85,6 +93,8 @@
 	log: (message: string, fields: Record<string, unknown>) => void;
 	/** Called once for each job that ends, when its callers are answered. */
 	onAnswer: (job: EntryJob, answer: JobAnswer, tookMs: number) => void;
+	/** Called once for each withdrawal of a job's tasks. */
+	onWithdrawal: (outcome: WithdrawalOutcome) => void;
 };
 
 export class EntryJobs {
@@ -94,6 +104,7 @@
 	readonly #lostHolders: LostHolders;
 	readonly #recall: CopyRecall;
 	readonly #replacement: CopyReplacement;
+	readonly #withdrawals: Withdrawals;
 	/** Jobs with unplaced tasks that wait for a reachable scheduler, or until no other copy of the job runs. */
 	readonly #waitingJobs = new Set<EntryJob>();
 	#lastClaim = 0;
@@ -114,6 +125,11 @@
 			},
 			log: ports.log,
 		});
+		this.#withdrawals = createWithdrawals({
+			...ports,
+			send: this.#holderContacts.sendWithdrawal,
+			onOutcome: ports.onWithdrawal,
+		});
 		this.#schedulerReachableAt = ports.now();
 	}
 
@@ -220,7 +236,9 @@
 
 		const {group} = known.state;
 		for (const job of this.#jobs.values()) {
-			if (claims.includes(job.claims.get(group) ?? -1)) {
+			// Tasks that are being withdrawn must not be sent again: the holder could start them after it has returned them.
+			const isWanted = !this.#withdrawals.isPending(job);
+			if (isWanted && claims.includes(job.claims.get(group) ?? -1)) {
 				this.#sendUnderNewClaim(job, group);
 			}
 		}
@@ -299,6 +317,8 @@
 
 		if (job.tasks.every(({isDone}) => isDone)) {
 			this.#answer(job, {type: 'completed'});
+		} else if (this.#withdrawals.isPending(job)) {
+			this.#reconcileWithdrawal(job);
 		} else if (returned.length > 0) {
 			this.#placeReturned(job, returned, {reason: message.reason, from});
 		}
@@ -310,8 +330,16 @@
 		for (const job of this.#jobs.values()) {
 			this.#replacement.askAgain(job, group, now);
 			const tasks = listTasksAt(job, group);
-			if (tasks.length > 0) {
-				job.isResent = true;
+			if (tasks.length === 0) {
+				continue;
+			}
+
+			job.isResent = true;
+			const cause = this.#withdrawals.end(job, 'interrupted');
+			if (cause) {
+				// The former holder's answer may be lost, and the job is too late to be of use.
+				this.#answerGivenUp(job, cause.reason, cause.retryAfterMs);
+			} else {
 				this.#sendPart(job, group, tasks, true);
 			}
 		}
@@ -397,13 +425,38 @@
 			}
 
 			if (now >= job.callerDeadlineAt) {
-				this.#giveUp(job, 'no answer in the time that the caller waits');
+				this.#answerGivenUp(job, 'no answer in the time that the caller waits');
+			} else if (this.#withdrawals.isPending(job)) {
+				this.#endOverdueWithdrawal(job);
+			} else if (isWaitingInVain(job, now)) {
+				this.#giveUp(job, 'its tasks can no longer end in time');
 			} else {
 				this.#moveLostTasks(job, now);
 			}
 		}
 	}
 
+	/** An answer to a withdrawal, or another end of the job's tasks, has arrived. */
+	#reconcileWithdrawal(job: EntryJob): void {
+		if (hasBegun(job)) {
+			this.#withdrawals.end(job, 'started');
+			// The runs are not wasted: the answer is delivered even if it is late.
+			job.usefulUntil = job.callerDeadlineAt;
+			this.#placeUnplaced(job);
+		} else if (listPlacedGroups(job).size === 0) {
+			const cause = this.#withdrawals.end(job, 'returned')!;
+			this.#answerGivenUp(job, cause.reason, cause.retryAfterMs);
+		}
+	}
+
+	/** A holder that has not answered by now may have started a task; the caller learns that now rather than at its deadline. */
+	#endOverdueWithdrawal(job: EntryJob): void {
+		if (this.#withdrawals.isOverdue(job)) {
+			this.#withdrawals.end(job, 'unanswered');
+			this.#answerGivenUp(job, 'its scheduler does not answer');
+		}
+	}
+
 	/** Fails a job under whose tasks too many executors have crashed; no task of it is started again, whoever submits it. */
 	#failIfCondemned(job: EntryJob): boolean {
 		const task = this.#ports.crashes.findCondemnedTask(job.request.id);
@@ -465,7 +518,7 @@
 	/** The caller has since sent the job to another entry, so nobody reads the answer given here. */
 	#giveUpReplaced(job: EntryJob): void {
 		job.isStarted = true;
-		this.#giveUp(job, 'another host has a later copy');
+		this.#answerGivenUp(job, 'another host has a later copy');
 	}
 
 	#placeUnplaced(job: EntryJob): void {
@@ -579,7 +632,11 @@
 		{reason, from}: {reason: Ends['reason']; from?: string},
 	): void {
 		job.isAdmitted ||= reason === 'elsewhere';
-		if (reason === 'hopeless') {
+		// Tasks that were withdrawn while another task of the job was being started are needed again.
+		const isWithdrawn = tasks.every(
+			({placement, withdrawnPlacement}) => placement === withdrawnPlacement,
+		);
+		if (reason === 'hopeless' && !isWithdrawn) {
 			this.#giveUp(job, 'its tasks can no longer end in time');
 			return;
 		}
@@ -805,7 +862,7 @@
 		}
 
 		if (lost.movableAt + job.estimateMs > job.usefulUntil) {
-			this.#giveUp(job, 'its scheduler is silent');
+			this.#answerGivenUp(job, 'its scheduler is silent');
 			return;
 		}
 
@@ -828,7 +885,20 @@
 		this.#placeTasks(job, lost.tasks);
 	}
 
+	/** Gives the job up, after its tasks were withdrawn from the groups that have not started them. */
 	#giveUp(job: EntryJob, reason: string, retryAfterMs = minRetryAfterMs): void {
+		if (this.#withdrawals.start(job, {reason, retryAfterMs})) {
+			this.#waitingJobs.delete(job);
+		} else {
+			this.#answerGivenUp(job, reason, retryAfterMs);
+		}
+	}
+
+	#answerGivenUp(
+		job: EntryJob,
+		reason: string,
+		retryAfterMs = minRetryAfterMs,
+	): void {
 		const type =
 			job.isStarted || this.#isPossiblyStarted(job) ? 'given-up' : 'refused';
 		this.#answer(job, {
@@ -855,6 +925,7 @@
 		const now = this.#ports.now();
 		this.#jobs.delete(id);
 		this.#waitingJobs.delete(job);
+		this.#withdrawals.end(job, 'ended');
 		for (const group of this.#listGroupsOf(job)) {
 			const known = this.#ports.groups.findGroup(group);
 			if (known) {
@@ -877,18 +948,10 @@
 
 	/** Groups that hold state of the job: tasks, or a record that this entry's copy replaces others. */
 	#listGroupsOf(job: EntryJob): Set<string> {
-		const groups = new Set(
-			job.copyCheck
-				? this.#ports.groups.list().map(({state}) => state.group)
-				: [],
-		);
-		for (const {group, isDone} of job.tasks) {
-			if (group !== undefined && !isDone) {
-				groups.add(group);
-			}
-		}
-
-		return groups;
+		const replacing = job.copyCheck
+			? this.#ports.groups.list().map(({state}) => state.group)
+			: [];
+		return new Set([...replacing, ...listPlacedGroups(job)]);
 	}
 }
 
--- a/packages/scheduling/src/group-job.ts
+++ b/packages/scheduling/src/group-job.ts
@@ -158,7 +158,7 @@
 export function* createPartTasks({
 	tasks,
 	shifts,
-}: Part): Generator<GroupTask, void> {
+}: Pick<Part, 'tasks' | 'shifts'>): Generator<GroupTask, void> {
 	for (const [index, nextAttempt, placement] of tasks) {
 		yield {
 			index,
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -47,6 +47,7 @@
 import {createPlacingRound} from './placing-round.js';
 import {countFits, coversDemand, noDemand} from './free-capacity.js';
 import {type Run, type RunOutcome} from './run.js';
+import {answerWithdrawal} from './answer-withdrawal.js';
 import {hasRequiredLabel} from './task-constraints.js';
 import {type RunTimes} from './run-times.js';
 import {createStartLog, type StartLog} from './start-log.js';
@@ -203,7 +204,12 @@
 			}
 
 			case 'drop': {
-				this.dropJob(entry, message);
+				if (message.withdrawal) {
+					this.#answerWithdrawal(entry, message);
+				} else {
+					this.dropJob(entry, message);
+				}
+
 				break;
 			}
 
@@ -404,6 +410,21 @@
 		return {open: listOpen().length, all: sessions.size};
 	}
 
+	#answerWithdrawal(entry: Entry, message: Drop): void {
+		answerWithdrawal(entry, message, {
+			token: this.ports.token,
+			outbox: this.#outbox,
+			now: this.ports.now(),
+			findJob: (id) => this.#jobs.get(id),
+			isReplaced: (id) => this.#copies.isReplaced(id, entry),
+			isRunStateKnown: (job) => this.#isRunStateKnown(job),
+			hasRun: (task) => this.#executors.findRun(task) !== undefined,
+			drop: (job) => {
+				this.#dropAndStop(job, this.ports.now() + dropStopLimitMs);
+			},
+		});
+	}
+
 	/**
 	Whether the part was delayed on its way, or belongs to a claim that has ended or was replaced, so that it
 	must not replace the job known here.
--- a/packages/scheduling/src/holder-contacts.ts
+++ b/packages/scheduling/src/holder-contacts.ts
@@ -37,6 +37,8 @@
 	sendKeep: (known: KnownGroup, claims: number[]) => void;
 	sendReplace: (holder: string, message: Replace) => void;
 	sendDrop: (drop: SentDrop) => void;
+	/** Asks the holder to return tasks that it has not started; false: there is no connection to it. */
+	sendWithdrawal: (holder: string, message: Drop) => boolean;
 	/** `takenAtMs` of the job when it was last dropped; undefined: it was not dropped recently. */
 	findTakenAt: (job: string) => number | undefined;
 	/** Where tasks of the dropped job may still run. */
@@ -72,6 +74,7 @@
 			recentDrops.push(drop);
 			send(drop.holder, drop.message);
 		},
+		sendWithdrawal: send,
 		findTakenAt: (job) =>
 			recentDrops.findLast(({message}) => message.job === job)?.message
 				.takenAtMs,
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -10,6 +10,7 @@
 export * from './group-scheduler.js';
 export * from './queue-table.js';
 export * from './run-times.js';
+export {type WithdrawalOutcome} from './withdrawals.js';
 export * from './timing.js';
 export * from './choose-holder.js';
 export * from './succession.js';
--- a/packages/scheduling/src/load-system.fixture.ts
+++ b/packages/scheduling/src/load-system.fixture.ts
@@ -94,8 +94,8 @@
 	draw: Draw;
 	kinds?: readonly JobKind[];
 	spanMs: number;
-	/** The load at a time, as a factor of each kind's `perSecond`. */
-	getLoad: (at: number) => number;
+	/** The load at a time, as a factor of the kind's `perSecond`. */
+	getLoad: (at: number, kind: JobKind) => number;
 	/** Draws the data centre of a caller; if absent, all are equally likely. */
 	drawFrom?: () => DataCentre;
 };
@@ -119,7 +119,7 @@
 		const planned: PlannedJob[] = [];
 		let at = 0;
 		for (;;) {
-			at += draw.drawExponential(1000 / (kind.perSecond * getLoad(at)));
+			at += draw.drawExponential(1000 / (kind.perSecond * getLoad(at, kind)));
 			if (at >= spanMs) {
 				return planned;
 			}
@@ -267,6 +267,7 @@
 		},
 		log: doNothing,
 		onAnswer: doNothing,
+		onWithdrawal: doNothing,
 	});
 
 	function deliver(target: Group, message: HolderMessage): void {
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -208,6 +208,12 @@
 			labelNames: ['cause'] as const,
 			registers,
 		}),
+		withdrawals: new Counter({
+			name: 'gentianshift_withdrawals_total',
+			help: 'Withdrawals of waiting tasks by outcome: returned (nothing ran), started, unanswered, unreachable, interrupted, ended.',
+			labelNames: ['outcome'] as const,
+			registers,
+		}),
 		executorCalls: new Counter({
 			name: 'gentianshift_executor_calls_total',
 			help: 'Calls to executors by kind (start, stop, renew) and outcome.',
