Tell refused callers to come again when the waiting work has ended

Cause: Retry-After was the wait by the group's capacity for refusals on arrival, and 1 s for all tasks that groups returned. Executors end less than their capacity while tasks fail or take longer than estimated, and callers that were refused together came back together.

Change: a holder's state has the new optional field `finished`, the work that has ended in the last half second. For lack of room, Retry-After is the time in which the first group ends its waiting work at that rate (by capacity if nothing has ended or the holder does not say), from 1 s to 10 s in whole seconds, as the header has them, with up to half of it added at random. The random source is passed in.

No figures from the real programs.

--- a/packages/host/src/scheduling/faulty/faulty-host.fixture.ts
+++ b/packages/host/src/scheduling/faulty/faulty-host.fixture.ts
@@ -324,6 +324,7 @@
 			now: () => this.#readMonotonicClock(),
 			readBootTime: () => clock.now,
 			readWallClock: () => clock.now + this.identity.wallClockOffsetMs,
+			random: () => 0.5,
 			wait,
 			defer(work) {
 				clock.schedule(0, work);
--- a/packages/host/src/scheduling/host-roles.ts
+++ b/packages/host/src/scheduling/host-roles.ts
@@ -46,6 +46,8 @@
 	readBootTime: () => number;
 	/** Milliseconds since 1970. */
 	readWallClock: () => number;
+	/** Uniform in [0, 1). */
+	random: () => number;
 	wait: (ms: number, signal?: AbortSignal) => Promise<void>;
 	/** Runs work after the current event-loop callback has ended. */
 	defer: (work: () => void) => void;
@@ -111,6 +113,7 @@
 			home: options.dataCentre,
 			now: options.now,
 			readWallClock: options.readWallClock,
+			random: options.random,
 			groups: this.groups,
 			runTimes: this.#runTimes,
 			crashes: this.crashes,
--- a/packages/host/src/scheduling/start-scheduling-host.ts
+++ b/packages/host/src/scheduling/start-scheduling-host.ts
@@ -438,6 +438,7 @@
 				readWallClock: Date.now,
 			}),
 			readWallClock: Date.now,
+			random: Math.random,
 			wait: waitFor,
 			defer(work) {
 				setImmediate(work);
--- a/packages/protocol/src/scheduling-messages.ts
+++ b/packages/protocol/src/scheduling-messages.ts
@@ -304,6 +304,8 @@
 	lateBacklog: z.array(z.number()),
 	/** Thousandths of a core in use, by priority. */
 	running: z.array(count),
+	/** Work that has ended in the last half second, in thousandths of a core times milliseconds. Absent: the holder does not say. */
+	finished: z.number().min(0).optional(),
 	/** Crashes under tasks of all jobs, sent for some time after each change, so that an entry that has another copy of a job knows of them too. */
 	crashes,
 });
--- a/packages/scheduling/src/copy-recall.test.ts
+++ b/packages/scheduling/src/copy-recall.test.ts
@@ -36,6 +36,7 @@
 		home: 'mieres',
 		now: () => clock.now,
 		readWallClock: () => 1_700_000_000_000 + clock.now,
+		random: () => 0,
 		groups,
 		runTimes: createRunTimes(),
 		crashes: createCrashRecords(),
--- a/packages/scheduling/src/entry-jobs.test.ts
+++ b/packages/scheduling/src/entry-jobs.test.ts
@@ -35,6 +35,7 @@
 		home: 'mieres',
 		now: () => clock.now,
 		readWallClock: () => startsAtMs + clock.now - 1000,
+		random: () => 0,
 		groups,
 		runTimes: createRunTimes(),
 		crashes: createCrashRecords(),
--- a/packages/scheduling/src/entry-jobs.ts
+++ b/packages/scheduling/src/entry-jobs.ts
@@ -49,6 +49,12 @@
 import {makePart} from './make-part.js';
 import {placeJob} from './place-job.js';
 import {isLate} from './rank-jobs.js';
+import {
+	drawRetryAfterMs,
+	estimateRetryMs,
+	maxRetryAfterMs,
+	minRetryAfterMs,
+} from './retry-after.js';
 import {
 	createWithdrawals,
 	hasBegun,
@@ -70,10 +76,6 @@
 without the store takes (`holderSilenceMs`, `storelessDelayMs`), and than a start of all hosts.
 */
 const noSchedulerTimeoutMs = 2000;
-/** Shortest `retryAfterMs` sent to callers: by then the state of a queue has changed. */
-const minRetryAfterMs = 1000;
-/** Longest `retryAfterMs` sent to callers: a wait of unknown length is no reason to keep a caller away for long. */
-const maxRetryAfterMs = 10_000;
 
 export type EntryPorts = {
 	/** This process: `<host key>.<incarnation>`. */
@@ -84,6 +86,8 @@
 	now: () => number;
 	/** Milliseconds since 1970. */
 	readWallClock: () => number;
+	/** Uniform in [0, 1). */
+	random: () => number;
 	groups: GroupDirectory;
 	runTimes: RunTimes;
 	/** Shared with the scheduler on the same host. */
@@ -429,7 +433,7 @@
 			} else if (this.#withdrawals.isPending(job)) {
 				this.#endOverdueWithdrawal(job);
 			} else if (isWaitingInVain(job, now)) {
-				this.#giveUp(job, 'its tasks can no longer end in time');
+				this.#giveUpForRoom(job, 'its tasks can no longer end in time');
 			} else {
 				this.#moveLostTasks(job, now);
 			}
@@ -637,7 +641,7 @@
 			({placement, withdrawnPlacement}) => placement === withdrawnPlacement,
 		);
 		if (reason === 'hopeless' && !isWithdrawn) {
-			this.#giveUp(job, 'its tasks can no longer end in time');
+			this.#giveUpForRoom(job, 'its tasks can no longer end in time');
 			return;
 		}
 
@@ -645,7 +649,7 @@
 			reason === 'full' &&
 			tasks.some(({fullReturns}) => fullReturns >= maxFullGroups)
 		) {
-			this.#giveUp(job, 'no room in time');
+			this.#giveUpForRoom(job, 'no room in time');
 			return;
 		}
 
@@ -705,7 +709,7 @@
 				waitMs: spread.waitMs,
 				groups: ports.groups.describe(now),
 			});
-			this.#giveUp(job, 'no room in time', spread.retryAfterMs);
+			this.#giveUpForRoom(job, 'no room in time', spread.retryAfterMs);
 			return;
 		}
 
@@ -885,6 +889,18 @@
 		this.#placeTasks(job, lost.tasks);
 	}
 
+	/** Gives the job up for lack of room, which its caller is told to expect at a time that differs from that of other callers. */
+	#giveUpForRoom(
+		job: EntryJob,
+		reason: string,
+		roomMs = estimateRetryMs(
+			this.#ports.groups.listOpen(this.#ports.now()),
+			() => minRetryAfterMs,
+		),
+	): void {
+		this.#giveUp(job, reason, drawRetryAfterMs(roomMs, this.#ports.random));
+	}
+
 	/** Gives the job up, after its tasks were withdrawn from the groups that have not started them. */
 	#giveUp(job: EntryJob, reason: string, retryAfterMs = minRetryAfterMs): void {
 		if (this.#withdrawals.start(job, {reason, retryAfterMs})) {
--- a/packages/scheduling/src/group-directory.ts
+++ b/packages/scheduling/src/group-directory.ts
@@ -130,6 +130,7 @@
 					backlog: state.backlog,
 					lateBacklog: state.lateBacklog,
 					running: state.running,
+					finished: state.finished,
 					labels: state.labels,
 				})),
 		areAllEvacuated: () =>
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -24,6 +24,7 @@
 import {type ExecutorSession} from './executor-session.js';
 import {createExecutorSet, type ExecutorSet} from './executor-set.js';
 import {type Executor} from './executor.js';
+import {createFinishedWork} from './finished-work.js';
 import {createGroupCrashes, type GroupCrashes} from './group-crashes.js';
 import {
 	addTasks,
@@ -124,6 +125,7 @@
 	readonly #startLog: StartLog;
 	readonly #copies: JobCopies;
 	readonly #crashes: GroupCrashes;
+	readonly #finishedWork = createFinishedWork();
 	readonly #openedAt: number;
 	#updatedAt = 0;
 	/** As of the last update or change. */
@@ -400,6 +402,7 @@
 			labels: this.#executors.listLabels(),
 			...this.#measureCapacity(),
 			...measureLoad(this.#jobs.values(), this.ports.now()),
+			finished: this.#finishedWork.measure(this.ports.now()),
 			crashes: this.ports.crashes.listRecent(this.ports.now()),
 		};
 	}
@@ -796,6 +799,7 @@
 
 		const runMs = this.ports.now() - run.startedAt;
 		if (outcome === 'done') {
+			this.#finishedWork.add(runMs * job.demand.cpu, this.ports.now());
 			this.#recordRunTime(job, run, runMs, session);
 			this.#endTask(job, task, {outcome, attempt: run.attempt, runMs});
 		} else {
--- a/packages/scheduling/src/load-system.fixture.ts
+++ b/packages/scheduling/src/load-system.fixture.ts
@@ -254,6 +254,7 @@
 		home: name,
 		now: () => clock.now,
 		readWallClock: () => clock.now,
+		random: () => 0,
 		groups: directory,
 		runTimes: runTimes satisfies RunTimes,
 		crashes,
--- a/packages/scheduling/src/place-job.ts
+++ b/packages/scheduling/src/place-job.ts
@@ -10,6 +10,7 @@
 */
 import {type TaskDemand} from '@gentianshift/protocol';
 import {countFits} from './free-capacity.js';
+import {estimateRetryMs} from './retry-after.js';
 
 export type OpenGroup = {
 	group: string;
@@ -25,6 +26,8 @@
 	lateBacklog: readonly number[];
 	/** Processor that running tasks use, by priority, in thousandths of a core. */
 	running: readonly number[];
+	/** Work that has ended in the last half second, thousandths of a core times milliseconds; undefined: not known. */
+	finished?: number;
 	/** Labels that some executor has; undefined: not known. */
 	labels?: readonly string[];
 };
@@ -125,7 +128,10 @@
 		(shortest?.waitMs ?? Infinity) + longestTaskFactor * request.estimateMs;
 	if (!shortest || endMs > request.limitMs) {
 		const waitMs = shortest?.waitMs ?? Infinity;
-		return {type: 'refused', waitMs, retryAfterMs: waitMs};
+		const retryAfterMs = estimateRetryMs(candidates, (candidate) =>
+			estimateWaitMs(candidate, request, tasksPerGroup),
+		);
+		return {type: 'refused', waitMs, retryAfterMs};
 	}
 
 	setWaitingShares(shares, waits, unplaced);
--- a/packages/scheduling/src/withdrawals.test.ts
+++ b/packages/scheduling/src/withdrawals.test.ts
@@ -69,6 +69,7 @@
 		home: 'mieres',
 		now: () => clock.now,
 		readWallClock: () => clock.now,
+		random: () => 0,
 		groups,
 		runTimes: createRunTimes(),
 		crashes: createCrashRecords(),
