--- a/packages/host/src/scheduling/faulty/faulty-host.fixture.ts
+++ b/packages/host/src/scheduling/faulty/faulty-host.fixture.ts
@@ -342,8 +342,8 @@
 			now: () => this.#readMonotonicClock(),
 			readBootTime: () => clock.now,
 			readWallClock: () => clock.now + this.identity.wallClockOffsetMs,
-			wait,
 			random: () => 0.5,
+			wait,
 			hash,
 			maxGroups: this.environment.maxGroups,
 			defer(work) {
@@ -352,6 +352,7 @@
 			onAnswer() {
 				// The simulated caller gets the answer through `submit`.
 			},
+			onWithdrawal: doNothing,
 			log,
 		});
 		const handlers = createSchedulingHandlers({
--- a/packages/host/src/scheduling/scheduling-metrics.ts
+++ b/packages/host/src/scheduling/scheduling-metrics.ts
@@ -9,6 +9,7 @@
 	type ExecutorControl,
 	type GroupLayout,
 	type JobAnswer,
+	type WithdrawalOutcome,
 } from '@gentianshift/scheduling';
 import {type Metrics} from '@gentianshift/telemetry';
 import {type WorkRecord} from './work-meter.js';
@@ -35,6 +36,14 @@
 	metrics.jobSeconds.observe({service: queue.service}, tookMs / msPerSecond);
 }
 
+/** Counts a withdrawal of a job's tasks by its outcome. */
+export function recordWithdrawal(
+	metrics: Metrics,
+	outcome: WithdrawalOutcome,
+): void {
+	metrics.withdrawals.inc({outcome});
+}
+
 /** Counts calls to executors by outcome. */
 export function wrapControl(
 	control: ExecutorControl,
--- a/packages/host/src/scheduling/start-scheduling-host.ts
+++ b/packages/host/src/scheduling/start-scheduling-host.ts
@@ -36,6 +36,7 @@
 import {createSchedulingHandlers} from './scheduling-handlers.js';
 import {
 	recordAnswer,
+	recordWithdrawal,
 	setGauges,
 	wrapControl,
 	type GroupGauges,
@@ -447,6 +448,9 @@
 			onAnswer: (job, answer, tookMs) => {
 				this.#reportAnswer(job, answer, tookMs);
 			},
+			onWithdrawal(outcome) {
+				recordWithdrawal(metrics, outcome);
+			},
 			log,
 		});
 	}
--- a/packages/protocol/src/scheduling-messages.ts
+++ b/packages/protocol/src/scheduling-messages.ts
@@ -150,6 +150,14 @@
 	takenAtMs,
 	/** Only tasks under this claim or an earlier one are dropped; the job continues elsewhere. Absent: all tasks of the job. */
 	claim: claim.optional(),
+	/**
+	The entry withdraws these tasks, which it placed under this claim at the holder with this token, unless one of them was started.
+	The holder answers with `ends`: the tasks as `returned`, or `isStarted`. The message's own `claim` is then 0, so a holder that
+	does not know this field drops nothing and does not answer.
+	*/
+	withdrawal: z
+		.object({token: count, claim, tasks: z.array(taskPlacementSchema)})
+		.optional(),
 });
 
 /**
@@ -331,6 +339,8 @@
 	lateBacklog: z.array(z.number()),
 	/** Thousandths of a core in use, by priority. */
 	running: z.array(count),
+	/** Work that has ended in the last half second, in thousandths of a core times milliseconds. Absent: the holder does not say. */
+	finished: z.number().min(0).optional(),
 	/** Crashes under tasks of all jobs, sent for some time after each change, so that an entry that has another copy of a job knows of them too. */
 	crashes,
 });
--- a/packages/scheduling/src/copy-recall.test.ts
+++ b/packages/scheduling/src/copy-recall.test.ts
@@ -35,8 +35,8 @@
 		},
 		home: 'mieres',
 		now: () => clock.now,
-		random: () => 0.5,
 		readWallClock: () => 1_700_000_000_000 + clock.now,
+		random: () => 0,
 		groups,
 		runTimes: createRunTimes(),
 		crashes: createCrashRecords(),
@@ -50,6 +50,9 @@
 		onAnswer() {
 			// The tests read the answers that callers receive.
 		},
+		onWithdrawal() {
+			// No task is withdrawn here.
+		},
 	});
 	const receiveStates = () => {
 		groups.update('mieres_m1', makeState('mieres'), clock.now);
--- a/packages/scheduling/src/entry-jobs.ts
+++ b/packages/scheduling/src/entry-jobs.ts
@@ -50,6 +50,20 @@
 import {placeJob} from './place-job.js';
 import {parseProcessId} from './process-id.js';
 import {isLate} from './rank-jobs.js';
+import {
+	drawRetryAfterMs,
+	estimateRetryMs,
+	maxRetryAfterMs,
+	minRetryAfterMs,
+} from './retry-after.js';
+import {
+	createWithdrawals,
+	hasBegun,
+	isWaitingInVain,
+	listPlacedGroups,
+	type WithdrawalOutcome,
+	type Withdrawals,
+} from './withdrawals.js';
 
 /** Attempts that a lost scheduler may have started without the entry learning of them; a new start is numbered beyond them. */
 const maxUnreportedAttempts = 16;
@@ -63,10 +77,6 @@
 without the store takes (`holderSilenceMs`, `storelessDelayMs`), and than a start of all hosts.
 */
 const noSchedulerTimeoutMs = 2000;
-/** Shortest `retryAfterMs` sent to callers: by then the state of a queue has changed. */
-const minRetryAfterMs = 1000;
-/** Longest `retryAfterMs` sent to callers: a wait of unknown length is no reason to keep a caller away for long. */
-const maxRetryAfterMs = 10_000;
 
 export type EntryPorts = {
 	/** This process: `<host key>.<incarnation>`. */
@@ -88,6 +98,8 @@
 	log: (message: string, fields: Record<string, unknown>) => void;
 	/** Called once for each job that ends, when its callers are answered. */
 	onAnswer: (job: EntryJob, answer: JobAnswer, tookMs: number) => void;
+	/** Called once for each withdrawal of a job's tasks. */
+	onWithdrawal: (outcome: WithdrawalOutcome) => void;
 };
 
 export class EntryJobs {
@@ -97,6 +109,7 @@
 	readonly #lostHolders: LostHolders;
 	readonly #recall: CopyRecall;
 	readonly #replacement: CopyReplacement;
+	readonly #withdrawals: Withdrawals;
 	/** Jobs with unplaced tasks that wait for a reachable scheduler, or until no other copy of the job runs. */
 	readonly #waitingJobs = new Set<EntryJob>();
 	#lastClaim = 0;
@@ -117,6 +130,11 @@
 			},
 			log: ports.log,
 		});
+		this.#withdrawals = createWithdrawals({
+			...ports,
+			send: this.#holderContacts.sendWithdrawal,
+			onOutcome: ports.onWithdrawal,
+		});
 		this.#schedulerReachableAt = ports.now();
 	}
 
@@ -217,7 +235,9 @@
 		}
 
 		for (const job of this.#jobs.values()) {
-			if (claims.includes(job.claims.get(group) ?? -1)) {
+			// Tasks that are being withdrawn must not be sent again: the holder could start them after it has returned them.
+			const isWanted = !this.#withdrawals.isPending(job);
+			if (isWanted && claims.includes(job.claims.get(group) ?? -1)) {
 				this.#sendUnderNewClaim(job, group);
 			}
 		}
@@ -296,6 +316,8 @@
 
 		if (job.tasks.every(({isDone}) => isDone)) {
 			this.#answer(job, {type: 'completed'});
+		} else if (this.#withdrawals.isPending(job)) {
+			this.#reconcileWithdrawal(job);
 		} else if (returned.length > 0) {
 			this.#placeReturned(job, returned, {reason: message.reason, from});
 		}
@@ -307,8 +329,16 @@
 		for (const job of this.#jobs.values()) {
 			this.#replacement.askAgain(job, group, now);
 			const tasks = listTasksAt(job, group);
-			if (tasks.length > 0) {
-				job.isResent = true;
+			if (tasks.length === 0) {
+				continue;
+			}
+
+			job.isResent = true;
+			const cause = this.#withdrawals.end(job, 'interrupted');
+			if (cause) {
+				// The former holder's answer may be lost, and the job is too late to be of use.
+				this.#answerGivenUp(job, cause.reason, cause.retryAfterMs);
+			} else {
 				this.#sendPart(job, group, tasks, true);
 			}
 		}
@@ -396,13 +426,38 @@
 			}
 
 			if (now >= job.callerDeadlineAt) {
-				this.#giveUp(job, 'no answer in the time that the caller waits');
+				this.#answerGivenUp(job, 'no answer in the time that the caller waits');
+			} else if (this.#withdrawals.isPending(job)) {
+				this.#endOverdueWithdrawal(job);
+			} else if (isWaitingInVain(job, now)) {
+				this.#giveUpForRoom(job, 'its tasks can no longer end in time');
 			} else {
 				this.#moveLostTasks(job, now);
 			}
 		}
 	}
 
+	/** An answer to a withdrawal, or another end of the job's tasks, has arrived. */
+	#reconcileWithdrawal(job: EntryJob): void {
+		if (hasBegun(job)) {
+			this.#withdrawals.end(job, 'started');
+			// The runs are not wasted: the answer is delivered even if it is late.
+			job.usefulUntil = job.callerDeadlineAt;
+			this.#placeUnplaced(job);
+		} else if (listPlacedGroups(job).size === 0) {
+			const cause = this.#withdrawals.end(job, 'returned')!;
+			this.#answerGivenUp(job, cause.reason, cause.retryAfterMs);
+		}
+	}
+
+	/** A holder that has not answered by now may have started a task; the caller learns that now rather than at its deadline. */
+	#endOverdueWithdrawal(job: EntryJob): void {
+		if (this.#withdrawals.isOverdue(job)) {
+			this.#withdrawals.end(job, 'unanswered');
+			this.#answerGivenUp(job, 'its scheduler does not answer');
+		}
+	}
+
 	/**
 	Gives up a job under whose tasks too many executors have crashed; no task of it is started again, whoever submits
 	it. None of its runs has ended as failed, so its caller must not be told that it has.
@@ -465,7 +520,7 @@
 	/** The caller has since sent the job to another entry, so nobody reads the answer given here. */
 	#giveUpReplaced(job: EntryJob): void {
 		job.isStarted = true;
-		this.#giveUp(job, 'another host has a later copy');
+		this.#answerGivenUp(job, 'another host has a later copy');
 	}
 
 	#placeUnplaced(job: EntryJob): void {
@@ -580,8 +635,12 @@
 		{reason, from}: {reason: Ends['reason']; from?: string},
 	): void {
 		job.isAdmitted ||= reason === 'elsewhere';
-		if (reason === 'hopeless') {
-			this.#giveUp(job, 'its tasks can no longer end in time');
+		// Tasks that were withdrawn while another task of the job was being started are needed again.
+		const isWithdrawn = tasks.every(
+			({placement, withdrawnPlacement}) => placement === withdrawnPlacement,
+		);
+		if (reason === 'hopeless' && !isWithdrawn) {
+			this.#giveUpForRoom(job, 'its tasks can no longer end in time');
 			return;
 		}
 
@@ -589,7 +648,7 @@
 			reason === 'full' &&
 			tasks.some(({fullReturns}) => fullReturns >= maxFullGroups)
 		) {
-			this.#giveUp(job, 'no room in time');
+			this.#giveUpForRoom(job, 'no room in time');
 			return;
 		}
 
@@ -650,7 +709,7 @@
 				waitMs: spread.waitMs,
 				groups: ports.groups.describe(now),
 			});
-			this.#giveUp(job, 'no room in time', spread.retryAfterMs);
+			this.#giveUpForRoom(job, 'no room in time', spread.retryAfterMs);
 			return;
 		}
 
@@ -809,7 +868,7 @@
 		}
 
 		if (lost.movableAt + job.estimateMs > job.usefulUntil) {
-			this.#giveUp(job, 'its scheduler is silent');
+			this.#answerGivenUp(job, 'its scheduler is silent');
 			return;
 		}
 
@@ -832,7 +891,32 @@
 		this.#placeTasks(job, lost.tasks);
 	}
 
+	/** Gives the job up for lack of room, which its caller is told to expect at a time that differs from that of other callers. */
+	#giveUpForRoom(
+		job: EntryJob,
+		reason: string,
+		roomMs = estimateRetryMs(
+			this.#ports.groups.listOpen(this.#ports.now()),
+			() => minRetryAfterMs,
+		),
+	): void {
+		this.#giveUp(job, reason, drawRetryAfterMs(roomMs, this.#ports.random));
+	}
+
+	/** Gives the job up, after its tasks were withdrawn from the groups that have not started them. */
 	#giveUp(job: EntryJob, reason: string, retryAfterMs = minRetryAfterMs): void {
+		if (this.#withdrawals.start(job, {reason, retryAfterMs})) {
+			this.#waitingJobs.delete(job);
+		} else {
+			this.#answerGivenUp(job, reason, retryAfterMs);
+		}
+	}
+
+	#answerGivenUp(
+		job: EntryJob,
+		reason: string,
+		retryAfterMs = minRetryAfterMs,
+	): void {
 		const type =
 			job.isStarted || this.#isPossiblyStarted(job) ? 'given-up' : 'refused';
 		this.#answer(job, {
@@ -859,6 +943,7 @@
 		const now = this.#ports.now();
 		this.#jobs.delete(id);
 		this.#waitingJobs.delete(job);
+		this.#withdrawals.end(job, 'ended');
 		for (const group of this.#listGroupsOf(job)) {
 			const known = this.#ports.groups.findGroup(group);
 			if (known) {
@@ -881,18 +966,10 @@
 
 	/** Groups that hold state of the job: tasks, or a record that this entry's copy replaces others. */
 	#listGroupsOf(job: EntryJob): Set<string> {
-		const groups = new Set(
-			job.copyCheck
-				? this.#ports.groups.list().map(({state}) => state.group)
-				: [],
-		);
-		for (const {group, isDone} of job.tasks) {
-			if (group !== undefined && !isDone) {
-				groups.add(group);
-			}
-		}
-
-		return groups;
+		const replacing = job.copyCheck
+			? this.#ports.groups.list().map(({state}) => state.group)
+			: [];
+		return new Set([...replacing, ...listPlacedGroups(job)]);
 	}
 }
 
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -24,6 +24,7 @@
 import {type ExecutorSession} from './executor-session.js';
 import {createExecutorSet, type ExecutorSet} from './executor-set.js';
 import {type Executor} from './executor.js';
+import {createFinishedWork} from './finished-work.js';
 import {type GroupLayout} from './group-layout.js';
 import {createGroupCrashes, type GroupCrashes} from './group-crashes.js';
 import {
@@ -49,6 +50,7 @@
 import {createPlacingRound} from './placing-round.js';
 import {countFits, coversDemand, noDemand} from './free-capacity.js';
 import {type Run, type RunOutcome} from './run.js';
+import {answerWithdrawal} from './answer-withdrawal.js';
 import {hasRequiredLabel} from './task-constraints.js';
 import {type RunTimes} from './run-times.js';
 import {createStartLog, type StartLog} from './start-log.js';
@@ -135,6 +137,7 @@
 	readonly #startLog: StartLog;
 	readonly #copies: JobCopies;
 	readonly #crashes: GroupCrashes;
+	readonly #finishedWork = createFinishedWork();
 	readonly #openedAt: number;
 	#updatedAt = 0;
 	/** As of the last update or change. */
@@ -226,7 +229,12 @@
 			}
 
 			case 'drop': {
-				this.dropJob(entry, message);
+				if (message.withdrawal) {
+					this.#answerWithdrawal(entry, message);
+				} else {
+					this.dropJob(entry, message);
+				}
+
 				break;
 			}
 
@@ -422,6 +430,7 @@
 			labels: this.#executors.listLabels(),
 			...this.#measureCapacity(),
 			...measureLoad(this.#jobs.values(), this.ports.now()),
+			finished: this.#finishedWork.measure(this.ports.now()),
 			crashes: this.ports.crashes.listRecent(this.ports.now()),
 		};
 	}
@@ -432,6 +441,21 @@
 		return {open: listOpen().length, all: sessions.size};
 	}
 
+	#answerWithdrawal(entry: Entry, message: Drop): void {
+		answerWithdrawal(entry, message, {
+			token: this.ports.token,
+			outbox: this.#outbox,
+			now: this.ports.now(),
+			findJob: (id) => this.#jobs.get(id),
+			isReplaced: (id) => this.#copies.isReplaced(id, entry),
+			isRunStateKnown: (job) => this.#isRunStateKnown(job),
+			hasRun: (task) => this.#executors.findRun(task) !== undefined,
+			drop: (job) => {
+				this.#dropAndStop(job, this.ports.now() + dropStopLimitMs);
+			},
+		});
+	}
+
 	/**
 	Whether the part was delayed on its way, or belongs to a claim that has ended or was replaced, so that it
 	must not replace the job known here.
@@ -826,6 +850,7 @@
 
 		const runMs = this.ports.now() - run.startedAt;
 		if (outcome === 'done') {
+			this.#finishedWork.add(runMs * job.demand.cpu, this.ports.now());
 			this.#recordRunTime(job, run, runMs, session);
 			this.#endTask(job, task, {outcome, attempt: run.attempt, runMs});
 		} else {
--- a/packages/scheduling/src/load-system.fixture.ts
+++ b/packages/scheduling/src/load-system.fixture.ts
@@ -97,8 +97,8 @@
 	draw: Draw;
 	kinds?: readonly JobKind[];
 	spanMs: number;
-	/** The load at a time, as a factor of each kind's `perSecond`. */
-	getLoad: (at: number) => number;
+	/** The load at a time, as a factor of the kind's `perSecond`. */
+	getLoad: (at: number, kind: JobKind) => number;
 	/** Draws the data centre of a caller; if absent, all are equally likely. */
 	drawFrom?: () => DataCentre;
 };
@@ -122,7 +122,7 @@
 		const planned: PlannedJob[] = [];
 		let at = 0;
 		for (;;) {
-			at += draw.drawExponential(1000 / (kind.perSecond * getLoad(at)));
+			at += draw.drawExponential(1000 / (kind.perSecond * getLoad(at, kind)));
 			if (at >= spanMs) {
 				return planned;
 			}
@@ -293,8 +293,8 @@
 		peers: {listHosts: () => [], isLinked: () => false, send: () => false},
 		home: name,
 		now: () => clock.now,
-		random: () => 0.5,
 		readWallClock: () => clock.now,
+		random: () => 0,
 		groups: directory,
 		runTimes: runTimes satisfies RunTimes,
 		crashes,
@@ -308,6 +308,7 @@
 		},
 		log: doNothing,
 		onAnswer: doNothing,
+		onWithdrawal: doNothing,
 	});
 
 	function deliver(target: Group, message: HolderMessage): void {
