--- a/packages/scheduling/src/retry-after.test.ts
+++ b/packages/scheduling/src/retry-after.test.ts
@@ -12,6 +12,7 @@
 function makeGroup(group: Partial<OpenGroup> = {}): OpenGroup {
 	return {
 		group: 'mieres',
+		dataCentre: 'mieres',
 		free: [],
 		capacity: 100_000,
 		backlog: [0, 0, 0, 0],
