--- a/packages/scheduling/src/entry-jobs.ts
+++ b/packages/scheduling/src/entry-jobs.ts
@@ -47,7 +47,7 @@
 import {hasRequiredLabel} from './task-constraints.js';
 import {clockSlackMs, orphanLimitMs} from './timing.js';
 import {makePart} from './make-part.js';
-import {placeJob} from './place-job.js';
+import {placeJob, type OpenGroup} from './place-job.js';
 import {isLate} from './rank-jobs.js';
 import {
 	drawRetryAfterMs,
@@ -672,11 +672,12 @@
 			return;
 		}
 
-		const openGroups = allOpenGroups
-			.filter(({labels}) => hasRequiredLabel(labels, constraints))
-			.map((known) =>
-				known.group === avoidedGroup ? {...known, free: []} : known,
-			);
+		const usableGroups = allOpenGroups.filter(({labels}) =>
+			hasRequiredLabel(labels, constraints),
+		);
+		const openGroups = this.#listPunctual(usableGroups).map((known) =>
+			known.group === avoidedGroup ? {...known, free: []} : known,
+		);
 		if (openGroups.length === 0) {
 			this.#giveUp(job, 'no executor has the required label', maxRetryAfterMs);
 			return;
@@ -721,6 +722,14 @@
 		}
 	}
 
+	/** The groups whose holders answer in time; all of them if none does. */
+	#listPunctual(groups: OpenGroup[]): OpenGroup[] {
+		const punctual = groups.filter(
+			({group}) => !this.#withdrawals.isLate(group),
+		);
+		return punctual.length > 0 ? punctual : groups;
+	}
+
 	/**
 	After all hosts lost power, or while this host was paused, no scheduler is known for some tenths of a second. Jobs that arrive
 	then, about a hundred a second, wait as long as their answer would still be of use. Refusing them would lose jobs that a
--- a/packages/scheduling/src/load-system.fixture.ts
+++ b/packages/scheduling/src/load-system.fixture.ts
@@ -81,6 +81,7 @@
 };
 
 export type Outcome = {
+	id: string;
 	queue: string;
 	from: DataCentre;
 	at: number;
@@ -162,7 +163,13 @@
 export function createLoadSystem({
 	executorsEach = 11,
 	services = ['meals'],
-}: {executorsEach?: number; services?: readonly string[]} = {}) {
+	lateHolders = {},
+}: {
+	executorsEach?: number;
+	services?: readonly string[];
+	/** How late the holders of these groups handle messages, milliseconds. */
+	lateHolders?: Partial<Record<DataCentre, number>>;
+} = {}) {
 	const clock = new VirtualClock();
 	const taskMs = new Map<string, number[]>();
 	const evacuated = new Set<string>();
@@ -171,7 +178,10 @@
 	);
 	const entries = new Map<DataCentre, EntryJobs>();
 	for (const group of groups) {
-		entries.set(group.name, createEntryJobs(clock, group, groups));
+		entries.set(
+			group.name,
+			createEntryJobs(clock, group, {groups, lateHolders}),
+		);
 	}
 
 	return {clock, groups, taskMs, entries, evacuated};
@@ -245,7 +255,13 @@
 function createEntryJobs(
 	clock: VirtualClock,
 	home: Group,
-	groups: readonly Group[],
+	{
+		groups,
+		lateHolders,
+	}: {
+		groups: readonly Group[];
+		lateHolders: Partial<Record<DataCentre, number>>;
+	},
 ): EntryJobs {
 	const {directory, runTimes, crashes, name} = home;
 	const entry: EntryJobs = new EntryJobs({
@@ -261,7 +277,8 @@
 		send(holder, message) {
 			const target = groups.find((group) => group.name === holder)!;
 			const delayMs = target === home ? 0 : linkDelayMs;
-			clock.schedule(delayMs, () => {
+			const lateMs = lateHolders[target.name] ?? 0;
+			clock.schedule(delayMs + lateMs, () => {
 				deliver(target, message);
 			});
 			return true;
@@ -393,12 +410,13 @@
 }
 
 function describeOutcome(
-	{kind, from, at, taskMs}: PlannedJob,
+	{id, kind, from, at, taskMs}: PlannedJob,
 	{type}: JobAnswer,
 	endedAt: number,
 ): Outcome {
 	const {slackFactor, allowanceMs} = queueDefaults;
 	return {
+		id,
 		queue: kind.queue,
 		from,
 		at,
--- a/packages/scheduling/src/load.test.ts
+++ b/packages/scheduling/src/load.test.ts
@@ -194,3 +194,28 @@
 		);
 	});
 }
+
+// A holder without processor time handles all messages late, while its states still arrive and show free executors. Its jobs used to wait at their
+// entries until their callers' deadlines, up to 30 times the objective, although no executor had seen them.
+for (const lateMs of [500, 3000]) {
+	test(`no caller waits until its deadline for work that no executor has seen (a holder is ${lateMs} ms late)`, async () => {
+		const system = createLoadSystem({lateHolders: {mieres: lateMs}});
+		const getLoad = () => (lateMs > 1000 ? 1 : 2);
+		const outcomes = await runLoad(createDraw(1), {getLoad}, system);
+		const seen = new Set(
+			system.groups.flatMap(({executors}) =>
+				executors.runs.map(({job}) => job),
+			),
+		);
+		const unseen = outcomes.filter(({id}) => !seen.has(id));
+		assert.ok(unseen.length > 0);
+		assert.ok(unseen.every(({answer}) => answer !== 'completed'));
+		const longestMs = Math.max(...unseen.map(({tookMs}) => tookMs));
+		assertAtMost(longestMs, 4000, 'longest wait for work that nobody has seen');
+		const waited = computeShare(
+			unseen,
+			({tookMs, objectiveMs}) => tookMs > 2 * uselessFactor * objectiveMs,
+		);
+		assertAtMost(waited, 0, 'answered after six times the objective');
+	});
+}
--- a/packages/scheduling/src/withdrawals.test.ts
+++ b/packages/scheduling/src/withdrawals.test.ts
@@ -453,3 +453,15 @@
 	assert.deepEqual(listOutcomes(entry), ['done']);
 	assert.equal(countRuns(executors, 'job1'), 1);
 });
+
+// A late holder looks empty to entries. If they kept sending it jobs, all of these would be given up in the same way.
+test('a holder that has not answered a withdrawal gets no new job while another group can have it', () => {
+	const {entry, wait, listParts} = submitAndWithdraw();
+	wait(withdrawalLimitMs);
+	entry.submit(makeRequest({id: 'job2'}), () => undefined);
+	assert.equal(listParts('mieres_m1').length, 1);
+	assert.equal(listParts('langreo_l1').length, 1);
+	wait(1000);
+	entry.submit(makeRequest({id: 'job3'}), () => undefined);
+	assert.equal(listParts('mieres_m1').length, 2);
+});
--- a/packages/scheduling/src/withdrawals.ts
+++ b/packages/scheduling/src/withdrawals.ts
@@ -13,6 +13,8 @@
 
 /** Time for the answers of the holders: 20 round trips between data centres, or a busy host's pause. */
 const withdrawalLimitMs = 150;
+/** A holder that left a withdrawal unanswered gets no new jobs for this long: they would be given up in the same way. */
+const lateMs = 1000;
 /** One exchange with a holder in another data centre, and the time until a start there is carried out. */
 const roundTripMs = 20;
 
@@ -54,6 +56,8 @@
 	isPending: (job: EntryJob) => boolean;
 	/** Whether a holder has not answered within the time limit. */
 	isOverdue: (job: EntryJob) => boolean;
+	/** Whether the group's holder has left a withdrawal unanswered lately. */
+	isLate: (group: string) => boolean;
 	/** Ends the job's withdrawal, if one is pending, and returns its cause. */
 	end: (
 		job: EntryJob,
@@ -71,6 +75,8 @@
 	onOutcome,
 }: WithdrawalsOptions): Withdrawals {
 	const pending = new Map<EntryJob, Withdrawal>();
+	/** By group: when a withdrawal was last unanswered there. */
+	const unansweredAt = new Map<string, number>();
 
 	function finish(
 		job: EntryJob,
@@ -145,10 +151,17 @@
 			const sentAt = pending.get(job)?.sentAt ?? Infinity;
 			return now() - sentAt >= withdrawalLimitMs;
 		},
+		isLate: (group) => now() - (unansweredAt.get(group) ?? -Infinity) < lateMs,
 		end(job, outcome) {
 			const withdrawal = pending.get(job);
 			if (withdrawal) {
 				pending.delete(job);
+				if (outcome === 'unanswered') {
+					for (const group of listPlacedGroups(job)) {
+						unansweredAt.set(group, now());
+					}
+				}
+
 				finish(job, outcome, withdrawal);
 			}
 
