--- a/packages/scheduling/src/load-system.fixture.ts
+++ b/packages/scheduling/src/load-system.fixture.ts
@@ -82,6 +82,7 @@
 };
 
 export type Outcome = {
+	id: string;
 	queue: string;
 	from: DataCentre;
 	at: number;
@@ -167,6 +168,7 @@
 	services = ['meals'],
 	getRestartMs,
 	findCrashMs,
+	lateHolders = {},
 }: {
 	executorsEach?: number;
 	services?: readonly string[];
@@ -174,6 +176,8 @@
 	getRestartMs?: () => number;
 	/** How long after its start a task crashes its executor; undefined: it does not. */
 	findCrashMs?: (task: {job: string; index: number}) => number | undefined;
+	/** How late the holders of these groups handle messages, milliseconds. */
+	lateHolders?: Partial<Record<DataCentre, number>>;
 } = {}) {
 	const clock = new VirtualClock();
 	const taskMs = new Map<string, number[]>();
@@ -191,7 +195,10 @@
 	);
 	const entries = new Map<DataCentre, EntryJobs>();
 	for (const group of groups) {
-		entries.set(group.name, createEntryJobs(clock, group, groups));
+		entries.set(
+			group.name,
+			createEntryJobs(clock, group, {groups, lateHolders}),
+		);
 	}
 
 	return {clock, groups, taskMs, entries, evacuated};
@@ -285,7 +292,13 @@
 function createEntryJobs(
 	clock: VirtualClock,
 	home: Group,
-	groups: readonly Group[],
+	{
+		groups,
+		lateHolders,
+	}: {
+		groups: readonly Group[];
+		lateHolders: Partial<Record<DataCentre, number>>;
+	},
 ): EntryJobs {
 	const {directory, runTimes, crashes, name} = home;
 	const entry: EntryJobs = new EntryJobs({
@@ -301,7 +314,8 @@
 		send(holder, message) {
 			const target = groups.find((group) => group.name === holder)!;
 			const delayMs = target === home ? 0 : linkDelayMs;
-			clock.schedule(delayMs, () => {
+			const lateMs = lateHolders[target.name] ?? 0;
+			clock.schedule(delayMs + lateMs, () => {
 				deliver(target, message);
 			});
 			return true;
@@ -433,12 +447,13 @@
 }
 
 function describeOutcome(
-	{kind, from, at, taskMs}: PlannedJob,
+	{id, kind, from, at, taskMs}: PlannedJob,
 	answer: JobAnswer,
 	endedAt: number,
 ): Outcome {
 	const {slackFactor, allowanceMs} = queueDefaults;
 	return {
+		id,
 		queue: kind.queue,
 		from,
 		at,
