Read when an executor's process started, and how long a draining one has left

Cause: an executor that starts again may keep its id. The id then no longer tells its processes apart, and nothing that the platform's adapter reads does.

`remaining_ms` of a draining executor is passed on as `remainingMs`.

--- a/packages/scheduling/src/executor-control.ts
+++ b/packages/scheduling/src/executor-control.ts
@@ -17,7 +17,19 @@
 	outcome: 'done' | 'failed' | 'ended';
 };
 
-export type LeaseReply = {
+/** Names the process that answered. */
+export type Answerer = {
+	/** When the process started, Unix milliseconds; undefined: the answer does not say. */
+	bornMs?: number;
+};
+
+/** The answer to a start or a stop. */
+export type OrderReply = Answerer & {
+	/** The executor's clock when it answered, milliseconds. */
+	clockMs: number;
+};
+
+export type LeaseReply = Answerer & {
 	/** The executor's clock when it answered, milliseconds. */
 	clockMs: number;
 	running: RunName[];
@@ -35,12 +47,12 @@
 - `lease-passed`: the lease that the start carried had expired on the executor's clock.
 - `no-room`: the executor has too little free capacity.
 - `unhealthy`: the executor refused the call as unhealthy; nothing was done.
-- `replaced`: another process of the executor (it was restarted) answers at this address.
+- `replaced`: an executor with another id answers at this address.
 - `unreachable`: no connection was made; nothing was done.
 - `unanswered`: the call may have been carried out, or may be carried out later.
 - `rejected`: the executor considers the request invalid.
 */
-export type CallFailure = {
+export type CallFailure = Answerer & {
 	code:
 		| 'fenced'
 		| 'outdated'
@@ -85,11 +97,11 @@
 	startTask: (
 		executor: Executor,
 		request: StartRequest,
-	) => ResultAsync<{clockMs: number}, CallFailure>;
+	) => ResultAsync<OrderReply, CallFailure>;
 	stopTask: (
 		executor: Executor,
 		request: StopRequest,
-	) => ResultAsync<{clockMs: number}, CallFailure>;
+	) => ResultAsync<OrderReply, CallFailure>;
 	renewLease: (
 		executor: Executor,
 		request: LeaseRequest,
--- a/packages/scheduling/src/executor.ts
+++ b/packages/scheduling/src/executor.ts
@@ -4,14 +4,21 @@
 import {type TaskDemand} from '@gentianshift/protocol';
 
 export type Executor = {
-	/** Identifies one process of the executor: after a restart the id is another. */
+	/** Identifies the executor; after a restart the id is the same or another. */
 	id: string;
+	/**
+	When the executor's process started, Unix milliseconds on the executor's clock. With the id it names one incarnation.
+	Undefined: not stated; each process then has its own id.
+	*/
+	bornMs?: number;
 	/** `ip:port`. */
 	address: string;
 	dataCentre: string;
 	service: string;
 	/** A draining executor finishes its runs and gets no new ones. */
 	isDraining: boolean;
+	/** The least time until all that runs on a draining executor is killed, as of its registration; milliseconds. */
+	remainingMs?: number;
 	/**
 	Whether the executor refuses a start that exceeds its capacity. If not, it starts every task it is sent, even
 	beyond it.
