Let the registration of an executor's later process count

Cause: a process that starts again under its id numbers its registrations anew. By number they were taken for late writes of the former process for 2.5 s, and a late write of the former process brought its state and capacity back.

Change: where both registrations state when their process started, that decides before the numbers. Capacity stays until the new process states a usable one.

Result: executor-registrations.test.ts; without start times as before.

--- /dev/null
+++ b/packages/host/src/scheduling/executor-registrations.test.ts
@@ -0,0 +1,118 @@
+/**
+Which registration of an executor counts when its processes follow each other under one id.
+*/
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {type ExecutorRegistration} from '@gentianshift/scheduling';
+import {createExecutorRegistrations} from './executor-registrations.js';
+
+const whole = {cpu: 32_000, memoryMb: 1000, accelerators: 0};
+const half = {cpu: 16_000, memoryMb: 500, accelerators: 0};
+
+function makeRegistration(
+	fields: Partial<ExecutorRegistration>,
+): ExecutorRegistration {
+	return {
+		id: 'e1',
+		address: '10.0.0.1:8000',
+		dataCentre: 'mieres',
+		service: 'meals',
+		isDraining: false,
+		capacity: whole,
+		labels: ['a'],
+		...fields,
+	};
+}
+
+/** Applies lists of one registration, 600 ms apart; returns the executor after the last. */
+function applyInTurn(...list: Array<Partial<ExecutorRegistration>>) {
+	const registrations = createExecutorRegistrations(() => true);
+	const results = list.map((fields, i) =>
+		registrations.applyList([makeRegistration(fields)], i * 600),
+	);
+	return results.at(-1)![0]!;
+}
+
+// Guards against a restarted executor that counts as draining, or by the former capacity, for seconds because its
+// numbering starts anew.
+test('the registration of a later process counts whatever its number', () => {
+	const executor = applyInTurn(
+		{bornMs: 1000, sequence: 400, revision: 90, isDraining: true},
+		{bornMs: 2000, sequence: 1, revision: 91, capacity: half, labels: ['b']},
+	);
+	assert.equal(executor.bornMs, 2000);
+	assert.equal(executor.isDraining, false);
+	assert.deepEqual(executor.capacity, half);
+	assert.deepEqual(executor.labels, ['b']);
+	assert.equal(executor.capacityReadAt, 600);
+});
+
+// Guards against a late write of the former process that brings back what the present one has replaced.
+test('a registration of an earlier process changes nothing, also with a higher number and for longer than a renumbering takes', () => {
+	const executor = applyInTurn(
+		{bornMs: 1000, sequence: 400},
+		{bornMs: 2000, sequence: 1, capacity: half},
+		...Array.from({length: 8}, (_, i) => ({
+			bornMs: 1000,
+			sequence: 401 + i,
+			revision: 200 + i,
+			isDraining: true,
+		})),
+	);
+	assert.equal(executor.bornMs, 2000);
+	assert.equal(executor.isDraining, false);
+	assert.deepEqual(executor.capacity, half);
+});
+
+test('the number counts among registrations of one process', () => {
+	const executor = applyInTurn(
+		{bornMs: 2000, sequence: 2, capacity: half},
+		{bornMs: 2000, sequence: 1},
+	);
+	assert.deepEqual(executor.capacity, half);
+});
+
+// Guards against an executor that is lost because its new process has not stated a usable capacity yet.
+test('the capacity of the machine outlasts the process', () => {
+	const executor = applyInTurn(
+		{bornMs: 1000, sequence: 400, capacity: half},
+		{bornMs: 2000, sequence: 1, capacity: undefined},
+	);
+	assert.equal(executor.bornMs, 2000);
+	assert.deepEqual(executor.capacity, half);
+});
+
+// Guards against an earlier process that counts again after one registration with an unusable start time.
+test('a registration without a start time counts by its number and keeps the known start time', () => {
+	const executor = applyInTurn(
+		{bornMs: 2000, sequence: 1},
+		{sequence: 2, capacity: half},
+		{bornMs: 1000, sequence: 500},
+	);
+	assert.equal(executor.bornMs, 2000);
+	assert.deepEqual(executor.capacity, half);
+});
+
+test('two restarts between two lists leave the last process', () => {
+	const executor = applyInTurn(
+		{bornMs: 1000, sequence: 9},
+		{bornMs: 3000, sequence: 1, capacity: half},
+		{bornMs: 2000, sequence: 1},
+	);
+	assert.equal(executor.bornMs, 3000);
+	assert.deepEqual(executor.capacity, half);
+});
+
+// Guards against a change for executors that state no start time.
+test('without start times a lower number counts only after a renumbering', () => {
+	assert.deepEqual(
+		applyInTurn({sequence: 400}, {sequence: 1, capacity: half}).capacity,
+		whole,
+	);
+	const renumbered = applyInTurn(
+		{sequence: 400},
+		...Array.from({length: 6}, (_, i) => ({sequence: 1 + i, capacity: half})),
+	);
+	assert.deepEqual(renumbered.capacity, half);
+	assert.equal('bornMs' in renumbered, false);
+});
--- a/packages/host/src/scheduling/executor-registrations.ts
+++ b/packages/host/src/scheduling/executor-registrations.ts
@@ -5,8 +5,12 @@
 What goes wrong: an executor reduces its capacity while tasks run. A stale list brings the former
 capacity back, and a registration whose capacity can't be used does not say how much is left. Either
 would lead to starts that exceed the executor's capacity.
+
+An executor that starts again under its id numbers its registrations anew. Judged by these numbers, the new process
+would be taken for a late write of the former one for seconds. So the start time of the process goes before them.
 */
 import {
+	compareIncarnations,
 	type Executor,
 	type ExecutorRegistration,
 } from '@gentianshift/scheduling';
@@ -57,7 +61,7 @@
 			return former.executor;
 		}
 
-		const {sequence, revision, capacity, ...rest} = registration;
+		const {sequence, revision, capacity, bornMs, ...rest} = registration;
 		const usable =
 			capacity === undefined
 				? former?.executor
@@ -69,8 +73,11 @@
 			return undefined;
 		}
 
+		// A registration without a usable start time doesn't prove another process.
+		const knownBornMs = bornMs ?? former?.executor.bornMs;
 		const executor: Executor = {
 			...rest,
+			...(knownBornMs !== undefined && {bornMs: knownBornMs}),
 			isCapacityEnforced: isCapacityEnforcingService(registration.service),
 			capacity: usable.capacity,
 			capacityReadAt: usable.capacityReadAt,
@@ -100,6 +107,14 @@
 	former: KnownRegistration,
 	now: number,
 ): boolean {
+	const order = compareIncarnations(
+		registration.bornMs,
+		former.executor.bornMs,
+	);
+	if (order === 'earlier' || order === 'later') {
+		return order === 'earlier';
+	}
+
 	if (isLower(registration.revision, former.revision)) {
 		return true;
 	}
@@ -119,11 +134,12 @@
 
 /** A registration that is read again keeps the time of its first read. */
 function findFirstReadAt(
-	{sequence, revision}: ExecutorRegistration,
+	{sequence, revision, bornMs}: ExecutorRegistration,
 	former: KnownRegistration | undefined,
 ): number | undefined {
 	const isNumbered = sequence !== undefined || revision !== undefined;
 	return isNumbered &&
+		compareIncarnations(bornMs, former?.executor.bornMs) !== 'later' &&
 		former?.sequence === sequence &&
 		former?.revision === revision
 		? former?.executor.capacityReadAt
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -4,6 +4,7 @@
 export * from './process-id.js';
 export * from './entry-job.js';
 export * from './entry-jobs.js';
+export * from './compare-incarnations.js';
 export type * from './executor-control.js';
 export {type Entry} from './group-job.js';
 export * from './group-directory.js';
