--- a/packages/scheduling/src/crash-watch.ts
+++ b/packages/scheduling/src/crash-watch.ts
@@ -38,7 +38,8 @@
 			ports.onNotCrashed();
 		},
 		noteProcessEnded(runs) {
-			const suspects = [...expiredRuns, ...pickSuspects(runs)];
+			// A run that was kept when its lease expired is in both lists.
+			const suspects = [...new Set([...expiredRuns, ...pickSuspects(runs)])];
 			expiredRuns = [];
 			if (ports.isDraining()) {
 				ports.onNotCrashed();
@@ -51,6 +52,7 @@
 
 function pickSuspects(runs: readonly Run[]): Run[] {
 	return runs.filter(
-		({stoppedAt, isRefused}) => stoppedAt === undefined && !isRefused,
+		({stoppedAt, isRefused, isInherited}) =>
+			stoppedAt === undefined && !isRefused && !isInherited,
 	);
 }
--- a/packages/scheduling/src/executor-lease.test.ts
+++ b/packages/scheduling/src/executor-lease.test.ts
@@ -42,3 +42,24 @@
 	assert.equal(lease.hasPassed(100 + leaseMs), false);
 	assert.ok(lease.hasPassed(100 + leaseMs + clockSlackMs + 1));
 });
+
+// A call to the former process of an executor, with an end of the lease on that process's clock, was carried out by the present
+// one, whose clock is far behind. If its runs counted as over when the own calls say so, they would run twice.
+test('a lease that was extended on another clock has not passed before that end', () => {
+	const lease = createExecutorLease();
+	lease.setClock(5000, 100);
+	lease.assumeExtended(8000, 100);
+	lease.extend(Infinity, 100);
+	assert.equal(lease.hasPassed(3100), false);
+	assert.ok(lease.hasPassed(3100 + clockSlackMs + 1));
+});
+
+// Guards against tasks that wait for hours for an executor that does not come back.
+test('a lease that was extended by hours counts as passed 20 s after the last call that extended it', () => {
+	const lease = createExecutorLease();
+	lease.setClock(5000, 100);
+	lease.assumeExtended(9_000_000, 100);
+	lease.extend(Infinity, 1000);
+	assert.equal(lease.hasPassed(21_000), false);
+	assert.ok(lease.hasPassed(21_001));
+});
--- a/packages/scheduling/src/executor-lease.ts
+++ b/packages/scheduling/src/executor-lease.ts
@@ -4,6 +4,12 @@
 */
 import {clockSlackMs, leaseMs} from './timing.js';
 
+/**
+A lease that was extended on another process's clock may last for hours. Runs that were sent here count as over this
+long after the last extension all the same: tasks are far shorter, and none may wait for ever.
+*/
+const maxForeignLeaseMs = 20_000;
+
 export type ExecutorLease = {
 	/** Records what the executor's clock showed at `now` of this host's clock. */
 	setClock: (clockMs: number, now: number) => void;
@@ -18,6 +24,13 @@
 	first report, its runs would at once count as over.
 	*/
 	assumeRenewed: (now: number) => void;
+	/**
+	Assumes that the executor has extended its lease to `untilMs` of its own clock. To be called when a call to the former
+	process of the executor, whose clock was another, may have been carried out by the present one.
+	*/
+	assumeExtended: (untilMs: number, now: number) => void;
+	/** The latest end that a call has stated, on the executor's clock; undefined: none yet. */
+	readonly statedUntilMs: number | undefined;
 	/** All runs on the executor are certain to have ended, even if its clock is the slowest allowed. */
 	hasPassed: (now: number) => boolean;
 };
@@ -32,6 +45,24 @@
 	let clock: {clockMs: number; readAt: number} | undefined;
 	/** Unless the lease is renewed, all runs have ended by then; this host's clock. */
 	let endsAt = 0;
+	let statedUntilMs: number | undefined;
+	let foreignUntilMs: number | undefined;
+	let extendedAt = -Infinity;
+
+	function findForeignEnd(): number {
+		if (foreignUntilMs === undefined) {
+			return -Infinity;
+		}
+
+		const latest = extendedAt + maxForeignLeaseMs;
+		return clock === undefined
+			? latest
+			: Math.min(
+					latest,
+					clock.readAt + (foreignUntilMs - clock.clockMs) + clockSlackMs,
+				);
+	}
+
 	return {
 		setClock(clockMs, now) {
 			clock = {clockMs, readAt: now};
@@ -43,11 +74,21 @@
 			}
 
 			endsAt = Math.max(endsAt, until + clockSlackMs);
-			return Math.floor(clock.clockMs + (until - clock.readAt));
+			extendedAt = now;
+			const untilMs = Math.floor(clock.clockMs + (until - clock.readAt));
+			statedUntilMs = Math.max(statedUntilMs ?? untilMs, untilMs);
+			return untilMs;
 		},
 		assumeRenewed(now) {
 			endsAt = Math.max(endsAt, now + leaseMs + clockSlackMs);
 		},
-		hasPassed: (now) => now > endsAt,
+		assumeExtended(untilMs, now) {
+			foreignUntilMs = Math.max(foreignUntilMs ?? untilMs, untilMs);
+			extendedAt = Math.max(extendedAt, now);
+		},
+		get statedUntilMs() {
+			return statedUntilMs;
+		},
+		hasPassed: (now) => now > Math.max(endsAt, findForeignEnd()),
 	};
 }
--- a/packages/scheduling/src/executor-session.ts
+++ b/packages/scheduling/src/executor-session.ts
@@ -5,9 +5,21 @@
 An executor that does not answer is silent: it gets no new starts and its lease is no longer renewed. Once the lease has
 passed, its runs are certain to be over. Each report is applied as a whole (`run-table.ts`) before any callback is
 called.
+
+A session belongs to one incarnation of the executor: its id and, where it is stated, the start time of its process. An
+answer of an earlier process is treated as no answer, whatever it says. An answer of a later process proves that the
+present one has ended: the session ends, and the later process gets a session of its own.
+
+What goes wrong at a restart under the same id: an order to the former process arrives seconds later, and the new process,
+which knows no fencing token and no attempt, carries it out while the task has been placed elsewhere. So a start without
+an answer counts as a run until a stop of its attempt was answered: the new session takes it over, sends the token and
+these stops before it is open for starts, and stops every run that it did not start itself. Such a run can't be
+claimed by a job either, since only the runs of an earlier holder are there to be claimed.
 */
 import {type TaskDemand} from '@gentianshift/protocol';
+import {err, type Result, ResultAsync} from 'neverthrow';
 import {
+	type Answerer,
 	type CallFailure,
 	type ExecutorControl,
 	type LeaseReply,
@@ -16,6 +28,7 @@
 	type RunName,
 } from './executor-control.js';
 import {type AnswerTimes} from './answer-times.js';
+import {compareIncarnations} from './compare-incarnations.js';
 import {createCrashWatch, type CrashWatch} from './crash-watch.js';
 import {createExecutorLease} from './executor-lease.js';
 import {createTrust, recordFailure} from './executor-trust.js';
@@ -39,7 +52,7 @@
 	renewWaitFactor,
 	stopLimitMs,
 } from './timing.js';
-import {type UnansweredStarts} from './unanswered-starts.js';
+import {lateStartLimitMs, type UnansweredStarts} from './unanswered-starts.js';
 
 /** A start under a shorter lease than this would be lost, as the lease expires first, or be carried out too late. */
 const minLeaseMs = 150;
@@ -50,6 +63,18 @@
 */
 const failedStartPauseMs = 150;
 
+/** What a session takes over from that with the former process of the same executor. */
+export type Inheritance = {
+	/** Starts that had no answer; this process may carry them out. */
+	lateStarts: readonly Run[];
+	/** Whether runs that are found may be those of an earlier holder of the group. */
+	mayClaim: boolean;
+	/** The latest end of a lease that a call to a former process has stated, on that process's clock. */
+	leaseUntilMs: number | undefined;
+	/** This process may have carried out a call that extended its lease to then. */
+	isLeaseCarried: boolean;
+};
+
 export type SessionPorts = {
 	now: () => number;
 	wait: (ms: number, signal: AbortSignal) => Promise<void>;
@@ -62,7 +87,9 @@
 	/** Unanswered starts sent to this executor, including those of earlier sessions. */
 	unansweredStarts: UnansweredStarts;
 	onRunEnd: (run: Run, outcome: RunOutcome, session: ExecutorSession) => void;
-	/** The executor crashed while these runs were on it. */
+	/** A later process of the executor is there; called before any other callback for the end of this one. */
+	onReplaced: (next: Executor, inheritance: Inheritance) => void;
+	/** The executor crashed while these runs were on it; `executor` names the incarnation, here and below. */
 	onCrash: (executor: string, runs: readonly Run[]) => void;
 	/** The executor is silent, and the lease of these runs has passed. */
 	onSilence: (executor: string, runs: readonly Run[]) => void;
@@ -91,6 +118,7 @@
 	#executor: Executor;
 	readonly #runTable = createRunTable();
 	readonly #lease = createExecutorLease();
+	readonly #control: ExecutorControl;
 	readonly #calls: RunCalls;
 	readonly #crashWatch: CrashWatch;
 	#isListed = true;
@@ -99,6 +127,8 @@
 	/** The executor's clock in its newest report. An older report that arrives after it is ignored. */
 	#reportedClockMs = -Infinity;
 	readonly #closing = new AbortController();
+	/** Calls without an answer yet that extend the lease. */
+	#leaseCallCount = 0;
 	/** Until then none of its capacity counts as free: the executor has refused a start for lack of free capacity. */
 	#fullUntil = -Infinity;
 	/** Ends the pause between two renewals; undefined: no pause is going on. */
@@ -107,19 +137,21 @@
 	constructor(
 		executor: Executor,
 		private readonly ports: SessionPorts,
+		private readonly inheritance?: Inheritance,
 	) {
 		this.#executor = executor;
+		this.#control = this.#createControl();
 		this.#calls = this.#createCalls();
 		this.#crashWatch = createCrashWatch({
 			isDraining: () => this.isDraining,
 			onSilence: (runs) => {
-				ports.onSilence(this.id, runs);
+				ports.onSilence(this.incarnation, runs);
 			},
 			onNotCrashed: () => {
-				ports.onCleared(this.id);
+				ports.onCleared(this.incarnation);
 			},
 			onCrash: (runs) => {
-				ports.onCrash(this.id, runs);
+				ports.onCrash(this.incarnation, runs);
 			},
 		});
 	}
@@ -128,6 +160,15 @@
 		return this.#executor.id;
 	}
 
+	get bornMs(): number | undefined {
+		return this.#executor.bornMs;
+	}
+
+	/** Names the process for crash records: two restarts under one id are two crashes. */
+	get incarnation(): string {
+		return this.bornMs === undefined ? this.id : `${this.id}@${this.bornMs}`;
+	}
+
 	get runs(): ReadonlyMap<string, Run> {
 		return this.#runTable.runs;
 	}
@@ -191,10 +232,24 @@
 		);
 	}
 
+	/** Takes over what the executor has registered, unless an earlier process did. */
 	update(executor: Executor): void {
+		this.#isListed = true;
+		if (compareIncarnations(executor.bornMs, this.bornMs) === 'earlier') {
+			return;
+		}
+
 		const former = this.#executor;
 		const formerAgeMs = Math.round(this.capacityAgeMs);
-		this.#executor = executor;
+		this.#executor = addBorn(executor, executor.bornMs ?? this.bornMs);
+		if (executor.isDraining && !former.isDraining) {
+			this.ports.log('executor drains', {
+				executor: this.id,
+				runs: this.runs.size,
+				remainingMs: executor.remainingMs,
+			});
+		}
+
 		if (!isSameDemand(former.capacity, executor.capacity)) {
 			this.#fullUntil = -Infinity;
 			this.ports.log('capacity of an executor has changed', {
@@ -205,16 +260,68 @@
 				formerAgeMs,
 			});
 		}
-
-		this.#isListed = true;
 	}
 
 	/** Starts to renew the lease in the background; returns at once. */
 	open(): void {
-		this.silentSince = this.ports.unansweredStarts.isEmpty
-			? undefined
-			: this.ports.now();
+		const {now, unansweredStarts} = this.ports;
+		this.#takeOverLateStarts();
+		this.silentSince =
+			unansweredStarts.isEmpty && this.#countHeld() === 0 ? undefined : now();
 		void this.#repeatRenewals();
+		// Sent right after the first renewal, which carries the token: a late start may arrive at any time.
+		for (const run of this.runs.values()) {
+			this.stop(run, now() + dropStopLimitMs);
+		}
+
+		if (this.inheritance && !unansweredStarts.isEmpty) {
+			void this.#cancelStarts();
+		}
+	}
+
+	/**
+	Ends the session as a later process of the executor, `next`, is there. All runs here are over; starts without an
+	answer go to the session of that process. It is opened before others learn of the end: they would start a task again
+	that the new process may yet start.
+	*/
+	replaceBy(next: Executor, reason: string): void {
+		if (this.#closing.signal.aborted) {
+			return;
+		}
+
+		const runs = [...this.runs.values()];
+		const lateStarts = runs.filter((run) => this.#isLateStartPossible(run));
+		this.isGone = true;
+		for (const run of runs) {
+			this.#runTable.remove(run);
+		}
+
+		this.ports.log('executor has started again', {
+			executor: this.id,
+			reason,
+			bornMs: this.bornMs,
+			nextBornMs: next.bornMs,
+			runs: runs.length,
+			lateStarts: lateStarts.length,
+		});
+		this.#endCalls();
+		this.ports.onReplaced(next, {
+			lateStarts,
+			mayClaim: this.#mayClaim && !this.hasReported,
+			leaseUntilMs: findLatest(
+				this.#lease.statedUntilMs,
+				this.inheritance?.leaseUntilMs,
+			),
+			isLeaseCarried: this.#leaseCallCount > 0,
+		});
+		for (const run of runs) {
+			if (!lateStarts.includes(run)) {
+				this.#reportEnd({run, outcome: 'lost'});
+			}
+		}
+
+		this.#crashWatch.noteProcessEnded(runs);
+		this.ports.onChange();
 	}
 
 	/**
@@ -226,9 +333,7 @@
 			this.#crashWatch.noteLeaseExpired([...this.runs.values()]);
 		}
 
-		this.#closing.abort();
-		this.#idlePause?.abort();
-		this.ports.control.forgetExecutor(this.#executor);
+		this.#endCalls();
 	}
 
 	/** Sends a start; the end of the run is reported by `onRunEnd`. */
@@ -296,13 +401,130 @@
 		return this.#runTable.takeUnclaimedEnd(task);
 	}
 
+	get #mayClaim(): boolean {
+		return this.inheritance?.mayClaim ?? true;
+	}
+
+	#endCalls(): void {
+		this.#closing.abort();
+		this.#idlePause?.abort();
+		this.ports.control.forgetExecutor(this.#executor);
+	}
+
+	/** The calls to the executor, with the answers of other processes than this session's left out. */
+	#createControl(): ExecutorControl {
+		const {control} = this.ports;
+		return {
+			startTask: (executor, request) =>
+				this.#wrapCall(control.startTask(executor, request), true),
+			stopTask: (executor, request) =>
+				this.#wrapCall(control.stopTask(executor, request), false),
+			renewLease: (executor, request) =>
+				this.#wrapCall(
+					control.renewLease(executor, request),
+					request.leaseUntilMs !== undefined,
+				),
+			forgetExecutor: control.forgetExecutor,
+		};
+	}
+
+	#wrapCall<T extends Answerer>(
+		call: ResultAsync<T, CallFailure>,
+		extendsLease: boolean,
+	): ResultAsync<T, CallFailure> {
+		this.#leaseCallCount += Number(extendsLease);
+		return new ResultAsync(
+			(async () => {
+				const reply = await call;
+				const isOwn = this.#isFromThisProcess(reply);
+				this.#leaseCallCount -= Number(extendsLease);
+				return isOwn ? reply : err(otherProcessFailure);
+			})(),
+		);
+	}
+
+	/** Ends the session if a later process has answered. */
+	#isFromThisProcess(reply: Result<Answerer, CallFailure>): boolean {
+		const {bornMs} = reply.isOk() ? reply.value : reply.error;
+		const order = compareIncarnations(bornMs, this.bornMs);
+		// The executor that answered has another id, so its start time is not that of a process of this one.
+		if (reply.isErr() && reply.error.code === 'replaced') {
+			return order !== 'earlier';
+		}
+
+		if (order === 'unknown' && bornMs !== undefined) {
+			this.#executor = addBorn(this.#executor, bornMs);
+		}
+
+		if (order === 'later') {
+			this.replaceBy(
+				addBorn(this.#executor, bornMs),
+				'a later process answers',
+			);
+		}
+
+		return order !== 'earlier' && order !== 'later';
+	}
+
+	#countHeld(): number {
+		let count = 0;
+		for (const {isHeld} of this.runs.values()) {
+			count += Number(isHeld ?? false);
+		}
+
+		return count;
+	}
+
+	/** Whether a later process of the executor may carry out the start of this run. */
+	#isLateStartPossible({
+		acceptedAt,
+		isUnclaimed,
+		isRefused,
+		state,
+	}: Run): boolean {
+		return (
+			this.bornMs !== undefined &&
+			acceptedAt === undefined &&
+			!isUnclaimed &&
+			!isRefused &&
+			state !== 'running'
+		);
+	}
+
+	#takeOverLateStarts(): void {
+		if (!this.inheritance) {
+			return;
+		}
+
+		const {lateStarts, leaseUntilMs, isLeaseCarried} = this.inheritance;
+		for (const {job, index, attempt, demand, startedAt} of lateStarts) {
+			const run: Run = {
+				job,
+				index,
+				attempt,
+				demand,
+				startedAt,
+				state: 'starting',
+				isHeld: true,
+				isInherited: true,
+				isUnclaimed: false,
+			};
+			this.#runTable.add(run);
+			this.ports.unansweredStarts.remember(run, startedAt);
+		}
+
+		if (isLeaseCarried && leaseUntilMs !== undefined) {
+			this.#lease.assumeExtended(leaseUntilMs, this.ports.now());
+		}
+	}
+
 	#createCalls(): RunCalls {
-		const {now, wait, control, getToken, answerTimes, log} = this.ports;
+		const {now, wait, getToken, answerTimes, log} = this.ports;
 		return createRunCalls({
 			answerTimes,
 			now,
 			wait,
-			control,
+			control: this.#control,
 			getToken,
 			getExecutor: () => this.#executor,
 			extendLease: () => this.#extendLease(),
@@ -314,6 +536,11 @@
 			onFailure: (failure, call) => {
 				this.#handleCallFailure(failure, call);
 			},
+			onUnanswered: (run) => {
+				if (this.bornMs !== undefined) {
+					this.ports.unansweredStarts.remember(run, run.startedAt);
+				}
+			},
 			onStopped: () => {
 				void this.#fetchReport();
 			},
@@ -353,11 +580,11 @@
 	Renews the lease once, and handles the ends in the reply; returns the pause until the next renewal, milliseconds.
 	*/
 	async #renew(): Promise<number> {
-		const {control, now} = this.ports;
+		const {now} = this.ports;
 		const sentAt = now();
 		const canRenew = this.runs.size > 0 && this.silentSince === undefined;
 		const canWait = canRenew && this.hasReported && this.#missedRenewals === 0;
-		const reply = await control.renewLease(this.#executor, {
+		const reply = await this.#control.renewLease(this.#executor, {
 			...this.#makeReportRequest(),
 			leaseUntilMs: canRenew ? this.#extendLease() : undefined,
 			waitMs: canWait ? this.#computeWait(sentAt) : 0,
@@ -372,9 +599,17 @@
 
 		this.#missedRenewals = 0;
 		this.#handleReport(reply.value, sentAt);
-		return this.runs.size > 0 || reply.value.hasMoreEnds
-			? 0
-			: idleReportIntervalMs;
+		return this.#choosePause(reply.value);
+	}
+
+	/** The pause after a renewal that was answered, milliseconds. */
+	#choosePause({hasMoreEnds}: LeaseReply): number {
+		// Starts are still to be cancelled, and the executor is not used before.
+		if (this.bornMs !== undefined && this.silentSince !== undefined) {
+			return callRetryMs;
+		}
+
+		return this.runs.size > 0 || hasMoreEnds ? 0 : idleReportIntervalMs;
 	}
 
 	/**
@@ -382,9 +617,9 @@
 	known.
 	*/
 	async #fetchReport(): Promise<void> {
-		const {control, now} = this.ports;
+		const {now} = this.ports;
 		const sentAt = now();
-		const reply = await control.renewLease(
+		const reply = await this.#control.renewLease(
 			this.#executor,
 			this.#makeReportRequest(),
 		);
@@ -445,6 +680,7 @@
 		const now = this.ports.now();
 		this.#reportedClockMs = report.clockMs;
 		this.#setClock(report.clockMs);
+		const hasLateStart = this.#hasInherited(report);
 		const {ended, found} = this.#runTable.applyReport(report, {
 			sentAt,
 			now,
@@ -454,8 +690,16 @@
 			this.#lease.assumeRenewed(now);
 		}
 
+		const formerLeaseUntilMs = this.inheritance?.leaseUntilMs;
+		if (
+			formerLeaseUntilMs !== undefined &&
+			(hasLateStart || found.length > 0)
+		) {
+			this.#lease.assumeExtended(formerLeaseUntilMs, now);
+		}
+
 		const isFirst = !this.hasReported && !report.hasMoreEnds;
-		if (this.hasReported) {
+		if (this.hasReported || !this.#mayClaim) {
 			this.#stopLateStarts(found, now);
 		}
 
@@ -481,7 +725,20 @@
 		}
 	}
 
-	/** Stops runs that appear after the executor's first report: each is a start that was carried out late. */
+	/** Whether a start to the former process was carried out by this one. */
+	#hasInherited({running, ended}: LeaseReply): boolean {
+		return (
+			this.inheritance !== undefined &&
+			[...running, ...ended].some(
+				(run) => this.runs.get(formatTaskKey(run))?.isInherited,
+			)
+		);
+	}
+
+	/**
+	Stops runs that appear after the executor's first report, or after that of its former process: each is a start that was
+	carried out late.
+	*/
 	#stopLateStarts(found: readonly Run[], now: number): void {
 		for (const run of found) {
 			this.ports.log('stopping a run whose start was carried out late', {
@@ -499,25 +756,34 @@
 	cancelled first; only then is the lease renewed again.
 	*/
 	async #endSilence(): Promise<void> {
-		const {control, getToken, answerTimes, log, onChange, unansweredStarts} =
-			this.ports;
-		const isNoneLeft =
-			unansweredStarts.isEmpty ||
-			(await unansweredStarts.cancelAll(async (start) => {
-				const reply = await control.stopTask(this.#executor, {
-					...start,
-					token: getToken(),
-					answerTimeoutMs: answerTimes.getTimeoutMs(),
-				});
-				return reply.isOk() || reply.error.code === 'outdated';
-			}));
-		if (isNoneLeft && this.silentSince !== undefined) {
+		const {log, onChange, unansweredStarts} = this.ports;
+		const isNoneLeft = unansweredStarts.isEmpty || (await this.#cancelStarts());
+		if (
+			isNoneLeft &&
+			this.#countHeld() === 0 &&
+			this.silentSince !== undefined &&
+			!this.isGone
+		) {
 			this.silentSince = undefined;
 			log('executor answers again', {executor: this.id});
 			onChange();
 		}
 	}
 
+	/** Cancels the starts without an answer one by one; false: one of them has yet to be cancelled. */
+	async #cancelStarts(): Promise<boolean> {
+		const {getToken, answerTimes, unansweredStarts} = this.ports;
+		return unansweredStarts.cancelAll(async (start) => {
+			const reply = await this.#control.stopTask(this.#executor, {
+				...start,
+				token: getToken(),
+				answerTimeoutMs: answerTimes.getTimeoutMs(),
+			});
+			// The answer of a process that has ended since cancels nothing at the next one.
+			return !this.isGone && (reply.isOk() || reply.error.code === 'outdated');
+		});
+	}
+
 	/** The demand assumed for a run of unknown size: half the processor, as most executors hold two tasks. */
 	#estimateDemand(): TaskDemand {
 		return {...noDemand, cpu: Math.floor(this.capacity.cpu / 2)};
@@ -607,13 +873,16 @@
 	}
 
 	#dropLapsedRuns(): void {
-		const isLapsed = this.#lease.hasPassed(this.ports.now());
-		if (this.silentSince !== undefined && isLapsed && this.runs.size > 0) {
+		const now = this.ports.now();
+		this.#dropHeldRuns(now);
+		const isLapsed = this.#lease.hasPassed(now);
+		const lapsed = [...this.runs.values()].filter(({isHeld}) => !isHeld);
+		if (this.silentSince !== undefined && isLapsed && lapsed.length > 0) {
 			this.ports.log('lease of a silent executor has passed', {
 				executor: this.id,
-				runs: this.runs.size,
+				runs: lapsed.length,
 			});
-			const lapsed = this.#abandonRuns();
+			this.#abandonRuns(lapsed.filter((run) => !this.#keepLateStart(run, now)));
 			if (this.#isListed) {
 				this.#crashWatch.noteLeaseExpired(lapsed);
 			} else {
@@ -624,6 +893,31 @@
 		}
 	}
 
+	/**
+	Keeps a run whose start had no answer when the lease has passed: the lease ends it at this process of the executor only.
+	Returns whether it is kept.
+	*/
+	#keepLateStart(run: Run, now: number): boolean {
+		if (!this.#isLateStartPossible(run)) {
+			return false;
+		}
+
+		run.isHeld = true;
+		this.#calls.stop(run, now + dropStopLimitMs);
+		return true;
+	}
+
+	/** Gives up held runs whose starts can't arrive any more. */
+	#dropHeldRuns(now: number): void {
+		const expired = [...this.runs.values()].filter(
+			({isHeld, startedAt}) => isHeld && now - startedAt > lateStartLimitMs,
+		);
+		if (expired.length > 0) {
+			this.#abandonRuns(expired);
+			this.ports.onChange();
+		}
+	}
+
 	#stopUnclaimed(): void {
 		const now = this.ports.now();
 		for (const run of this.runs.values()) {
@@ -639,9 +933,8 @@
 		this.#lease.setClock(clockMs, this.ports.now());
 	}
 
-	/** Removes all runs and reports them as lost; returns them. Starts without an answer are kept, to be cancelled. */
-	#abandonRuns(): Run[] {
-		const lost = [...this.runs.values()];
+	/** Removes runs and reports them as lost; returns them. Starts without an answer are kept, to be cancelled. */
+	#abandonRuns(lost = [...this.runs.values()]): Run[] {
 		for (const run of lost) {
 			this.#runTable.remove(run);
 			if (run.acceptedAt === undefined && !run.isUnclaimed) {
@@ -673,6 +966,23 @@
 	}
 }
 
+/** Stands for the answer of another process of the executor: it says nothing of this one. */
+const otherProcessFailure: CallFailure = {
+	code: 'unanswered',
+	message: 'another process of the executor has answered',
+};
+
+function addBorn(executor: Executor, bornMs: number | undefined): Executor {
+	return bornMs === executor.bornMs ? executor : {...executor, bornMs};
+}
+
+function findLatest(
+	a: number | undefined,
+	b: number | undefined,
+): number | undefined {
+	return a === undefined || b === undefined ? (a ?? b) : Math.max(a, b);
+}
+
 function isSameDemand(a: TaskDemand, b: TaskDemand): boolean {
 	return coversDemand(a, b) && coversDemand(b, a);
 }
--- a/packages/scheduling/src/executor-set.ts
+++ b/packages/scheduling/src/executor-set.ts
@@ -1,9 +1,15 @@
 /**
 The executors of a group, each with one session. A session is opened when the store lists the executor, and closed
-when the executor is no longer listed and nothing runs there.
+when the executor is no longer listed and nothing runs there. When a later process of the executor answers or registers
+under the same id, the session is replaced by one with that process.
 */
 import {createAnswerTimes} from './answer-times.js';
-import {ExecutorSession, type SessionPorts} from './executor-session.js';
+import {compareIncarnations} from './compare-incarnations.js';
+import {
+	ExecutorSession,
+	type Inheritance,
+	type SessionPorts,
+} from './executor-session.js';
 import {type Executor} from './executor.js';
 import {formatTaskKey, type Run} from './run.js';
 import {
@@ -29,6 +35,8 @@
 		job: string;
 		index: number;
 	}) => {run: Run; session: ExecutorSession} | undefined;
+	/** The session with that process of an executor (`ExecutorSession.incarnation`). */
+	findIncarnation: (name: string) => ExecutorSession | undefined;
 	/** Whether a task of the job runs on any of the executors; a run that is being stopped counts. */
 	hasRunOfJob: (job: string) => boolean;
 	/** Closes the sessions of unlisted executors without runs; to be called periodically. */
@@ -37,7 +45,7 @@
 };
 
 export function createExecutorSet(
-	ports: Omit<SessionPorts, 'unansweredStarts' | 'answerTimes'>,
+	ports: Omit<SessionPorts, 'unansweredStarts' | 'answerTimes' | 'onReplaced'>,
 ): ExecutorSet {
 	const sessions = new Map<string, ExecutorSession>();
 	const answerTimes = createAnswerTimes();
@@ -46,15 +54,24 @@
 	let listedIds: ReadonlySet<string> = new Set();
 	let labels: string[] = [];
 
-	function openSession(executor: Executor): void {
+	function openSession(executor: Executor, inheritance?: Inheritance): void {
 		const {id} = executor;
 		const starts = unansweredStarts.get(id) ?? createUnansweredStarts();
 		unansweredStarts.set(id, starts);
-		const session = new ExecutorSession(executor, {
-			...ports,
-			answerTimes,
-			unansweredStarts: starts,
-		});
+		if (inheritance) {
+			starts.restoreAll();
+		}
+
+		const session = new ExecutorSession(
+			executor,
+			{
+				...ports,
+				answerTimes,
+				unansweredStarts: starts,
+				onReplaced: openSession,
+			},
+			inheritance,
+		);
 		sessions.set(id, session);
 		session.open();
 	}
@@ -62,7 +79,7 @@
 	function forgetOldStarts(now: number): void {
 		for (const [id, starts] of unansweredStarts) {
 			starts.forgetOld(now);
-			if (starts.isEmpty && !sessions.has(id)) {
+			if (starts.hasNone && !sessions.has(id)) {
 				unansweredStarts.delete(id);
 			}
 		}
@@ -73,12 +90,18 @@
 		setListed(executors) {
 			listedIds = new Set(executors.map(({id}) => id));
 			labels = [...new Set(executors.flatMap((one) => one.labels ?? []))];
+			const restarted: Array<{session: ExecutorSession; executor: Executor}> =
+				[];
 			for (const executor of executors) {
 				const session = sessions.get(executor.id);
-				if (session) {
-					session.update(executor);
-				} else {
+				if (!session) {
 					openSession(executor);
+				} else if (
+					compareIncarnations(executor.bornMs, session.bornMs) === 'later'
+				) {
+					restarted.push({session, executor});
+				} else {
+					session.update(executor);
 				}
 			}
 
@@ -89,6 +112,11 @@
 					session.stopAll();
 				}
 			}
+
+			// Tasks of the former processes are placed again at once, so the whole list has to be in force by then.
+			for (const {session, executor} of restarted) {
+				session.replaceBy(executor, 'a later process is registered');
+			}
 		},
 		listOpen: () =>
 			[...sessions.values()].filter(
@@ -111,6 +139,11 @@
 
 			return undefined;
 		},
+		findIncarnation(name) {
+			const id = name.replace(/@\d+$/v, '');
+			const session = sessions.get(name) ?? sessions.get(id);
+			return session?.incarnation === name ? session : undefined;
+		},
 		hasRunOfJob: (id) =>
 			[...sessions.values()].some(({runs}) =>
 				[...runs.values()].some(({job}) => job === id),
--- a/packages/scheduling/src/fake-executors.fixture.ts
+++ b/packages/scheduling/src/fake-executors.fixture.ts
@@ -8,6 +8,7 @@
 	type ExecutorControl,
 	type LeaseReply,
 	type LeaseRequest,
+	type OrderReply,
 	type RunEnd,
 	type RunName,
 	type StartRequest,
@@ -56,6 +57,17 @@
 	life: number;
 	/** Crashed and not restarted yet. */
 	isDown: boolean;
+	/** What its clock shows at time 0 of the virtual clock. */
+	clockOffsetMs: number;
+	/** When each process that started again under the id of its predecessor was back. */
+	restartedAt: number[];
+};
+
+export type Restart = {
+	/** How long until the new process answers. */
+	downMs: number;
+	/** What the new process's clock shows when it starts; undefined: it goes on as that of the former one. */
+	clockMs?: number;
 };
 
 /**
@@ -90,8 +102,14 @@
 		findCrashMs = () => undefined,
 		getRestartMs = () => 2000,
 		onCrash = () => undefined,
+		firstBornMs,
 	}: {
 		count: number;
+		/**
+		Executors state when their processes started: the first ones at this time, later ones as much later as they start
+		after time 0. Undefined: they don't state it.
+		*/
+		firstBornMs?: number;
 		cpu?: number;
 		/** Run time of all tasks, or a function that gives each task's. */
 		taskMs?: number | ((task: {job: string; index: number}) => number);
@@ -116,6 +134,7 @@
 	const runs: FakeRun[] = [];
 	const fakes = Array.from({length: count}, (_, i): FakeExecutor => ({
 		executor: {
+			...(firstBornMs !== undefined && {bornMs: firstBornMs}),
 			id: `e${i + 1}`,
 			address: `10.0.0.${i + 1}:8000`,
 			dataCentre: 'mieres',
@@ -143,8 +162,35 @@
 		highest: new Map(),
 		life: 1,
 		isDown: false,
+		clockOffsetMs: 0,
+		restartedAt: [],
 	}));
 
+	function readClock({clockOffsetMs}: FakeExecutor): number {
+		return clock.now + clockOffsetMs;
+	}
+
+	function refuse(
+		code: CallFailure['code'],
+		fake: FakeExecutor,
+	): Result<never, CallFailure> {
+		const {bornMs} = fake.executor;
+		return err({
+			code,
+			message: code,
+			clockMs: readClock(fake),
+			...(bornMs !== undefined && {bornMs}),
+		});
+	}
+
+	function accept(fake: FakeExecutor): Result<OrderReply, CallFailure> {
+		const {bornMs} = fake.executor;
+		return ok({
+			clockMs: readClock(fake),
+			...(bornMs !== undefined && {bornMs}),
+		});
+	}
+
 	/** The fake whose address this is; it may have restarted since. */
 	function findFake({address}: Executor): FakeExecutor {
 		return fakes.find(({executor}) => executor.address === address)!;
@@ -152,35 +198,28 @@
 
 	/** The failure of a call to an executor process that has ended; undefined: the process is still the same. */
 	function refuseFormer(
-		{executor, isDown}: FakeExecutor,
+		fake: FakeExecutor,
 		{id}: Executor,
 	): Result<never, CallFailure> | undefined {
-		if (isDown) {
-			return refuse('unreachable', clock.now);
+		if (fake.isDown) {
+			return err({code: 'unreachable', message: 'no process'});
 		}
 
-		return executor.id === id ? undefined : refuse('replaced', clock.now);
+		return fake.executor.id === id ? undefined : refuse('replaced', fake);
 	}
 
-	function crash(fake: FakeExecutor): void {
-		if (fake.isDown) {
-			return;
-		}
-
+	/** Ends the process. Its successor, which knows nothing of it, is `next`. */
+	function endProcess(fake: FakeExecutor, next: Executor): void {
 		for (const run of fake.active) {
 			run.endedAt = clock.now;
 			run.outcome = 'ended';
 			run.isCrashed = true;
 		}
 
-		const former = fake.executor;
 		fake.life += 1;
 		Object.assign(fake, {
 			isDown: true,
-			executor: {
-				...former,
-				id: `${former.id.split('.', 1)[0]}.${fake.life}`,
-			},
+			executor: next,
 			token: 0,
 			leaseEndsAt: 0,
 			active: [],
@@ -188,12 +227,43 @@
 			sequence: 0,
 			highest: new Map(),
 		} satisfies Partial<FakeExecutor>);
+	}
+
+	function crash(fake: FakeExecutor): void {
+		if (fake.isDown) {
+			return;
+		}
+
+		const former = fake.executor;
+		const [name] = former.id.split('.', 1);
+		endProcess(fake, {...former, id: `${name}.${fake.life + 1}`});
 		onCrash(former, fake.executor);
 		clock.schedule(getRestartMs(), () => {
 			fake.isDown = false;
 		});
 	}
 
+	/** Ends the process and starts one under the same id; one that is down already comes back as it was going to. */
+	function restart(fake: FakeExecutor, {downMs, clockMs}: Restart): void {
+		if (fake.isDown) {
+			return;
+		}
+
+		endProcess(fake, {
+			...fake.executor,
+			...(firstBornMs !== undefined && {
+				bornMs: firstBornMs + clock.now + downMs,
+			}),
+		});
+		clock.schedule(downMs, () => {
+			fake.isDown = false;
+			fake.restartedAt.push(clock.now);
+			if (clockMs !== undefined) {
+				fake.clockOffsetMs = clockMs - clock.now;
+			}
+		});
+	}
+
 	/** Changes the executor's capacity and reports the new one. */
 	function setCapacity(fake: FakeExecutor, capacity: TaskDemand): Executor {
 		fake.executor = {...fake.executor, capacity, capacityReadAt: clock.now};
@@ -232,9 +302,10 @@
 	}
 
 	function extend(fake: FakeExecutor, until: number): void {
+		const {life} = fake;
 		fake.leaseEndsAt = Math.max(fake.leaseEndsAt, until);
-		clock.schedule(fake.leaseEndsAt - clock.now, () => {
-			if (clock.now >= fake.leaseEndsAt) {
+		clock.schedule(fake.leaseEndsAt - readClock(fake), () => {
+			if (fake.life === life && readClock(fake) >= fake.leaseEndsAt) {
 				for (const run of fake.active) {
 					endRun(fake, run, 'ended');
 				}
@@ -245,20 +316,21 @@
 	function startRun(
 		fake: FakeExecutor,
 		request: StartRequest,
-	): Result<{clockMs: number}, CallFailure> {
+	): Result<OrderReply, CallFailure> {
 		const {job, index, attempt, token, leaseUntilMs} = request;
 		const key = `${job}/${index}`;
 		if (token < fake.token) {
-			return refuse('fenced', clock.now);
+			return refuse('fenced', fake);
 		}
 
 		fake.token = token;
 		if (attempt <= (fake.highest.get(key) ?? 0)) {
-			return refuse('outdated', clock.now);
+			return refuse('outdated', fake);
 		}
 
-		if (leaseUntilMs <= clock.now && fake.leaseEndsAt <= clock.now) {
-			return refuse('lease-passed', clock.now);
+		const now = readClock(fake);
+		if (leaseUntilMs <= now && fake.leaseEndsAt <= now) {
+			return refuse('lease-passed', fake);
 		}
 
 		const free = removeDemand(fake.executor.capacity, sumUsed(fake));
@@ -266,7 +338,7 @@
 			fake.executor.isCapacityEnforced &&
 			!coversDemand(free, getDemand(job))
 		) {
-			return refuse('no-room', clock.now);
+			return refuse('no-room', fake);
 		}
 
 		fake.highest.set(key, attempt);
@@ -302,7 +374,7 @@
 			});
 		}
 
-		return ok({clockMs: clock.now});
+		return accept(fake);
 	}
 
 	/** The caller's time-out passes: its own limit, and the time that the call would have waited. */
@@ -378,7 +450,7 @@
 	async function sendStop(
 		executor: Executor,
 		request: StopRequest,
-	): Promise<Result<{clockMs: number}, CallFailure>> {
+	): Promise<Result<OrderReply, CallFailure>> {
 		const fake = findFake(executor);
 		return isCut(fake, request.token)
 			? loseAnswer(request)
@@ -397,9 +469,9 @@
 	function stopRun(
 		fake: FakeExecutor,
 		{job, index, attempt, token}: StopRequest,
-	): Result<{clockMs: number}, CallFailure> {
+	): Result<OrderReply, CallFailure> {
 		if (token < fake.token) {
-			return refuse('fenced', clock.now);
+			return refuse('fenced', fake);
 		}
 
 		const key = `${job}/${index}`;
@@ -416,7 +488,7 @@
 			}
 		}
 
-		return ok({clockMs: clock.now});
+		return accept(fake);
 	}
 
 	async function renew(
@@ -444,7 +516,7 @@
 	): Promise<Result<LeaseReply, CallFailure>> {
 		const {token, acknowledged, leaseUntilMs, waitMs} = request;
 		if (token < fake.token) {
-			return refuse('fenced', clock.now);
+			return refuse('fenced', fake);
 		}
 
 		fake.token = token;
@@ -465,8 +537,8 @@
 
 		return isCut(fake, token) || fake.life !== life
 			? loseAnswer(request)
-			: ok({
-					clockMs: clock.now,
+			: accept(fake).map((reply) => ({
+					...reply,
 					running: fake.active.map(({job, index, attempt}) => ({
 						job,
 						index,
@@ -474,7 +546,7 @@
 					})),
 					ended: [...fake.ended],
 					hasMoreEnds: false,
-				});
+				}));
 	}
 
 	const control: ExecutorControl = {
@@ -492,6 +564,7 @@
 	return {
 		control,
 		crash,
+		restart,
 		/** All runs that were started, on all executors. */
 		runs,
 		fakes,
@@ -500,13 +573,6 @@
 	};
 }
 
-function refuse(
-	code: CallFailure['code'],
-	clockMs: number,
-): Result<never, CallFailure> {
-	return err({code, message: code, clockMs});
-}
-
 /** Counts each task's starts that came after `crashes` of its runs had ended in a crash of the executor. */
 export function countStartsAfterCrashes(
 	runs: readonly FakeRun[],
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -141,7 +141,7 @@
 		this.#crashes = createGroupCrashes({
 			...ports,
 			findJob: (id) => this.#jobs.get(id),
-			findExecutor: (id) => this.#executors.sessions.get(id),
+			findExecutor: (name) => this.#executors.findIncarnation(name),
 		});
 		this.#copies = createJobCopies({
 			now: ports.now,
--- /dev/null
+++ b/packages/scheduling/src/restarts.test.ts
@@ -0,0 +1,390 @@
+/**
+Executors that start again under their id, as the scheduler of their group sees them, on a virtual clock.
+*/
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {ok, ResultAsync} from 'neverthrow';
+import {
+	createFakeExecutors,
+	findOverlaps,
+	type CallOutcome,
+	type FakeCall,
+	type FakeExecutors,
+} from './fake-executors.fixture.js';
+import {
+	createEntry,
+	createScheduler,
+	listOutcomes,
+	makePart,
+	makeTasks,
+	openScheduler,
+	runFor,
+} from './group-scheduler.fixture.js';
+import {VirtualClock} from './virtual-clock.fixture.js';
+
+const firstBornMs = 1_000_000;
+const cpu = 14_000;
+const getDemand = () => ({cpu, memoryMb: 64, accelerators: 0});
+
+function listExecutors({fakes}: FakeExecutors) {
+	return fakes.map(({executor}) => executor);
+}
+
+/** The first start is not answered, and is carried out `ms` later. */
+function delayFirstStart(ms: number) {
+	let hasDelayed = false;
+	return ({kind}: FakeCall): CallOutcome => {
+		if (kind !== 'start' || hasDelayed) {
+			return {type: 'answered'};
+		}
+
+		hasDelayed = true;
+		return {type: 'late', ms};
+	};
+}
+
+const clocks: ReadonlyArray<{how: string; clockMs: number | undefined}> = [
+	{how: 'behind', clockMs: 0},
+	{how: 'equal to', clockMs: undefined},
+	{how: 'ahead of', clockMs: 500_000},
+];
+
+for (const {how, clockMs} of clocks) {
+	// Guards against an executor whose reports are dropped as older ones, and whose ends are taken for acknowledged ones, until
+	// its clock and its numbers have caught up with those of the former process.
+	test(`tasks run again on a restarted executor whose clock is ${how} the former one, without a registration`, async () => {
+		const {clock, executors, scheduler, entry} = await openScheduler({
+			count: 1,
+			taskMs: 100,
+			getDemand,
+			firstBornMs,
+		});
+		await clock.run(5000);
+		for (let i = 0; i < 6; i += 1) {
+			scheduler.receivePart(
+				entry,
+				makePart(clock, {job: `early${i}`, tasks: makeTasks(1)}),
+			);
+			await runFor(clock, 150, [[scheduler, entry]]);
+		}
+
+		scheduler.receivePart(entry, makePart(clock, {tasks: makeTasks(2)}));
+		await clock.run(50);
+		executors.restart(executors.fakes[0]!, {downMs: 20, clockMs});
+		await runFor(clock, 500, [[scheduler, entry]]);
+		assert.deepEqual(
+			listOutcomes(entry),
+			Array.from({length: 8}, () => 'done'),
+		);
+		assert.deepEqual(findOverlaps(executors.runs), []);
+	});
+}
+
+// Guards against waiting for an answer of the executor when the store has already told of its new process.
+test('a registration of a later process ends the runs of the former one at once', async () => {
+	const logged: string[] = [];
+	const {clock, executors, scheduler, entry} = await openScheduler(
+		{count: 2, taskMs: 100, getDemand, firstBornMs},
+		{
+			log(message) {
+				logged.push(message);
+			},
+		},
+	);
+	scheduler.receivePart(entry, makePart(clock));
+	await clock.run(50);
+	const [run] = executors.runs;
+	const fake = executors.fakes.find(
+		({executor}) => executor.id === run!.executor,
+	)!;
+	executors.restart(fake, {downMs: 3000});
+	scheduler.setExecutors(listExecutors(executors));
+	await clock.run(2);
+	assert.equal(executors.runs.length, 2);
+	assert.ok(logged.includes('executor has started again'));
+	assert.deepEqual(findOverlaps(executors.runs), []);
+});
+
+// Guards against a list that is older than what the executor has answered: it would end the new session again.
+test('a registration of the former process that comes after an answer of the later one changes nothing', async () => {
+	const {clock, executors, scheduler, entry} = await openScheduler({
+		count: 1,
+		taskMs: 300,
+		getDemand,
+		firstBornMs,
+	});
+	const former = listExecutors(executors);
+	executors.restart(executors.fakes[0]!, {downMs: 10});
+	await runFor(clock, 1100, [[scheduler, entry]]);
+	scheduler.receivePart(entry, makePart(clock));
+	await clock.run(50);
+	scheduler.setExecutors(
+		former.map((one) => ({...one, isDraining: true, labels: ['late']})),
+	);
+	assert.deepEqual(scheduler.countExecutors(), {open: 1, all: 1});
+	await runFor(clock, 400, [[scheduler, entry]]);
+	assert.deepEqual(listOutcomes(entry), ['done']);
+	assert.equal(executors.runs.length, 1);
+});
+
+// Guards against an executor that is unused for longer than a heartbeat, or a task that runs twice, because the second restart
+// comes before the first is known.
+test('two restarts within one heartbeat leave one open session, whichever of them is registered', async () => {
+	for (const registered of [0, 1, 2]) {
+		const {clock, executors, scheduler, entry} = await openScheduler({
+			count: 1,
+			taskMs: 200,
+			getDemand,
+			firstBornMs,
+		});
+		const fake = executors.fakes[0]!;
+		scheduler.receivePart(entry, makePart(clock));
+		await clock.run(50);
+		const processes = [fake.executor];
+		executors.restart(fake, {downMs: 200, clockMs: 0});
+		processes.push(fake.executor);
+		await clock.run(210);
+		executors.restart(fake, {downMs: 200, clockMs: 0});
+		processes.push(fake.executor);
+		scheduler.setExecutors([processes[registered]!]);
+		await runFor(clock, 1000, [[scheduler, entry]]);
+		assert.deepEqual(scheduler.countExecutors(), {open: 1, all: 1});
+		assert.deepEqual(listOutcomes(entry), ['done']);
+		assert.deepEqual(findOverlaps(executors.runs), []);
+	}
+});
+
+// A start is on its way when its executor restarts, and the new process, which knows no token and no attempt, carries it out
+// seconds later. If the task had been placed elsewhere when the lease passed, it would run twice.
+test('a start that a later process may carry out is cancelled there before its task is placed again', async () => {
+	for (const {clockMs} of clocks) {
+		for (const downMs of [50, 1500, 2490]) {
+			const {clock, executors, scheduler, entry} = await openScheduler({
+				count: 2,
+				taskMs: 600,
+				getDemand,
+				firstBornMs,
+				decideOutcome: delayFirstStart(2500),
+			});
+			scheduler.receivePart(entry, makePart(clock));
+			const fake = executors.fakes[0]!;
+			executors.restart(fake, {downMs, clockMs});
+			await runFor(clock, 4000, [[scheduler, entry]]);
+			assert.deepEqual(listOutcomes(entry), ['done'], `${downMs} ${clockMs}`);
+			assert.deepEqual(findOverlaps(executors.runs), []);
+			// A start that arrives right after the restart may come before the stop, and is stopped then.
+			assert.ok(executors.runs.length <= (downMs > 2400 ? 2 : 1));
+			assert.deepEqual(scheduler.countExecutors(), {open: 2, all: 2});
+		}
+	}
+});
+
+// As above, but the new process carries the start out before anyone reaches it.
+test('a run that a later process began from a late start is stopped before its task is placed again', async () => {
+	const {clock, executors, scheduler, entry} = await openScheduler({
+		count: 2,
+		taskMs: 600,
+		getDemand,
+		firstBornMs,
+		decideOutcome: delayFirstStart(2500),
+	});
+	scheduler.receivePart(entry, makePart(clock));
+	const fake = executors.fakes[0]!;
+	executors.restart(fake, {downMs: 2000, clockMs: 0});
+	fake.unreachableFrom = 'all';
+	await runFor(clock, 2700, [[scheduler, entry]]);
+	assert.equal(executors.runs.length, 1);
+	fake.unreachableFrom = new Set();
+	await runFor(clock, 1500, [[scheduler, entry]]);
+	assert.deepEqual(
+		executors.runs.map(({outcome}) => outcome),
+		['ended', 'done'],
+	);
+	assert.deepEqual(findOverlaps(executors.runs), []);
+	assert.deepEqual(listOutcomes(entry), ['done']);
+});
+
+// The former process answered the stop of a start, and the task was placed again. The stop says nothing to the new process.
+test('a start that the former process has cancelled is cancelled again at the later one', async () => {
+	const {clock, executors, scheduler, entry} = await openScheduler({
+		count: 2,
+		taskMs: 4000,
+		getDemand,
+		firstBornMs,
+		decideOutcome: delayFirstStart(3000),
+	});
+	scheduler.receivePart(entry, makePart(clock, {timeLeftMs: 9000}));
+	await runFor(clock, 500, [[scheduler, entry]]);
+	assert.equal(executors.runs.length, 1);
+	executors.restart(executors.fakes[0]!, {downMs: 100, clockMs: 0});
+	await runFor(clock, 5000, [[scheduler, entry]]);
+	assert.equal(executors.runs.length, 1);
+	assert.deepEqual(listOutcomes(entry), ['done']);
+});
+
+// Guards against a task that waits for ever for an executor that does not come back.
+test('a task whose start had no answer is placed again once the start can not arrive any more', async () => {
+	const {clock, executors, scheduler, entry} = await openScheduler({
+		count: 2,
+		taskMs: 100,
+		getDemand,
+		firstBornMs,
+		decideOutcome: delayFirstStart(2500),
+	});
+	scheduler.receivePart(entry, makePart(clock, {timeLeftMs: 60_000}));
+	executors.restart(executors.fakes[0]!, {downMs: 100_000});
+	await runFor(clock, 19_000, [[scheduler, entry]]);
+	assert.equal(executors.runs.length, 0);
+	await runFor(clock, 1500, [[scheduler, entry]]);
+	assert.deepEqual(listOutcomes(entry), ['done']);
+});
+
+// Guards against a task that waits for a silent executor for no reason where ids tell processes apart.
+test('without start times a task whose start had no answer is placed again when the lease has passed', async () => {
+	const {clock, executors, scheduler, entry} = await openScheduler({
+		count: 2,
+		taskMs: 100,
+		getDemand,
+		decideOutcome: delayFirstStart(60_000),
+	});
+	scheduler.receivePart(entry, makePart(clock));
+	executors.fakes[0]!.unreachableFrom = 'all';
+	await runFor(clock, 1300, [[scheduler, entry]]);
+	assert.deepEqual(listOutcomes(entry), ['done']);
+});
+
+// The earlier holder knew of the new process, the list of the next holder does not yet. Its runs there must not be stopped.
+test('a new holder claims runs on a process that started after its list was read', async () => {
+	const {clock, executors, scheduler, entry} = await openScheduler({
+		count: 1,
+		taskMs: 500,
+		getDemand,
+		firstBornMs,
+	});
+	const staleList = listExecutors(executors);
+	executors.restart(executors.fakes[0]!, {downMs: 10, clockMs: 0});
+	await runFor(clock, 1200, [[scheduler, entry]]);
+	scheduler.receivePart(entry, makePart(clock));
+	await clock.run(100);
+	scheduler.close();
+	const next = createScheduler(clock, {...executors, executors: staleList}, 2);
+	next.receivePart(entry, makePart(clock, {token: 2, isMoved: true}));
+	await runFor(clock, 600, [[next, entry]]);
+	assert.equal(executors.runs.length, 1);
+	assert.deepEqual(listOutcomes(entry), ['done']);
+});
+
+// The executor restarts after the new holder has its report. What runs there was started by the former holder, which
+// no longer holds the group, and whose token the new process has not been told.
+test('a new holder stops a run that a former holder starts on a process that came later', async () => {
+	const {clock, executors, scheduler, entry} = await openScheduler({
+		count: 1,
+		taskMs: 3000,
+		getDemand,
+		firstBornMs,
+	});
+	const next = createScheduler(clock, executors, 2);
+	await clock.run(10);
+	const fake = executors.fakes[0]!;
+	executors.restart(fake, {downMs: 5, clockMs: 0});
+	await clock.run(6);
+	await executors.control.startTask(fake.executor, {
+		job: 'job1',
+		index: 0,
+		attempt: 1,
+		spec: '',
+		leaseUntilMs: 5000,
+		token: 1,
+		answerTimeoutMs: 100,
+	});
+	await runFor(clock, 1300, [[next, entry]]);
+	assert.equal(executors.runs[0]?.outcome, 'ended');
+	next.receivePart(entry, makePart(clock, {token: 2}));
+	await runFor(clock, 3100, [[next, entry]]);
+	assert.deepEqual(listOutcomes(entry), ['done']);
+	assert.deepEqual(findOverlaps(executors.runs), []);
+	scheduler.close();
+});
+
+// Guards against two restarts that count as one crash, and against a crash that is forgotten when the next process answers.
+test('each restart is one crash of the process that ended', async () => {
+	const crashes: unknown[] = [];
+	const {clock, executors, scheduler, entry} = await openScheduler(
+		{count: 1, taskMs: 4000, getDemand, firstBornMs},
+		{
+			log(message, {executor}) {
+				if (message === 'an executor crashed under a task') {
+					crashes.push(executor);
+				}
+			},
+		},
+	);
+	const fake = executors.fakes[0]!;
+	scheduler.receivePart(entry, makePart(clock));
+	await clock.run(50);
+	executors.restart(fake, {downMs: 40, clockMs: 0});
+	const secondBornMs = fake.executor.bornMs;
+	await runFor(clock, 700, [[scheduler, entry]]);
+	executors.restart(fake, {downMs: 40, clockMs: 0});
+	await runFor(clock, 700, [[scheduler, entry]]);
+	assert.deepEqual(crashes, [`e1@${firstBornMs}`, `e1@${secondBornMs}`]);
+	assert.deepEqual(
+		entry.endMessages.flatMap((message) => message.crashes ?? []).at(-1)
+			?.crashed,
+		crashes,
+	);
+});
+
+// Guards against a new process whose fence, clock or ends are overwritten by what its predecessor said.
+test('an answer of an earlier process is treated as no answer, whatever it says', async () => {
+	const clock = new VirtualClock();
+	const executors = createFakeExecutors(clock, {
+		count: 1,
+		taskMs: 200,
+		getDemand,
+		firstBornMs,
+	});
+	let isLate = false;
+	const {control} = executors;
+	const lateControl: typeof control = {
+		...control,
+		renewLease: (executor, request) =>
+			isLate
+				? new ResultAsync(
+						(async () => {
+							await clock.wait(5);
+							return ok({
+								bornMs: firstBornMs - 1,
+								clockMs: 900_000,
+								running: [{job: 'job9', index: 0, attempt: 1}],
+								ended: [
+									{
+										job: 'job1',
+										index: 0,
+										attempt: 1,
+										sequence: 90,
+										outcome: 'done' as const,
+									},
+								],
+								hasMoreEnds: false,
+							});
+						})(),
+					)
+				: control.renewLease(executor, request),
+	};
+	const scheduler = createScheduler(
+		clock,
+		{...executors, control: lateControl},
+		1,
+	);
+	await clock.run(10);
+	const entry = createEntry();
+	scheduler.receivePart(entry, makePart(clock));
+	isLate = true;
+	await runFor(clock, 100, [[scheduler, entry]]);
+	assert.deepEqual(listOutcomes(entry), []);
+	isLate = false;
+	await runFor(clock, 400, [[scheduler, entry]]);
+	assert.deepEqual(listOutcomes(entry), ['done']);
+	assert.equal(executors.runs.length, 1);
+});
--- a/packages/scheduling/src/run-calls.ts
+++ b/packages/scheduling/src/run-calls.ts
@@ -30,6 +30,8 @@
 	signal: AbortSignal;
 	onClockReading: (clockMs: number) => void;
 	onFailure: (failure: CallFailure, call: 'start' | 'stop') => void;
+	/** A start had no answer: it may be carried out later, also if the run is known to be over. */
+	onUnanswered: (run: Run) => void;
 	/** A stop was answered: the run is over, and the executor lists how it ended. */
 	onStopped: () => void;
 	/** It is proved that the run never began. */
@@ -67,6 +69,10 @@
 			answerTimeoutMs: answerTimes.getTimeoutMs(),
 		});
 		recordAnswerTime(reply, sentAt);
+		if (reply.isErr() && reply.error.code === 'unanswered') {
+			ports.onUnanswered(run);
+		}
+
 		if (!isCurrent(run)) {
 			return;
 		}
--- a/packages/scheduling/src/run.ts
+++ b/packages/scheduling/src/run.ts
@@ -26,6 +26,13 @@
 	stopBy?: number;
 	/** The executor refused the start or could not be reached, so the run never began. */
 	isRefused?: boolean;
+	/**
+	The start had no answer, and a later process of the executor may still carry it out. The run counts until a stop of the
+	attempt is answered, or the start can't arrive any more.
+	*/
+	isHeld?: boolean;
+	/** Held, and sent to a former process of the executor: a crash of the present one is not blamed on it. */
+	isInherited?: boolean;
 	/** The run was found in a report, started by an earlier holder of the group, and no job has claimed it yet. */
 	isUnclaimed: boolean;
 	/** The run has taken too long, and its executor's trust has been lowered for it. */
