Play drawn plans in which executors restart under their ids

Cause: no plan had an executor that starts again under its id, nor orders that its next process carries out.

Change: the fault `restart`: starts and stops of the last 150 ms before it have no answer, and the new process carries them out 2 to 12 s later; its clock is behind, equal or ahead; its registration comes up to a heartbeat late, with a late write of the former one after it. Jobs answered `failed` are left out of these plans: restarts still count as crashes of the tasks that run there.

--- a/packages/host/src/scheduling/faulty/fault-plan.fixture.ts
+++ b/packages/host/src/scheduling/faulty/fault-plan.fixture.ts
@@ -66,6 +66,21 @@
 	| {kind: 'unlist'; executor: number}
 	/** The executor can't be reached: calls get no answer and have no effect. */
 	| {kind: 'silence'; executor: number}
+	/**
+	The executor's process ends, and one starts under the same id that answers `durationMs` later. Starts and stops sent in the
+	last `leadMs` before have no answer, and the new process carries them out `lateMs` after they were sent. Its registration
+	comes `registeredAfterMs` after it has started, and for a heartbeat before that one more of the former process if
+	`hasLateRegistration`. Its clock starts at `clockMs`; undefined: it goes on.
+	*/
+	| {
+			kind: 'restart';
+			executor: number;
+			leadMs: number;
+			lateMs: number;
+			registeredAfterMs: number;
+			hasLateRegistration: boolean;
+			clockMs?: number;
+	  }
 	/** The executor has only this share of its CPU capacity, and publishes that. */
 	| {kind: 'shrink'; executor: number; share: number}
 	/** Operators evacuate a data centre, given by its index, and take it back at the end. */
@@ -91,6 +106,8 @@
 	stopDelayMs?: number;
 	/** Time until a crashed executor is back. */
 	restartDelayMs?: number;
+	/** Executors state when their processes started. */
+	hasBorn?: boolean;
 };
 
 /** Jobs arrive and faults start within this time. */
@@ -609,3 +626,110 @@
 			})),
 		),
 });
+
+const restartPlanSpanMs = 4000;
+const heartbeatMs = 1500;
+
+/** What the clocks of the first processes show at the start: those of later ones are far behind, equal or ahead. */
+export const firstProcessClockMs = 1_000_000;
+
+const restart = fc.record({
+	at: fc.nat(restartPlanSpanMs),
+	durationMs: fc.oneof(
+		{weight: 3, arbitrary: fc.integer({min: 20, max: 1500})},
+		{weight: 1, arbitrary: fc.integer({min: 1500, max: 4000})},
+	),
+	kind: fc.constant('restart' as const),
+	executor,
+	leadMs: fc.integer({min: 0, max: 150}),
+	// Mostly while the task would run elsewhere, if it had been placed again when the lease passed.
+	lateMs: fc.oneof(
+		{weight: 3, arbitrary: fc.integer({min: 2000, max: 3500})},
+		{weight: 1, arbitrary: fc.integer({min: 2000, max: 12_000})},
+	),
+	registeredAfterMs: fc.nat(heartbeatMs),
+	hasLateRegistration: fc.boolean(),
+	// A clock that is behind accepts late starts: their leases end in its future.
+	clockMs: fc.oneof(
+		{weight: 3, arbitrary: fc.constant(0)},
+		{
+			weight: 1,
+			arbitrary: fc.constantFrom(undefined, 3 * firstProcessClockMs),
+		},
+	),
+});
+
+const jobDuringRestarts = fc.record({
+	at: fc.nat(restartPlanSpanMs),
+	host,
+	tasks: fc.integer({min: 1, max: 3}),
+	runMs: fc.constantFrom(60, 600, 1500, 2500),
+	allowanceMs: fc.constantFrom(60, 1000),
+	isOnNewConnection: fc.boolean(),
+});
+
+/** Some jobs are placed while an executor that restarts leaves starts unanswered. */
+function drawJobsAtRestarts(
+	faults: readonly PlannedFault[],
+): fc.Arbitrary<PlannedJob[]> {
+	const atRestarts = faults.flatMap((fault) =>
+		fault.kind === 'restart'
+			? [
+					jobDuringRestarts.map((one) => ({
+						...one,
+						at: fault.at + (one.at % (fault.leadMs + 1)),
+						tasks: 3,
+						runMs: one.runMs < 1500 ? 600 : 2500,
+					})),
+				]
+			: [],
+	);
+	return fc
+		.tuple(
+			fc.array(jobDuringRestarts, {minLength: 1, maxLength: 8}),
+			fc.tuple(...atRestarts),
+		)
+		.map((jobs) => jobs.flat());
+}
+
+function drawRestartPlan(
+	faults: fc.Arbitrary<PlannedFault[]>,
+): fc.Arbitrary<FaultPlan> {
+	return faults.chain((drawn) =>
+		fc.record({
+			jobs: drawJobsAtRestarts(drawn),
+			faults: fc.constant(drawn),
+			hasBorn: fc.constant(true),
+		}),
+	);
+}
+
+function drawInRestartPlan(fault: fc.Arbitrary<PlannedFault>) {
+	return fc
+		.tuple(fault, fc.nat(restartPlanSpanMs))
+		.map(([one, at]): PlannedFault => ({...one, at}));
+}
+
+/** Executors restart under their ids while groups change holders, the store is away for some, and calls are lost or late. */
+export const restartPlans: fc.Arbitrary<FaultPlan> = drawRestartPlan(
+	fc
+		.tuple(
+			fc.array(restart, {minLength: 1, maxLength: 4}),
+			fc.array(
+				fc.oneof(
+					{weight: 3, arbitrary: drawInRestartPlan(handOver)},
+					{weight: 2, arbitrary: drawInRestartPlan(executorFault)},
+					{weight: 2, arbitrary: drawInRestartPlan(storeFault)},
+					{weight: 1, arbitrary: drawInRestartPlan(hostFault)},
+					{weight: 1, arbitrary: drawInRestartPlan(callFault)},
+				),
+				{maxLength: 3},
+			),
+		)
+		.map((faults) => faults.flat()),
+);
+
+/** Executors restart under their ids, and nothing else goes wrong. */
+export const restartOnlyPlans: fc.Arbitrary<FaultPlan> = drawRestartPlan(
+	fc.array(restart, {minLength: 1, maxLength: 5}),
+);
--- a/packages/host/src/scheduling/faulty/faulty-host.fixture.ts
+++ b/packages/host/src/scheduling/faulty/faulty-host.fixture.ts
@@ -82,6 +82,13 @@
 		return this.#process?.roles.holding.scheduler !== undefined;
 	}
 
+	/** How many executors this host may send a start now; undefined: it does not hold its group, or is frozen. */
+	countOpenExecutors(): number | undefined {
+		return this.#isFrozen()
+			? undefined
+			: this.#process?.roles.holding.scheduler?.countExecutors().open;
+	}
+
 	get hello(): Hello {
 		return {
 			t: 'hello',
--- a/packages/host/src/scheduling/faulty/faulty-store.fixture.ts
+++ b/packages/host/src/scheduling/faulty/faulty-store.fixture.ts
@@ -251,6 +251,7 @@
 		address,
 		dataCentre,
 		service,
+		bornMs,
 		...rest
 	}: Executor): void {
 		const {isDraining, capacity} = rest;
@@ -261,6 +262,7 @@
 			service,
 			isDraining,
 			capacity,
+			...(bornMs !== undefined && {bornMs}),
 		};
 		this.#registrations.set(id, {...registration, sequence: 1});
 	}
--- /dev/null
+++ b/packages/host/src/scheduling/faulty/no-task-twice-restarts.test.ts
@@ -0,0 +1,57 @@
+/**
+Executors restart under their ids, and the new processes carry out orders to the former ones seconds late. Random plans as in
+`no-task-twice`.
+*/
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {restartPlans, type PlannedFault} from './fault-plan.fixture.js';
+import {runPlan} from './run-plan.fixture.js';
+import {checkPlans} from './check-plans.fixture.js';
+
+// A task that runs whenever its executors restart is taken for the cause of these crashes, and its job is answered `failed`; how
+// crashes are attributed is not what these plans are about.
+const mayFail = true;
+
+// Runs before the tests start: within a test, the test runner tracks each promise, which takes three times as long.
+const result = await checkPlans(restartPlans, 150, {mayFail});
+
+// Guards against late starts that a new process carries out beside another run of the task, against runs of the former process
+// that count as going on or as done, and against refusals of jobs that have run.
+test('no task runs twice at a time, and no job counts as completed without its tasks, when executors restart under their ids', () => {
+	assert.ok(!result.failed, fc.defaultReportMessage(result));
+});
+
+function makeRestart(
+	fields: Pick<PlannedFault, 'at' | 'durationMs'> & {
+		executor: number;
+		lateMs: number;
+	},
+): PlannedFault {
+	return {
+		kind: 'restart',
+		leadMs: 80,
+		registeredAfterMs: 1400,
+		hasLateRegistration: false,
+		clockMs: 0,
+		...fields,
+	};
+}
+
+// Guards against placing a task elsewhere when the lease of a silent executor has passed, although its next process accepts the
+// start that is still on its way.
+test('a start on its way when two executors restart is not carried out beside another run of its task', async () => {
+	const jobs = [
+		{at: 0, tasks: 1, runMs: 60},
+		{at: 432, tasks: 3, runMs: 600},
+		{at: 1957, tasks: 3, runMs: 600},
+		{at: 3798, tasks: 3, runMs: 2500},
+	].map((job) => ({...job, host: 0, allowanceMs: 60}));
+	const faults = [
+		makeRestart({at: 432, durationMs: 3250, executor: 1, lateMs: 2807}),
+		makeRestart({at: 1957, durationMs: 1265, executor: 0, lateMs: 2987}),
+		makeRestart({at: 3743, durationMs: 499, executor: 0, lateMs: 2045}),
+	];
+	const violations = await runPlan({jobs, faults, hasBorn: true}, {mayFail});
+	assert.deepEqual(violations, []);
+});
