--- a/packages/host/src/scheduling/faulty/faulty-host.fixture.ts
+++ b/packages/host/src/scheduling/faulty/faulty-host.fixture.ts
@@ -97,6 +97,17 @@
 		});
 	}
 
+	/** How many executors this host may send a start now; undefined: it holds no group, or is frozen. */
+	countOpenExecutors(): number | undefined {
+		const schedulers = this.#process?.roles.holdings.schedulers ?? [];
+		return this.#isFrozen() || schedulers.length === 0
+			? undefined
+			: schedulers.reduce(
+					(sum, scheduler) => sum + scheduler.countExecutors().open,
+					0,
+				);
+	}
+
 	get hello(): Hello {
 		return {
 			t: 'hello',
--- a/packages/host/src/scheduling/faulty/faulty-store.fixture.ts
+++ b/packages/host/src/scheduling/faulty/faulty-store.fixture.ts
@@ -263,6 +263,7 @@
 		address,
 		dataCentre,
 		service,
+		bornMs,
 		...rest
 	}: Executor): void {
 		const {isDraining, capacity} = rest;
@@ -273,6 +274,7 @@
 			service,
 			isDraining,
 			capacity,
+			...(bornMs !== undefined && {bornMs}),
 		};
 		this.#registrations.set(id, {...registration, sequence: 1});
 	}
--- a/packages/scheduling/src/executor-set.ts
+++ b/packages/scheduling/src/executor-set.ts
@@ -1,10 +1,16 @@
 /**
 The executors of a group, each with one session. A session is opened when the store lists the executor and no other
 group's holder has one, and closed when the executor is no longer listed, or belongs to another group, and nothing runs
-there.
+there. When a later process of the executor answers or registers under the same id, the session is replaced by one
+with that process.
 */
 import {createAnswerTimes} from './answer-times.js';
-import {ExecutorSession, type SessionPorts} from './executor-session.js';
+import {compareIncarnations} from './compare-incarnations.js';
+import {
+	ExecutorSession,
+	type Inheritance,
+	type SessionPorts,
+} from './executor-session.js';
 import {type Executor} from './executor.js';
 import {createRunIndex} from './run-index.js';
 import {formatTaskKey, type Run} from './run.js';
@@ -43,6 +49,8 @@
 		job: string;
 		index: number;
 	}) => {run: Run; session: ExecutorSession} | undefined;
+	/** The session with that process of an executor (`ExecutorSession.incarnation`). */
+	findIncarnation: (name: string) => ExecutorSession | undefined;
 	/** Whether a task of the job runs on any of the executors; a run that is being stopped counts. */
 	hasRunOfJob: (job: string) => boolean;
 	/** Sessions with runs, or ends of runs, that an earlier holder may have started and no entry has claimed. */
@@ -53,7 +61,10 @@
 };
 
 export function createExecutorSet(
-	ports: Omit<SessionPorts, 'unansweredStarts' | 'answerTimes' | 'runIndex'> & {
+	ports: Omit<
+		SessionPorts,
+		'unansweredStarts' | 'answerTimes' | 'runIndex' | 'onReplaced'
+	> & {
 		/** Whether another group's holder may still call the executor. */
 		isHeldElsewhere: (executor: string) => boolean;
 	},
@@ -70,16 +81,25 @@
 	let labels: string[] = [];
 	let hasLeftUnreported = false;
 
-	function openSession(executor: Executor): void {
+	function openSession(executor: Executor, inheritance?: Inheritance): void {
 		const {id} = executor;
 		const starts = unansweredStarts.get(id) ?? createUnansweredStarts();
 		unansweredStarts.set(id, starts);
-		const session = new ExecutorSession(executor, {
-			...ports,
-			answerTimes,
-			unansweredStarts: starts,
-			runIndex,
-		});
+		if (inheritance) {
+			starts.restoreAll();
+		}
+
+		const session = new ExecutorSession(
+			executor,
+			{
+				...ports,
+				answerTimes,
+				unansweredStarts: starts,
+				runIndex,
+				onReplaced: openSession,
+			},
+			inheritance,
+		);
 		sessions.set(id, session);
 		session.open();
 	}
@@ -104,7 +124,7 @@
 	function forgetOldStarts(now: number): void {
 		for (const [id, starts] of unansweredStarts) {
 			starts.forgetOld(now);
-			if (starts.isEmpty && !sessions.has(id)) {
+			if (starts.hasNone && !sessions.has(id)) {
 				unansweredStarts.delete(id);
 			}
 		}
@@ -116,8 +136,18 @@
 			listedIds = new Set(executors.map(({id}) => id));
 			foreignIds = new Set(foreign.map(({id}) => id));
 			labels = [...new Set(executors.flatMap((one) => one.labels ?? []))];
+			const restarted: Array<{session: ExecutorSession; executor: Executor}> =
+				[];
 			for (const executor of executors) {
-				sessions.get(executor.id)?.update(executor);
+				const session = sessions.get(executor.id);
+				if (
+					session &&
+					compareIncarnations(executor.bornMs, session.bornMs) === 'later'
+				) {
+					restarted.push({session, executor});
+				} else {
+					session?.update(executor);
+				}
 			}
 
 			openIfReleased(executors.filter(({id}) => !sessions.has(id)));
@@ -128,6 +158,11 @@
 					session.stopAll();
 				}
 			}
+
+			// Tasks of the former processes are placed again at once, so the whole list has to be in force by then.
+			for (const {session, executor} of restarted) {
+				session.replaceBy(executor, 'a later process is registered');
+			}
 		},
 		openAwaited() {
 			if (awaited.length > 0) {
@@ -175,6 +210,11 @@
 				? []
 				: [...sessions.values()].filter((one) => unclaimed.has(one));
 		},
+		findIncarnation(name) {
+			const id = name.replace(/@\d+$/v, '');
+			const session = sessions.get(name) ?? sessions.get(id);
+			return session?.incarnation === name ? session : undefined;
+		},
 		closeUnlisted(now) {
 			for (const [id, session] of sessions) {
 				if (!listedIds.has(id) && session.runs.size === 0) {
