--- a/packages/host/src/scheduling/faulty/run-plan.fixture.ts
+++ b/packages/host/src/scheduling/faulty/run-plan.fixture.ts
@@ -238,7 +238,8 @@
 
 		for (const job of this.#jobs) {
 			const {id, tasks, answers, sendCount, crashAfterMs, isBlamed} = job;
-			const mayBeBlamed = this.options.mayBeBlamed || crashAfterMs !== undefined;
+			const mayBeBlamed =
+				this.options.mayBeBlamed || crashAfterMs !== undefined;
 			if (!mayBeBlamed && isBlamed) {
 				yield `job blamed for crashes although it crashes no executor: ${id}`;
 			}
--- a/packages/scheduling/src/executor-session.ts
+++ b/packages/scheduling/src/executor-session.ts
@@ -714,18 +714,7 @@
 			this.ports.runIndex.unclaimed.add(this);
 		}
 
-		if (found.length > 0) {
-			this.#lease.assumeRenewed(now);
-		}
-
-		const formerLeaseUntilMs = this.inheritance?.leaseUntilMs;
-		if (
-			formerLeaseUntilMs !== undefined &&
-			(hasLateStart || found.length > 0)
-		) {
-			this.#lease.assumeExtended(formerLeaseUntilMs, now);
-		}
-
+		this.#noteFoundRuns(found, {hasLateStart, now});
 		const isFirst = !this.hasReported && !report.hasMoreEnds;
 		if (this.hasReported || !this.#mayClaim) {
 			this.#stopLateStarts(found, now);
@@ -767,6 +756,24 @@
 		);
 	}
 
+	/** Runs that this session has not started go on under a lease of an earlier holder, or of the former process. */
+	#noteFoundRuns(
+		found: readonly Run[],
+		{hasLateStart, now}: {hasLateStart: boolean; now: number},
+	): void {
+		if (found.length > 0) {
+			this.#lease.assumeRenewed(now);
+		}
+
+		const formerLeaseUntilMs = this.inheritance?.leaseUntilMs;
+		if (
+			formerLeaseUntilMs !== undefined &&
+			(hasLateStart || found.length > 0)
+		) {
+			this.#lease.assumeExtended(formerLeaseUntilMs, now);
+		}
+	}
+
 	/**
 	Stops runs that appear after the executor's first report, or after that of its former process: each is a start that was
 	carried out late.
