Wait for a crash to count in the test of restarts

Cause: a crash counts after a second, when it is known whether it is part of a wave; the test looked after 700 ms. It expects the same two crashes as before.

--- a/packages/scheduling/src/restarts.test.ts
+++ b/packages/scheduling/src/restarts.test.ts
@@ -326,7 +326,8 @@
 	const secondBornMs = fake.executor.bornMs;
 	await runFor(clock, 700, [[scheduler, entry]]);
 	executors.restart(fake, {downMs: 40, clockMs: 0});
-	await runFor(clock, 700, [[scheduler, entry]]);
+	// A crash counts once it is known, after a second, that it is no part of a wave.
+	await runFor(clock, 1500, [[scheduler, entry]]);
 	assert.deepEqual(crashes, [`e1@${firstBornMs}`, `e1@${secondBornMs}`]);
 	assert.deepEqual(
 		entry.endMessages.flatMap((message) => message.crashes ?? []).at(-1)
