--- a/packages/host/src/scheduling/group-holdings.ts
+++ b/packages/host/src/scheduling/group-holdings.ts
@@ -60,6 +60,8 @@
 	readonly #groups = new Map<string, HeldGroup>();
 	/** Groups by executor, for the layout with this revision. */
 	#assignments = {revision: -1, groups: new Map<string, string>()};
+	/** Names of the data centre's groups, which are asked for with each update. */
+	#names: readonly string[] = [];
 	#successorsChosenAt = -Infinity;
 	#layoutCheckedAt = -Infinity;
 	#layoutChangedAt = -Infinity;
@@ -167,9 +169,14 @@
 		}
 	}
 
-	#listNames(): string[] {
+	#listNames(): readonly string[] {
 		const {dataCentre, layouts} = this.#options;
-		return listGroupNames(dataCentre, layouts.get().count);
+		const {count} = layouts.get();
+		if (this.#names.length !== count) {
+			this.#names = listGroupNames(dataCentre, count);
+		}
+
+		return this.#names;
 	}
 
 	#createGroup(group: string): HeldGroup {
