--- a/packages/scheduling/src/place-task.ts
+++ b/packages/scheduling/src/place-task.ts
@@ -74,11 +74,11 @@
 	task: Pick<TaskRequirements, 'service' | 'demand'>,
 	now: number,
 ): boolean {
-	return canTake(candidate, candidate.free, task, now);
+	return hasRoomFor(candidate, candidate.free, task, now);
 }
 
 /** The lease is looked at last: it depends on every run of the executor. */
-function canTake(
+function hasRoomFor(
 	candidate: ExecutorCandidate,
 	free: TaskDemand,
 	{service, demand}: Pick<TaskRequirements, 'service' | 'demand'>,
@@ -100,7 +100,7 @@
 	task: TaskRequirements,
 	now: number,
 ): boolean {
-	if (!canTake(candidate, free, task, now)) {
+	if (!hasRoomFor(candidate, free, task, now)) {
 		return false;
 	}
 
