Send an entry's tasks again only for the group that has changed hands

Cause: found in the read-through. When a host that held one group took or gave up another, its entry sent its tasks of all its groups again. Their jobs then counted as possibly run, so that a refusal became 504, and their withdrawals were interrupted. Change: the holding names the group that has changed; also a method for one comparison went. Result: a test of its own; with one group a host, as in small data centres, nothing changes.

--- a/packages/host/src/scheduling/group-holding.test.ts
+++ b/packages/host/src/scheduling/group-holding.test.ts
@@ -50,18 +50,22 @@
 		refreshExecutors = async () => undefined,
 		listExecutors = () => [],
 		candidates = ['mieres_m1', 'mieres_m2'],
+		group = 'mieres',
+		onChange = () => undefined,
 	}: {
 		groups?: GroupDirectory;
 		isProcessGone?: boolean;
 		refreshExecutors?: () => Promise<void>;
 		listExecutors?: () => readonly Executor[];
 		candidates?: readonly string[];
+		group?: string;
+		onChange?: (group: string) => void;
 	} = {},
 ): GroupHolding {
 	const unused = () =>
 		errAsync({code: 'unreachable' as const, message: 'unused'});
 	return new GroupHolding({
-		group: 'mieres',
+		group,
 		dataCentre: 'mieres',
 		layout: {
 			get: () => singleGroupLayout,
@@ -110,9 +114,7 @@
 			getSuccessor: () => undefined,
 			getStoreAgeMs: () => 0,
 		},
-		onChange() {
-			// Nobody is notified.
-		},
+		onChange,
 		log() {
 			// Not read.
 		},
@@ -279,3 +281,21 @@
 	assert.ok(holding.scheduler);
 	assert.deepEqual(seen, [true]);
 });
+
+// Guards against tasks of a host's other groups that are sent again, and whose jobs then count as possibly run, whenever
+// the host takes one group more.
+test('a host that takes or gives up one of its groups reports just that one', async () => {
+	const clock = {now: 0};
+	const changed: string[] = [];
+	const options = {onChange: (group: string) => changed.push(group)};
+	const first = createHolding(createStore(), clock, options);
+	const second = createHolding(createStore(), clock, {
+		...options,
+		group: 'mieres--2',
+	});
+	await runFor(first, clock, 100);
+	assert.deepEqual(changed, ['mieres']);
+	await runFor(second, clock, 100);
+	second.stop();
+	assert.deepEqual(changed, ['mieres', 'mieres--2', 'mieres--2']);
+});
--- a/packages/host/src/scheduling/group-holding.ts
+++ b/packages/host/src/scheduling/group-holding.ts
@@ -73,7 +73,7 @@
 		| 'log'
 	>;
 	/** This host has taken the group, or given it up. */
-	onChange: () => void;
+	onChange: (group: string) => void;
 	log: (message: string, fields: Record<string, unknown>) => void;
 };
 
@@ -341,7 +341,7 @@
 		});
 		groups.update(hostKey, this.#scheduler.describeState(), now());
 		this.setExecutors(this.#options.listExecutors());
-		this.#options.onChange();
+		this.#options.onChange(this.#options.group);
 	}
 
 	#giveUp(reason: string, successor?: string): void {
@@ -368,7 +368,7 @@
 			);
 		}
 
-		this.#options.onChange();
+		this.#options.onChange(this.#options.group);
 	}
 
 	/** The group's executors, and those of the data centre's other groups. */
--- a/packages/host/src/scheduling/host-roles.ts
+++ b/packages/host/src/scheduling/host-roles.ts
@@ -17,7 +17,6 @@
 	type ExecutorControl,
 	type GroupDirectory,
 	type GroupScheduler,
-	type KnownGroup,
 	type JobAnswer,
 	type JobRequest,
 	type WithdrawalOutcome,
@@ -291,11 +290,9 @@
 			refreshExecutors: async () => executors.refresh(),
 			isListComplete: () => executors.isComplete(),
 			ports: (group) => this.#createGroupPorts(group),
-			onChange: () => {
+			onChange: (group) => {
 				this.sendState();
-				for (const group of this.holdings.listHeld()) {
-					this.entry.sendGroupTasks(group);
-				}
+				this.entry.sendGroupTasks(group);
 			},
 			log: this.#options.log,
 		});
@@ -369,16 +366,12 @@
 			.list()
 			.filter(
 				({state, holder}) =>
-					this.#isOwn(holder) && !heldGroups.has(state.group),
+					holder === this.#options.key && !heldGroups.has(state.group),
 			)
 			.map(({state}) => state);
 		return [...held, ...givenUp];
 	}
 
-	#isOwn(holder: KnownGroup['holder']): boolean {
-		return holder === this.#options.key;
-	}
-
 	#describeGroup(scheduler: GroupScheduler): GroupState {
 		return {
 			...scheduler.describeState(),
