Show that a task runs twice when an executor restarts between two looks at it

An idle executor that restarts under its id within a second takes a start meant for its former process. The answer states no start time, so the run counts as accepted by the former process, and is given up as lost when the restart is noticed: the task is started on a second executor while the first one runs it.

--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec node "$(dirname "$0")/run.js"
