--- a/review/1/run.js
+++ b/review/1/run.js
@@ -1,10 +1,16 @@
 /**
 An executor goes down and comes up again under its id 0.7 s later, while nothing runs there (`srv_flap`, gap_s = 1.4). Then a job comes.
 */
-import path from 'node:path';
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {call, makeJob, makeJobId, prefix, System} from '../lib/system.js';
+import {
+	call,
+	countDoubleRuns,
+	makeJob,
+	makeJobId,
+	prefix,
+	runCase,
+} from '../lib/system.js';
 
 const hasTrouble = process.env.TROUBLE !== '0';
 const cycles = 16;
@@ -14,7 +20,7 @@
 const longestBeforeDownMs = 250;
 const longestBeforeJobMs = 100;
 
-const system = new System(path.join(import.meta.dirname, 'record.txt'));
+let system;
 const answers = {};
 
 async function submit(host) {
@@ -49,7 +55,8 @@
 	await sleep(Math.random() * longestBeforeJobMs);
 }
 
-async function run() {
+async function run(startedSystem) {
+	system = startedSystem;
 	await system.start({hosts: {mieres: 2}, executors: {mieres: 9}});
 	await sleep(2000);
 	for (let cycle = 0; cycle < cycles; cycle += 1) {
@@ -60,24 +67,11 @@
 		await submit(host);
 	}
 
-	const pairs = system.findDoubleRuns();
-	for (const pair of pairs) {
-		system.record('TWICE', pair);
-	}
-
+	const doubleRuns = countDoubleRuns(system);
 	process.stdout.write(
-		`jobs answered, by status: ${JSON.stringify(answers)}; tasks that ran twice at once: ${pairs.length}\n`,
+		`jobs answered, by status: ${JSON.stringify(answers)}; tasks that ran twice at once: ${doubleRuns}\n`,
 	);
-	return pairs.length > 0 ? 1 : 0;
-}
-
-let code = 2;
-try {
-	code = await run();
-} catch (error) {
-	process.stdout.write(`the case could not run: ${error.stack}\n`);
-} finally {
-	await system.end();
+	return doubleRuns > 0;
 }
 
-process.exit(code);
+await runCase(import.meta.dirname, run);
--- a/review/lib/system.js
+++ b/review/lib/system.js
@@ -62,16 +62,17 @@
 	#lastIp = 1;
 	#version = 4;
 	#record;
+	#isEnded = false;
 
 	constructor(recordFile) {
 		this.#record = createWriteStream(recordFile);
-		process.on('SIGTERM', () => {
-			this.killHosts();
-			process.exit(2);
-		});
 	}
 
 	record = (what, fields = {}) => {
+		if (this.#isEnded) {
+			return;
+		}
+
 		const at = ((performance.now() - this.#startedAt) / 1000).toFixed(4);
 		this.#record.write(`${at} ${what} ${JSON.stringify(fields)}\n`);
 	};
@@ -248,6 +249,7 @@
 	async end() {
 		this.killHosts();
 		await Promise.all(this.hosts.map(async ({exited}) => exited));
+		this.#isEnded = true;
 		if (process.env.KEEP) {
 			process.stdout.write(`logs: ${this.#dir}\n`);
 		} else {
@@ -289,6 +291,48 @@
 	}
 }
 
+const exitHeld = 0;
+/** Not 1, with which Node ends by itself; `run.sh` makes it 1. */
+const exitBroken = 10;
+const exitNotRun = 2;
+
+/**
+Runs a case in the folder and ends the process: with 10 if `play` gives true, as the rule was broken, 0 if it held, and 2 if the case
+could not run.
+*/
+export async function runCase(folder, play) {
+	const system = new System(path.join(folder, 'record.txt'));
+	const abandon = (reason) => {
+		process.stdout.write(`the case could not run: ${reason}\n`);
+		system.killHosts();
+		process.exit(exitNotRun);
+	};
+
+	process.on('uncaughtException', (error) => {
+		abandon(error.stack);
+	});
+	process.on('SIGTERM', () => {
+		abandon('SIGTERM');
+	});
+	try {
+		const isBroken = await play(system);
+		await system.end();
+		process.exit(isBroken ? exitBroken : exitHeld);
+	} catch (error) {
+		abandon(error.stack);
+	}
+}
+
+/** Records the tasks that ran twice at once; tells how many there are. */
+export function countDoubleRuns(system) {
+	const pairs = system.findDoubleRuns();
+	for (const pair of pairs) {
+		system.record('TWICE', pair);
+	}
+
+	return pairs.length;
+}
+
 export function makeJobId() {
 	return Array.from({length: 16}, () =>
 		Math.trunc(Math.random() * 16).toString(16),
