--- a/review/build.sh
+++ b/review/build.sh
@@ -6,6 +6,6 @@
 node_modules/.bin/esbuild packages/standins/src/leased/metadata-store.ts \
 	--bundle --platform=node --target=node20 --format=esm --log-level=warning \
 	--outfile=target/review/metadata-store.mjs
-for file in review/lib/*.js review/[0-9]/*.js; do
+for file in review/*.js review/[0-9]/*.js; do
 	node --check "$file"
 done
--- a/review/lib/system.js
+++ b/review/system.js
@@ -23,10 +23,7 @@
 import {fileURLToPath} from 'node:url';
 import {Executor} from './executor.js';
 
-const root = path.resolve(
-	path.dirname(fileURLToPath(import.meta.url)),
-	'../..',
-);
+const root = path.resolve(path.dirname(fileURLToPath(import.meta.url)), '..');
 const storeFile = path.join(root, 'target/review/metadata-store.mjs');
 
 export const service = 'kitchen';
