--- a/review/system.js
+++ b/review/system.js
@@ -308,9 +308,12 @@
 	process.on('uncaughtException', (error) => {
 		abandon(error.stack);
 	});
-	process.on('SIGTERM', () => {
-		abandon('SIGTERM');
-	});
+	for (const name of ['SIGTERM', 'SIGINT', 'SIGHUP']) {
+		process.on(name, () => {
+			abandon(name);
+		});
+	}
+
 	try {
 		const isBroken = await play(system);
 		await system.end();
