--- a/packages/trials/src/scheduling/caller.ts
+++ b/packages/trials/src/scheduling/caller.ts
@@ -65,6 +65,7 @@
 ): Promise<JobReply> {
 	const startedAt = performance.now();
 	const agent = ownAgent ?? new Agent({pipelining: 1});
+	const patience = startPatience(timeLeftMs + answerSlackMs, signal);
 	try {
 		const reply = await request(`http://${host.callers}${prefix}${id}`, {
 			method: 'POST',
@@ -79,10 +80,7 @@
 				phases: [{count, cpu, mem_mb: 64, estimated_ms: ms}],
 				best_effort: true,
 			}),
-			signal: AbortSignal.any([
-				AbortSignal.timeout(timeLeftMs + answerSlackMs),
-				...(signal ? [signal] : []),
-			]),
+			signal: patience.signal,
 		});
 		const body = (await reply.body.json()) as {state?: string};
 		const retryAfter = reply.headers['retry-after'];
@@ -102,12 +100,36 @@
 			failure: typeof code === 'string' ? code : name,
 		};
 	} finally {
+		patience.end();
 		if (!ownAgent) {
 			await agent.destroy();
 		}
 	}
 }
 
+/**
+A signal that is aborted after so many milliseconds, or with `signal`. One that `AbortSignal.any` derives from a time-out may be
+collected before the time is over, and then never is.
+*/
+function startPatience(ms: number, signal?: AbortSignal) {
+	const controller = new AbortController();
+	const timer = setTimeout(() => {
+		controller.abort(new DOMException('no answer in time', 'TimeoutError'));
+	}, ms);
+	const forwardAbort = () => {
+		controller.abort(signal?.reason);
+	};
+
+	signal?.addEventListener('abort', forwardAbort);
+	return {
+		signal: controller.signal,
+		end() {
+			clearTimeout(timer);
+			signal?.removeEventListener('abort', forwardAbort);
+		},
+	};
+}
+
 /** Hands a job in, and again at other hosts when the connection breaks. */
 export async function submitUntilAnswered(
 	hosts: readonly SchedulingHostProcess[],
