--- a/packages/host/src/scheduling/start-scheduling-host.ts
+++ b/packages/host/src/scheduling/start-scheduling-host.ts
@@ -126,6 +126,8 @@
 	that has happened, or after two seconds.
 	*/
 	startStopping: () => Promise<void>;
+	/** Answers all jobs that have not ended: callers learn that they can't count on this host any more. */
+	giveUpJobs: () => void;
 	stop: () => Promise<void>;
 };
 
@@ -331,6 +333,10 @@
 		}
 	}
 
+	giveUpJobs(): void {
+		this.#roles.entry.giveUpAll('this host is stopping');
+	}
+
 	async stop(): Promise<void> {
 		this.#roles.holdings.stop();
 		this.#roles.sendState();
--- a/packages/scheduling/src/entry-jobs.test.ts
+++ b/packages/scheduling/src/entry-jobs.test.ts
@@ -960,3 +960,23 @@
 	entry.update();
 	assert.deepEqual(answers, []);
 });
+
+// Guards against callers whose connections break without an answer when their host's time to stop is over.
+test('all jobs of a host that ends are answered, and no more of their tasks are started', () => {
+	const {entry, groups, clock, sent} = createEntryJobs();
+	groups.update('mieres_m1', makeState('mieres'), clock.now);
+	const answers: JobAnswer[] = [];
+	entry.submit(makeRequest(), (answer) => {
+		answers.push(answer);
+	});
+	entry.giveUpAll('this host is stopping');
+	assert.deepEqual(answers, [
+		{
+			type: 'given-up',
+			reason: 'this host is stopping',
+			retryAfterMs: 1000,
+		},
+	]);
+	assert.equal(sent.at(-1)?.message.t, 'drop');
+	assert.equal(entry.size, 0);
+});
--- a/packages/scheduling/src/entry-jobs.ts
+++ b/packages/scheduling/src/entry-jobs.ts
@@ -216,6 +216,13 @@
 		return job !== undefined;
 	}
 
+	/** Answers all jobs, of which no more tasks are started. */
+	giveUpAll(reason: string): void {
+		for (const job of this.#jobs.values()) {
+			this.#answerGivenUp(job, reason);
+		}
+	}
+
 	/** Handles a message from a group's holder. */
 	receive(holder: string, message: Ends | Replaced | ClaimsEnded): void {
 		switch (message.t) {
