Let a host go on that is told to read its settings again while it is loaded

Cause: the handler stood after the program was loaded. It stands before anything else now; the settings are read after it, so there is nothing to read again. In the first milliseconds of Node's own start a signal still has its default effect.

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -15,6 +15,8 @@
 	const args = process.argv.slice(2);
 	const file = process.env[platformVariable];
 	if (file !== undefined && args.length === 1 && args[0] === 'serve') {
+		// By default the signal ends the process. The settings are read later, so there is nothing to read again yet.
+		process.on('SIGHUP', () => undefined);
 		const early = await listenEarly(file);
 		const {servePlatform} = await import('@gentianshift/platform-adapter');
 		process.exit(await servePlatform(file, early));
