--- a/packages/host/src/scheduling/host-roles.ts
+++ b/packages/host/src/scheduling/host-roles.ts
@@ -114,7 +114,7 @@
 			...options,
 			onCaughtUp: () => {
 				this.#refreshOwnStates();
-				this.entry.resume();
+				this.entry.finishCatchingUp();
 			},
 		});
 		this.entry = new EntryJobs({
--- a/packages/scheduling/src/entry-jobs.test.ts
+++ b/packages/scheduling/src/entry-jobs.test.ts
@@ -877,7 +877,7 @@
 	assert.deepEqual(sent, []);
 	abandon();
 	fakePauses.endCatchingUp();
-	entry.resume();
+	entry.finishCatchingUp();
 	assert.deepEqual(
 		sent.map(({message}) => message),
 		[
@@ -912,7 +912,7 @@
 		answers.push(answer);
 	});
 	fakePauses.endCatchingUp();
-	entry.resume();
+	entry.finishCatchingUp();
 	entry.receiveReplaced('mieres_m1', {
 		...makeConfirmation(-4000),
 		isRefused: true,
@@ -936,7 +936,7 @@
 	assert.deepEqual(listParts('mieres_m2'), []);
 	abandon();
 	fakePauses.endCatchingUp();
-	entry.resume();
+	entry.finishCatchingUp();
 	assert.deepEqual(
 		listParts('mieres_m2').map(({job}) => job),
 		['job2'],
@@ -956,7 +956,7 @@
 	entry.update();
 	groups.update('mieres_m1', makeState('mieres', {at: 1500}), clock.now);
 	fakePauses.endCatchingUp();
-	entry.resume();
+	entry.finishCatchingUp();
 	entry.update();
 	assert.deepEqual(answers, []);
 });
--- a/packages/scheduling/src/entry-jobs.ts
+++ b/packages/scheduling/src/entry-jobs.ts
@@ -374,7 +374,7 @@
 	To be called when this host has caught up after a pause: the jobs of callers that left meanwhile are gone, and all others are
 	placed or sent to their groups' new holders.
 	*/
-	resume(): void {
+	finishCatchingUp(): void {
 		const groups = [...this.#groupsToSend];
 		this.#groupsToSend.clear();
 		for (const group of groups) {
--- a/packages/scheduling/src/pause-watch.ts
+++ b/packages/scheduling/src/pause-watch.ts
@@ -69,7 +69,7 @@
 		});
 	}
 
-	function noticePause(): void {
+	function checkPause(): void {
 		const now = readBootTime();
 		const pausedMs = now - ranAt;
 		if (pausedMs <= longPauseMs) {
@@ -87,18 +87,18 @@
 
 	return {
 		markRunning() {
-			noticePause();
+			checkPause();
 			ranAt = readBootTime();
 		},
 		markUnaccepted(ms) {
 			markUnaccepted(readBootTime() - ms);
 		},
 		isCatchingUp() {
-			noticePause();
+			checkPause();
 			return pausedSince !== undefined;
 		},
 		measureUnreadMs(requestsBefore) {
-			noticePause();
+			checkPause();
 			const now = readBootTime();
 			const mayBeUnaccepted = requestsBefore === 0 && now < unaccepted.until;
 			const since = mayBeUnaccepted ? unaccepted.since : (pausedSince ?? now);
