--- a/packages/host/src/scheduling/faulty/fault-plan.fixture.ts
+++ b/packages/host/src/scheduling/faulty/fault-plan.fixture.ts
@@ -845,7 +845,7 @@
 	fc.array(restart, {minLength: 1, maxLength: 5}),
 );
 
-/** The longest freeze that the users' platform plays. */
+/** Hosts freeze for this long at most. */
 const longestFreezeMs = 4000;
 
 /** Callers send jobs to a host that is frozen, leave without an answer, and send the jobs again to other hosts before it wakes. */
--- a/packages/scheduling/src/pause-watch.ts
+++ b/packages/scheduling/src/pause-watch.ts
@@ -6,7 +6,7 @@
 run elsewhere by now.
 */
 
-/** A pause of this length leaves more than half of the 1,300 ms after which callers submit again; timers are never as late. */
+/** Shorter pauses leave more than half of the 1,300 ms after which callers submit their jobs again. */
 export const longPauseMs = 500;
 /** Connections that wait to be accepted when a pause ends are accepted within this time: the event loop accepts one in each pass. */
 export const acceptLimitMs = 1000;
