Name in the log each run that is given up with its executor, and the process that accepted its start

When an executor restarts or its lease passes, the log said how many runs were given up, not which; a second start of a task could not be traced to its cause, and nothing told whether the answer to a start had stated its process. `explain` judged late jobs by a line that never named a job; it reads the new ones. No decision changes.

--- a/packages/cli/src/explain/judge-jobs.ts
+++ b/packages/cli/src/explain/judge-jobs.ts
@@ -33,7 +33,11 @@
 const troubles: ReadonlyArray<[message: string, cause: string]> = [
 	['task failed', 'late: a run failed'],
 	['an executor crashed under a task', 'late: an executor crashed'],
-	['lease of a silent executor has passed', 'late: an executor fell silent'],
+	[
+		'run is over with the process of its executor',
+		'late: an executor restarted or left',
+	],
+	['lease of a run has passed', 'late: an executor fell silent'],
 	['run is neither listed nor ended', 'late: a run was lost'],
 	['start came to nothing', 'late: a start came to nothing'],
 	['run is overdue', 'late: a run was overdue'],
--- a/packages/scheduling/src/executor-session.ts
+++ b/packages/scheduling/src/executor-session.ts
@@ -32,6 +32,7 @@
 import {createCrashWatch, type CrashWatch} from './crash-watch.js';
 import {createExecutorLease} from './executor-lease.js';
 import {createTrust, recordFailure} from './executor-trust.js';
+import {describeRun} from './describe-run.js';
 import {type Executor} from './executor.js';
 import {type ExecutorCandidate} from './place-task.js';
 import {
@@ -987,12 +988,22 @@
 		return lost;
 	}
 
+	#describeLoss(): string {
+		if (this.isGone) {
+			return 'run is over with the process of its executor';
+		}
+
+		return this.silentSince === undefined
+			? 'run is neither listed nor ended'
+			: 'lease of a run has passed';
+	}
+
 	#reportEnd({run, outcome}: {run: Run; outcome: RunOutcome}): void {
-		if (outcome === 'lost' && !this.isGone && this.silentSince === undefined) {
-			this.ports.log('run is neither listed nor ended', {
+		if (outcome === 'lost') {
+			this.ports.log(this.#describeLoss(), {
 				executor: this.id,
-				job: run.job,
-				task: run.index,
+				bornMs: this.bornMs,
+				...describeRun(run, this.ports.now()),
 			});
 		}
 
--- a/packages/scheduling/src/restarts.test.ts
+++ b/packages/scheduling/src/restarts.test.ts
@@ -105,6 +105,38 @@
 	assert.deepEqual(findOverlaps(executors.runs), []);
 });
 
+// Guards against a second start that can't be explained from the log: it has to name the run that was given up, the process that
+// ended, and the process that had accepted the start.
+test('the log names each run that is given up with the process of its executor', async () => {
+	const lines: unknown[] = [];
+	const {clock, executors, scheduler, entry} = await openScheduler(
+		{count: 1, taskMs: 100, getDemand, firstBornMs},
+		{
+			log(message, fields) {
+				if (message === 'run is over with the process of its executor') {
+					lines.push(fields);
+				}
+			},
+		},
+	);
+	scheduler.receivePart(entry, makePart(clock));
+	await clock.run(50);
+	executors.restart(executors.fakes[0]!, {downMs: 3000});
+	scheduler.setExecutors(listExecutors(executors));
+	assert.deepEqual(lines, [
+		{
+			executor: 'e1',
+			bornMs: firstBornMs,
+			job: 'job1',
+			task: 0,
+			attempt: 1,
+			ageMs: 50,
+			acceptedAgoMs: 50,
+			acceptedBornMs: firstBornMs,
+		},
+	]);
+});
+
 // Guards against a list that is older than what the executor has answered: it would end the new session again.
 test('a registration of the former process that comes after an answer of the later one changes nothing', async () => {
 	const {clock, executors, scheduler, entry} = await openScheduler({
--- a/packages/scheduling/src/run-calls.ts
+++ b/packages/scheduling/src/run-calls.ts
@@ -84,6 +84,7 @@
 
 		ports.onClockReading(reply.value.clockMs);
 		run.acceptedAt = now();
+		run.acceptedBornMs = reply.value.bornMs;
 		run.state = run.state === 'starting' ? 'running' : run.state;
 	}
 
--- a/packages/scheduling/src/run.ts
+++ b/packages/scheduling/src/run.ts
@@ -20,6 +20,8 @@
 	startedAt: number;
 	/** When the executor accepted the start: a list of an earlier time may lack the run. */
 	acceptedAt?: number;
+	/** Start time of the process that accepted the start, Unix milliseconds; undefined: its answer did not say. */
+	acceptedBornMs?: number;
 	/** When the executor answered the stop: a later list without the run proves that it is over. */
 	stoppedAt?: number;
 	/** When a run that is to be stopped has to be over at the latest: no lease is extended past it. */
