Show that a task runs twice when only lists of runs state an executor's process

The fakes stated it in every answer, so no test could show what follows from the narrower reading. They now play both, and the drawn plans restart idle executors right before a job comes.

Both tests fail on the code as it is: the holder counts a start that the next process has accepted as lost with the former one, and starts the task elsewhere while it runs.

--- a/packages/host/src/scheduling/faulty/fault-plan.fixture.ts
+++ b/packages/host/src/scheduling/faulty/fault-plan.fixture.ts
@@ -5,6 +5,7 @@
 A job's entry host is the host that accepted it from the caller. A group is the executors of one data centre; its holder is the
 host that currently schedules it.
 */
+import {type BornIn} from '@gentianshift/scheduling/fixtures';
 import fc from 'fast-check';
 
 export const dataCentres = ['mieres', 'langreo'] as const;
@@ -115,6 +116,8 @@
 	restartDelayMs?: number;
 	/** Executors state when their processes started. */
 	hasBorn?: boolean;
+	/** They state it in these answers; absent: in all. */
+	bornIn?: BornIn;
 };
 
 /** Jobs arrive and faults start within this time. */
@@ -740,6 +743,8 @@
 
 const restartPlanSpanMs = 4000;
 const heartbeatMs = 1500;
+/** An idle executor that restarts within this time is mostly back before it is called. */
+const quickRestartLimitMs = 500;
 
 /** What the clocks of the first processes show at the start: those of later ones are far behind, equal or ahead. */
 export const firstProcessClockMs = 1_000_000;
@@ -845,6 +850,47 @@
 	fc.array(restart, {minLength: 1, maxLength: 5}),
 );
 
+/** Starts are accepted by processes that their holders don't know yet: idle executors restart, and jobs come right after. */
+const quickRestart = restart.map((fault) => ({
+	...fault,
+	durationMs: fault.durationMs % quickRestartLimitMs,
+	leadMs: 0,
+}));
+
+/** As in `restartPlans`, but only lists of runs state which process answers, and no call is carried out late. */
+export const unattributedStartPlans: fc.Arbitrary<FaultPlan> = fc
+	.tuple(
+		fc.array(fc.tuple(quickRestart, jobDuringRestarts, fc.nat(300)), {
+			minLength: 1,
+			maxLength: 5,
+		}),
+		fc.array(jobDuringRestarts, {maxLength: 5}),
+		fc.array(
+			fc.oneof(
+				drawInRestartPlan(handOver),
+				drawInRestartPlan(executorFault),
+				drawInRestartPlan(storeFault),
+				drawInRestartPlan(hostFault),
+				drawInRestartPlan(callFault.filter(({how}) => how !== 'late')),
+			),
+			{maxLength: 2},
+		),
+		fc.constantFrom(0, 20, 50),
+	)
+	.map(([restarts, jobs, faults, stopDelayMs]) => ({
+		jobs: [
+			...jobs,
+			...restarts.map(([fault, one, delayMs]) => ({
+				...one,
+				at: fault.at + fault.durationMs + delayMs,
+			})),
+		],
+		faults: [...restarts.map(([fault]) => fault), ...faults],
+		stopDelayMs,
+		hasBorn: true,
+		bornIn: 'lists',
+	}));
+
 /** Hosts freeze for this long at most. */
 const longestFreezeMs = 4000;
 
--- a/packages/host/src/scheduling/faulty/run-plan.fixture.ts
+++ b/packages/host/src/scheduling/faulty/run-plan.fixture.ts
@@ -13,6 +13,7 @@
 	findOverloads,
 	findOverlaps,
 	VirtualClock,
+	type BornIn,
 	type CallOutcome,
 	type FakeCall,
 	type FakeExecutors,
@@ -113,6 +114,7 @@
 			/** Jobs may be given up for crashes although they crash no executor. */
 			mayBeBlamed: boolean;
 			hasBorn: boolean;
+			bornIn: BornIn;
 		},
 		private readonly log: (line: string) => void,
 	) {
@@ -288,6 +290,7 @@
 			stopMs: this.options.stopDelayMs,
 			isCapacityEnforced: this.options.isCapacityEnforced,
 			...(this.options.hasBorn && {firstBornMs}),
+			bornIn: this.options.bornIn,
 			getDemand: (job) => this.#makeDemand(job),
 			findCrashMs: ({job, index}) =>
 				index === 0 ? this.#crashAfterMsByJob.get(job) : undefined,
@@ -502,6 +505,7 @@
 		restartDelayMs = defaultRestartDelayMs,
 		groups,
 		hasBorn = false,
+		bornIn = 'all',
 	} = plan;
 	return new Simulation(
 		{
@@ -513,6 +517,7 @@
 			areAllUsed,
 			mayBeBlamed,
 			hasBorn,
+			bornIn,
 		},
 		log,
 	).run(plan);
--- a/packages/scheduling/src/fake-executors.fixture.ts
+++ b/packages/scheduling/src/fake-executors.fixture.ts
@@ -4,6 +4,7 @@
 import {err, ok, ResultAsync, type Result} from 'neverthrow';
 import {type TaskDemand} from '@gentianshift/protocol';
 import {
+	type Answerer,
 	type CallFailure,
 	type ExecutorControl,
 	type LeaseReply,
@@ -86,6 +87,8 @@
 	token: number;
 };
 
+export type BornIn = 'all' | 'lists';
+
 export type FakeExecutors = ReturnType<typeof createFakeExecutors>;
 
 export function createFakeExecutors(
@@ -103,6 +106,7 @@
 		getRestartMs = () => 2000,
 		onCrash = () => undefined,
 		firstBornMs,
+		bornIn = 'all',
 	}: {
 		count: number;
 		/**
@@ -110,6 +114,8 @@
 		after time 0. Undefined: they don't state it.
 		*/
 		firstBornMs?: number;
+		/** Which answers state when the process started: all of them, or only lists of runs. */
+		bornIn?: BornIn;
 		cpu?: number;
 		/** Run time of all tasks, or a function that gives each task's. */
 		taskMs?: number | ((task: {job: string; index: number}) => number);
@@ -170,25 +176,25 @@
 		return clock.now + clockOffsetMs;
 	}
 
+	/** The start time of the process, as its answers to orders state it. */
+	function getOrderBorn({executor: {bornMs}}: FakeExecutor): Answerer {
+		return bornMs === undefined || bornIn === 'lists' ? {} : {bornMs};
+	}
+
 	function refuse(
 		code: CallFailure['code'],
 		fake: FakeExecutor,
 	): Result<never, CallFailure> {
-		const {bornMs} = fake.executor;
 		return err({
 			code,
 			message: code,
 			clockMs: readClock(fake),
-			...(bornMs !== undefined && {bornMs}),
+			...getOrderBorn(fake),
 		});
 	}
 
 	function accept(fake: FakeExecutor): Result<OrderReply, CallFailure> {
-		const {bornMs} = fake.executor;
-		return ok({
-			clockMs: readClock(fake),
-			...(bornMs !== undefined && {bornMs}),
-		});
+		return ok({clockMs: readClock(fake), ...getOrderBorn(fake)});
 	}
 
 	/** The fake whose address this is; it may have restarted since. */
@@ -539,6 +545,9 @@
 			? loseAnswer(request)
 			: accept(fake).map((reply) => ({
 					...reply,
+					...(fake.executor.bornMs !== undefined && {
+						bornMs: fake.executor.bornMs,
+					}),
 					running: fake.active.map(({job, index, attempt}) => ({
 						job,
 						index,
--- a/packages/scheduling/src/restarts.test.ts
+++ b/packages/scheduling/src/restarts.test.ts
@@ -80,6 +80,38 @@
 	});
 }
 
+for (const {how, clockMs} of clocks) {
+	// Guards against counting a run of the next process as lost with the former one, because the answer to its start doesn't state
+	// which of them has it: the task would run a second time elsewhere.
+	test(`a start that the next process of its executor accepts, with a clock ${how} the former one, is not sent again`, async () => {
+		for (const taskMs of [600, 60, 30]) {
+			const {clock, executors, scheduler, entry} = await openScheduler({
+				count: 4,
+				taskMs,
+				getDemand,
+				firstBornMs,
+				bornIn: 'lists',
+				stopMs: 20,
+			});
+			await clock.run(900);
+			for (const fake of executors.fakes) {
+				executors.restart(fake, {downMs: 20, clockMs});
+			}
+
+			await clock.run(30);
+			const tasks = makeTasks(2);
+			scheduler.receivePart(
+				entry,
+				makePart(clock, {tasks, remaining: 2, estimateMs: taskMs}),
+			);
+			await runFor(clock, 2000, [[scheduler, entry]]);
+			assert.deepEqual(findOverlaps(executors.runs), []);
+			assert.deepEqual(listOutcomes(entry), ['done', 'done']);
+			assert.equal(executors.runs.length, 2);
+		}
+	});
+}
+
 // Guards against waiting for an answer of the executor when the store has already told of its new process.
 test('a registration of a later process ends the runs of the former one at once', async () => {
 	const logged: string[] = [];
