Count no accepted start as lost with a process that may not have accepted it

Callers saw: one task of their request ran twice at the same time, on two executors of a data centre, both started by one host.

Cause: an executor restarts under its id between two looks at it. The session took the answer for one of the process that it knew, and when a list or a registration told of the new one, counted the run as lost with the former process and placed its task again at once.

Class: a belief (which process an answer comes from) that nothing on the wire states.

An accepted start is now confirmed by an answer that states its process, or by a list of this process. One that is neither goes to the session with the next process: its first report tells whether the run goes on, has ended, or was lost with the former process; only then is the task placed again, and the crash blamed on it. It is not stopped, so the caller gets the answer of the first run. For the same reason the lease of a silent executor ends no run that may be at another process than the one whose clock it is reckoned by.

--- a/packages/scheduling/src/executor-session.ts
+++ b/packages/scheduling/src/executor-session.ts
@@ -15,6 +15,10 @@
 an answer counts as a run until a stop of its attempt was answered: the new session takes it over, sends the token and
 these stops before it is open for starts, and stops every run that it did not start itself. Such a run can't be
 claimed by a job either, since only the runs of an earlier holder are there to be claimed.
+
+An answer to an order need not state which process has given it; only reports always do. So a start that was accepted, and
+that no report of this process has listed, may be a run of the next one: the new session takes it over, and the first
+report tells whether it goes on, has ended, or was lost with the former process.
 */
 import {type TaskDemand} from '@gentianshift/protocol';
 import {err, type Result, ResultAsync} from 'neverthrow';
@@ -41,7 +45,7 @@
 	noFreeCapacity,
 	removeDemand,
 } from './free-capacity.js';
-import {createRunTable} from './run-table.js';
+import {createRunTable, type EndedRun} from './run-table.js';
 import {createRunCalls, callRetryMs, type RunCalls} from './run-calls.js';
 import {type RunIndex} from './run-index.js';
 import {formatTaskKey, type Run, type RunOutcome} from './run.js';
@@ -70,8 +74,10 @@
 
 /** What a session takes over from that with the former process of the same executor. */
 export type Inheritance = {
-	/** Starts that had no answer; this process may carry them out. */
-	lateStarts: readonly Run[];
+	/** Starts that this process may have accepted, or may still carry out. */
+	openStarts: readonly Run[];
+	/** Some of them were lost with the former process. */
+	onLost: (runs: readonly Run[]) => void;
 	/** Whether runs that are found may be those of an earlier holder of the group. */
 	mayClaim: boolean;
 	/** The latest end of a lease that a call to a former process has stated, on that process's clock. */
@@ -285,13 +291,16 @@
 	/** Starts to renew the lease in the background; returns at once. */
 	open(): void {
 		const {now, unansweredStarts} = this.ports;
-		this.#takeOverLateStarts();
+		this.#takeOverStarts();
 		this.silentSince =
 			unansweredStarts.isEmpty && this.#countHeld() === 0 ? undefined : now();
 		void this.#repeatRenewals();
 		// Sent right after the first renewal, which carries the token: a late start may arrive at any time.
 		for (const run of this.runs.values()) {
-			this.stop(run, now() + dropStopLimitMs);
+			const isStopping = run.stopBy !== undefined;
+			if (isStopping || (run.isHeld ?? false)) {
+				this.stop(run, now() + dropStopLimitMs);
+			}
 		}
 
 		if (this.inheritance && !unansweredStarts.isEmpty) {
@@ -300,9 +309,9 @@
 	}
 
 	/**
-	Ends the session as a later process of the executor, `next`, is there. All runs here are over; starts without an
-	answer go to the session of that process. It is opened before others learn of the end: they would start a task again
-	that the new process may yet start.
+	Ends the session as a later process of the executor, `next`, is there. All runs here are over; starts that may have
+	reached that process, or may still do, go to its session. It is opened before others learn of the end: they would start a
+	task again that the new process may have.
 	*/
 	replaceBy(next: Executor, reason: string): void {
 		if (this.#closing.signal.aborted) {
@@ -310,7 +319,8 @@
 		}
 
 		const runs = [...this.runs.values()];
-		const lateStarts = runs.filter((run) => this.#isLateStartPossible(run));
+		const openStarts = runs.filter((run) => this.#isOpenStart(run));
+		const lost = runs.filter((run) => !openStarts.includes(run));
 		this.isGone = true;
 		for (const run of runs) {
 			this.#runTable.remove(run);
@@ -322,25 +332,30 @@
 			bornMs: this.bornMs,
 			nextBornMs: next.bornMs,
 			runs: runs.length,
-			lateStarts: lateStarts.length,
+			openStarts: openStarts.length,
 		});
 		this.#endCalls();
 		this.ports.onReplaced(next, {
-			lateStarts,
+			openStarts,
+			onLost: (lostStarts) => {
+				this.#noteLostStarts(openStarts, lostStarts);
+			},
 			mayClaim: this.#mayClaim && !this.hasReported,
 			leaseUntilMs: findLatest(
 				this.#lease.statedUntilMs,
 				this.inheritance?.leaseUntilMs,
 			),
-			isLeaseCarried: this.#leaseCallCount > 0,
+			isLeaseCarried:
+				this.#leaseCallCount > 0 || openStarts.some((run) => isAccepted(run)),
 		});
-		for (const run of runs) {
-			if (!lateStarts.includes(run)) {
-				this.#reportEnd({run, outcome: 'lost'});
-			}
+		for (const run of lost) {
+			this.#reportEnd({run, outcome: 'lost'});
 		}
 
-		this.#crashWatch.noteProcessEnded(runs);
+		this.#crashWatch.noteProcessEnded([
+			...lost,
+			...openStarts.filter((run) => !isAccepted(run)),
+		]);
 		this.ports.onChange();
 	}
 
@@ -494,42 +509,34 @@
 		return count;
 	}
 
-	/** Whether a later process of the executor may carry out the start of this run. */
-	#isLateStartPossible({
-		acceptedAt,
-		isUnclaimed,
-		isRefused,
-		state,
-	}: Run): boolean {
+	/** Whether a later process of the executor may have accepted the start of this run, or may still carry it out. */
+	#isOpenStart({isConfirmed, isUnclaimed, isRefused}: Run): boolean {
 		return (
-			this.bornMs !== undefined &&
-			acceptedAt === undefined &&
-			!isUnclaimed &&
-			!isRefused &&
-			state !== 'running'
+			this.bornMs !== undefined && !isConfirmed && !isUnclaimed && !isRefused
 		);
 	}
 
-	#takeOverLateStarts(): void {
+	/** Starts that this process had accepted are among its crashed runs once the next one is known not to have them. */
+	#noteLostStarts(openStarts: readonly Run[], lost: readonly Run[]): void {
+		const keys = new Set(lost.map((run) => formatTaskKey(run)));
+		const ended = openStarts.filter((run) => keys.has(formatTaskKey(run)));
+		if (ended.length > 0) {
+			this.#crashWatch.noteProcessEnded(ended);
+		}
+	}
+
+	#takeOverStarts(): void {
 		if (!this.inheritance) {
 			return;
 		}
 
-		const {lateStarts, leaseUntilMs, isLeaseCarried} = this.inheritance;
-		for (const {job, index, attempt, demand, startedAt} of lateStarts) {
-			const run: Run = {
-				job,
-				index,
-				attempt,
-				demand,
-				startedAt,
-				state: 'starting',
-				isHeld: true,
-				isInherited: true,
-				isUnclaimed: false,
-			};
+		const {openStarts, leaseUntilMs, isLeaseCarried} = this.inheritance;
+		for (const start of openStarts) {
+			const run = takeOverStart(start);
 			this.#runTable.add(run);
-			this.ports.unansweredStarts.remember(run, startedAt);
+			if (run.isHeld) {
+				this.ports.unansweredStarts.remember(run, run.startedAt);
+			}
 		}
 
 		if (isLeaseCarried && leaseUntilMs !== undefined) {
@@ -715,6 +722,8 @@
 			this.ports.runIndex.unclaimed.add(this);
 		}
 
+		this.#noteInheritedLosses(ended);
+
 		this.#noteFoundRuns(found, {hasLateStart, now});
 		const isFirst = !this.hasReported && !report.hasMoreEnds;
 		if (this.hasReported || !this.#mayClaim) {
@@ -747,6 +756,15 @@
 		}
 	}
 
+	#noteInheritedLosses(ended: readonly EndedRun[]): void {
+		const lost = ended.filter(
+			({run, outcome}) => outcome === 'lost' && run.isInherited,
+		);
+		if (lost.length > 0) {
+			this.inheritance?.onLost(lost.map(({run}) => run));
+		}
+	}
+
 	/** Whether a start to the former process was carried out by this one. */
 	#hasInherited({running, ended}: LeaseReply): boolean {
 		return (
@@ -921,7 +939,7 @@
 				executor: this.id,
 				runs: lapsed.length,
 			});
-			this.#abandonRuns(lapsed.filter((run) => !this.#keepLateStart(run, now)));
+			this.#abandonRuns(lapsed.filter((run) => !this.#keepOpenStart(run, now)));
 			if (this.#isListed) {
 				this.#crashWatch.noteLeaseExpired(lapsed);
 			} else {
@@ -933,11 +951,11 @@
 	}
 
 	/**
-	Keeps a run whose start had no answer when the lease has passed: the lease ends it at this process of the executor only.
-	Returns whether it is kept.
+	Keeps a run that may be, or come to be, at a later process when the lease has passed: the lease ends it at this process of the
+	executor only. Returns whether it is kept.
 	*/
-	#keepLateStart(run: Run, now: number): boolean {
-		if (!this.#isLateStartPossible(run)) {
+	#keepOpenStart(run: Run, now: number): boolean {
+		if (!this.#isOpenStart(run)) {
 			return false;
 		}
 
@@ -1021,6 +1039,36 @@
 	message: 'another process of the executor has answered',
 };
 
+function isAccepted({acceptedAt}: Run): boolean {
+	return acceptedAt !== undefined;
+}
+
+/** The run as the session with the next process enters it: an accepted start goes on, one without an answer is held. */
+function takeOverStart({
+	job,
+	index,
+	attempt,
+	demand,
+	estimateMs,
+	startedAt,
+	acceptedAt,
+	stopBy,
+}: Run): Run {
+	return {
+		job,
+		index,
+		attempt,
+		demand,
+		startedAt,
+		state: 'starting',
+		isInherited: true,
+		isUnclaimed: false,
+		...(acceptedAt === undefined
+			? {isHeld: true}
+			: {acceptedAt, estimateMs, stopBy}),
+	};
+}
+
 function addBorn(executor: Executor, bornMs: number | undefined): Executor {
 	return bornMs === executor.bornMs ? executor : {...executor, bornMs};
 }
--- a/packages/scheduling/src/run-calls.ts
+++ b/packages/scheduling/src/run-calls.ts
@@ -85,6 +85,7 @@
 		ports.onClockReading(reply.value.clockMs);
 		run.acceptedAt = now();
 		run.acceptedBornMs = reply.value.bornMs;
+		run.isConfirmed ??= run.acceptedBornMs !== undefined;
 		run.state = run.state === 'starting' ? 'running' : run.state;
 	}
 
--- a/packages/scheduling/src/run-table.ts
+++ b/packages/scheduling/src/run-table.ts
@@ -117,6 +117,11 @@
 		const known = runs.get(formatTaskKey({job, index}));
 		if (known) {
 			known.state = known.state === 'starting' ? 'running' : known.state;
+			if (known.attempt === attempt) {
+				known.isConfirmed = true;
+				known.isInherited = known.isHeld && known.isInherited;
+			}
+
 			return undefined;
 		}
 
@@ -127,6 +132,7 @@
 			demand: assumedDemand,
 			state: 'running',
 			startedAt: now,
+			isConfirmed: true,
 			isUnclaimed: true,
 		};
 		addRun(run);
--- a/packages/scheduling/src/run.ts
+++ b/packages/scheduling/src/run.ts
@@ -22,6 +22,11 @@
 	acceptedAt?: number;
 	/** Start time of the process that accepted the start, Unix milliseconds; undefined: its answer did not say. */
 	acceptedBornMs?: number;
+	/**
+	The session's process of the executor has, or had, the run: it stated its start time when it accepted the start, or it has
+	listed the run. Without that, a later process may be the one that accepted the start.
+	*/
+	isConfirmed?: boolean;
 	/** When the executor answered the stop: a later list without the run proves that it is over. */
 	stoppedAt?: number;
 	/** When a run that is to be stopped has to be over at the latest: no lease is extended past it. */
@@ -33,7 +38,7 @@
 	attempt is answered, or the start can't arrive any more.
 	*/
 	isHeld?: boolean;
-	/** Held, and sent to a former process of the executor: a crash of the present one is not blamed on it. */
+	/** Sent to a former process of the executor: a crash of the present one is not blamed on it. */
 	isInherited?: boolean;
 	/** The run was found in a report, started by an earlier holder of the group, and no job has claimed it yet. */
 	isUnclaimed: boolean;
