--- a/packages/scheduling/src/executor-session.ts
+++ b/packages/scheduling/src/executor-session.ts
@@ -59,6 +59,7 @@
 	stopLimitMs,
 } from './timing.js';
 import {lateStartLimitMs, type UnansweredStarts} from './unanswered-starts.js';
+import {isAccepted, isUnsettled, takeOverStart} from './unsettled-starts.js';
 
 /** A start under a shorter lease than this would be lost, as the lease expires first, or be carried out too late. */
 const minLeaseMs = 150;
@@ -75,7 +76,7 @@
 /** What a session takes over from that with the former process of the same executor. */
 export type Inheritance = {
 	/** Starts that this process may have accepted, or may still carry out. */
-	openStarts: readonly Run[];
+	unsettledStarts: readonly Run[];
 	/** Some of them were lost with the former process. */
 	onLost: (runs: readonly Run[]) => void;
 	/** Whether runs that are found may be those of an earlier holder of the group. */
@@ -319,8 +320,8 @@
 		}
 
 		const runs = [...this.runs.values()];
-		const openStarts = runs.filter((run) => this.#isOpenStart(run));
-		const lost = runs.filter((run) => !openStarts.includes(run));
+		const unsettledStarts = runs.filter((run) => this.#isPossibleAtNext(run));
+		const lost = runs.filter((run) => !unsettledStarts.includes(run));
 		this.isGone = true;
 		for (const run of runs) {
 			this.#runTable.remove(run);
@@ -332,13 +333,13 @@
 			bornMs: this.bornMs,
 			nextBornMs: next.bornMs,
 			runs: runs.length,
-			openStarts: openStarts.length,
+			unsettledStarts: unsettledStarts.length,
 		});
 		this.#endCalls();
 		this.ports.onReplaced(next, {
-			openStarts,
+			unsettledStarts,
 			onLost: (lostStarts) => {
-				this.#noteLostStarts(openStarts, lostStarts);
+				this.#noteLostStarts(unsettledStarts, lostStarts);
 			},
 			mayClaim: this.#mayClaim && !this.hasReported,
 			leaseUntilMs: findLatest(
@@ -346,7 +347,8 @@
 				this.inheritance?.leaseUntilMs,
 			),
 			isLeaseCarried:
-				this.#leaseCallCount > 0 || openStarts.some((run) => isAccepted(run)),
+				this.#leaseCallCount > 0 ||
+				unsettledStarts.some((run) => isAccepted(run)),
 		});
 		for (const run of lost) {
 			this.#reportEnd({run, outcome: 'lost'});
@@ -354,7 +356,7 @@
 
 		this.#crashWatch.noteProcessEnded([
 			...lost,
-			...openStarts.filter((run) => !isAccepted(run)),
+			...unsettledStarts.filter((run) => !isAccepted(run)),
 		]);
 		this.ports.onChange();
 	}
@@ -510,16 +512,14 @@
 	}
 
 	/** Whether a later process of the executor may have accepted the start of this run, or may still carry it out. */
-	#isOpenStart({isConfirmed, isUnclaimed, isRefused}: Run): boolean {
-		return (
-			this.bornMs !== undefined && !isConfirmed && !isUnclaimed && !isRefused
-		);
+	#isPossibleAtNext(run: Run): boolean {
+		return this.bornMs !== undefined && isUnsettled(run);
 	}
 
 	/** Starts that this process had accepted are among its crashed runs once the next one is known not to have them. */
-	#noteLostStarts(openStarts: readonly Run[], lost: readonly Run[]): void {
+	#noteLostStarts(unsettledStarts: readonly Run[], lost: readonly Run[]): void {
 		const keys = new Set(lost.map((run) => formatTaskKey(run)));
-		const ended = openStarts.filter((run) => keys.has(formatTaskKey(run)));
+		const ended = unsettledStarts.filter((run) => keys.has(formatTaskKey(run)));
 		if (ended.length > 0) {
 			this.#crashWatch.noteProcessEnded(ended);
 		}
@@ -530,8 +530,8 @@
 			return;
 		}
 
-		const {openStarts, leaseUntilMs, isLeaseCarried} = this.inheritance;
-		for (const start of openStarts) {
+		const {unsettledStarts, leaseUntilMs, isLeaseCarried} = this.inheritance;
+		for (const start of unsettledStarts) {
 			const run = takeOverStart(start);
 			this.#runTable.add(run);
 			if (run.isHeld) {
@@ -939,7 +939,7 @@
 				executor: this.id,
 				runs: lapsed.length,
 			});
-			this.#abandonRuns(lapsed.filter((run) => !this.#keepOpenStart(run, now)));
+			this.#abandonRuns(lapsed.filter((run) => !this.#keepUnsettled(run, now)));
 			if (this.#isListed) {
 				this.#crashWatch.noteLeaseExpired(lapsed);
 			} else {
@@ -954,8 +954,8 @@
 	Keeps a run that may be, or come to be, at a later process when the lease has passed: the lease ends it at this process of the
 	executor only. Returns whether it is kept.
 	*/
-	#keepOpenStart(run: Run, now: number): boolean {
-		if (!this.#isOpenStart(run)) {
+	#keepUnsettled(run: Run, now: number): boolean {
+		if (!this.#isPossibleAtNext(run)) {
 			return false;
 		}
 
@@ -1039,36 +1039,6 @@
 	message: 'another process of the executor has answered',
 };
 
-function isAccepted({acceptedAt}: Run): boolean {
-	return acceptedAt !== undefined;
-}
-
-/** The run as the session with the next process enters it: an accepted start goes on, one without an answer is held. */
-function takeOverStart({
-	job,
-	index,
-	attempt,
-	demand,
-	estimateMs,
-	startedAt,
-	acceptedAt,
-	stopBy,
-}: Run): Run {
-	return {
-		job,
-		index,
-		attempt,
-		demand,
-		startedAt,
-		state: 'starting',
-		isInherited: true,
-		isUnclaimed: false,
-		...(acceptedAt === undefined
-			? {isHeld: true}
-			: {acceptedAt, estimateMs, stopBy}),
-	};
-}
-
 function addBorn(executor: Executor, bornMs: number | undefined): Executor {
 	return bornMs === executor.bornMs ? executor : {...executor, bornMs};
 }
