Place a task again when the longest lease has passed, wherever its start was accepted

It can't arrive any more, though: whichever process accepted it, its lease ends at most 1,000 ms of that process's clock after the last call that extended it (PROTOCOL.md, hold_max_ms), and once more for each such call without an answer that may still be carried out. So the task of a caller whose executor refuses connections is placed again after 1,060 ms instead of 20 s. The fakes shorten leases as the page says.

--- a/packages/scheduling/src/executor-session.ts
+++ b/packages/scheduling/src/executor-session.ts
@@ -45,6 +45,7 @@
 	noFreeCapacity,
 	removeDemand,
 } from './free-capacity.js';
+import {createLeaseCalls, type LeaseCalls} from './lease-calls.js';
 import {createRunTable, type EndedRun} from './run-table.js';
 import {createRunCalls, callRetryMs, type RunCalls} from './run-calls.js';
 import {type RunIndex} from './run-index.js';
@@ -81,6 +82,7 @@
 	onLost: (runs: readonly Run[]) => void;
 	/** Whether runs that are found may be those of an earlier holder of the group. */
 	mayClaim: boolean;
+	leaseCalls: LeaseCalls;
 	/** The latest end of a lease that a call to a former process has stated, on that process's clock. */
 	leaseUntilMs: number | undefined;
 	/** This process may have carried out a call that extended its lease to then. */
@@ -142,6 +144,7 @@
 	});
 
 	readonly #lease = createExecutorLease();
+	readonly #leaseCalls: LeaseCalls;
 	readonly #control: ExecutorControl;
 	readonly #calls: RunCalls;
 	readonly #crashWatch: CrashWatch;
@@ -164,6 +167,7 @@
 		private readonly inheritance?: Inheritance,
 	) {
 		this.#executor = executor;
+		this.#leaseCalls = inheritance?.leaseCalls ?? createLeaseCalls();
 		this.#control = this.#createControl();
 		this.#calls = this.#createCalls();
 		this.#crashWatch = createCrashWatch({
@@ -342,6 +346,7 @@
 				this.#noteLostStarts(unsettledStarts, lostStarts);
 			},
 			mayClaim: this.#mayClaim && !this.hasReported,
+			leaseCalls: this.#leaseCalls,
 			leaseUntilMs: findLatest(
 				this.#lease.statedUntilMs,
 				this.inheritance?.leaseUntilMs,
@@ -472,6 +477,10 @@
 		return new ResultAsync(
 			(async () => {
 				const reply = await call;
+				if (extendsLease) {
+					this.#noteLeaseCall(reply);
+				}
+
 				const isOwn = this.#isFromThisProcess(reply);
 				this.#leaseCallCount -= Number(extendsLease);
 				return isOwn ? reply : err(otherProcessFailure);
@@ -479,6 +488,16 @@
 		);
 	}
 
+	#noteLeaseCall(reply: Result<Answerer, CallFailure>): void {
+		const now = this.ports.now();
+		const code = reply.isErr() ? reply.error.code : undefined;
+		if (code === 'unanswered') {
+			this.#leaseCalls.noteUnanswered(now);
+		} else if (code !== 'unreachable') {
+			this.#leaseCalls.noteAnswered(now);
+		}
+	}
+
 	/** Ends the session if a later process has answered. */
 	#isFromThisProcess(reply: Result<Answerer, CallFailure>): boolean {
 		const {bornMs} = reply.isOk() ? reply.value : reply.error;
@@ -955,7 +974,7 @@
 	executor only. Returns whether it is kept.
 	*/
 	#keepUnsettled(run: Run, now: number): boolean {
-		if (!this.#isPossibleAtNext(run)) {
+		if (!this.#isPossibleAtNext(run) || this.#isOverEverywhere(run, now)) {
 			return false;
 		}
 
@@ -964,10 +983,16 @@
 		return true;
 	}
 
-	/** Gives up held runs whose starts can't arrive any more. */
+	/** Whether the run is over at each process that may have it, and its start can't arrive any more. */
+	#isOverEverywhere(run: Run, now: number): boolean {
+		return isAccepted(run)
+			? this.#leaseCalls.hasPassedEverywhere(now)
+			: now - run.startedAt > lateStartLimitMs;
+	}
+
 	#dropHeldRuns(now: number): void {
 		const expired = [...this.runs.values()].filter(
-			({isHeld, startedAt}) => isHeld && now - startedAt > lateStartLimitMs,
+			(run) => run.isHeld && this.#isOverEverywhere(run, now),
 		);
 		if (expired.length > 0) {
 			this.#abandonRuns(expired);
--- a/packages/scheduling/src/fake-executors.fixture.ts
+++ b/packages/scheduling/src/fake-executors.fixture.ts
@@ -87,6 +87,9 @@
 	token: number;
 };
 
+/** Executors shorten a longer lease to this. */
+const longestLeaseMs = 1000;
+
 export type BornIn = 'all' | 'lists';
 
 export type FakeExecutors = ReturnType<typeof createFakeExecutors>;
@@ -309,7 +312,8 @@
 
 	function extend(fake: FakeExecutor, until: number): void {
 		const {life} = fake;
-		fake.leaseEndsAt = Math.max(fake.leaseEndsAt, until);
+		const longest = readClock(fake) + longestLeaseMs;
+		fake.leaseEndsAt = Math.max(fake.leaseEndsAt, Math.min(until, longest));
 		clock.schedule(fake.leaseEndsAt - readClock(fake), () => {
 			if (fake.life === life && readClock(fake) >= fake.leaseEndsAt) {
 				for (const run of fake.active) {
--- a/packages/scheduling/src/restarts.test.ts
+++ b/packages/scheduling/src/restarts.test.ts
@@ -3,7 +3,8 @@
 */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {ok, ResultAsync} from 'neverthrow';
+import {errAsync, ok, ResultAsync} from 'neverthrow';
+import {type Executor} from './executor.js';
 import {
 	createFakeExecutors,
 	findOverlaps,
@@ -112,6 +113,54 @@
 	});
 }
 
+// Guards against a lease that is reckoned by the clock of the former process: the next one, which has accepted the start, may end the
+// run later.
+test('a task accepted by a process that is not known is placed elsewhere only when the longest lease has passed', async () => {
+	for (const clockMs of [0, 400]) {
+		const clock = new VirtualClock();
+		const executors = createFakeExecutors(clock, {
+			count: 2,
+			taskMs: 950,
+			getDemand,
+			firstBornMs,
+			bornIn: 'lists',
+		});
+		const {control} = executors;
+		let isUnhealthy = false;
+		const refuseCall = (executor: Executor) =>
+			isUnhealthy && executor.id === 'e1'
+				? errAsync({code: 'unhealthy' as const, message: 'status 503'})
+				: undefined;
+		const unhealthyControl: typeof control = {
+			...control,
+			startTask: (executor, request) =>
+				refuseCall(executor) ?? control.startTask(executor, request),
+			stopTask: (executor, request) =>
+				refuseCall(executor) ?? control.stopTask(executor, request),
+			renewLease: (executor, request) =>
+				refuseCall(executor) ?? control.renewLease(executor, request),
+		};
+		const scheduler = createScheduler(
+			clock,
+			{...executors, control: unhealthyControl},
+			1,
+		);
+		const entry = createEntry();
+		await clock.run(910);
+		executors.restart(executors.fakes[0]!, {downMs: 20, clockMs});
+		await clock.run(30);
+		scheduler.receivePart(entry, makePart(clock));
+		isUnhealthy = true;
+		await runFor(clock, 4000, [[scheduler, entry]]);
+		assert.deepEqual(findOverlaps(executors.runs), []);
+		assert.deepEqual(
+			executors.runs.map(({executor}) => executor),
+			['e1', 'e2'],
+		);
+		assert.deepEqual(listOutcomes(entry), ['done']);
+	}
+});
+
 // Guards against waiting for an answer of the executor when the store has already told of its new process.
 test('a registration of a later process ends the runs of the former one at once', async () => {
 	const logged: string[] = [];
