Cancel remembered starts at an executor that registers again after an absence

Callers saw, in a test: a task ran twice at a time. A start without an answer was held up; its former process had answered the stop, the executor's registration lapsed and its session was closed. Only a session with a former process restores the remembered starts, so the next process got none of the stops, and carried the start out beside the task's new run. A session that is opened anew may be one with a later process: it restores them, too.

--- a/packages/scheduling/src/executor-set.ts
+++ b/packages/scheduling/src/executor-set.ts
@@ -85,10 +85,8 @@
 		const {id} = executor;
 		const starts = unansweredStarts.get(id) ?? createUnansweredStarts();
 		unansweredStarts.set(id, starts);
-		if (inheritance) {
-			starts.restoreAll();
-		}
-
+		// Of an executor whose registration had lapsed, this may be a later process.
+		starts.restoreAll();
 		const session = new ExecutorSession(
 			executor,
 			{
