Allow the longest lease for runs that a new holder finds

Callers saw, in a test: a task ran twice at a time. A holder's start, with a lease on the clock of a process that had ended, was accepted by the next process, which shortens it to 1,000 ms. The holder closed; its successor found the run and reckoned with 700 ms from then, as if the lease had been stated on the clock that it knows. It allows for the longest lease now.

--- a/packages/scheduling/src/executor-lease.ts
+++ b/packages/scheduling/src/executor-lease.ts
@@ -2,7 +2,7 @@
 The lease of all runs on one executor, as the scheduler tracks it: the executor's clock, and the latest time until
 which the executor may still consider the lease valid.
 */
-import {clockSlackMs, leaseMs} from './timing.js';
+import {clockSlackMs, leaseMs, longestLeaseMs} from './timing.js';
 
 /**
 A lease that was extended on another process's clock may last for hours. Runs that were sent here count as over this
@@ -20,7 +20,7 @@
 	extend: (cap: number, now: number) => number | undefined;
 	/**
 	Assumes that the lease was renewed just now. To be called when runs are found that this scheduler did not start: an
-	earlier holder may have renewed the lease until a moment ago. Otherwise, if the executor went silent right after its
+	earlier holder may have renewed the lease until a moment ago, on the clock of an earlier process. Otherwise, if the executor went silent right after its
 	first report, its runs would at once count as over.
 	*/
 	assumeRenewed: (now: number) => void;
@@ -80,7 +80,7 @@
 			return untilMs;
 		},
 		assumeRenewed(now) {
-			endsAt = Math.max(endsAt, now + leaseMs + clockSlackMs);
+			endsAt = Math.max(endsAt, now + longestLeaseMs + clockSlackMs);
 		},
 		assumeExtended(untilMs, now) {
 			foreignUntilMs = Math.max(foreignUntilMs ?? untilMs, untilMs);
--- a/packages/scheduling/src/lease-calls.ts
+++ b/packages/scheduling/src/lease-calls.ts
@@ -2,12 +2,9 @@
 When the calls that extend an executor's lease were carried out, at the latest. An executor shortens each lease to a maximum of
 its own clock, so this bounds the lease also where another process than the known one, with another clock, has answered.
 */
-import {clockSlackMs} from './timing.js';
+import {clockSlackMs, longestLeaseMs} from './timing.js';
 import {lateStartLimitMs} from './unanswered-starts.js';
 
-/** Longest lease that an executor grants, on its own clock. */
-const longestLeaseMs = 1000;
-
 export type LeaseCalls = {
 	/** A call that extends the lease was answered, whatever the answer says. */
 	noteAnswered: (now: number) => void;
--- a/packages/scheduling/src/timing.ts
+++ b/packages/scheduling/src/timing.ts
@@ -16,6 +16,8 @@
 
 /** Length of an executor's lease after a renewal. */
 export const leaseMs = 700;
+/** Executors shorten a longer lease to this, on their own clocks. */
+export const longestLeaseMs = 1000;
 /**
 How long a renewal waits at the executor for the end of a run, at most. Leaves time for two more tries within the
 lease.
