Blame a crash once it is known which accepted starts were lost in it

Callers could see, in tests: a job given up (504, executors crashed under its task) too early, or a task that takes down executors and is blamed for none. The losses of one crash were noted in two parts, so that each of two tasks counted as alone on the executor; a next process that ended before its first report left the former one's crash unblamed; and a silence of an executor counted against a start that its next process had accepted and was running. The session with the next process now tells the former one, once, which of the accepted starts were lost, and the crash is noted then, whole.

--- a/packages/scheduling/src/executor-session.ts
+++ b/packages/scheduling/src/executor-session.ts
@@ -60,7 +60,12 @@
 	stopLimitMs,
 } from './timing.js';
 import {lateStartLimitMs, type UnansweredStarts} from './unanswered-starts.js';
-import {isAccepted, isUnsettled, takeOverStart} from './unsettled-starts.js';
+import {
+	isAccepted,
+	isUnsettled,
+	pickRuns,
+	takeOverStart,
+} from './unsettled-starts.js';
 
 /** A start under a shorter lease than this would be lost, as the lease expires first, or be carried out too late. */
 const minLeaseMs = 150;
@@ -78,8 +83,8 @@
 export type Inheritance = {
 	/** Starts that this process may have accepted, or may still carry out. */
 	unsettledStarts: readonly Run[];
-	/** Some of them were lost with the former process. */
-	onLost: (runs: readonly Run[]) => void;
+	/** To be called once, when it is known which of them were lost: crashes are blamed only then. */
+	onSettled: (lost: readonly Run[]) => void;
 	/** Whether runs that are found may be those of an earlier holder of the group. */
 	mayClaim: boolean;
 	leaseCalls: LeaseCalls;
@@ -145,6 +150,9 @@
 
 	readonly #lease = createExecutorLease();
 	readonly #leaseCalls: LeaseCalls;
+	/** Starts taken over as accepted that are lost. */
+	readonly #lostStarts: Run[] = [];
+	#hasSettled = false;
 	readonly #control: ExecutorControl;
 	readonly #calls: RunCalls;
 	readonly #crashWatch: CrashWatch;
@@ -325,7 +333,10 @@
 
 		const runs = [...this.runs.values()];
 		const unsettledStarts = runs.filter((run) => this.#isPossibleAtNext(run));
+		const acceptedStarts = unsettledStarts.filter((run) => isAccepted(run));
+		const hasAccepted = acceptedStarts.length > 0;
 		const lost = runs.filter((run) => !unsettledStarts.includes(run));
+		const over = runs.filter((run) => !acceptedStarts.includes(run));
 		this.isGone = true;
 		for (const run of runs) {
 			this.#runTable.remove(run);
@@ -342,8 +353,15 @@
 		this.#endCalls();
 		this.ports.onReplaced(next, {
 			unsettledStarts,
-			onLost: (lostStarts) => {
-				this.#noteLostStarts(unsettledStarts, lostStarts);
+			onSettled: (lostStarts) => {
+				if (hasAccepted) {
+					this.#crashWatch.noteProcessEnded([
+						...over,
+						...pickRuns(acceptedStarts, lostStarts),
+					]);
+				}
+
+				this.#settleStarts(lostStarts);
 			},
 			mayClaim: this.#mayClaim && !this.hasReported,
 			leaseCalls: this.#leaseCalls,
@@ -351,18 +369,16 @@
 				this.#lease.statedUntilMs,
 				this.inheritance?.leaseUntilMs,
 			),
-			isLeaseCarried:
-				this.#leaseCallCount > 0 ||
-				unsettledStarts.some((run) => isAccepted(run)),
+			isLeaseCarried: this.#leaseCallCount > 0 || hasAccepted,
 		});
 		for (const run of lost) {
 			this.#reportEnd({run, outcome: 'lost'});
 		}
 
-		this.#crashWatch.noteProcessEnded([
-			...lost,
-			...unsettledStarts.filter((run) => !isAccepted(run)),
-		]);
+		if (!hasAccepted) {
+			this.#crashWatch.noteProcessEnded(over);
+		}
+
 		this.ports.onChange();
 	}
 
@@ -375,6 +391,7 @@
 			this.#crashWatch.noteLeaseExpired([...this.runs.values()]);
 		}
 
+		this.#settleStarts([]);
 		this.#endCalls();
 	}
 
@@ -535,12 +552,11 @@
 		return this.bornMs !== undefined && isUnsettled(run);
 	}
 
-	/** Starts that this process had accepted are among its crashed runs once the next one is known not to have them. */
-	#noteLostStarts(unsettledStarts: readonly Run[], lost: readonly Run[]): void {
-		const keys = new Set(lost.map((run) => formatTaskKey(run)));
-		const ended = unsettledStarts.filter((run) => keys.has(formatTaskKey(run)));
-		if (ended.length > 0) {
-			this.#crashWatch.noteProcessEnded(ended);
+	/** Tells the session with the former process which starts were lost with it, unless it has been told. */
+	#settleStarts(lost: readonly Run[]): void {
+		if (!this.#hasSettled) {
+			this.#hasSettled = true;
+			this.inheritance?.onSettled([...this.#lostStarts, ...lost]);
 		}
 	}
 
@@ -741,8 +757,6 @@
 			this.ports.runIndex.unclaimed.add(this);
 		}
 
-		this.#noteInheritedLosses(ended);
-
 		this.#noteFoundRuns(found, {hasLateStart, now});
 		const isFirst = !this.hasReported && !report.hasMoreEnds;
 		if (this.hasReported || !this.#mayClaim) {
@@ -770,17 +784,12 @@
 			this.#reportEnd(end);
 		}
 
-		if (isFirst || ended.length > 0 || report.ended.length > 0) {
-			this.ports.onChange();
+		if (isFirst) {
+			this.#settleStarts([]);
 		}
-	}
 
-	#noteInheritedLosses(ended: readonly EndedRun[]): void {
-		const lost = ended.filter(
-			({run, outcome}) => outcome === 'lost' && run.isInherited,
-		);
-		if (lost.length > 0) {
-			this.inheritance?.onLost(lost.map(({run}) => run));
+		if (isFirst || ended.length > 0 || report.ended.length > 0) {
+			this.ports.onChange();
 		}
 	}
 
@@ -945,30 +954,38 @@
 			runs: this.runs.size,
 		});
 		this.#crashWatch.noteProcessEnded(this.#abandonRuns());
+		this.#settleStarts([]);
 		this.ports.onChange();
 	}
 
 	#dropLapsedRuns(): void {
 		const now = this.ports.now();
 		this.#dropHeldRuns(now);
-		const isLapsed = this.#lease.hasPassed(now);
 		const lapsed = [...this.runs.values()].filter(({isHeld}) => !isHeld);
-		if (this.silentSince !== undefined && isLapsed && lapsed.length > 0) {
+		if (
+			this.silentSince !== undefined &&
+			lapsed.length > 0 &&
+			this.#lease.hasPassed(now)
+		) {
 			this.ports.log('lease of a silent executor has passed', {
 				executor: this.id,
 				runs: lapsed.length,
 			});
 			this.#abandonRuns(lapsed.filter((run) => !this.#keepUnsettled(run, now)));
-			if (this.#isListed) {
-				this.#crashWatch.noteLeaseExpired(lapsed);
-			} else {
-				this.#crashWatch.noteProcessEnded(lapsed);
-			}
-
+			// An accepted start that is kept may be a run of the next process.
+			this.#noteLapsed(lapsed.filter((run) => !run.isHeld || !isAccepted(run)));
 			this.ports.onChange();
 		}
 	}
 
+	#noteLapsed(runs: readonly Run[]): void {
+		if (this.#isListed) {
+			this.#crashWatch.noteLeaseExpired(runs);
+		} else {
+			this.#crashWatch.noteProcessEnded(runs);
+		}
+	}
+
 	/**
 	Keeps a run that may be, or come to be, at a later process when the lease has passed: the lease ends it at this process of the
 	executor only. Returns whether it is kept.
@@ -996,6 +1013,7 @@
 		);
 		if (expired.length > 0) {
 			this.#abandonRuns(expired);
+			this.#noteLapsed(expired.filter((run) => isAccepted(run)));
 			this.ports.onChange();
 		}
 	}
@@ -1043,6 +1061,10 @@
 
 	#reportEnd({run, outcome}: {run: Run; outcome: RunOutcome}): void {
 		if (outcome === 'lost') {
+			if (run.isInherited && isAccepted(run)) {
+				this.#lostStarts.push(run);
+			}
+
 			this.ports.log(this.#describeLoss(), {
 				executor: this.id,
 				bornMs: this.bornMs,
--- a/packages/scheduling/src/unsettled-starts.ts
+++ b/packages/scheduling/src/unsettled-starts.ts
@@ -6,7 +6,7 @@
 without either the next process may be the one that accepted it. The lease, which is reckoned by the clock of the known
 process, ends neither of them for certain.
 */
-import {type Run} from './run.js';
+import {formatTaskKey, type Run} from './run.js';
 
 export function isUnsettled({
 	isConfirmed,
@@ -20,6 +20,12 @@
 	return acceptedAt !== undefined;
 }
 
+/** The runs whose tasks are among those of others. */
+export function pickRuns(runs: readonly Run[], others: readonly Run[]): Run[] {
+	const keys = new Set(others.map((run) => formatTaskKey(run)));
+	return runs.filter((run) => keys.has(formatTaskKey(run)));
+}
+
 /**
 The run as the session with the next process enters it: an accepted start goes on until a report tells what became of it, one
 without an answer is held.
