Allow for renewals to a former process that are carried out late at the next one

Callers saw, in a test: a task ran twice at a time. A renewal without an answer, with a lease on the former process's clock, reached the next process seconds later and extended its lease to the longest one, 1,000 ms; the executor then refused calls as unhealthy, and its holder reckoned with the 700 ms it had asked for. In a session that follows another, a lease counts as passed only when the longest one has, once more for each call without an answer in the last 20 s (lease-calls.ts).

--- a/packages/scheduling/src/executor-session.ts
+++ b/packages/scheduling/src/executor-session.ts
@@ -965,7 +965,7 @@
 		if (
 			this.silentSince !== undefined &&
 			lapsed.length > 0 &&
-			this.#lease.hasPassed(now)
+			this.#hasLeasePassed(now)
 		) {
 			this.ports.log('lease of a silent executor has passed', {
 				executor: this.id,
@@ -978,6 +978,15 @@
 		}
 	}
 
+	/** A call to a former process that is carried out late may extend the lease beyond what this process was told. */
+	#hasLeasePassed(now: number): boolean {
+		return (
+			this.#lease.hasPassed(now) &&
+			(this.inheritance === undefined ||
+				this.#leaseCalls.hasPassedEverywhere(now))
+		);
+	}
+
 	#noteLapsed(runs: readonly Run[]): void {
 		if (this.#isListed) {
 			this.#crashWatch.noteLeaseExpired(runs);
