Acknowledge no ends while a later process may have an accepted start

Callers saw, in a test: a task that had ended ran again, and the answer came that much later. The answers to two renewals were lost; the second renewal acknowledged the ends of the former process by their number, and the next process, which numbers its own anew, forgot the end of the task. A renewal that follows a lost one acknowledges nothing while there is an accepted start without a known process: ends that are listed again are recorded already. The first renewal after a start goes on acknowledging, so a task that ends before it arrives at the next process can still run again; for jobs that need not be kept that breaks no rule.

--- a/packages/scheduling/src/executor-session.ts
+++ b/packages/scheduling/src/executor-session.ts
@@ -698,12 +698,24 @@
 	#makeReportRequest(): LeaseRequest {
 		return {
 			token: this.ports.getToken(),
-			acknowledged: this.#runTable.acknowledged,
+			acknowledged: this.#isAcknowledgementSafe()
+				? this.#runTable.acknowledged
+				: 0,
 			waitMs: 0,
 			answerTimeoutMs: this.ports.answerTimes.getTimeoutMs(),
 		};
 	}
 
+	/** A later process, which numbers its ends anew, would forget the end of a run that it has accepted. */
+	#isAcknowledgementSafe(): boolean {
+		return (
+			this.#missedRenewals === 0 ||
+			![...this.runs.values()].some(
+				(run) => isAccepted(run) && this.#isPossibleAtNext(run),
+			)
+		);
+	}
+
 	/**
 	How long a renewal waits: until the next end is expected, so that a lost answer is noticed right after that;
 	milliseconds.
