Play restarts of idle executors with processes, with both readings of where born is stated

The stand-in of an executor had no restart under its id and stated no born, so no trial with processes could show a task that runs twice because a start was accepted by the next process.

LeasedExecutor starts again at its address: connections are reset, and the new process has no runs, no token, its ends numbered from 1 and a clock of its own. Which answers state born is chosen for each system: all, lists of runs only, or none, as before; the registration states it unless none does. A request that is cut off by the reset is dropped rather than ended in an unhandled rejection.

--- a/packages/standins/src/leased/json-server.ts
+++ b/packages/standins/src/leased/json-server.ts
@@ -35,6 +35,8 @@
 export async function startJsonServer(
 	ip: string,
 	answer: (request: JsonRequest) => Promise<JsonReply> | JsonReply,
+	/** 0: any free one. */
+	givenPort = 0,
 ): Promise<JsonServer> {
 	const sockets = new Set<Socket>();
 	const server = createServer((req, res) => {
@@ -48,7 +50,7 @@
 			sockets.delete(socket);
 		});
 	});
-	server.listen(0, ip);
+	server.listen(givenPort, ip);
 	await once(server, 'listening');
 	const {port} = server.address() as AddressInfo;
 	const resetConnections = () => {
@@ -78,8 +80,13 @@
 	answer: (request: JsonRequest) => Promise<JsonReply> | JsonReply,
 ): Promise<void> {
 	const chunks: Buffer[] = [];
-	for await (const chunk of req) {
-		chunks.push(chunk as Buffer);
+	try {
+		for await (const chunk of req) {
+			chunks.push(chunk as Buffer);
+		}
+	} catch {
+		// The connection was reset before the whole request was here.
+		return;
 	}
 
 	const text = Buffer.concat(chunks).toString('utf8');
--- a/packages/standins/src/leased/leased-executor.ts
+++ b/packages/standins/src/leased/leased-executor.ts
@@ -64,9 +64,20 @@
 	lateStartMs: number;
 };
 
+/** Which answers state when the process started, beside the registration: all of them, or only lists of runs. */
+export type BornIn = 'all' | 'lists';
+
+export type RestartOptions = {
+	downMs: number;
+	/** What the new process's clock says when it starts. */
+	clockMs?: number;
+};
+
 export class LeasedExecutor {
 	readonly id: string;
 	readonly capacityCpu: number;
+	/** Undefined: nothing states when the process started. */
+	readonly bornIn: BornIn | undefined;
 	readonly faults: ExecutorFaults = {
 		isSilent: false,
 		slowness: 1,
@@ -77,6 +88,9 @@
 	readonly seen: SeenRun[] = [];
 	/** Ends up to this one have been acknowledged. */
 	acknowledged = 0;
+	#bornMs = Date.now();
+	/** When the process's clock was at 0, on the test's clock. */
+	#clockStartedAt = 0;
 	#token = 0;
 	#leaseEndsAt = 0;
 	#sequence = 0;
@@ -87,14 +101,17 @@
 	readonly #attempts = new Map<string, number>();
 	#leaseTimer: NodeJS.Timeout | undefined;
 
-	constructor(id: string, capacityCpu: number) {
+	constructor(id: string, capacityCpu: number, bornIn?: BornIn) {
 		this.id = id;
 		this.capacityCpu = capacityCpu;
+		this.bornIn = bornIn;
 	}
 
-	async start(ip: string): Promise<string> {
-		this.#server = await startJsonServer(ip, async (request) =>
-			this.#answer(request),
+	async start(ip: string, port = 0): Promise<string> {
+		this.#server = await startJsonServer(
+			ip,
+			async (request) => this.#answer(request),
+			port,
 		);
 		return this.#server.address;
 	}
@@ -104,10 +121,40 @@
 		await this.#server?.close();
 	}
 
+	/**
+	Its process crashes, and after `downMs` a new one is at its address, under its id: it has no runs, tokens or ends, and
+	its clock is at `clockMs`.
+	*/
+	async startAgain({downMs, clockMs = 0}: RestartOptions): Promise<void> {
+		const {address} = this.#server!;
+		this.resetConnections();
+		const closed = this.#server!.close();
+		this.#server = undefined;
+		this.#endAll('crashed');
+		await closed;
+		await delay(downMs);
+		this.acknowledged = 0;
+		this.#token = 0;
+		this.#leaseEndsAt = 0;
+		this.#sequence = 0;
+		this.#finished = [];
+		this.#attempts.clear();
+		clearTimeout(this.#leaseTimer);
+		this.#bornMs = Date.now();
+		this.#clockStartedAt = performance.now() - clockMs;
+		const [ip = '', port] = address.split(':');
+		await this.start(ip, Number(port));
+	}
+
 	resetConnections(): void {
 		this.#server?.resetConnections();
 	}
 
+	/** Start time of its process, Unix milliseconds; undefined if it states none. */
+	get bornMs(): number | undefined {
+		return this.bornIn && this.#bornMs;
+	}
+
 	get runCount(): number {
 		return this.#active.size;
 	}
@@ -144,7 +191,9 @@
 	async #receiveStart(order: z.infer<typeof startSchema>): Promise<JsonReply> {
 		if (this.faults.lateStartMs > 0) {
 			setTimeout(() => {
-				this.#startRun(order);
+				if (this.#server) {
+					this.#startRun(order);
+				}
 			}, this.faults.lateStartMs);
 			return undefined;
 		}
@@ -239,6 +288,7 @@
 			status: 200,
 			body: {
 				clock_ms: this.#readClock(),
+				born: this.bornMs,
 				active: [...this.#active.values()].map(({task, attempt}) => [
 					task,
 					attempt,
@@ -288,14 +338,21 @@
 	}
 
 	#readClock(): number {
-		return Math.floor(performance.now());
+		return Math.floor(performance.now() - this.#clockStartedAt);
 	}
 
 	#accept(): JsonReply {
-		return {status: 200, body: {clock_ms: this.#readClock()}};
+		return {status: 200, body: this.#makeOrderBody()};
 	}
 
 	#refuse(reason: string): JsonReply {
-		return {status: 409, body: {clock_ms: this.#readClock(), reason}};
+		return {status: 409, body: {...this.#makeOrderBody(), reason}};
+	}
+
+	#makeOrderBody() {
+		return {
+			clock_ms: this.#readClock(),
+			born: this.bornIn === 'all' ? this.bornMs : undefined,
+		};
 	}
 }
--- a/packages/trials/src/scheduling/system.ts
+++ b/packages/trials/src/scheduling/system.ts
@@ -8,7 +8,13 @@
 import process from 'node:process';
 import {type TestContext} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
-import {LeasedExecutor, MetadataStore, RelayLink} from '@gentianshift/standins';
+import {
+	LeasedExecutor,
+	MetadataStore,
+	RelayLink,
+	type BornIn,
+	type RestartOptions,
+} from '@gentianshift/standins';
 import {request} from 'undici';
 import {findFreePorts} from '../ports.js';
 import {
@@ -53,6 +59,8 @@
 	hosts?: Record<string, number>;
 	/** Executors of each data centre. */
 	executors?: Record<string, number>;
+	/** Which answers of executors state when their process started; undefined: none. */
+	bornIn?: BornIn;
 	/** Processor cores of hosts by name; the others' settings name none. */
 	cores?: Record<string, number>;
 	/** Hosts reach those of other data centres through relays, which can be cut. */
@@ -83,6 +91,7 @@
 	readonly #group = new ProcessGroup();
 	readonly #dir = mkdtempSync(path.join(os.tmpdir(), 'gentianshift-'));
 	readonly #subnet = takeSubnet();
+	#bornIn: BornIn | undefined;
 	#storeAddress = '';
 	#nextIp = 10;
 	#version = 1;
@@ -90,10 +99,12 @@
 	async start({
 		hosts = {mieres: 2, langreo: 2},
 		executors = {mieres: 4, langreo: 4},
+		bornIn,
 		cores = {},
 		hasRelays = false,
 		isRefused,
 	}: SchedulingSystemOptions = {}): Promise<void> {
+		this.#bornIn = bornIn;
 		if (isRefused) {
 			this.store.isRefused = isRefused;
 		}
@@ -149,7 +160,7 @@
 	}
 
 	async addExecutor(id: string, dataCentre: string): Promise<LeasedExecutor> {
-		const executor = new LeasedExecutor(id, executorCpu);
+		const executor = new LeasedExecutor(id, executorCpu, this.#bornIn);
 		const address = await executor.start(this.#takeIp());
 		this.executors.push(executor);
 		this.#registered.set(executor, {address, dataCentre});
@@ -170,9 +181,19 @@
 			capacity: {cpu: executorCpu, mem_mb: 131_072, gpu: 0},
 			labels: ['a', 'r1'],
 			sequence: 1,
+			born: executor.bornMs,
 		});
 	}
 
+	/** It crashes, and its next process registers itself under its id as it starts. */
+	async startExecutorAgain(
+		executor: LeasedExecutor,
+		options: RestartOptions,
+	): Promise<void> {
+		await executor.startAgain(options);
+		this.putExecutor(executor, 'ready');
+	}
+
 	/** Executors that have not been removed. */
 	listPresent(): LeasedExecutor[] {
 		return this.executors.filter((executor) => !this.#removed.has(executor));
