Use none of the processes that a list shows to have ended

Callers saw, in a test: 504, executors crashed under its task, for a sound job after one restart of several executors. A list told of all of them; their sessions were replaced one by one, and the task lost with the first was started on the next one, whose process had ended, too: two crashes blamed on it. All these sessions count as gone before the first is replaced.

--- a/packages/scheduling/src/executor-set.ts
+++ b/packages/scheduling/src/executor-set.ts
@@ -157,7 +157,12 @@
 				}
 			}
 
-			// Tasks of the former processes are placed again at once, so the whole list has to be in force by then.
+			// Tasks of the former processes are placed again at once, so the whole list has to be in force by then, and none of
+			// these processes may be used.
+			for (const {session} of restarted) {
+				session.isGone = true;
+			}
+
 			for (const {session, executor} of restarted) {
 				session.replaceBy(executor, 'a later process is registered');
 			}
--- a/packages/scheduling/src/restarts-unstated.test.ts
+++ b/packages/scheduling/src/restarts-unstated.test.ts
@@ -715,3 +715,27 @@
 		assert.deepEqual(blames, [`e1@${firstBornMs} 0`], bornIn);
 	}
 });
+
+// Guards against a task that is placed on one restarted executor after the other while a list that tells of all is applied: it would be
+// blamed for the crash of each and given up.
+test('a task is not started on an executor that the same list shows to have restarted', async () => {
+	for (const bornIn of ['all', 'lists'] as const) {
+		const {blames, log} = collectBlames();
+		const {clock, executors, scheduler, entry} = await openScheduler(
+			{count: 6, taskMs: 600, getDemand, firstBornMs, bornIn},
+			{log},
+		);
+		await clock.run(2900);
+		scheduler.receivePart(entry, makePart(clock, {estimateMs: 600}));
+		await runFor(clock, 300, [[scheduler, entry]]);
+		for (const fake of executors.fakes) {
+			executors.restart(fake, {downMs: 20, clockMs: 0});
+		}
+
+		await clock.run(30);
+		scheduler.setExecutors(listExecutors(executors));
+		await runFor(clock, 2500, [[scheduler, entry]]);
+		assert.ok(blames.length <= 1, `${bornIn}: ${blames.join(', ')}`);
+		assert.deepEqual(listOutcomes(entry), ['done'], bornIn);
+	}
+});
