Count idle executors that restart under their ids towards a wave

Callers could see a job given up for crashes that hit executors at large. The loss of an idle executor says that tasks are not its cause, but the crash was noted after the session had been replaced: how long the process had been up was not known any more, and the loss was dropped. It is noted first.

--- a/packages/scheduling/src/executor-session.ts
+++ b/packages/scheduling/src/executor-session.ts
@@ -351,6 +351,11 @@
 			unsettledStarts: unsettledStarts.length,
 		});
 		this.#endCalls();
+		// Noted while the group still knows how long this process has been up.
+		if (!hasAccepted) {
+			this.#crashWatch.noteProcessEnded(over);
+		}
+
 		this.ports.onReplaced(next, {
 			unsettledStarts,
 			onSettled: (lostStarts) => {
@@ -375,10 +380,6 @@
 			this.#reportEnd({run, outcome: 'lost'});
 		}
 
-		if (!hasAccepted) {
-			this.#crashWatch.noteProcessEnded(over);
-		}
-
 		this.ports.onChange();
 	}
 
--- a/packages/scheduling/src/restarts-unstated.test.ts
+++ b/packages/scheduling/src/restarts-unstated.test.ts
@@ -716,6 +716,29 @@
 	}
 });
 
+// Guards against blame for a wave: idle executors that restart together with that of the task show that the task is not the cause.
+test('a task is not blamed for the crash of its executor when idle ones restart with it', async () => {
+	for (const bornIn of ['all', 'lists'] as const) {
+		const {blames, log} = collectBlames();
+		const {clock, executors, scheduler, entry} = await openScheduler(
+			{count: 6, taskMs: 600, getDemand, firstBornMs, bornIn},
+			{log},
+		);
+		await clock.run(2900);
+		scheduler.receivePart(entry, makePart(clock, {estimateMs: 600}));
+		await runFor(clock, 300, [[scheduler, entry]]);
+		for (const fake of executors.fakes) {
+			executors.restart(fake, {downMs: 20, clockMs: 0});
+		}
+
+		await clock.run(30);
+		scheduler.setExecutors(listExecutors(executors));
+		await runFor(clock, 2500, [[scheduler, entry]]);
+		assert.deepEqual(blames, [], bornIn);
+		assert.deepEqual(listOutcomes(entry), ['done']);
+	}
+});
+
 // Guards against a task that is placed on one restarted executor after the other while a list that tells of all is applied: it would be
 // blamed for the crash of each and given up.
 test('a task is not started on an executor that the same list shows to have restarted', async () => {
