Draw plans for overtaking answers, shortened leases and late renewals of executors that restart

The fakes answered in zero time, took a lease of any length, and always registered born, so some readings of the platform's page were never played. Calls and answers can now take drawn times, leases can be shortened to hold_max_ms, refused starts can extend the lease, registrations can leave out born, ports can refuse connections while runs go on, and renewals alone can be late. All of these are off by default: plans drawn before stay the same.

--- a/packages/host/src/scheduling/faulty/fault-plan.fixture.ts
+++ b/packages/host/src/scheduling/faulty/fault-plan.fixture.ts
@@ -5,7 +5,11 @@
 A job's entry host is the host that accepted it from the caller. A group is the executors of one data centre; its holder is the
 host that currently schedules it.
 */
-import {type BornIn} from '@gentianshift/scheduling/fixtures';
+import {
+	type BornIn,
+	type CallDelay,
+	type FakeCall,
+} from '@gentianshift/scheduling/fixtures';
 import fc from 'fast-check';
 
 export const dataCentres = ['mieres', 'langreo'] as const;
@@ -67,6 +71,8 @@
 	| {kind: 'unlist'; executor: number}
 	/** The executor can't be reached: calls get no answer and have no effect. */
 	| {kind: 'silence'; executor: number}
+	/** The executor's port refuses connections; what runs on it goes on. */
+	| {kind: 'refuse-connections'; executor: number}
 	/**
 	The executor's process ends, and one starts under the same id that answers `durationMs` later. Starts and stops sent in the
 	last `leadMs` before have no answer, and the new process carries them out `lateMs` after they were sent. Its registration
@@ -100,6 +106,8 @@
 			how: 'lost' | 'answer-lost' | 'late';
 			every: number;
 			lateMs: number;
+			/** Absent: calls of all kinds. */
+			only?: FakeCall['kind'];
 	  }
 );
 
@@ -118,6 +126,14 @@
 	hasBorn?: boolean;
 	/** They state it in these answers; absent: in all. */
 	bornIn?: BornIn;
+	/** Whether they state it in their registrations; absent: they do. */
+	isBornRegistered?: boolean;
+	/** Each call to an executor takes the next of these, in turn; absent: calls take no time. */
+	callDelays?: CallDelay[];
+	/** Executors shorten a longer lease to this; absent: they take any. */
+	holdMaxMs?: number;
+	/** Executors take the lease also from starts that they refuse as outdated or for lack of free capacity. */
+	isLeaseTakenFromRefused?: boolean;
 };
 
 /** Jobs arrive and faults start within this time. */
@@ -891,6 +907,209 @@
 		bornIn: 'lists',
 	}));
 
+/** Calls to executors and their answers overtake one another; some answers come after their callers' time-outs. */
+const callDelays = fc.array(
+	fc.record({
+		requestMs: fc.oneof(
+			{weight: 2, arbitrary: fc.constant(0)},
+			{weight: 1, arbitrary: fc.nat(20)},
+		),
+		answerMs: fc.nat(40),
+	}),
+	{minLength: 1, maxLength: 12},
+);
+
+const holdMaxMs = 1000;
+
+/** What the platform's page leaves open, or says without telling how often it occurs. */
+const wireReading = fc.record({
+	callDelays: fc.oneof(fc.constant<CallDelay[]>([]), callDelays),
+	holdMaxMs: fc.constantFrom(undefined, holdMaxMs),
+	isBornRegistered: fc.boolean(),
+	isLeaseTakenFromRefused: fc.boolean(),
+	hasBorn: fc.constant(true),
+	bornIn: fc.constant('lists' as const),
+});
+
+/** As `unattributedStartPlans`, with calls that take time, and under each reading of the platform's page. */
+export const overtakingAnswerPlans: fc.Arbitrary<FaultPlan> = fc
+	.tuple(unattributedStartPlans, wireReading, callDelays)
+	.map(([plan, reading, delays]) => ({
+		...plan,
+		...reading,
+		callDelays: delays,
+	}));
+
+const shortRefusal = fc.record({
+	at: fc.nat(restartPlanSpanMs),
+	durationMs: fc.oneof(
+		fc.integer({min: 10, max: 200}),
+		fc.integer({min: 200, max: 2000}),
+	),
+	kind: fc.constant('refuse-connections' as const),
+	executor,
+});
+
+const shortSilence = fc.record({
+	at: fc.nat(restartPlanSpanMs),
+	durationMs: fc.integer({min: 100, max: 2500}),
+	kind: fc.constant('silence' as const),
+	executor,
+});
+
+/** Executors restart, refuse connections, can't be reached or are not listed for a while: leases pass before runs are known to be over. */
+export const silentRestartPlans: fc.Arbitrary<FaultPlan> = fc
+	.tuple(
+		fc.array(quickRestart, {minLength: 1, maxLength: 3}),
+		fc.array(jobDuringRestarts, {minLength: 2, maxLength: 8}),
+		fc.array(
+			fc.oneof(
+				{weight: 3, arbitrary: shortRefusal},
+				{weight: 3, arbitrary: shortSilence},
+				{
+					weight: 3,
+					arbitrary: drawInRestartPlan(
+						callFault.filter(({how}) => how !== 'late'),
+					),
+				},
+				{weight: 1, arbitrary: drawInRestartPlan(executorFault)},
+				{weight: 1, arbitrary: drawInRestartPlan(handOver)},
+			),
+			{minLength: 1, maxLength: 5},
+		),
+		wireReading,
+	)
+	.map(([restarts, jobs, faults, reading]) => ({
+		jobs,
+		faults: [...restarts, ...faults],
+		...reading,
+	}));
+
+/** Renewals are left unanswered before a restart, and the next process, which then can't be reached, carries them out. */
+const lateRenewalsAtRestart = fc
+	.record({
+		fault: quickRestart,
+		leadMs: fc.integer({min: 20, max: 300}),
+		lagMs: fc.nat(400),
+		lateMs: fc.integer({min: 100, max: 1500}),
+		every: fc.integer({min: 1, max: 2}),
+		silentAfterMs: fc.integer({min: 50, max: 1000}),
+		silentMs: fc.integer({min: 800, max: 2000}),
+		formerJob: jobDuringRestarts,
+		job: jobDuringRestarts,
+		jobAfterMs: fc.integer({min: 50, max: 600}),
+	})
+	.map(({fault, leadMs, lagMs, lateMs, every, ...rest}) => {
+		const at = fault.at + 600;
+		const {executor: restarted} = fault;
+		const faults: PlannedFault[] = [
+			{...fault, at},
+			{
+				at: at - leadMs,
+				durationMs: leadMs + lagMs,
+				kind: 'faulty-calls',
+				executor: restarted,
+				how: 'late',
+				every,
+				lateMs,
+				only: 'renewal',
+			},
+			{
+				at: at + fault.durationMs + rest.silentAfterMs,
+				durationMs: rest.silentMs,
+				kind: 'silence',
+				executor: restarted,
+			},
+		];
+		const jobs: PlannedJob[] = [
+			{...rest.formerJob, at: at - 500, runMs: 600},
+			{
+				...rest.job,
+				at: at + fault.durationMs + rest.jobAfterMs,
+				runMs: 2500,
+			},
+		];
+		return {faults, jobs};
+	});
+
+/** No lease is longer than the platform's page allows, or a late renewal would keep it for as long as two clocks differ. */
+export const lateRenewalPlans: fc.Arbitrary<FaultPlan> = fc
+	.tuple(
+		fc.array(lateRenewalsAtRestart, {minLength: 1, maxLength: 3}),
+		fc.array(jobDuringRestarts, {maxLength: 3}),
+		wireReading,
+	)
+	.map(([parts, jobs, reading]) => ({
+		jobs: [...jobs, ...parts.flatMap((part) => part.jobs)],
+		faults: parts.flatMap((part) => part.faults),
+		...reading,
+		holdMaxMs,
+	}));
+
+const dividedExecutor = fc.nat(dividedExecutorCounts.total - 1);
+
+/** As `divisionPlans`, with executors that restart under their ids or refuse connections, and jobs that come right after. */
+export const dividedRestartPlans: fc.Arbitrary<FaultPlan> = fc
+	.tuple(
+		fc.array(
+			fc.tuple(quickRestart, dividedExecutor, jobDuringRestarts, fc.nat(300)),
+			{minLength: 1, maxLength: 4},
+		),
+		dividedJobs,
+		fc.array(
+			fc.oneof(
+				{weight: 4, arbitrary: division},
+				{weight: 2, arbitrary: handOver},
+				{weight: 2, arbitrary: shortRefusal},
+				{weight: 2, arbitrary: shortSilence},
+				{weight: 1, arbitrary: hostFault},
+				{weight: 1, arbitrary: linkFault},
+				{weight: 1, arbitrary: storeFault},
+				{weight: 1, arbitrary: executorFault},
+			),
+			{minLength: 1, maxLength: 5},
+		),
+		fc.constantFrom(1, 2),
+		wireReading,
+	)
+	.map(([restarts, jobs, faults, groups, reading]) => ({
+		groups,
+		jobs: [
+			...jobs,
+			...restarts.map(([fault, , one, delayMs]) => ({
+				...one,
+				at: fault.at + fault.durationMs + delayMs,
+			})),
+		],
+		faults: [
+			...restarts.map(([fault, restarted]) => ({
+				...fault,
+				executor: restarted,
+			})),
+			...faults,
+		],
+		...reading,
+	}));
+
+/** As `withdrawalPlans`, with executors that restart under their ids or refuse connections meanwhile. */
+export const withdrawalRestartPlans: fc.Arbitrary<FaultPlan> = fc
+	.tuple(
+		withdrawalPlans,
+		fc.array(fc.oneof(quickRestart, quickRestart, shortRefusal), {
+			minLength: 1,
+			maxLength: 4,
+		}),
+		wireReading,
+	)
+	.map(([{jobs, faults}, restarts, reading]) => ({
+		jobs,
+		faults: [
+			...restarts.map((fault) => ({...fault, at: fault.at % planSpanMs})),
+			...faults,
+		],
+		...reading,
+	}));
+
 /** Hosts freeze for this long at most. */
 const longestFreezeMs = 4000;
 
--- a/packages/host/src/scheduling/faulty/faulty-store.fixture.ts
+++ b/packages/host/src/scheduling/faulty/faulty-store.fixture.ts
@@ -50,6 +50,8 @@
 	constructor(
 		private readonly clock: VirtualClock,
 		executors: readonly Executor[],
+		/** Whether registrations state when the executor's process started, if the executor has such a time. */
+		private readonly isBornRegistered = true,
 	) {
 		for (const executor of executors) {
 			this.#putRegistration(executor);
@@ -274,7 +276,7 @@
 			service,
 			isDraining,
 			capacity,
-			...(bornMs !== undefined && {bornMs}),
+			...(bornMs !== undefined && this.isBornRegistered && {bornMs}),
 		};
 		this.#registrations.set(id, {...registration, sequence: 1});
 	}
--- /dev/null
+++ b/packages/host/src/scheduling/faulty/no-task-twice-late-renewals.test.ts
@@ -0,0 +1,61 @@
+/**
+A renewal of the lease that was sent to one process of an executor is carried out late by the next process, whose clock has begun
+anew. Random plans as in `no-task-twice`.
+*/
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {lateRenewalPlans} from './fault-plan.fixture.js';
+import {runPlan} from './run-plan.fixture.js';
+import {checkPlans} from './check-plans.fixture.js';
+
+const mayBeBlamed = true;
+
+// Runs before the tests start: within a test, the test runner tracks each promise, which takes three times as long.
+const result = await checkPlans(lateRenewalPlans, 300, {mayBeBlamed});
+
+// Guards against placing a task elsewhere when its executor is silent, while the lease that it runs under was extended late.
+test('no task runs twice at a time when the next process of an executor carries out renewals late', () => {
+	assert.ok(!result.failed, fc.defaultReportMessage(result));
+});
+
+// Guards against the same, in its simplest form: a renewal with 500 ms of delay extends the lease of the next process to 1,000 ms
+// after it arrives, and the holder, which had no answer to it, reckons the lease from its own last renewal.
+test('a run under a lease that a renewal to the former process has extended is not placed elsewhere', async () => {
+	const violations = await runPlan(
+		{
+			jobs: [
+				{at: 300, host: 0, tasks: 1, runMs: 500, allowanceMs: 60},
+				{at: 1117, host: 0, tasks: 1, runMs: 1500, allowanceMs: 60},
+			],
+			faults: [
+				{
+					at: 640,
+					durationMs: 476,
+					kind: 'faulty-calls',
+					executor: 0,
+					how: 'late',
+					every: 2,
+					lateMs: 500,
+					only: 'renewal',
+				},
+				{
+					at: 751,
+					durationMs: 20,
+					kind: 'restart',
+					executor: 0,
+					leadMs: 0,
+					lateMs: 0,
+					registeredAfterMs: 1400,
+					hasLateRegistration: false,
+					clockMs: 0,
+				},
+				{at: 1318, durationMs: 1021, kind: 'silence', executor: 0},
+			],
+			holdMaxMs: 1000,
+			hasBorn: true,
+		},
+		{mayBeBlamed},
+	);
+	assert.deepEqual(violations, []);
+});
--- a/packages/host/src/scheduling/faulty/run-plan.fixture.ts
+++ b/packages/host/src/scheduling/faulty/run-plan.fixture.ts
@@ -14,6 +14,7 @@
 	findOverlaps,
 	VirtualClock,
 	type BornIn,
+	type CallDelay,
 	type CallOutcome,
 	type FakeCall,
 	type FakeExecutors,
@@ -94,6 +95,7 @@
 	readonly #callFaults = new Set<CallFault>();
 	readonly #comingRestarts = new Set<RestartFault>();
 	readonly #unused = new Set<string>();
+	#delayedCallCount = 0;
 	readonly #storeModes = new Map<FaultyHost, StoreMode>();
 	readonly #executors: FakeExecutors;
 	readonly #hosts: FaultyHost[] = [];
@@ -115,6 +117,11 @@
 			mayBeBlamed: boolean;
 			hasBorn: boolean;
 			bornIn: BornIn;
+			isBornRegistered: boolean;
+			/** Delays of the calls to executors, in turn; none: calls take no time. */
+			callDelays: readonly CallDelay[];
+			holdMaxMs: number | undefined;
+			isLeaseTakenFromRefused: boolean;
 		},
 		private readonly log: (line: string) => void,
 	) {
@@ -123,7 +130,11 @@
 			clock: this.clock,
 			hosts: this.#hosts,
 			network: new FaultyNetwork(this.clock, this.#hosts),
-			store: new FaultyStore(this.clock, this.#executors.executors),
+			store: new FaultyStore(
+				this.clock,
+				this.#executors.executors,
+				this.options.isBornRegistered,
+			),
 			executors: this.#executors,
 			storeModes: this.#storeModes,
 			callFaults: this.#callFaults,
@@ -291,6 +302,11 @@
 			isCapacityEnforced: this.options.isCapacityEnforced,
 			...(this.options.hasBorn && {firstBornMs}),
 			bornIn: this.options.bornIn,
+			...(this.options.callDelays.length > 0 && {
+				chooseDelay: () => this.#takeDelay(),
+			}),
+			holdMaxMs: this.options.holdMaxMs,
+			isLeaseTakenFromRefused: this.options.isLeaseTakenFromRefused,
 			getDemand: (job) => this.#makeDemand(job),
 			findCrashMs: ({job, index}) =>
 				index === 0 ? this.#crashAfterMsByJob.get(job) : undefined,
@@ -307,6 +323,13 @@
 		return executors;
 	}
 
+	#takeDelay(): CallDelay {
+		const {callDelays} = this.options;
+		const delay = callDelays[this.#delayedCallCount % callDelays.length]!;
+		this.#delayedCallCount += 1;
+		return delay;
+	}
+
 	#findDataCentre({executor}: {executor: string}): string {
 		const [name] = executor.split('.', 1);
 		return this.#executors.fakes.find(
@@ -359,7 +382,8 @@
 
 		for (const fault of this.#callFaults) {
 			const [name] = executor.split('.', 1);
-			if (name === `e${fault.executor + 1}`) {
+			const isMeant = fault.only === undefined || fault.only === kind;
+			if (name === `e${fault.executor + 1}` && isMeant) {
 				fault.callsSeen += 1;
 				if (fault.callsSeen % fault.every === 0) {
 					return fault.how === 'late'
@@ -506,6 +530,10 @@
 		groups,
 		hasBorn = false,
 		bornIn = 'all',
+		isBornRegistered = true,
+		callDelays = [],
+		holdMaxMs,
+		isLeaseTakenFromRefused = false,
 	} = plan;
 	return new Simulation(
 		{
@@ -518,6 +546,10 @@
 			mayBeBlamed,
 			hasBorn,
 			bornIn,
+			isBornRegistered,
+			callDelays,
+			holdMaxMs,
+			isLeaseTakenFromRefused,
 		},
 		log,
 	).run(plan);
--- a/packages/host/src/scheduling/faulty/start-fault.fixture.ts
+++ b/packages/host/src/scheduling/faulty/start-fault.fixture.ts
@@ -257,6 +257,13 @@
 			};
 		}
 
+		case 'refuse-connections': {
+			fake.isRefusing = true;
+			return () => {
+				fake.isRefusing = false;
+			};
+		}
+
 		case 'shrink': {
 			return startShrink(fault, system);
 		}
--- a/packages/scheduling/src/fake-executors.fixture.ts
+++ b/packages/scheduling/src/fake-executors.fixture.ts
@@ -62,6 +62,8 @@
 	clockOffsetMs: number;
 	/** When each process that started again under the id of its predecessor was back. */
 	restartedAt: number[];
+	/** Its port refuses connections; what runs on it goes on. */
+	isRefusing: boolean;
 };
 
 export type Restart = {
@@ -87,7 +89,17 @@
 	token: number;
 };
 
-export type BornIn = 'all' | 'lists';
+/** `registrations`: no answer states when the process started. */
+export type BornIn = 'all' | 'lists' | 'registrations';
+
+/** How long a call is on its way to the executor, and its answer on the way back. */
+export type CallDelay = {requestMs: number; answerMs: number};
+
+const noDelay: CallDelay = {requestMs: 0, answerMs: 0};
+
+function isImmediate({requestMs, answerMs}: CallDelay): boolean {
+	return requestMs === 0 && answerMs === 0;
+}
 
 export type FakeExecutors = ReturnType<typeof createFakeExecutors>;
 
@@ -107,6 +119,9 @@
 		onCrash = () => undefined,
 		firstBornMs,
 		bornIn = 'all',
+		chooseDelay = () => noDelay,
+		holdMaxMs = Infinity,
+		isLeaseTakenFromRefused = false,
 	}: {
 		count: number;
 		/**
@@ -114,8 +129,14 @@
 		after time 0. Undefined: they don't state it.
 		*/
 		firstBornMs?: number;
-		/** Which answers state when the process started: all of them, or only lists of runs. */
+		/** Which answers state when the process started: all of them, only lists of runs, or none. */
 		bornIn?: BornIn;
+		/** Chosen for each call that is answered. A caller whose time-out passes first gets no answer. */
+		chooseDelay?: () => CallDelay;
+		/** A longer lease is shortened to this, on the executor's clock. */
+		holdMaxMs?: number;
+		/** The lease is also taken from starts that are refused as outdated or for lack of free capacity. */
+		isLeaseTakenFromRefused?: boolean;
 		cpu?: number;
 		/** Run time of all tasks, or a function that gives each task's. */
 		taskMs?: number | ((task: {job: string; index: number}) => number);
@@ -170,6 +191,7 @@
 		isDown: false,
 		clockOffsetMs: 0,
 		restartedAt: [],
+		isRefusing: false,
 	}));
 
 	function readClock({clockOffsetMs}: FakeExecutor): number {
@@ -178,7 +200,7 @@
 
 	/** The start time of the process, as its answers to orders state it. */
 	function getOrderBorn({executor: {bornMs}}: FakeExecutor): Answerer {
-		return bornMs === undefined || bornIn === 'lists' ? {} : {bornMs};
+		return bornMs === undefined || bornIn !== 'all' ? {} : {bornMs};
 	}
 
 	function refuse(
@@ -207,8 +229,8 @@
 		fake: FakeExecutor,
 		{id}: Executor,
 	): Result<never, CallFailure> | undefined {
-		if (fake.isDown) {
-			return err({code: 'unreachable', message: 'no process'});
+		if (fake.isDown || fake.isRefusing) {
+			return err({code: 'unreachable', message: 'connection refused'});
 		}
 
 		return fake.executor.id === id ? undefined : refuse('replaced', fake);
@@ -309,7 +331,10 @@
 
 	function extend(fake: FakeExecutor, until: number): void {
 		const {life} = fake;
-		fake.leaseEndsAt = Math.max(fake.leaseEndsAt, until);
+		fake.leaseEndsAt = Math.max(
+			fake.leaseEndsAt,
+			Math.min(until, readClock(fake) + holdMaxMs),
+		);
 		clock.schedule(fake.leaseEndsAt - readClock(fake), () => {
 			if (fake.life === life && readClock(fake) >= fake.leaseEndsAt) {
 				for (const run of fake.active) {
@@ -319,6 +344,18 @@
 		});
 	}
 
+	function refuseRun(
+		code: 'outdated' | 'no-room',
+		fake: FakeExecutor,
+		leaseUntilMs: number,
+	): Result<never, CallFailure> {
+		if (isLeaseTakenFromRefused) {
+			extend(fake, leaseUntilMs);
+		}
+
+		return refuse(code, fake);
+	}
+
 	function startRun(
 		fake: FakeExecutor,
 		request: StartRequest,
@@ -331,7 +368,7 @@
 
 		fake.token = token;
 		if (attempt <= (fake.highest.get(key) ?? 0)) {
-			return refuse('outdated', fake);
+			return refuseRun('outdated', fake, leaseUntilMs);
 		}
 
 		const now = readClock(fake);
@@ -344,7 +381,7 @@
 			fake.executor.isCapacityEnforced &&
 			!coversDemand(free, getDemand(job))
 		) {
-			return refuse('no-room', fake);
+			return refuseRun('no-room', fake, leaseUntilMs);
 		}
 
 		fake.highest.set(key, attempt);
@@ -395,6 +432,21 @@
 		return err({code: 'unanswered', message: 'no answer'});
 	}
 
+	/** Carries out a call when it has arrived; it has no answer if that comes after the caller's time-out. */
+	async function deliver<T>(
+		{requestMs, answerMs}: CallDelay,
+		limits: {answerTimeoutMs: number; waitMs?: number},
+		work: () => Promise<Result<T, CallFailure>>,
+	): Promise<Result<T, CallFailure>> {
+		const answer = (async () => {
+			await clock.wait(requestMs);
+			const result = await work();
+			await clock.wait(answerMs);
+			return result;
+		})();
+		return Promise.race([answer, loseAnswer(limits)]);
+	}
+
 	/** Carries out a call, or loses it, as decided for it, unless the executor process that was called has ended. */
 	async function carryOut<T>(
 		call: FakeCall & {to: Executor},
@@ -405,7 +457,8 @@
 		const outcome = decideOutcome(call);
 		switch (outcome.type) {
 			case 'answered': {
-				return run();
+				const delay = chooseDelay();
+				return isImmediate(delay) ? run() : deliver(delay, limits, run);
 			}
 
 			case 'lost': {
@@ -545,9 +598,10 @@
 			? loseAnswer(request)
 			: accept(fake).map((reply) => ({
 					...reply,
-					...(fake.executor.bornMs !== undefined && {
-						bornMs: fake.executor.bornMs,
-					}),
+					...(fake.executor.bornMs !== undefined &&
+						bornIn !== 'registrations' && {
+							bornMs: fake.executor.bornMs,
+						}),
 					running: fake.active.map(({job, index, attempt}) => ({
 						job,
 						index,
