State in the trial of restarts which jobs were not completed

In one of its first four runs two of 26 jobs were not completed, and the trial, which passes with true refusals and answers that are too late, kept nothing to trace them by. Its diagnostic now holds these answers.

--- a/packages/trials/src/scheduling/restarts.test.ts
+++ b/packages/trials/src/scheduling/restarts.test.ts
@@ -114,8 +114,9 @@
 		}
 
 		const served = replies.filter(({state}) => state === 'completed').length;
+		const others = replies.filter(({state}) => state !== 'completed');
 		context.diagnostic(
-			`seed ${seed}: ${served} of ${replies.length} jobs completed, ${earlyRuns} runs on young processes`,
+			`seed ${seed}: ${served} of ${replies.length} jobs completed, ${earlyRuns} runs on young processes, other answers: ${JSON.stringify(others)}`,
 		);
 		assertNoOverlaps(system.executors);
 		for (const reply of replies) {
