Blame no crash of a process for starts that the next one has answered

Callers saw, in plays with processes: 504, executors crashed under its task, for sound jobs while idle executors restarted. Their log had two lines 'an executor crashed under a task' for executors that had restarted before the job came. Where all answers state born, the answer to a start is what tells of the next process; the session was replaced before the answer counted, so the start went on as one without an answer: it was stopped at the process that had accepted it, and the former one's crash was blamed on its task. Where only lists state born, a registration that is read before the answer did the same.

A start that a later process has answered is marked as accepted or refused before the session is replaced: an accepted one goes on there. A crash is blamed on starts without a known process only when the next one's first report lacks them.

--- a/packages/scheduling/src/executor-session.ts
+++ b/packages/scheduling/src/executor-session.ts
@@ -150,7 +150,7 @@
 
 	readonly #lease = createExecutorLease();
 	readonly #leaseCalls: LeaseCalls;
-	/** Starts taken over as accepted that are lost. */
+	/** Starts taken over that this process never had. */
 	readonly #lostStarts: Run[] = [];
 	#hasSettled = false;
 	readonly #control: ExecutorControl;
@@ -333,10 +333,8 @@
 
 		const runs = [...this.runs.values()];
 		const unsettledStarts = runs.filter((run) => this.#isPossibleAtNext(run));
-		const acceptedStarts = unsettledStarts.filter((run) => isAccepted(run));
-		const hasAccepted = acceptedStarts.length > 0;
+		const hasUnsettled = unsettledStarts.length > 0;
 		const lost = runs.filter((run) => !unsettledStarts.includes(run));
-		const over = runs.filter((run) => !acceptedStarts.includes(run));
 		this.isGone = true;
 		for (const run of runs) {
 			this.#runTable.remove(run);
@@ -352,17 +350,17 @@
 		});
 		this.#endCalls();
 		// Noted while the group still knows how long this process has been up.
-		if (!hasAccepted) {
-			this.#crashWatch.noteProcessEnded(over);
+		if (!hasUnsettled) {
+			this.#crashWatch.noteProcessEnded(lost);
 		}
 
 		this.ports.onReplaced(next, {
 			unsettledStarts,
 			onSettled: (lostStarts) => {
-				if (hasAccepted) {
+				if (hasUnsettled) {
 					this.#crashWatch.noteProcessEnded([
-						...over,
-						...pickRuns(acceptedStarts, lostStarts),
+						...lost,
+						...pickRuns(unsettledStarts, lostStarts),
 					]);
 				}
 
@@ -374,7 +372,9 @@
 				this.#lease.statedUntilMs,
 				this.inheritance?.leaseUntilMs,
 			),
-			isLeaseCarried: this.#leaseCallCount > 0 || hasAccepted,
+			isLeaseCarried:
+				this.#leaseCallCount > 0 ||
+				unsettledStarts.some((run) => isAccepted(run)),
 		});
 		for (const run of lost) {
 			this.#reportEnd({run, outcome: 'lost'});
@@ -475,7 +475,16 @@
 		const {control} = this.ports;
 		return {
 			startTask: (executor, request) =>
-				this.#wrapCall(control.startTask(executor, request), true),
+				this.#wrapCall(
+					new ResultAsync(
+						(async () => {
+							const reply = await control.startTask(executor, request);
+							this.#noteAnsweredLater(request, reply);
+							return reply;
+						})(),
+					),
+					true,
+				),
 			stopTask: (executor, request) =>
 				this.#wrapCall(control.stopTask(executor, request), false),
 			renewLease: (executor, request) =>
@@ -506,6 +515,27 @@
 		);
 	}
 
+	/** A start that a later process has answered is no run of this one: accepted, it goes on there. */
+	#noteAnsweredLater(
+		start: RunName,
+		reply: Result<Answerer, CallFailure>,
+	): void {
+		const {bornMs} = reply.isOk() ? reply.value : reply.error;
+		const run = this.runs.get(formatTaskKey(start));
+		if (
+			run?.attempt !== start.attempt ||
+			compareIncarnations(bornMs, this.bornMs) !== 'later'
+		) {
+			return;
+		}
+
+		if (reply.isOk()) {
+			run.acceptedAt = this.ports.now();
+		} else if (reply.error.code !== 'replaced') {
+			run.isRefused = true;
+		}
+	}
+
 	#noteLeaseCall(reply: Result<Answerer, CallFailure>): void {
 		const now = this.ports.now();
 		const code = reply.isErr() ? reply.error.code : undefined;
@@ -557,7 +587,14 @@
 	#settleStarts(lost: readonly Run[]): void {
 		if (!this.#hasSettled) {
 			this.#hasSettled = true;
-			this.inheritance?.onSettled([...this.#lostStarts, ...lost]);
+			const unconfirmed = [...this.runs.values()].filter(
+				({isInherited, isConfirmed}) => isInherited && !isConfirmed,
+			);
+			this.inheritance?.onSettled([
+				...this.#lostStarts,
+				...unconfirmed,
+				...lost,
+			]);
 		}
 	}
 
@@ -1083,10 +1120,6 @@
 
 	#reportEnd({run, outcome}: {run: Run; outcome: RunOutcome}): void {
 		if (outcome === 'lost') {
-			if (run.isInherited && isAccepted(run)) {
-				this.#lostStarts.push(run);
-			}
-
 			this.ports.log(this.#describeLoss(), {
 				executor: this.id,
 				bornMs: this.bornMs,
@@ -1094,6 +1127,10 @@
 			});
 		}
 
+		if (run.isInherited && (outcome === 'lost' || outcome === 'unstarted')) {
+			this.#lostStarts.push(run);
+		}
+
 		if (outcome === 'failed') {
 			recordFailure(this.trust, this.ports.now());
 		}
--- a/packages/scheduling/src/restarts.test.ts
+++ b/packages/scheduling/src/restarts.test.ts
@@ -502,3 +502,29 @@
 	assert.deepEqual(listOutcomes(entry), ['done']);
 	assert.equal(executors.runs.length, 1);
 });
+
+// Guards against a job that is given up, as its executors seem to crash under it, when they had restarted before it came.
+for (const bornIn of ['all', 'lists'] as const) {
+	for (const {how, clockMs} of clocks) {
+		test(`a start that reaches the next process of an idle executor, with a clock ${how} the former one, is blamed for no crash when ${bornIn} state born`, async () => {
+			const blamed: unknown[] = [];
+			const {clock, executors, scheduler, entry} = await openScheduler(
+				{count: 4, taskMs: 300, getDemand, firstBornMs, bornIn},
+				{
+					log(message, fields) {
+						if (message === 'an executor crashed under a task') {
+							blamed.push(fields);
+						}
+					},
+				},
+			);
+			await clock.run(900);
+			executors.restart(executors.fakes[0]!, {downMs: 20, clockMs});
+			await clock.run(30);
+			scheduler.receivePart(entry, makePart(clock, {estimateMs: 300}));
+			await runFor(clock, 2500, [[scheduler, entry]]);
+			assert.deepEqual(listOutcomes(entry), ['done']);
+			assert.deepEqual(blamed, []);
+		});
+	}
+}
