Show that a late renewal of a former holder also lets a task run twice

The executor restarts, its holder's renewal is held up, the group changes hands, and the new holder can't reach the executor. The renewal extends the lease of the next process to 1,000 ms after it arrives; the new holder starts the task before that.

--- a/packages/host/src/scheduling/faulty/no-task-twice-late-renewals.test.ts
+++ b/packages/host/src/scheduling/faulty/no-task-twice-late-renewals.test.ts
@@ -59,3 +59,45 @@
 	);
 	assert.deepEqual(violations, []);
 });
+
+// Guards against the same across a change of holders: the new holder can't reach the executor, and waits for the leases that its
+// predecessor had renewed, but not for one that a late renewal extends.
+test('a run under a lease that a late renewal of the former holder has extended is not placed elsewhere', async () => {
+	const violations = await runPlan(
+		{
+			jobs: [
+				{at: 400, host: 0, tasks: 1, runMs: 200, allowanceMs: 60},
+				{at: 1000, host: 0, tasks: 1, runMs: 1500, allowanceMs: 60},
+			],
+			faults: [
+				{
+					at: 500,
+					durationMs: 0,
+					kind: 'restart',
+					executor: 0,
+					leadMs: 0,
+					lateMs: 0,
+					registeredAfterMs: 0,
+					hasLateRegistration: false,
+					clockMs: 0,
+				},
+				{
+					at: 800,
+					durationMs: 102,
+					kind: 'faulty-calls',
+					executor: 0,
+					how: 'late',
+					every: 1,
+					lateMs: 400,
+					only: 'renewal',
+				},
+				{at: 1049, durationMs: 100, kind: 'hand-over'},
+				{at: 1100, durationMs: 1100, kind: 'silence', executor: 0},
+			],
+			holdMaxMs: 1000,
+			hasBorn: true,
+		},
+		{mayBeBlamed},
+	);
+	assert.deepEqual(violations, []);
+});
