--- a/packages/scheduling/src/executor-session.ts
+++ b/packages/scheduling/src/executor-session.ts
@@ -475,16 +475,9 @@
 		const {control} = this.ports;
 		return {
 			startTask: (executor, request) =>
-				this.#wrapCall(
-					new ResultAsync(
-						(async () => {
-							const reply = await control.startTask(executor, request);
-							this.#noteAnsweredLater(request, reply);
-							return reply;
-						})(),
-					),
-					true,
-				),
+				this.#wrapCall(control.startTask(executor, request), true, (reply) => {
+					this.#noteAnsweredLater(request, reply);
+				}),
 			stopTask: (executor, request) =>
 				this.#wrapCall(control.stopTask(executor, request), false),
 			renewLease: (executor, request) =>
@@ -499,11 +492,13 @@
 	#wrapCall<T extends Answerer>(
 		call: ResultAsync<T, CallFailure>,
 		extendsLease: boolean,
+		noteReply: (reply: Result<T, CallFailure>) => void = doNothing,
 	): ResultAsync<T, CallFailure> {
 		this.#leaseCallCount += Number(extendsLease);
 		return new ResultAsync(
 			(async () => {
 				const reply = await call;
+				noteReply(reply);
 				if (extendsLease) {
 					this.#noteLeaseCall(reply);
 				}
@@ -1139,6 +1134,10 @@
 	}
 }
 
+function doNothing(): void {
+	// Nothing is to be noted of this answer.
+}
+
 /** Stands for the answer of another process of the executor: it says nothing of this one. */
 const otherProcessFailure: CallFailure = {
 	code: 'unanswered',
