Release the session with a former process once it knows which starts were lost

Each session kept that of its predecessor, through the function that tells it of lost starts: an executor that restarts again and again would have grown the memory of its holder.

--- a/packages/scheduling/src/executor-session.ts
+++ b/packages/scheduling/src/executor-session.ts
@@ -83,8 +83,8 @@
 export type Inheritance = {
 	/** Starts that this process may have accepted, or may still carry out. */
 	unsettledStarts: readonly Run[];
-	/** To be called once, when it is known which of them were lost: crashes are blamed only then. */
-	onSettled: (lost: readonly Run[]) => void;
+	/** To be called once, when it is known which of them were lost: crashes are blamed only then. Undefined: it has been. */
+	onSettled: ((lost: readonly Run[]) => void) | undefined;
 	/** Whether runs that are found may be those of an earlier holder of the group. */
 	mayClaim: boolean;
 	leaseCalls: LeaseCalls;
@@ -150,9 +150,8 @@
 
 	readonly #lease = createExecutorLease();
 	readonly #leaseCalls: LeaseCalls;
-	/** Starts taken over that this process never had. */
+	/** Starts taken over that ended as lost, or that prove never to have run here. */
 	readonly #lostStarts: Run[] = [];
-	#hasSettled = false;
 	readonly #control: ExecutorControl;
 	readonly #calls: RunCalls;
 	readonly #crashWatch: CrashWatch;
@@ -172,7 +171,7 @@
 	constructor(
 		executor: Executor,
 		private readonly ports: SessionPorts,
-		private readonly inheritance?: Inheritance,
+		private inheritance?: Inheritance,
 	) {
 		this.#executor = executor;
 		this.#leaseCalls = inheritance?.leaseCalls ?? createLeaseCalls();
@@ -578,18 +577,15 @@
 		return this.bornMs !== undefined && isUnsettled(run);
 	}
 
-	/** Tells the session with the former process which starts were lost with it, unless it has been told. */
+	/** Tells the session with the former process, once, which starts were lost with it; that session is not needed any more. */
 	#settleStarts(lost: readonly Run[]): void {
-		if (!this.#hasSettled) {
-			this.#hasSettled = true;
+		const {inheritance} = this;
+		if (inheritance?.onSettled) {
+			this.inheritance = {...inheritance, onSettled: undefined};
 			const unconfirmed = [...this.runs.values()].filter(
 				({isInherited, isConfirmed}) => isInherited && !isConfirmed,
 			);
-			this.inheritance?.onSettled([
-				...this.#lostStarts,
-				...unconfirmed,
-				...lost,
-			]);
+			inheritance.onSettled([...this.#lostStarts, ...unconfirmed, ...lost]);
 		}
 	}
 
@@ -1122,7 +1118,8 @@
 			});
 		}
 
-		if (run.isInherited && (outcome === 'lost' || outcome === 'unstarted')) {
+		const isLost = outcome === 'lost' || outcome === 'unstarted';
+		if (isLost && run.isInherited && this.inheritance?.onSettled) {
 			this.#lostStarts.push(run);
 		}
 
