--- a/packages/host/src/scheduling/faulty/fault-plan.fixture.ts
+++ b/packages/host/src/scheduling/faulty/fault-plan.fixture.ts
@@ -130,7 +130,7 @@
 	isBornRegistered?: boolean;
 	/** Each call to an executor takes the next of these, in turn; absent: calls take no time. */
 	callDelays?: CallDelay[];
-	/** Executors shorten a longer lease to this; absent: they take any. */
+	/** Executors shorten a longer lease to this; absent: to the longest that the platform's page allows. */
 	holdMaxMs?: number;
 	/** Executors take the lease also from starts that they refuse as outdated or for lack of free capacity. */
 	isLeaseTakenFromRefused?: boolean;
@@ -1032,7 +1032,6 @@
 		return {faults, jobs};
 	});
 
-/** No lease is longer than the platform's page allows, or a late renewal would keep it for as long as two clocks differ. */
 export const lateRenewalPlans: fc.Arbitrary<FaultPlan> = fc
 	.tuple(
 		fc.array(lateRenewalsAtRestart, {minLength: 1, maxLength: 3}),
--- a/packages/scheduling/src/executor-session.ts
+++ b/packages/scheduling/src/executor-session.ts
@@ -1057,6 +1057,7 @@
 			: now - run.startedAt > lateStartLimitMs;
 	}
 
+	/** Gives up held runs that are over wherever they were, or whose starts can't arrive any more. */
 	#dropHeldRuns(now: number): void {
 		const expired = [...this.runs.values()].filter(
 			(run) => run.isHeld && this.#isOverEverywhere(run, now),
