Show that a cancel read by a starting host is answered and lost

A DELETE that reaches a host before its first link is answered with 410 while the job runs on elsewhere: tasks are started later than cancel_ms after that answer.

--- /dev/null
+++ b/review/4/case.js
@@ -0,0 +1,141 @@
+/**
+A cancel that reaches a host which is just starting is answered with 410 and carried out nowhere.
+*/
+import {randomBytes} from 'node:crypto';
+import {writeFileSync} from 'node:fs';
+import path from 'node:path';
+import process from 'node:process';
+import {setTimeout as delay} from 'node:timers/promises';
+import {
+	bounds,
+	callHost,
+	queuePrefix,
+	System,
+	taskCpu,
+} from '../shared-2/system.js';
+
+const [root, recordFile] = process.argv.slice(2);
+const hasTrouble = process.env.TROUBLE !== '0';
+/** How long a killed process is away. */
+const downMs = 300;
+const taskMs = 1500;
+/** The widest job of `stock-reorder` in the site file. */
+const tasks = 16;
+const patienceMs = 15_000;
+const watchMs = 5000;
+
+const system = new System(path.resolve(root));
+let code = 2;
+try {
+	code = await play();
+} catch (error) {
+	system.note(`the case could not run: ${error}`);
+} finally {
+	await system.end();
+	writeFileSync(recordFile, `${system.lines.join('\n')}\n`);
+}
+
+process.exit(code);
+
+async function play() {
+	await system.start({
+		queue: {slack_factor: 5, timeout_ms: patienceMs},
+		hosts: {mieres: 3},
+		executors: {
+			mieres: [
+				['a', 'r1'],
+				['a', 'r1'],
+			],
+		},
+	});
+	await delay(3500);
+	const holder = system.findHolder('mieres');
+	const others = system.hosts.filter((host) => host !== holder);
+	const [entry, killed] = others;
+	system.note(
+		`all hosts are ready; ${holder.name} holds the group; the client's job goes to ${entry.name}`,
+	);
+
+	const id = randomBytes(8).toString('hex');
+	const posted = callHost(entry, {
+		method: 'POST',
+		path: `${queuePrefix}${id}`,
+		deadlineMs: patienceMs,
+		agent: false,
+		body: {
+			spec: JSON.stringify({ms: taskMs, cpu: taskCpu}),
+			phases: [{count: tasks, cpu: taskCpu, mem_mb: 64, estimated_ms: taskMs}],
+			best_effort: true,
+		},
+	});
+	system.note(
+		`POST of job ${id} sent to ${entry.name}: ${tasks} tasks of ${taskMs} ms`,
+	);
+	while (listStarts(id).length === 0) {
+		await delay(10);
+	}
+
+	system.note('the first tasks have been started');
+	if (hasTrouble) {
+		await system.kill(killed);
+		system.note(`${killed.name} was killed (SIGKILL)`);
+		await delay(downMs);
+		system.startProcess(killed);
+		system.note(`${killed.name} is started again`);
+	}
+
+	const acknowledged = await cancel(killed, id);
+	const acknowledgedAt = performance.now();
+	system.note(
+		`DELETE answered by ${killed.name}: ${acknowledged.status} ${acknowledged.answer}`,
+	);
+	if (![200, 410].includes(acknowledged.status)) {
+		return 2;
+	}
+
+	await delay(bounds.cancelMs + watchMs);
+	const answered = await posted;
+	system.note(`the POST was answered: ${answered.status} ${answered.answer}`);
+	const starts = listStarts(id);
+	for (const run of starts) {
+		system.note(
+			`run of ${run.task} attempt ${run.attempt} on ${run.executor}: started ${format(run.startedAt - acknowledgedAt)} after the cancel was acknowledged, ${run.how ?? 'still runs'}`,
+		);
+	}
+
+	const late = starts.filter(
+		(run) => run.startedAt > acknowledgedAt + bounds.cancelMs,
+	);
+	system.note(
+		late.length > 0
+			? `UNASKED broken: ${late.length} tasks were started later than ${bounds.cancelMs} ms after the cancel was acknowledged`
+			: 'UNASKED held',
+	);
+	return late.length > 0 ? 1 : 0;
+}
+
+/** As soon as the host takes connections. */
+async function cancel(host, id) {
+	for (;;) {
+		const reply = await callHost(host, {
+			method: 'DELETE',
+			path: `${queuePrefix}${id}`,
+			agent: false,
+		});
+		if (reply.status !== 0) {
+			return reply;
+		}
+
+		await delay(20);
+	}
+}
+
+function listStarts(id) {
+	return system.executors.flatMap(({seen}) =>
+		seen.filter(({task}) => task.startsWith(`${id}.`)),
+	);
+}
+
+function format(ms) {
+	return `${Math.round(ms)} ms`;
+}
