--- a/review/4/case.js
+++ b/review/4/case.js
@@ -1,9 +1,9 @@
 /**
-A start that had no answer is carried out late by the next process of its executor, while the task runs elsewhere.
+A renewal of a former holder is carried out late, by the next process of its executor. A run there goes on under the lease that it
+extends, while the new holder, which can't reach the executor, has started the task elsewhere.
 */
 import {randomBytes} from 'node:crypto';
 import {writeFileSync} from 'node:fs';
-import http from 'node:http';
 import path from 'node:path';
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
@@ -11,12 +11,14 @@
 
 const [root, recordFile] = process.argv.slice(2);
 const hasTrouble = process.env.TROUBLE !== '0';
-const rounds = 5;
+const rounds = 3;
 /** The pages: an order may be carried out 2 to 12 s later. */
-const lateMs = 2040;
-/** When the executor crashes, after the start was sent, and how long it is away. */
-const crashAfterMs = 1750;
-const downMs = 150;
+const leastLateMs = 2000;
+/** How long the crashed executor is away. */
+const downMs = 200;
+/** When the late renewal is carried out, after the planned stop of the holder began. */
+const lateAfterStopMs = 450;
+const cutMs = 2500;
 const taskMs = 3300;
 /** Shorter overlaps could come of the clocks' resolution. */
 const leastOverlapMs = 20;
@@ -37,23 +39,18 @@
 async function play() {
 	const labels = ['a', 'r1'];
 	await system.start({
-		hosts: {mieres: 2, langreo: 1},
+		hosts: {mieres: 3},
 		executors: {
-			mieres: [labels, labels, labels, labels],
-			langreo: [labels, labels, labels, labels],
+			mieres: [labels, labels, labels, labels, labels, labels, labels, labels],
 		},
 	});
 	await delay(3500);
 	system.note('all hosts are ready');
-	const load = startLoad();
-	const near = system.executors.filter(({id}) => id.startsWith('mieres'));
 	const jobs = [];
 	for (let round = 1; round <= rounds; round += 1) {
-		jobs.push(await playRound(round, near));
+		jobs.push(await playRound(round));
 	}
 
-	await load.stop();
-	await delay(500);
 	const overlaps = jobs.flatMap((id) => findOverlaps(id));
 	for (const text of overlaps) {
 		system.note(text);
@@ -67,29 +64,29 @@
 	return overlaps.length > 0 ? 1 : 0;
 }
 
-/** One job of one task, whose first start gets no answer. Resolves with the job's id. */
-async function playRound(round, near) {
-	const id = randomBytes(8).toString('hex');
-	const late = hasTrouble ? delayNextStart(near) : undefined;
-	const posted = callHost(system.hosts[0], {
-		method: 'POST',
-		path: `${queuePrefix}${id}`,
-		deadlineMs: 8000,
-		agent: false,
-		body: {
-			spec: JSON.stringify({ms: taskMs, cpu: taskCpu}),
-			phases: [{count: 1, cpu: taskCpu, mem_mb: 64, estimated_ms: taskMs}],
-			best_effort: true,
-		},
-	});
-	system.note(`round ${round}: POST of job ${id}, one task of ${taskMs} ms`);
-	if (late) {
-		const {executor, at} = await late;
-		system.note(
-			`its start at ${executor.id} gets no answer, and is carried out ${lateMs} ms later`,
-		);
-		await delay(at + crashAfterMs - performance.now());
-		system.note(`the task runs on ${listRuns(id)[0]?.executor}`);
+async function playRound(round) {
+	const [executor] = system.executors;
+	const proxy = system.proxies.get(executor);
+	const holder = system.findHolder('mieres');
+	const entry = system.hosts.find((host) => host !== holder);
+	system.note(
+		`round ${round}: ${holder.name} holds the group, the client's jobs go to ${entry.name}`,
+	);
+	const heldUp = hasTrouble
+		? proxy.holdNext(
+				(url, {deadline_ms: untilMs}) =>
+					url === '/v1/hold' && untilMs !== undefined,
+			)
+		: undefined;
+	const former = submit(entry, 600);
+	const renewal = await heldUp;
+	const heldUpAt = performance.now();
+	if (renewal) {
+		system.note(`a renewal at ${executor.id} gets no answer: ${renewal.text}`);
+	}
+
+	await former.answered;
+	if (hasTrouble) {
 		const restarted = executor.startAgain({downMs});
 		system.note(`${executor.id} crashed`);
 		await restarted;
@@ -99,32 +96,65 @@
 		);
 	}
 
-	const {status, answer} = await posted;
+	await delay(1000);
+	const job = submit(entry, taskMs);
+	const lateFromMs = heldUpAt + leastLateMs - lateAfterStopMs;
+	await delay(Math.max(250, lateFromMs - performance.now()));
+	system.note(`its task runs on ${listRuns(job.id)[0]?.executor}`);
+	if (hasTrouble) {
+		proxy.isCut = true;
+		holder.child.kill('SIGTERM');
+		system.note(
+			`${executor.id} is cut off from the hosts, ${holder.name} is stopped (SIGTERM)`,
+		);
+		await delay(lateAfterStopMs);
+		system.note(
+			`the renewal is carried out at ${executor.id}, ${Math.round(performance.now() - heldUpAt)} ms after it was sent`,
+		);
+		const reply = await proxy.deliver(renewal);
+		system.note(
+			`its answer, which nobody reads: ${reply?.status} ${reply?.text}`,
+		);
+		await delay(cutMs - lateAfterStopMs);
+		proxy.isCut = false;
+		system.note(`${executor.id} can be reached again`);
+	}
+
+	const {status, answer} = await job.answered;
 	system.note(`the POST was answered: ${status} ${answer}`);
-	await delay(800);
-	return id;
+	if (hasTrouble) {
+		await waitForEnd(holder);
+		system.startProcess(holder);
+		await system.waitUntilReady();
+	}
+
+	await delay(2500);
+	return job.id;
 }
 
-/** The next start that one of the executors gets is left without an answer and carried out late. Resolves when it is there. */
-async function delayNextStart(executors) {
-	return new Promise((resolve) => {
-		let readsLeft = 2;
-		for (const executor of executors) {
-			// The stand-in reads it twice: whether the start is late, and how late.
-			Object.defineProperty(executor.faults, 'lateStartMs', {
-				configurable: true,
-				get() {
-					if (readsLeft === 0) {
-						return 0;
-					}
-
-					readsLeft -= 1;
-					resolve({executor, at: performance.now()});
-					return lateMs;
-				},
-			});
-		}
-	});
+function submit(host, ms) {
+	const id = randomBytes(8).toString('hex');
+	system.note(`POST of job ${id} to ${host.name}: one task of ${ms} ms`);
+	return {
+		id,
+		answered: callHost(host, {
+			method: 'POST',
+			path: `${queuePrefix}${id}`,
+			deadlineMs: 9000,
+			agent: false,
+			body: {
+				spec: JSON.stringify({ms, cpu: taskCpu}),
+				phases: [{count: 1, cpu: taskCpu, mem_mb: 64, estimated_ms: ms}],
+				best_effort: true,
+			},
+		}),
+	};
+}
+
+async function waitForEnd({child}) {
+	while (child.exitCode === null && child.signalCode === null) {
+		await delay(50);
+	}
 }
 
 function listRuns(id) {
@@ -154,32 +184,3 @@
 function format(at) {
 	return ((at - system.startedAt) / 1000).toFixed(3);
 }
-
-/** What else goes on: short jobs in the other zone. */
-function startLoad() {
-	const replies = [];
-	const agent = new http.Agent({keepAlive: true});
-	const timer = setInterval(() => {
-		const id = randomBytes(8).toString('hex');
-		replies.push(
-			callHost(system.hosts.at(-1), {
-				method: 'POST',
-				path: `${queuePrefix}${id}`,
-				deadlineMs: 1500,
-				agent,
-				body: {
-					spec: JSON.stringify({ms: 60, cpu: taskCpu}),
-					phases: [{count: 2, cpu: taskCpu, mem_mb: 64, estimated_ms: 60}],
-					best_effort: true,
-				},
-			}),
-		);
-	}, 200);
-	return {
-		async stop() {
-			clearInterval(timer);
-			await Promise.all(replies);
-			agent.destroy();
-		},
-	};
-}
--- a/review/shared-2/system.js
+++ b/review/shared-2/system.js
@@ -15,6 +15,7 @@
 	LeasedExecutor,
 	MetadataStore,
 } from '../../packages/standins/src/leased/index.ts';
+import {CallProxy} from './call-proxy.js';
 
 export const service = 'rancho';
 export const queueHost = 'kitchen.example';
@@ -32,6 +33,8 @@
 	store = new MetadataStore();
 	executors = [];
 	hosts = [];
+	/** What stands between hosts and each executor. */
+	proxies = new Map();
 	startedAt = performance.now();
 	lines = [];
 	#dir = mkdtempSync(path.join(os.tmpdir(), 'review-'));
@@ -98,7 +101,11 @@
 
 	async addExecutor(id, zone, labels) {
 		const executor = new LeasedExecutor(id, executorCpu, 'all');
-		const address = await executor.start(this.#takeIp());
+		const ip = this.#takeIp();
+		const target = await executor.start(ip);
+		const proxy = new CallProxy(target);
+		this.proxies.set(executor, proxy);
+		const address = await proxy.start(ip);
 		this.executors.push(executor);
 		this.#registrations.set(executor, {address, zone, labels, sequence: 0});
 		this.register(executor);
@@ -172,6 +179,7 @@
 		}
 
 		for (const executor of this.executors) {
+			this.proxies.get(executor).stop();
 			await executor.stop();
 		}
 
