--- a/review/5/case.js
+++ b/review/5/case.js
@@ -1,5 +1,5 @@
 /**
-A cancel that reaches a host which is just starting is answered with 410 and carried out nowhere.
+A job is cancelled while the host that was sent it is frozen. The host wakes, and its tasks are started.
 */
 import {randomBytes} from 'node:crypto';
 import {writeFileSync} from 'node:fs';
@@ -16,11 +16,12 @@
 
 const [root, recordFile] = process.argv.slice(2);
 const hasTrouble = process.env.TROUBLE !== '0';
-const taskMs = 1500;
-/** The widest job of `stock-reorder` in the site file. */
-const tasks = 16;
+/** How long the host stands still: the site file's `node_freeze`. */
+const freezeMs = 4000;
+const taskMs = 900;
+const tasks = 4;
 const patienceMs = 15_000;
-const watchMs = 5000;
+const watchMs = 3000;
 
 const system = new System(path.resolve(root));
 let code = 2;
@@ -37,7 +38,6 @@
 
 async function play() {
 	await system.start({
-		queue: {slack_factor: 5, timeout_ms: patienceMs},
 		hosts: {mieres: 3},
 		executors: {
 			mieres: [
@@ -48,41 +48,47 @@
 	});
 	await delay(3500);
 	const holder = system.findHolder('mieres');
-	const [own, other] = system.hosts.filter((host) => host !== holder);
+	const [entry, other] = system.hosts.filter((host) => host !== holder);
 	system.note(
-		`all hosts are ready; ${holder.name} holds the group; the client's connections go to ${own.name}`,
+		`all hosts are ready; ${holder.name} holds the group; the client's job goes to ${entry.name}`,
 	);
-
-	const id = randomBytes(8).toString('hex');
 	if (hasTrouble) {
-		const first = submit(own, id);
-		await waitForStart(id, 0);
-		await system.kill(own);
-		const {status, answer} = await first;
-		system.note(
-			`${own.name} was killed (SIGKILL); the POST ended without an answer: ${status} ${answer}`,
-		);
-		await delay(bounds.retransmitMs);
+		entry.child.kill('SIGSTOP');
+		system.note(`${entry.name} freezes (SIGSTOP)`);
 	}
 
-	const sentAt = performance.now();
-	const posted = submit(other, id);
-	await waitForStart(id, sentAt);
-	if (hasTrouble) {
-		system.startProcess(own);
-		system.note(`${own.name} is started again`);
-	}
-
-	const acknowledged = await cancel(own, id);
+	const id = randomBytes(8).toString('hex');
+	const posted = callHost(entry, {
+		method: 'POST',
+		path: `${queuePrefix}${id}`,
+		deadlineMs: patienceMs,
+		agent: false,
+		body: {
+			spec: JSON.stringify({ms: taskMs, cpu: taskCpu}),
+			phases: [{count: tasks, cpu: taskCpu, mem_mb: 64, estimated_ms: taskMs}],
+			best_effort: true,
+		},
+	});
+	system.note(
+		`POST of job ${id} sent to ${entry.name}: ${tasks} tasks of ${taskMs} ms`,
+	);
+	await delay(300);
+	const acknowledged = await cancel(other, id);
 	const acknowledgedAt = performance.now();
 	system.note(
-		`DELETE answered by ${own.name}: ${acknowledged.status} ${acknowledged.answer}`,
+		`DELETE answered by ${other.name}: ${acknowledged.status} ${acknowledged.answer}`,
 	);
 	if (![200, 410].includes(acknowledged.status)) {
 		return 2;
 	}
 
-	await delay(bounds.cancelMs + watchMs);
+	await delay(freezeMs - 300);
+	if (hasTrouble) {
+		entry.child.kill('SIGCONT');
+		system.note(`${entry.name} wakes (SIGCONT)`);
+	}
+
+	await delay(watchMs);
 	const answered = await posted;
 	system.note(`the POST was answered: ${answered.status} ${answered.answer}`);
 	const starts = listStarts(id);
@@ -103,31 +109,6 @@
 	return late.length > 0 ? 1 : 0;
 }
 
-function submit(host, id) {
-	system.note(
-		`POST of job ${id} sent to ${host.name}: ${tasks} tasks of ${taskMs} ms`,
-	);
-	return callHost(host, {
-		method: 'POST',
-		path: `${queuePrefix}${id}`,
-		deadlineMs: patienceMs,
-		agent: false,
-		body: {
-			spec: JSON.stringify({ms: taskMs, cpu: taskCpu}),
-			phases: [{count: tasks, cpu: taskCpu, mem_mb: 64, estimated_ms: taskMs}],
-			best_effort: true,
-		},
-	});
-}
-
-async function waitForStart(id, since) {
-	while (!listStarts(id).some(({startedAt}) => startedAt > since)) {
-		await delay(10);
-	}
-
-	system.note('its first tasks have been started');
-}
-
 /** As soon as the host takes connections. */
 async function cancel(host, id) {
 	for (;;) {
--- a/review/shared-2/system.js
+++ b/review/shared-2/system.js
@@ -15,7 +15,6 @@
 	LeasedExecutor,
 	MetadataStore,
 } from '../../packages/standins/src/leased/index.ts';
-import {CallProxy} from './call-proxy.js';
 
 export const service = 'rancho';
 export const queueHost = 'kitchen.example';
@@ -33,8 +32,6 @@
 	store = new MetadataStore();
 	executors = [];
 	hosts = [];
-	/** What stands between hosts and each executor. */
-	proxies = new Map();
 	startedAt = performance.now();
 	lines = [];
 	#dir = mkdtempSync(path.join(os.tmpdir(), 'review-'));
@@ -101,11 +98,7 @@
 
 	async addExecutor(id, zone, labels) {
 		const executor = new LeasedExecutor(id, executorCpu, 'all');
-		const ip = this.#takeIp();
-		const target = await executor.start(ip);
-		const proxy = new CallProxy(target);
-		this.proxies.set(executor, proxy);
-		const address = await proxy.start(ip);
+		const address = await executor.start(this.#takeIp());
 		this.executors.push(executor);
 		this.#registrations.set(executor, {address, zone, labels, sequence: 0});
 		this.register(executor);
@@ -179,7 +172,6 @@
 		}
 
 		for (const executor of this.executors) {
-			this.proxies.get(executor).stop();
 			await executor.stop();
 		}
 
