--- a/review/shared-2/system.js
+++ b/review/shared-2/system.js
@@ -42,6 +42,19 @@
 
 	constructor(root) {
 		this.#root = root;
+		process.once('exit', () => {
+			this.#killAll();
+		});
+		for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP']) {
+			process.once(signal, () => {
+				process.exit(2);
+			});
+		}
+
+		process.once('uncaughtException', (error) => {
+			console.error(error);
+			process.exit(2);
+		});
 	}
 
 	/** Seconds since the script began. */
@@ -167,10 +180,7 @@
 	}
 
 	async end() {
-		for (const {child} of this.hosts) {
-			child.kill('SIGKILL');
-		}
-
+		this.#killAll();
 		for (const executor of this.executors) {
 			await executor.stop();
 		}
@@ -220,6 +230,12 @@
 		this.startProcess(host);
 	}
 
+	#killAll() {
+		for (const {child} of this.hosts) {
+			child.kill('SIGKILL');
+		}
+	}
+
 	#takeIp() {
 		this.#lastIp += 1;
 		return `${subnet}.${this.#lastIp}`;
