--- a/review/shared-2/system.js
+++ b/review/shared-2/system.js
@@ -44,6 +44,9 @@
 		this.#root = root;
 		process.once('exit', () => {
 			this.#killAll();
+			if (process.env.KEEP_LOGS === undefined) {
+				rmSync(this.#dir, {recursive: true, force: true});
+			}
 		});
 		for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP']) {
 			process.once(signal, () => {
@@ -57,7 +60,7 @@
 		});
 	}
 
-	/** Seconds since the script began. */
+	/** Milliseconds since the script began. */
 	now() {
 		return performance.now() - this.startedAt;
 	}
@@ -186,9 +189,6 @@
 		}
 
 		await this.store.stop();
-		if (process.env.KEEP_LOGS === undefined) {
-			rmSync(this.#dir, {recursive: true, force: true});
-		}
 	}
 
 	get dir() {
