--- a/review/5/case.js
+++ b/review/5/case.js
@@ -6,13 +6,7 @@
 import path from 'node:path';
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
-import {
-	bounds,
-	callHost,
-	queuePrefix,
-	System,
-	taskCpu,
-} from '../shared-2/system.js';
+import {bounds, callHost, queuePrefix, System, taskCpu} from '../system-2.js';
 
 const [root, recordFile] = process.argv.slice(2);
 const hasTrouble = process.env.TROUBLE !== '0';
--- a/review/shared-2/system.js
+++ b/review/system-2.js
@@ -14,7 +14,7 @@
 import {
 	LeasedExecutor,
 	MetadataStore,
-} from '../../packages/standins/src/leased/index.ts';
+} from '../packages/standins/src/leased/index.ts';
 
 export const service = 'rancho';
 export const queueHost = 'kitchen.example';
