Confirm a cancelled job with the groups' holders before its caller is answered

Cause: `cancel-job` was sent once to the hosts connected at that moment, nobody remembered it, and the answer was given also when there were none.

Hosts now remember cancelled jobs for 30 s and tell them again over each new connection; holders stop the tasks themselves, tell the job's entry and confirm. The caller gets 200 or 410 once all groups' holders have confirmed, else 503 with Retry-After within its time. So the answer is true whichever host has the job, and also if the host that was asked ends right after it. The memory is bounded, by a setting; nothing in it is evicted early, a cancellation that finds no room is answered with 503.

Ruled out: waiting only for a connection (a message on a dying one is lost all the same). Related paths mended with it: a host that had one copy told nobody of the others; holders were not told at all.

--- a/packages/host/src/scheduling/host-roles.ts
+++ b/packages/host/src/scheduling/host-roles.ts
@@ -3,6 +3,8 @@
 the groups that this host holds in its data centre. Connections, clocks and lists are passed in.
 */
 import {
+	createCancellations,
+	createCancelledJobs,
 	createCrashRecords,
 	createGroupDirectory,
 	createPauseWatch,
@@ -10,6 +12,8 @@
 	EntryJobs,
 	parseProcessId,
 	stateIntervalMs,
+	type CancelledJobs,
+	type Cancellations,
 	type CoordinationStore,
 	type Entry,
 	type EntryJob,
@@ -55,6 +59,8 @@
 	hash: (text: string) => bigint;
 	/** Most groups that operators want a data centre to have. */
 	maxGroups: number;
+	/** Most cancelled jobs that this host remembers; absent: the default of `createCancelledJobs`. */
+	maxCancelledJobs?: number;
 	/** Calls back once all that this process's accepted connections hold at the time of the call has been read and handled. */
 	waitForReads: (onRead: () => void) => void;
 	/** Runs work after the current event-loop callback has ended. */
@@ -86,6 +92,8 @@
 export class HostRoles {
 	readonly groups: GroupDirectory;
 	readonly crashes = createCrashRecords();
+	readonly cancelledJobs: CancelledJobs;
+	readonly cancellations: Cancellations;
 	readonly entry: EntryJobs;
 	readonly pauses: PauseWatch;
 	readonly holdings: GroupHoldings;
@@ -108,6 +116,10 @@
 		this.groups = createGroupDirectory({
 			isEvacuated: options.evacuations.isEvacuated,
 		});
+		this.cancelledJobs = createCancelledJobs({
+			now: options.now,
+			maxJobs: options.maxCancelledJobs,
+		});
 		this.layouts = this.#createLayouts();
 		this.holdings = this.#createHoldings();
 		this.pauses = createPauseWatch({
@@ -133,9 +145,15 @@
 			onAnswer: options.onAnswer,
 			onWithdrawal: options.onWithdrawal,
 		});
+		this.cancellations = this.#createCancellations();
 		this.#localEntry = {
 			key: options.processId,
 			send: (message) => {
+				// The entry and the schedulers of a host learn of a cancelled job at once.
+				if (message.t === 'cancel-job') {
+					return;
+				}
+
 				options.defer(() => {
 					this.entry.receive(options.key, message);
 				});
@@ -194,6 +212,7 @@
 
 		this.#refreshOwnStates();
 		this.entry.update();
+		this.cancellations.update();
 		if (this.#options.now() - this.#stateSentAt >= stateIntervalMs) {
 			this.sendState();
 		}
@@ -239,6 +258,7 @@
 		if (isNew) {
 			this.holdings.releaseIfReplaced(state.group);
 			this.entry.sendGroupTasks(state.group);
+			this.cancellations.sendPending(holder);
 		}
 
 		this.entry.receiveState(state.group);
@@ -264,6 +284,33 @@
 		};
 	}
 
+	#createCancellations(): Cancellations {
+		const {key, now, store, peers, log} = this.#options;
+		return createCancellations({
+			self: key,
+			cancelledJobs: this.cancelledJobs,
+			groups: this.groups,
+			peers: {
+				listHosts: peers.listKeys,
+				send(host, message) {
+					peers.findLink(host)?.send(message);
+				},
+			},
+			now,
+			isHolder: () => this.holdings.isHolder,
+			getStoreAgeMs: () => measureStoreAge(store, now()),
+			endJob: (job, ageMs) => {
+				const isHere = this.entry.cancel(job);
+				for (const scheduler of this.holdings.schedulers) {
+					scheduler.cancelJob(job, ageMs);
+				}
+
+				return isHere;
+			},
+			log,
+		});
+	}
+
 	#createLayouts(): GroupLayouts {
 		const {dataCentre, key, store, now, readWallClock, log} = this.#options;
 		return createGroupLayouts({
--- a/packages/host/src/scheduling/scheduling-handlers.ts
+++ b/packages/host/src/scheduling/scheduling-handlers.ts
@@ -29,7 +29,13 @@
 	>;
 	roles: Pick<
 		HostRoles,
-		'crashes' | 'entry' | 'groups' | 'holdings' | 'sendStateTo' | 'receiveState'
+		| 'cancellations'
+		| 'crashes'
+		| 'entry'
+		| 'groups'
+		| 'holdings'
+		| 'sendStateTo'
+		| 'receiveState'
 	>;
 	tables: Pick<QueueTables, 'getVersion' | 'receive'>;
 	evacuations: Pick<Evacuations, 'getList' | 'receive'>;
@@ -53,7 +59,7 @@
 	now,
 	log,
 }: SchedulingHandlersOptions): MeshHandlers {
-	const {entry, groups, holdings} = roles;
+	const {cancellations, entry, groups, holdings} = roles;
 	return {
 		onHeartbeat() {
 			// Nothing is sent with the heartbeat: holders send their state more often.
@@ -62,6 +68,7 @@
 			log('link up', {peer: link.key});
 			directory.markLinkUp(link, findAddress(link.key));
 			roles.sendStateTo(link);
+			cancellations.sendAll(link.key);
 			entry.markLinkUp(link.key, link.hello.incarnation);
 			entry.sendAfterReconnect(link.key);
 			const version = tables.getVersion();
@@ -98,14 +105,30 @@
 	};
 
 	function receiveReply(link: Link, message: Message): void {
-		if (
-			message.t === 'ends' ||
-			message.t === 'replaced' ||
-			message.t === 'claims-ended'
-		) {
-			entry.receive(link.key, message);
-		} else if (message.t === 'queue-table') {
-			receiveQueueTable(message, link);
+		switch (message.t) {
+			case 'ends':
+			case 'replaced':
+			case 'claims-ended': {
+				entry.receive(link.key, message);
+				break;
+			}
+
+			case 'cancel-job': {
+				cancellations.receive(message);
+				break;
+			}
+
+			case 'job-cancelled': {
+				cancellations.receiveConfirmation(link.key, message);
+				break;
+			}
+
+			case 'queue-table': {
+				receiveQueueTable(message, link);
+				break;
+			}
+
+			default:
 		}
 	}
 
@@ -156,7 +179,10 @@
 			}
 
 			case 'cancel-job': {
-				entry.cancel(message.job);
+				if (cancellations.receive(message)) {
+					session.send({t: 'job-cancelled', job: message.job});
+				}
+
 				break;
 			}
 
--- a/packages/host/src/scheduling/scheduling-metrics.ts
+++ b/packages/host/src/scheduling/scheduling-metrics.ts
@@ -98,6 +98,8 @@
 	crashesBlamed: number;
 	evacuatedDataCentres: readonly string[];
 	jobs: number;
+	/** Cancelled jobs that are remembered. */
+	cancelledJobs: number;
 	cpuSeconds: number;
 	work: ReadonlyMap<string, WorkRecord>;
 };
@@ -113,6 +115,7 @@
 	}
 
 	metrics.entryJobs.set(gauges.jobs);
+	metrics.cancelledJobs.set(gauges.cancelledJobs);
 	metrics.cpuSeconds.set(gauges.cpuSeconds);
 	for (const [cause, {seconds, count}] of gauges.work) {
 		metrics.workSeconds.set({cause}, seconds);
--- a/packages/host/src/scheduling/start-scheduling-host.ts
+++ b/packages/host/src/scheduling/start-scheduling-host.ts
@@ -13,6 +13,7 @@
 	type PeerAddress,
 } from '@gentianshift/protocol';
 import {
+	type CancellationOutcome,
 	type EntryJob,
 	type GroupScheduler,
 	type JobAnswer,
@@ -85,6 +86,8 @@
 	cores?: number;
 	/** Most groups that the executors of a data centre are divided into; absent: as many as its hosts can hold. */
 	maxGroups?: number;
+	/** Most cancelled jobs that this host remembers; absent: the default of `createCancelledJobs`. */
+	maxCancelledJobs?: number;
 	dependencies: HostDependencies;
 	metrics: Metrics;
 	log: (message: string, fields: Record<string, unknown>) => void;
@@ -96,11 +99,8 @@
 		request: JobRequest,
 		onAnswer: (answer: JobAnswer) => void,
 	) => () => void;
-	/**
-	True if the job was on this host; otherwise the cancellation is forwarded to all connected
-	hosts.
-	*/
-	cancel: (id: string) => boolean;
+	/** Cancels a job on all hosts, for a caller that waits for `timeLeftMs`. */
+	cancel: (id: string, timeLeftMs: number) => Promise<CancellationOutcome>;
 	getTable: () => QueueTable | undefined;
 	/**
 	Soon after the start: resolves as soon as a table is in force. Undefined: there is none for now.
@@ -271,13 +271,12 @@
 		);
 	}
 
-	cancel(id: string): boolean {
-		const isHere = this.#roles.entry.cancel(id);
-		if (!isHere) {
-			this.#roles.sendToPeers({t: 'cancel-job', job: id});
-		}
-
-		return isHere;
+	async cancel(id: string, timeLeftMs: number): Promise<CancellationOutcome> {
+		return new Promise((resolve) => {
+			this.#work.measure('cancel', () => {
+				this.#roles.cancellations.cancel(id, timeLeftMs, resolve);
+			});
+		});
 	}
 
 	getTable(): QueueTable | undefined {
@@ -317,6 +316,7 @@
 			crashesBlamed: this.#roles.crashes.blamedCount,
 			evacuatedDataCentres: this.#evacuations.list(),
 			jobs: this.#roles.entry.size,
+			cancelledJobs: this.#roles.cancelledJobs.size,
 			cpuSeconds: measureCpuSeconds(),
 			work: this.#work.list(),
 		});
@@ -335,6 +335,7 @@
 
 	giveUpJobs(): void {
 		this.#roles.entry.giveUpAll('this host is stopping');
+		this.#roles.cancellations.giveUpAll();
 	}
 
 	async stop(): Promise<void> {
@@ -457,6 +458,7 @@
 			random: Math.random,
 			hash: this.#hash,
 			maxGroups: this.#options.maxGroups ?? defaultMaxGroups,
+			maxCancelledJobs: this.#options.maxCancelledJobs,
 			waitForReads,
 			defer(work) {
 				setImmediate(work);
--- a/packages/protocol/src/scheduling-messages.ts
+++ b/packages/protocol/src/scheduling-messages.ts
@@ -347,10 +347,21 @@
 	crashes,
 });
 
-/** Sent by a host where a caller cancelled a job that the host doesn't hold. */
+/**
+A caller has cancelled the job. Sent to all hosts, and again over each new connection; a holder also sends it to an entry whose
+job it stops.
+*/
 export const cancelJobSchema = z.object({
 	t: z.literal('cancel-job'),
 	job: jobId,
+	/** Time since the caller cancelled it, milliseconds. Absent: the sender is of an earlier build, which expects no answer. */
+	ageMs: z.number().min(0).optional(),
+});
+
+/** Answers `cancel-job`: the sender holds a group, and starts no more tasks of the job. */
+export const jobCancelledSchema = z.object({
+	t: z.literal('job-cancelled'),
+	job: jobId,
 });
 
 /** The data centres that are evacuated, as of a revision of the store; a list of a later revision replaces it. */
@@ -383,6 +394,7 @@
 	endsSchema,
 	groupStateSchema,
 	cancelJobSchema,
+	jobCancelledSchema,
 	queueTableSchema,
 ] as const;
 
@@ -399,6 +411,8 @@
 /** The first and the last holder's token. */
 export type TokenRange = z.infer<typeof tokenRangeSchema>;
 export type Ends = z.infer<typeof endsSchema>;
+export type CancelJob = z.infer<typeof cancelJobSchema>;
+export type JobCancelled = z.infer<typeof jobCancelledSchema>;
 export type TaskCrashes = z.infer<typeof taskCrashesSchema>;
 export type TaskEnd = z.infer<typeof taskEndSchema>;
 export type EvacuationList = z.infer<typeof evacuationListSchema>;
--- a/packages/scheduling/src/copy-replacement.ts
+++ b/packages/scheduling/src/copy-replacement.ts
@@ -13,10 +13,7 @@
 import {type EntryJob} from './entry-job.js';
 import {isSilent, type GroupDirectory} from './group-directory.js';
 import {type LostHolders} from './lost-holders.js';
-import {clockSlackMs, orphanLimitMs, stateStaleMs} from './timing.js';
-
-/** A group that has been silent for longer than this no longer runs any task that a reachable entry sent to it. */
-const longSilenceMs = stateStaleMs + orphanLimitMs + clockSlackMs;
+import {clockSlackMs, longSilenceMs, orphanLimitMs} from './timing.js';
 
 export type CopyReplacementPorts = {
 	groups: GroupDirectory;
--- a/packages/scheduling/src/group-job.ts
+++ b/packages/scheduling/src/group-job.ts
@@ -2,6 +2,7 @@
 State of one job at a group's scheduler: the tasks that an entry has handed over, and their progress.
 */
 import {
+	type CancelJob,
 	type ClaimsEnded,
 	type Ends,
 	type Part,
@@ -19,7 +20,7 @@
 export type Entry = {
 	/** `<host key>.<incarnation>`. */
 	key: string;
-	send: (message: Ends | Replaced | ClaimsEnded) => void;
+	send: (message: Ends | Replaced | ClaimsEnded | CancelJob) => void;
 };
 
 export type TaskState = 'waiting' | 'started' | 'over';
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -349,6 +349,16 @@
 		}
 	}
 
+	/** A caller has cancelled the job: stops its tasks, and tells its entry, which may not know of it. */
+	cancelJob(id: string, ageMs: number): void {
+		const job = this.#jobs.get(id);
+		if (job && !job.isDropped) {
+			job.entry.send({t: 'cancel-job', job: id, ageMs});
+			this.#dropAndStop(job, this.ports.now() + dropStopLimitMs);
+			this.#runPlacingRound();
+		}
+	}
+
 	/** Renews these claims of an entry, in answer to the state message that this scheduler sent at `stateAt`. */
 	keepClaims(
 		entry: Entry,
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -1,5 +1,7 @@
 export {type Executor, type ExecutorRegistration} from './executor.js';
 export {type EntryPeers} from './copy-recall.js';
+export * from './cancellations.js';
+export * from './cancelled-jobs.js';
 export * from './crash-records.js';
 export * from './process-id.js';
 export * from './entry-job.js';
--- a/packages/scheduling/src/load-system.fixture.ts
+++ b/packages/scheduling/src/load-system.fixture.ts
@@ -333,7 +333,11 @@
 			key: `${name}.0`,
 			send(answer: Parameters<Entry['send']>[0]) {
 				clock.schedule(delayMs, () => {
-					entry.receive(target.name, answer);
+					if (answer.t === 'cancel-job') {
+						entry.cancel(answer.job);
+					} else {
+						entry.receive(target.name, answer);
+					}
 				});
 			},
 		};
--- a/packages/scheduling/src/timing.ts
+++ b/packages/scheduling/src/timing.ts
@@ -78,3 +78,5 @@
 export const stateLateMs = 375;
 /** A holder whose state was not received for this long is sent no new parts: three state messages are missing. */
 export const stateStaleMs = 600;
+/** A group that has been silent for longer than this no longer runs any task that a reachable entry sent to it. */
+export const longSilenceMs = stateStaleMs + orphanLimitMs + clockSlackMs;
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -198,6 +198,11 @@
 			help: 'Jobs of callers at this host that have no answer yet.',
 			registers,
 		}),
+		cancelledJobs: new Gauge({
+			name: 'gentianshift_cancelled_jobs',
+			help: 'Cancelled jobs that this host remembers, so that no request for them is carried out.',
+			registers,
+		}),
 		cpuSeconds: new Gauge({
 			name: 'gentianshift_cpu_seconds',
 			help: 'Processor time of this process since its start.',
--- a/packages/trials/src/scheduling/caller.ts
+++ b/packages/trials/src/scheduling/caller.ts
@@ -15,6 +15,8 @@
 /** A lost job is sent again this much later. */
 export const resendMs = 1300;
 const patienceMs = 3000;
+/** A cancellation is repeated for this long. */
+const cancelPatienceMs = 10_000;
 
 export type JobOptions = {
 	id?: string;
@@ -148,3 +150,44 @@
 
 	return reply;
 }
+
+/** How often a cancellation is sent again to a host that does not take connections yet. */
+const connectIntervalMs = 20;
+
+/** Cancels a job at the host, until it is confirmed, or for as long as a caller waits. */
+export async function cancelJob(
+	host: SchedulingHostProcess,
+	id: string,
+): Promise<{status: number; sentCount: number}> {
+	const endsAt = performance.now() + cancelPatienceMs;
+	let status = 0;
+	let sentCount = 0;
+	while (performance.now() < endsAt && ![200, 410].includes(status)) {
+		status = await sendCancellation(host, id);
+		sentCount += Number(status !== 0);
+		if (status === 0) {
+			await delay(connectIntervalMs);
+		}
+	}
+
+	return {status, sentCount};
+}
+
+async function sendCancellation(
+	host: SchedulingHostProcess,
+	id: string,
+): Promise<number> {
+	const agent = new Agent({pipelining: 1});
+	try {
+		const {statusCode, body} = await request(
+			`http://${host.callers}${queuePrefix}${id}`,
+			{method: 'DELETE', dispatcher: agent, headers: {host: queueHost}},
+		);
+		await body.dump();
+		return statusCode;
+	} catch {
+		return 0;
+	} finally {
+		await agent.destroy();
+	}
+}
