Refuse requests and tasks of jobs that were cancelled before they arrived

Cause: a cancellation was an event. A host that wakes reads it before it accepts the connection with the POST, found no such job, and forgot it.

An entry now answers a request for a job that it knows to be cancelled with 410, and a holder refuses its tasks and tells the entry that sent them. Both use what the hosts remember since, so a start needs an entry and a holder that have not heard of the cancellation.

Ruled out: asking the other hosts about each request that may have lain unread; it delays ordinary requests and misses those that the network repeats.

--- a/packages/bench/src/slopes-schedulers.ts
+++ b/packages/bench/src/slopes-schedulers.ts
@@ -149,6 +149,7 @@
 			control: this.#executors.control,
 			runTimes: createRunTimes(),
 			crashes: createCrashRecords(),
+			cancelledJobs: {findAge: () => undefined},
 			onFenced: doNothing,
 			onChange: doNothing,
 			takeCapacityElsewhere: () => 0,
--- a/packages/host/src/scheduling/faulty/fault-plan.fixture.ts
+++ b/packages/host/src/scheduling/faulty/fault-plan.fixture.ts
@@ -31,6 +31,10 @@
 	cpu?: number;
 	/** The first task of the job crashes each executor that runs it this long after the start. */
 	crashAfterMs?: number;
+	/** A host that was frozen reads the request after all else that came meanwhile: its connection has yet to be accepted. */
+	isReadLast?: boolean;
+	/** The caller cancels the job this long after it was sent, at this host, or at the next one that is alive. */
+	cancel?: {afterMs: number; host: number};
 };
 
 /** Starts at `at`, milliseconds after the groups have got their first holders, and lasts for `durationMs`. */
@@ -141,7 +145,7 @@
 /** Faults start in clusters, this far apart: it is mostly two faults at nearly the same time that violate an invariant. */
 const clusterIntervalMs = 800;
 const clusterSpreadMs = 250;
-const host = fc.nat(hostCount - 1);
+export const host = fc.nat(hostCount - 1);
 const executor = fc.nat(executorCounts.total - 1);
 const clusteredStart = fc
 	.tuple(fc.nat(planSpanMs / clusterIntervalMs), fc.nat(clusterSpreadMs))
@@ -163,7 +167,7 @@
 	isOnNewConnection: fc.boolean(),
 });
 
-const hostFault = fc.record({
+export const hostFault = fc.record({
 	...clusteredTiming,
 	kind: fc.constantFrom(
 		'kill' as const,
@@ -175,19 +179,19 @@
 	host,
 });
 
-const handOver = fc.record({
+export const handOver = fc.record({
 	...clusteredTiming,
 	kind: fc.constant('hand-over' as const),
 });
 
-const linkFault = fc.record({
+export const linkFault = fc.record({
 	...clusteredTiming,
 	kind: fc.constantFrom('cut' as const, 'delay-messages' as const),
 	host,
 	peer: host,
 });
 
-const storeFault = fc.record({
+export const storeFault = fc.record({
 	...clusteredTiming,
 	kind: fc.constant('store' as const),
 	host,
--- a/packages/host/src/scheduling/faulty/faulty-host.fixture.ts
+++ b/packages/host/src/scheduling/faulty/faulty-host.fixture.ts
@@ -4,6 +4,7 @@
 */
 import {type Hello, type MeshHandlers} from '@gentianshift/protocol';
 import {
+	type CancellationOutcome,
 	type CoordinationStore,
 	type ExecutorControl,
 	type JobAnswer,
@@ -67,6 +68,8 @@
 	#suspendedMs = 0;
 	/** Work that arrived while the host was frozen; it runs when the freeze ends. */
 	#deferredWork: Array<() => void> = [];
+	/** What arrived on connections that have yet to be accepted; it runs after all other deferred work. */
+	#deferredAccepts: Array<() => void> = [];
 	/** By job id: callers that wait on a connection to this host; the function tells the host that the connection broke. */
 	readonly #waitingCallers = new Map<string, () => void>();
 
@@ -125,7 +128,10 @@
 	}
 
 	/** Runs work in the host's process, once the host is not frozen; drops it if that process ends before. */
-	run(work: (process: HostProcess) => void): void {
+	run(
+		work: (process: HostProcess) => void,
+		{isReadLast = false}: {isReadLast?: boolean} = {},
+	): void {
 		const process = this.#process;
 		if (!process) {
 			return;
@@ -138,7 +144,8 @@
 		};
 
 		if (this.#isFrozen()) {
-			this.#deferredWork.push(runNow);
+			const deferred = isReadLast ? this.#deferredAccepts : this.#deferredWork;
+			deferred.push(runNow);
 		} else {
 			runNow();
 		}
@@ -156,6 +163,7 @@
 		const process = this.#process;
 		this.#process = undefined;
 		this.#deferredWork = [];
+		this.#deferredAccepts = [];
 		this.#frozenUntil = 0;
 		process?.abortController.abort();
 		for (const scheduler of process?.roles.holdings.schedulers ?? []) {
@@ -170,8 +178,9 @@
 		this.#frozenUntil = Math.max(this.#frozenUntil, clock.now + durationMs);
 		clock.schedule(durationMs, () => {
 			if (!this.#isFrozen()) {
-				const deferredWork = this.#deferredWork;
+				const deferredWork = [...this.#deferredWork, ...this.#deferredAccepts];
 				this.#deferredWork = [];
+				this.#deferredAccepts = [];
 				for (const runNow of deferredWork) {
 					runNow();
 				}
@@ -192,7 +201,11 @@
 		this.freeze(durationMs);
 	}
 
-	submit(request: JobRequest, onAnswer: (answer: JobAnswer) => void): void {
+	submit(
+		request: JobRequest,
+		onAnswer: (answer: JobAnswer) => void,
+		options?: {isReadLast?: boolean},
+	): void {
 		let abandon: () => void = doNothing;
 		const reportDisconnect = () => {
 			abandon();
@@ -206,6 +219,17 @@
 					onAnswer(answer);
 				}
 			});
+		}, options);
+	}
+
+	/** Cancels a job for a caller that waits for `timeLeftMs`; no answer comes from a process that ends before. */
+	cancel(
+		id: string,
+		timeLeftMs: number,
+		onOutcome: (outcome: CancellationOutcome) => void,
+	): void {
+		this.run(({roles}) => {
+			roles.cancellations.cancel(id, timeLeftMs, onOutcome);
 		});
 	}
 
--- a/packages/host/src/scheduling/faulty/run-plan.fixture.ts
+++ b/packages/host/src/scheduling/faulty/run-plan.fixture.ts
@@ -28,6 +28,7 @@
 	registrationTtlMs,
 } from './start-fault.fixture.js';
 import {findEvacuatedStarts} from './evacuated-starts.fixture.js';
+import {findCancelledStarts} from './cancelled-starts.fixture.js';
 import {FaultyHost} from './faulty-host.fixture.js';
 import {FaultyNetwork} from './faulty-network.fixture.js';
 import {FaultyStore, type StoreMode} from './faulty-store.fixture.js';
@@ -60,6 +61,10 @@
 /** Likewise after the last job has arrived. */
 const answerLimitAfterJobsMs = 6600;
 const callerTimeoutMs = 4000;
+/** A caller waits this long for the answer to a cancellation, and repeats it at another host without a confirmation. */
+const cancelTimeoutMs = 1500;
+/** Time after the first cancellation in which it is repeated. */
+const cancelRepeatLimitMs = 6000;
 const pollIntervalMs = 20;
 const defaultTaskCpu = 14_000;
 /** A reduced capacity must be respected after this long: 3000 ms for hosts to be connected again, and 1500 ms for one heartbeat of the executors. */
@@ -101,6 +106,8 @@
 	readonly #hosts: FaultyHost[] = [];
 	readonly #system: FaultySystem;
 	readonly #jobs: SimulatedJob[] = [];
+	/** By job id: when its caller got the confirmation that it is cancelled. */
+	readonly #confirmedAt = new Map<string, number>();
 
 	constructor(
 		private readonly options: {
@@ -182,6 +189,9 @@
 			this.clock.schedule(job.at, () => {
 				this.#send(simulatedJob);
 			});
+			if (job.cancel) {
+				this.#scheduleCancellation(simulatedJob, job.cancel);
+			}
 		}
 
 		for (const fault of faults) {
@@ -233,6 +243,9 @@
 				until: startUpMs + fault.at + fault.durationMs,
 			})),
 		).map((start) => `task started in an evacuated data centre: ${start}`);
+		yield* findCancelledStarts(runs, this.#confirmedAt).map(
+			(start) => `task of a cancelled job started: ${start}`,
+		);
 		yield* findOverlaps(runs).map(
 			(pair) => `task ran twice at a time: ${pair}`,
 		);
@@ -444,14 +457,19 @@
 		}
 
 		this.log(`${this.clock.now} caller sends ${job.id} to ${host.key}`);
-		host.submit(this.#makeRequest(job), (answer) => {
-			this.log(`${this.clock.now} caller of ${job.id} gets ${answer.type}`);
-			job.answers.push(answer.type);
-			job.isBlamed ||= 'reason' in answer && answer.reason === crashReason;
-			if (answer.type === 'given-up') {
-				this.#sendAgain(job);
-			}
-		});
+		const {isReadLast} = job;
+		host.submit(
+			this.#makeRequest(job),
+			(answer) => {
+				this.log(`${this.clock.now} caller of ${job.id} gets ${answer.type}`);
+				job.answers.push(answer.type);
+				job.isBlamed ||= 'reason' in answer && answer.reason === crashReason;
+				if (answer.type === 'given-up') {
+					this.#sendAgain(job);
+				}
+			},
+			{isReadLast},
+		);
 	}
 
 	#sendAgain(job: SimulatedJob, afterMs = resendDelayMs): void {
@@ -469,6 +487,33 @@
 		}
 	}
 
+	#scheduleCancellation(
+		{id, at}: SimulatedJob,
+		{afterMs, host}: NonNullable<PlannedJob['cancel']>,
+	): void {
+		this.clock.schedule(at + afterMs, () => {
+			this.#cancel(id, host, this.clock.now + cancelRepeatLimitMs);
+		});
+	}
+
+	/** Asks a host that is alive to cancel the job; without a confirmation in time, the next one. */
+	#cancel(id: string, first: number, repeatedUntil: number): void {
+		const order = [...this.#hosts.slice(first), ...this.#hosts];
+		const host = order.find(({isAlive}) => isAlive);
+		this.log(`${this.clock.now} caller cancels ${id} at ${host?.key}`);
+		host?.cancel(id, cancelTimeoutMs, ({isConfirmed}) => {
+			this.log(`${this.clock.now} ${id} is cancelled: ${isConfirmed}`);
+			if (isConfirmed && !this.#confirmedAt.has(id)) {
+				this.#confirmedAt.set(id, this.clock.now);
+			}
+		});
+		this.clock.schedule(cancelTimeoutMs, () => {
+			if (!this.#confirmedAt.has(id) && this.clock.now < repeatedUntil) {
+				this.#cancel(id, (first + 1) % hostCount, repeatedUntil);
+			}
+		});
+	}
+
 	#makeRequest({
 		id,
 		tasks,
--- a/packages/host/src/scheduling/group-holding.test.ts
+++ b/packages/host/src/scheduling/group-holding.test.ts
@@ -101,6 +101,7 @@
 			},
 			runTimes: createRunTimes(),
 			crashes: createCrashRecords(),
+			cancelledJobs: {findAge: () => undefined},
 			onChange() {
 				// Nobody is notified.
 			},
--- a/packages/host/src/scheduling/host-roles.ts
+++ b/packages/host/src/scheduling/host-roles.ts
@@ -139,6 +139,7 @@
 			groups: this.groups,
 			runTimes: this.#runTimes,
 			crashes: this.crashes,
+			cancelledJobs: this.cancelledJobs,
 			pauses: this.pauses,
 			send: (holder, message) => this.#sendToHolder(holder, message),
 			log: options.log,
@@ -368,6 +369,7 @@
 			control,
 			runTimes: this.#runTimes,
 			crashes: this.crashes,
+			cancelledJobs: this.cancelledJobs,
 			onChange: () => {
 				this.#sendFirstReadyState(group);
 			},
--- a/packages/scheduling/src/copy-recall.test.ts
+++ b/packages/scheduling/src/copy-recall.test.ts
@@ -41,6 +41,7 @@
 		groups,
 		runTimes: createRunTimes(),
 		crashes: createCrashRecords(),
+		cancelledJobs: {findAge: () => undefined},
 		pauses: createFakePauses().pauses,
 		send(to, message) {
 			sent.push({to, message});
--- a/packages/scheduling/src/entry-jobs.test.ts
+++ b/packages/scheduling/src/entry-jobs.test.ts
@@ -41,6 +41,7 @@
 		groups,
 		runTimes: createRunTimes(),
 		crashes: createCrashRecords(),
+		cancelledJobs: {findAge: () => undefined},
 		pauses: fakePauses.pauses,
 		send(holder, message) {
 			sent.push({holder, message});
--- a/packages/scheduling/src/entry-jobs.ts
+++ b/packages/scheduling/src/entry-jobs.ts
@@ -13,6 +13,7 @@
 	type Replaced,
 	type TaskEnd,
 } from '@gentianshift/protocol';
+import {type CancelledJobs} from './cancelled-jobs.js';
 import {type CopyPlace} from './copy-check.js';
 import {type CrashRecords} from './crash-records.js';
 import {
@@ -94,6 +95,7 @@
 	runTimes: RunTimes;
 	/** Shared with the scheduler on the same host. */
 	crashes: CrashRecords;
+	cancelledJobs: Pick<CancelledJobs, 'findAge'>;
 	pauses: Pick<PauseWatch, 'isCatchingUp' | 'measureUnreadMs'>;
 	/** Sends a message to a group's holder; false: there is no connection to it. */
 	send: (holder: string, message: HolderMessage) => boolean;
@@ -197,7 +199,10 @@
 		});
 		job.waiters.add(onAnswer);
 		this.#jobs.set(request.id, job);
-		if (!this.#giveUpIfCondemned(job)) {
+		if (this.#ports.cancelledJobs.findAge(request.id) !== undefined) {
+			// The request was sent before its caller cancelled the job, or repeated by the network.
+			this.#answer(job, {type: 'cancelled'});
+		} else if (!this.#giveUpIfCondemned(job)) {
 			this.#placeTasks(job, job.tasks);
 		}
 
--- a/packages/scheduling/src/group-scheduler.fixture.ts
+++ b/packages/scheduling/src/group-scheduler.fixture.ts
@@ -76,6 +76,7 @@
 		control,
 		runTimes: createRunTimes(),
 		crashes: createCrashRecords(),
+		cancelledJobs: {findAge: () => undefined},
 		onFenced() {
 			scheduler.close();
 		},
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -16,6 +16,7 @@
 	type TaskEnd,
 	type Ends,
 } from '@gentianshift/protocol';
+import {type CancelledJobs} from './cancelled-jobs.js';
 import {claimRun} from './claim-run.js';
 import {type CrashRecords} from './crash-records.js';
 import {type ExecutorControl} from './executor-control.js';
@@ -102,6 +103,7 @@
 	runTimes: RunTimes;
 	/** Shared with the entry on the same host. */
 	crashes: CrashRecords;
+	cancelledJobs: Pick<CancelledJobs, 'findAge'>;
 	/** An executor has answered that it obeys another holder of the group. */
 	onFenced: () => void;
 	/** The free capacity or the backlog has changed. */
@@ -215,6 +217,10 @@
 	*/
 	receive(entry: Entry, message: HolderMessage): void {
 		this.#entries.noteMessage(entry, this.ports.now());
+		if (this.#refuseCancelled(entry, message)) {
+			return;
+		}
+
 		switch (message.t) {
 			case 'part': {
 				if (message.token === this.ports.token) {
@@ -461,6 +467,27 @@
 		return {open: listOpen().length, all: sessions.size};
 	}
 
+	/** Tells an entry that has not heard of it that the job is cancelled; returns whether it is. */
+	#refuseCancelled(entry: Entry, message: HolderMessage): boolean {
+		if (message.t !== 'part' && message.t !== 'replace') {
+			return false;
+		}
+
+		const {job} = message;
+		const ageMs = this.ports.cancelledJobs.findAge(job);
+		if (ageMs === undefined) {
+			return false;
+		}
+
+		this.ports.log('refusing a cancelled job', {
+			job,
+			entry: entry.key,
+			ageMs: Math.round(ageMs),
+		});
+		entry.send({t: 'cancel-job', job, ageMs});
+		return true;
+	}
+
 	#answerWithdrawal(entry: Entry, message: Drop): void {
 		answerWithdrawal(entry, message, {
 			token: this.ports.token,
--- a/packages/scheduling/src/load-system.fixture.ts
+++ b/packages/scheduling/src/load-system.fixture.ts
@@ -269,6 +269,7 @@
 		control: executors.control,
 		runTimes,
 		crashes,
+		cancelledJobs: {findAge: () => undefined},
 		onFenced: doNothing,
 		onChange: doNothing,
 		takeCapacityElsewhere: (cpu, tasks) =>
@@ -312,6 +313,7 @@
 		groups: directory,
 		runTimes: runTimes satisfies RunTimes,
 		crashes,
+		cancelledJobs: {findAge: () => undefined},
 		pauses: createFakePauses().pauses,
 		send(holder, message) {
 			const target = groups.find((group) => group.name === holder)!;
--- a/packages/scheduling/src/withdrawals.test.ts
+++ b/packages/scheduling/src/withdrawals.test.ts
@@ -74,6 +74,7 @@
 		groups,
 		runTimes: createRunTimes(),
 		crashes: createCrashRecords(),
+		cancelledJobs: {findAge: () => undefined},
 		pauses: createFakePauses().pauses,
 		send(holder, message) {
 			sent.push({holder, message});
--- a/packages/trials/src/scheduling/cancelled-jobs.test.ts
+++ b/packages/trials/src/scheduling/cancelled-jobs.test.ts
@@ -16,6 +16,7 @@
 
 const startLimitMs = 5000;
 const patienceMs = 15_000;
+const freezeMs = 4000;
 /** Long enough to still run when a host has been started again. */
 const taskMs = 9000;
 
@@ -62,3 +63,28 @@
 		assert.equal(run.how, 'stopped');
 	}
 });
+
+// Guards against a request that lies unread while its job is cancelled, and whose tasks are started when it is read.
+test('a job that is cancelled while its request lies unread at a frozen host is not started', async (context) => {
+	const system = await openSystem(context, {
+		hosts: {mieres: 3},
+		executors: {mieres: 2},
+	});
+	const [frozen, other] = findOthers(system);
+	frozen.process.child.kill('SIGSTOP');
+	const id = makeJobId();
+	const reply = submitJob(frozen, {
+		id,
+		count: 4,
+		ms: 900,
+		timeLeftMs: patienceMs,
+	});
+	await delay(300);
+	const cancelled = await cancelJob(other, id);
+	assert.equal(cancelled.status, 410);
+	await delay(freezeMs);
+	frozen.process.child.kill('SIGCONT');
+	const {status, state} = await reply;
+	assert.deepEqual({status, state}, {status: 410, state: 'cancelled'});
+	assert.deepEqual(listRuns(system.executors, id), []);
+});
