--- a/packages/trials/src/scheduling/system.ts
+++ b/packages/trials/src/scheduling/system.ts
@@ -63,6 +63,8 @@
 	bornIn?: BornIn;
 	/** Processor cores of hosts by name; the others' settings name none. */
 	cores?: Record<string, number>;
+	/** Further lines of all hosts' settings. */
+	settings?: readonly string[];
 	/** Hosts reach those of other data centres through relays, which can be cut. */
 	hasRelays?: boolean;
 	/** Calls that the store refuses from the first on. */
@@ -101,6 +103,7 @@
 		executors = {mieres: 4, langreo: 4},
 		bornIn,
 		cores = {},
+		settings = [],
 		hasRelays = false,
 		isRefused,
 	}: SchedulingSystemOptions = {}): Promise<void> {
@@ -128,6 +131,7 @@
 					await this.#makeHost(`${dataCentre}-${i + 1}`, dataCentre, {
 						hasRelay: hasRelays,
 						cores: cores[`${dataCentre}-${i + 1}`],
+						settings,
 					}),
 				);
 			}
@@ -316,7 +320,11 @@
 	async #makeHost(
 		name: string,
 		dataCentre: string,
-		{hasRelay, cores}: {hasRelay: boolean; cores?: number},
+		{
+			hasRelay,
+			cores,
+			settings,
+		}: {hasRelay: boolean; cores?: number; settings: readonly string[]},
 	): Promise<SchedulingHostProcess> {
 		const ip = this.#takeIp();
 		const ports = await findFreePorts(ip, 3);
@@ -337,6 +345,7 @@
 				`platform.address=${this.#storeAddress}`,
 				'bounds.grace_period_s=6',
 				...(cores === undefined ? [] : [`limits.cpu_fraction=${cores}`]),
+				...settings,
 				'',
 			].join('\n'),
 		);
