--- a/packages/api/src/body.ts
+++ b/packages/api/src/body.ts
@@ -1,12 +1,11 @@
 /**
 Reads request bodies: bounded, as strict UTF-8, as JSON, against a schema.
 */
-import {Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
 import {err, ok, Result, safeTry} from 'neverthrow';
 import {type z} from 'zod';
 import {toFindings, type Problem} from '@gentianshift/resources';
-import {type BodyBudget, type BodyLease} from './body-budget.js';
+import {readBytes, type BodyBudget, type BodyRefusal} from './bodies/index.js';
 import {createProblem, judgeRan} from './problems.js';
 
 const decoder = new TextDecoder('utf-8', {fatal: true});
@@ -34,24 +33,11 @@
 export async function readJson<Schema extends z.ZodType>(
 	request: BodyRequest,
 	schema: Schema,
-): Promise<Result<z.infer<Schema>, Problem>> {
-	const lease = request.budget.openLease();
-	try {
-		return await parseBody(request, lease, schema);
-	} finally {
-		lease.release();
-	}
-}
-
-async function parseBody<Schema extends z.ZodType>(
-	request: BodyRequest,
-	lease: BodyLease,
-	schema: Schema,
 ): Promise<Result<z.infer<Schema>, Problem>> {
 	const {id} = request;
 	const ran = judgeRan(id);
 	return safeTry(async function* () {
-		const bytes = yield* await readBytes(request, lease);
+		const bytes = yield* await readBody(request);
 		const text = yield* decodeText(bytes).mapErr(() =>
 			createProblem({
 				status: 400,
@@ -94,68 +80,61 @@
 */
 const drainMs = 1000;
 
-/**
-Collects the body. Past a limit it keeps nothing, so that a flood of bytes costs the host no
-more memory than one body of legal size.
-*/
-async function readBytes(
-	{incoming, limit, id}: BodyRequest,
-	lease: BodyLease,
-): Promise<Result<Uint8Array, Problem>> {
-	return new Promise((resolve) => {
-		let chunks: Uint8Array[] = [];
-		let length = 0;
-		let refusal: Problem | undefined;
-		let drainTimer: NodeJS.Timeout | undefined;
-		const settle = (result: Result<Uint8Array, Problem>) => {
-			clearTimeout(drainTimer);
-			incoming.off('data', onData);
-			resolve(result);
-		};
-
-		const refuse = (problem: Problem) => {
-			refusal = problem;
-			chunks = [];
-			drainTimer = setTimeout(() => {
-				incoming.pause();
-				settle(err(problem));
-			}, drainMs);
-		};
-
-		const onData = (chunk: Uint8Array) => {
-			length += chunk.length;
-			if (refusal) {
-				return;
-			}
-
-			if (length > limit) {
-				refuse(describeTooLarge(limit, id));
-			} else if (lease.extend(length)) {
-				chunks.push(chunk);
-			} else {
-				refuse(describeNoMemory(id));
-			}
-		};
-
-		const onLost = () => {
-			settle(err(refusal ?? describeLost(id)));
-		};
-
-		if (Number(incoming.headers['content-length'] ?? 0) > limit) {
-			refuse(describeTooLarge(limit, id));
-		}
+/** Reads the body; a refusal comes when the client has ended its writing, or after `drainMs`. */
+async function readBody({
+	incoming,
+	limit,
+	id,
+	budget,
+}: BodyRequest): Promise<Result<Uint8Array, Problem>> {
+	const read = await readBytes(incoming, {getLimit: () => limit, budget});
+	if (read.isErr()) {
+		await waitForEnd(incoming);
+	}
+
+	return read.mapErr((refusal) => describeRefusal(refusal, {limit, id}));
+}
 
-		incoming.on('data', onData);
-		incoming.once('end', () => {
-			settle(refusal ? err(refusal) : ok(joinChunks(chunks)));
-		});
-		incoming.once('error', onLost);
-		incoming.once('close', onLost);
+async function waitForEnd(incoming: IncomingMessage): Promise<void> {
+	if (incoming.complete || incoming.destroyed) {
+		return;
+	}
+
+	await new Promise<void>((resolve) => {
+		const timer = setTimeout(() => {
+			incoming.pause();
+			resolve();
+		}, drainMs);
+		for (const event of ['end', 'error', 'close']) {
+			incoming.once(event, () => {
+				clearTimeout(timer);
+				resolve();
+			});
+		}
 	});
 }
 
-function joinChunks(chunks: readonly Uint8Array[]): Uint8Array {
-	return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
+function describeRefusal(
+	refusal: BodyRefusal,
+	{limit, id}: {limit: number; id: string | undefined},
+): Problem {
+	switch (refusal) {
+		case 'too-large': {
+			return describeTooLarge(limit, id);
+		}
+
+		case 'too-many-chunks': {
+			return describeTooManyChunks(id);
+		}
+
+		case 'no-memory': {
+			return describeNoMemory(id);
+		}
+
+		case 'cut-off': {
+			return describeLost(id);
+		}
+	}
 }
 
 function describeTooLarge(limit: number, id: string | undefined): Problem {
@@ -168,6 +147,16 @@
 	});
 }
 
+function describeTooManyChunks(id: string | undefined): Problem {
+	return createProblem({
+		status: 400,
+		code: 'too-many-chunks',
+		detail: 'the body comes in too many small chunks',
+		ran: 'unknown',
+		id,
+	});
+}
+
 /** Another host, or this one a little later, may take a copy: what ran is not known here. */
 function describeNoMemory(id: string | undefined): Problem {
 	return createProblem({
--- a/packages/api/src/caller-routes.ts
+++ b/packages/api/src/caller-routes.ts
@@ -10,7 +10,7 @@
 } from '@gentianshift/resources';
 import {err} from 'neverthrow';
 import {readJson} from './body.js';
-import {type BodyBudget} from './body-budget.js';
+import {type BodyBudget} from './bodies/index.js';
 import {type InFlight} from './in-flight.js';
 import {createLineStream} from './lines.js';
 import {readJobParameters, type JobParameters} from './parameters.js';
--- a/packages/api/src/operator-routes.ts
+++ b/packages/api/src/operator-routes.ts
@@ -14,7 +14,7 @@
 } from '@gentianshift/resources';
 import {err, ok, type Result} from 'neverthrow';
 import {readJson} from './body.js';
-import {type BodyBudget} from './body-budget.js';
+import {type BodyBudget} from './bodies/index.js';
 import {type Bindings} from './caller-routes.js';
 import {type InFlight} from './in-flight.js';
 import {createLineStream} from './lines.js';
--- a/packages/api/src/server.ts
+++ b/packages/api/src/server.ts
@@ -9,7 +9,7 @@
 import {getRequestListener} from '@hono/node-server';
 import {headers, type Problem} from '@gentianshift/resources';
 import {createApp} from './app.js';
-import {createBodyBudget} from './body-budget.js';
+import {createBodyBudget} from './bodies/index.js';
 import {InFlight} from './in-flight.js';
 import {type CallerPort, type HealthPort, type OperatorPort} from './ports.js';
 import {createProblem} from './problems.js';
@@ -27,6 +27,8 @@
 const keepAliveProbeMs = 15_000;
 /** Bytes of all headers of one request. */
 const maxHeaderBytes = 16 * 1024;
+/** Bodies of the largest legal size that may be read at once. */
+const largestBodiesAtOnce = 8;
 /** Connections at once: about 10 KB each, so that a flood of them stays under 64 MB. */
 const maxConnections = 5000;
 /** After the grace, answers said in its last moment get this long to go out. */
@@ -72,7 +74,9 @@
 		...options,
 		replies,
 		bodyBytes: options.limits.bodyBytes,
-		bodyBudget: createBodyBudget(options.limits.bodyBytes),
+		bodyBudget: createBodyBudget(
+			largestBodiesAtOnce * options.limits.bodyBytes,
+		),
 		waits,
 		jobStreams: streams.jobs,
 		resourceStreams: streams.resources,
