--- a/packages/trials/src/scheduling/client-crowds.test.ts
+++ b/packages/trials/src/scheduling/client-crowds.test.ts
@@ -142,6 +142,24 @@
 	});
 });
 
+// Guards against jobs whose bodies are small, and whose tasks take a host's memory.
+test('jobs of very many tasks leave a host within its memory', async (context) => {
+	const job = Buffer.from(
+		JSON.stringify({
+			spec: '',
+			phases: [{count: 100_000, cpu: 1, mem_mb: 1, estimated_ms: 1}],
+			best_effort: true,
+		}),
+	);
+	await playCrowd(context, {
+		connections: 20,
+		pieces: Array.from({length: 10}, () => [
+			makeHead('POST', makeJobPath(), job.length),
+			job,
+		]).flat(),
+	});
+});
+
 // Guards against connections that leave a host no descriptors for executors, other hosts and the store.
 test('connections without a request leave a host within its descriptors', async (context) => {
 	await playCrowd(context, {connections: 400, pieces: []}, {descriptors: 500});
