--- a/packages/host/src/scheduling/start-scheduling-host.ts
+++ b/packages/host/src/scheduling/start-scheduling-host.ts
@@ -114,6 +114,8 @@
 	acceptConnections: (waitedMs: number) => void;
 	/** Number of jobs that have not been answered yet. */
 	countJobs: () => number;
+	/** Number of their tasks, done or not. */
+	countTasks: () => number;
 	/** Metrics in Prometheus text format. */
 	exportMetrics: () => Promise<string>;
 	/**
@@ -299,6 +301,10 @@
 		return this.#roles.entry.size;
 	}
 
+	countTasks(): number {
+		return this.#roles.entry.taskCount;
+	}
+
 	isReady(): boolean {
 		const {groups, isStopping} = this.#roles;
 		// While every data centre is evacuated a host is as healthy as before, and refuses jobs at once.
--- a/packages/scheduling/src/entry-jobs.ts
+++ b/packages/scheduling/src/entry-jobs.ts
@@ -122,6 +122,7 @@
 	/** Groups that have a new holder, or a new connection to it, since a pause that this host is catching up with. */
 	readonly #groupsToSend = new Set<string>();
 	#lastClaim = 0;
+	#taskCount = 0;
 	/** When a scheduler was last reachable; initially the start of this host. */
 	#schedulerReachableAt: number;
 
@@ -151,6 +152,11 @@
 		return this.#jobs.size;
 	}
 
+	/** Tasks of all jobs that have no answer yet, done or not. */
+	get taskCount(): number {
+		return this.#taskCount;
+	}
+
 	/** Whether the group has tasks of this entry's jobs. */
 	hasTasksIn(group: string): boolean {
 		for (const job of this.#jobs.values()) {
@@ -199,6 +205,7 @@
 		});
 		job.waiters.add(onAnswer);
 		this.#jobs.set(request.id, job);
+		this.#taskCount += job.tasks.length;
 		if (this.#ports.cancelledJobs.findAge(request.id) !== undefined) {
 			// The request was sent before its caller cancelled the job, or repeated by the network.
 			this.#answer(job, {type: 'cancelled'});
@@ -1007,6 +1014,7 @@
 
 		const now = this.#ports.now();
 		this.#jobs.delete(id);
+		this.#taskCount -= job.tasks.length;
 		this.#waitingJobs.delete(job);
 		this.#withdrawals.end(job, 'ended');
 		for (const group of this.#listGroupsOf(job)) {
