--- a/packages/trials/src/scheduling/caller.ts
+++ b/packages/trials/src/scheduling/caller.ts
@@ -158,19 +158,17 @@
 export async function cancelJob(
 	host: SchedulingHostProcess,
 	id: string,
-): Promise<{status: number; sentCount: number}> {
+): Promise<{status: number}> {
 	const endsAt = performance.now() + cancelPatienceMs;
 	let status = 0;
-	let sentCount = 0;
 	while (performance.now() < endsAt && ![200, 410].includes(status)) {
 		status = await sendCancellation(host, id);
-		sentCount += Number(status !== 0);
 		if (status === 0) {
 			await delay(connectIntervalMs);
 		}
 	}
 
-	return {status, sentCount};
+	return {status};
 }
 
 async function sendCancellation(
--- a/packages/trials/src/scheduling/client-crowd.ts
+++ b/packages/trials/src/scheduling/client-crowd.ts
@@ -124,7 +124,7 @@
 	return Number(peak) / kilobytesPerMegabyte;
 }
 
-export function countDescriptors({process}: SchedulingHostProcess): number {
+function countDescriptors({process}: SchedulingHostProcess): number {
 	return readdirSync(`/proc/${process.child.pid}/fd`).length;
 }
 
