Log why tasks leave a silent holder, and starts that are not sent

Two runs of one task at two groups could not be told from two holders of one group by the entry's log: its line on moved tasks named neither the groups nor the claims that it stopped renewing, nor the age of the last state that it had read.

No logic changes. The tests of entries and of leases that can not be extended pass (41).

--- a/packages/scheduling/src/entry-jobs.ts
+++ b/packages/scheduling/src/entry-jobs.ts
@@ -951,6 +951,10 @@
 		log('scheduler is silent: placing its tasks in other groups', {
 			job: job.request.id,
 			tasks: lost.tasks.length,
+			claims: [...new Set(lost.tasks.map(({group}) => group!))].map(
+				(group) => ({group, claim: job.claims.get(group)}),
+			),
+			silentMs: Math.round(now - lost.lastStateAt),
 		});
 		for (const task of lost.tasks) {
 			job.claims.delete(task.group!);
--- a/packages/scheduling/src/lost-tasks.ts
+++ b/packages/scheduling/src/lost-tasks.ts
@@ -14,6 +14,8 @@
 	tasks: EntryTask[];
 	/** From this time on none of the tasks runs at the silent holder. */
 	movableAt: number;
+	/** When the last state of the silent holders arrived. */
+	lastStateAt: number;
 };
 
 /** Undefined: no task of the job is lost. */
@@ -23,17 +25,17 @@
 	now: number,
 ): LostTasks | undefined {
 	const lost: EntryTask[] = [];
-	let movableAt = now;
+	let lastStateAt = -Infinity;
 	for (const task of tasks) {
 		const silentGroup = findSilentGroup(task, groups, now);
 		if (silentGroup) {
 			lost.push(task);
-			const endsAt = silentGroup.receivedAt + orphanLimitMs + clockSlackMs;
-			movableAt = Math.max(movableAt, endsAt);
+			lastStateAt = Math.max(lastStateAt, silentGroup.receivedAt);
 		}
 	}
 
-	return lost.length === 0 ? undefined : {tasks: lost, movableAt};
+	const movableAt = Math.max(now, lastStateAt + orphanLimitMs + clockSlackMs);
+	return lost.length === 0 ? undefined : {tasks: lost, movableAt, lastStateAt};
 }
 
 function findSilentGroup(
--- a/packages/scheduling/src/run-calls.ts
+++ b/packages/scheduling/src/run-calls.ts
@@ -51,13 +51,19 @@
 	const {answerTimes} = ports;
 
 	async function sendStart(run: Run, spec: string): Promise<void> {
+		const {job, index, attempt} = run;
 		const leaseUntilMs = ports.extendLease();
 		if (leaseUntilMs === undefined) {
+			log('start not sent: the lease can not be extended', {
+				executor: getExecutor().id,
+				job,
+				task: index,
+				attempt,
+			});
 			ports.onUnstarted(run, 'unstarted');
 			return;
 		}
 
-		const {job, index, attempt} = run;
 		const sentAt = now();
 		const reply = await control.startTask(getExecutor(), {
 			job,
