Ask an executor that a late start may still reach without pauses

What callers saw: a task ran twice at the same time. An executor leaves a start unanswered, its holder has the attempt stopped and starts the task elsewhere; the executor, on which nothing runs, restarts under its id, and the start arrives at the new process, which knows neither the fencing token nor the stop. The same with a start of the group's former holder, of which the new holder knows nothing.

Cause: the new process is protected only once its holder has called it, and an idle executor was called once a second. The class is that of a call that outlives the process it was sent to: no field of a start names the process.

Change: while a start may still be on its way (20 s after one without an answer, and after a change of holder), renewals wait at the executor one after another, as where tasks run. The waiting call breaks off as the process ends, and the next process gets the token and the stops within a retry. Only for executors that state their start time.

What is left is a start that arrives in the moment before that first call, or while the executor can't be reached.

In restarts-unstated.test.ts one wait of 3 ms is now three of 1 ms: the virtual clock settles a limited number of continuations in each, and the start that the test wants to be answered by then follows two refusals. Its assertions are as before, and it passes with and without this change.

--- a/packages/scheduling/src/executor-session.ts
+++ b/packages/scheduling/src/executor-session.ts
@@ -105,6 +105,8 @@
 	answerTimes: AnswerTimes;
 	/** Unanswered starts sent to this executor, including those of earlier sessions. */
 	unansweredStarts: UnansweredStarts;
+	/** Whether starts of the group's former holder may still be on their way. */
+	mayHaveForeignStarts: () => boolean;
 	/** Names the sessions with runs of a job; this session keeps its runs entered there. */
 	runIndex: RunIndex<ExecutorSession>;
 	onRunEnd: (run: Run, outcome: RunOutcome, session: ExecutorSession) => void;
@@ -679,7 +681,11 @@
 		const {now} = this.ports;
 		const sentAt = now();
 		const canRenew = this.runs.size > 0 && this.silentSince === undefined;
-		const canWait = canRenew && this.hasReported && this.#missedRenewals === 0;
+		const canWait =
+			this.silentSince === undefined &&
+			(canRenew || this.#mayCarryOutLateStart()) &&
+			this.hasReported &&
+			this.#missedRenewals === 0;
 		const reply = await this.#control.renewLease(this.#executor, {
 			...this.#makeReportRequest(),
 			leaseUntilMs: canRenew ? this.#extendLease() : undefined,
@@ -705,7 +711,21 @@
 			return callRetryMs;
 		}
 
-		return this.runs.size > 0 || hasMoreEnds ? 0 : idleReportIntervalMs;
+		return this.runs.size > 0 || hasMoreEnds || this.#mayCarryOutLateStart()
+			? 0
+			: idleReportIntervalMs;
+	}
+
+	/**
+	Whether a later process of the executor could carry out a start that is still on its way. A renewal that waits at the executor
+	breaks off when its process ends, so the next one gets the token and the stops of these starts as soon as it answers.
+	*/
+	#mayCarryOutLateStart(): boolean {
+		return (
+			this.bornMs !== undefined &&
+			(!this.ports.unansweredStarts.hasNone ||
+				this.ports.mayHaveForeignStarts())
+		);
 	}
 
 	/**
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -53,6 +53,7 @@
 import {countFits, coversDemand, noDemand} from './free-capacity.js';
 import {type Run, type RunOutcome} from './run.js';
 import {answerWithdrawal} from './answer-withdrawal.js';
+import {lateStartLimitMs} from './unanswered-starts.js';
 import {hasRequiredLabel} from './task-constraints.js';
 import {type RunTimes} from './run-times.js';
 import {createStartLog, type StartLog} from './start-log.js';
@@ -176,6 +177,8 @@
 			...ports,
 			getToken: () => ports.token,
 			getLeaseCap: (runs) => this.#getLeaseCap(runs),
+			mayHaveForeignStarts: () =>
+				ports.now() - this.#openedAt <= lateStartLimitMs,
 			onRunEnd: (run, outcome, session) => {
 				this.#endRun(run, outcome, session);
 			},
--- a/packages/scheduling/src/restarts-unstated.test.ts
+++ b/packages/scheduling/src/restarts-unstated.test.ts
@@ -310,7 +310,11 @@
 					await restartAll(),
 				];
 				scheduler.receivePart(entry, makePart(clock, {estimateMs: taskMs}));
-				await clock.run(3);
+				// In steps, as each settles only so many continuations: the start is answered after two refusals by then.
+				for (let step = 0; step < 3; step += 1) {
+					await clock.run(1);
+				}
+
 				if (registered !== undefined) {
 					scheduler.setExecutors(lists[registered]!);
 				}
--- a/packages/scheduling/src/restarts.test.ts
+++ b/packages/scheduling/src/restarts.test.ts
@@ -335,6 +335,74 @@
 	assert.deepEqual(listOutcomes(entry), ['done']);
 });
 
+// Guards against a late start that reaches the next process of an idle executor before its scheduler does: the process knows neither
+// the token nor the stop, and the task runs elsewhere.
+test('a late start is refused by a process that has been up for 40 ms, although nothing ran on the former one', async () => {
+	for (let lateMs = 3000; lateMs <= 4000; lateMs += 90) {
+		const {clock, executors, scheduler, entry} = await openScheduler({
+			count: 2,
+			taskMs: 5000,
+			getDemand,
+			firstBornMs,
+			decideOutcome: delayFirstStart(lateMs),
+		});
+		const startedAt = clock.now;
+		scheduler.receivePart(
+			entry,
+			makePart(clock, {estimateMs: 5000, timeLeftMs: 9000}),
+		);
+		const restartAt = startedAt + lateMs - 740;
+		await runFor(clock, restartAt - clock.now, [[scheduler, entry]]);
+		await clock.run(Math.max(0, restartAt - clock.now));
+		executors.restart(executors.fakes[0]!, {
+			downMs: startedAt + lateMs - 40 - clock.now,
+			clockMs: 0,
+		});
+		await runFor(clock, 2000, [[scheduler, entry]]);
+		assert.deepEqual(findOverlaps(executors.runs), [], `${lateMs} ms late`);
+		assert.equal(executors.runs.length, 1);
+	}
+});
+
+// The same across a change of holders: the next holder knows nothing of the start that its predecessor had no answer to.
+test('a late start of the former holder is refused by a process that has been up for 40 ms', async () => {
+	for (let lateMs = 3000; lateMs <= 4000; lateMs += 90) {
+		const {clock, executors, scheduler, entry} = await openScheduler({
+			count: 2,
+			taskMs: 5000,
+			getDemand,
+			firstBornMs,
+			decideOutcome: delayFirstStart(lateMs),
+		});
+		const startedAt = clock.now;
+		scheduler.receivePart(
+			entry,
+			makePart(clock, {estimateMs: 5000, timeLeftMs: 9000}),
+		);
+		await runFor(clock, 500, [[scheduler, entry]]);
+		scheduler.close();
+		const next = createScheduler(clock, executors, 2);
+		next.receivePart(
+			entry,
+			makePart(clock, {
+				token: 2,
+				estimateMs: 5000,
+				timeLeftMs: 9000,
+				isMoved: true,
+			}),
+		);
+		const restartAt = startedAt + lateMs - 740;
+		await runFor(clock, restartAt - clock.now, [[next, entry]]);
+		executors.restart(executors.fakes[0]!, {
+			downMs: startedAt + lateMs - 40 - clock.now,
+			clockMs: 0,
+		});
+		await runFor(clock, 2000, [[next, entry]]);
+		assert.deepEqual(findOverlaps(executors.runs), [], `${lateMs} ms late`);
+		assert.equal(executors.runs.length, 1);
+	}
+});
+
 // Guards against a task that waits for ever for an executor that does not come back.
 test('a task whose start had no answer is placed again once the start can not arrive any more', async () => {
 	const {clock, executors, scheduler, entry} = await openScheduler({
--- a/packages/scheduling/src/run-index.test.ts
+++ b/packages/scheduling/src/run-index.test.ts
@@ -46,6 +46,7 @@
 			wait: clock.wait,
 			control: executors.control,
 			getToken: () => token,
+			mayHaveForeignStarts: () => false,
 			getLeaseCap: () => Infinity,
 			onRunEnd: doNothing,
 			onCrash: doNothing,
