Take neither labels nor capacity of a later process from the former one's registration

Cause: an answer that states a later process replaces the session, and the new one kept the former registration with a new start time, until a list brought the registration of the process itself. Where executors do not refuse what exceeds their capacity, the former capacity counted too.

Change: until its own registration is read, a later process has no labels, and no capacity where it does not guard it. An executor that guards its capacity is used at once as before, for tasks that require no label.

Left: a start that reaches the next process before any answer has told of it.

--- a/packages/scheduling/src/executor-session.ts
+++ b/packages/scheduling/src/executor-session.ts
@@ -555,7 +555,7 @@
 
 		if (order === 'later') {
 			this.replaceBy(
-				addBorn(this.#executor, bornMs),
+				describeNextProcess(this.#executor, bornMs),
 				'a later process answers',
 			);
 		}
@@ -1146,6 +1146,22 @@
 	return bornMs === executor.bornMs ? executor : {...executor, bornMs};
 }
 
+/**
+What is known of a later process before its registration is read. It may be of another kind: the labels of the former process say
+nothing of it, nor does the capacity, which matters where the executor does not refuse what exceeds it.
+*/
+function describeNextProcess(
+	former: Executor,
+	bornMs: number | undefined,
+): Executor {
+	return {
+		...former,
+		bornMs,
+		labels: [],
+		capacity: former.isCapacityEnforced ? former.capacity : noDemand,
+	};
+}
+
 function findLatest(
 	a: number | undefined,
 	b: number | undefined,
--- a/packages/scheduling/src/restarts.test.ts
+++ b/packages/scheduling/src/restarts.test.ts
@@ -218,6 +218,63 @@
 	]);
 });
 
+// Guards against starts on a process of another kind: until its registration is read, the labels of the former one would count.
+test('a task that requires a label is not started on a later process before its registration is read', async () => {
+	const {clock, executors, scheduler, entry} = await openScheduler({
+		count: 2,
+		taskMs: 100,
+		getDemand,
+		firstBornMs,
+	});
+	const label = (executor: Executor, kind: string) => ({
+		...executor,
+		labels: [kind],
+	});
+	const [first, second] = executors.fakes;
+	scheduler.setExecutors([
+		label(first!.executor, 'a'),
+		label(second!.executor, 'b'),
+	]);
+	executors.restart(first!, {downMs: 10});
+	await runFor(clock, 1100, [[scheduler, entry]]);
+	const constraints = {requiredLabel: 'a'};
+	scheduler.receivePart(entry, makePart(clock, {constraints}));
+	await runFor(clock, 200, [[scheduler, entry]]);
+	assert.equal(executors.runs.length, 0);
+	scheduler.setExecutors([
+		label(first!.executor, 'b'),
+		label(second!.executor, 'a'),
+	]);
+	await runFor(clock, 200, [[scheduler, entry]]);
+	assert.deepEqual(
+		executors.runs.map(({executor}) => executor),
+		['e2'],
+	);
+	assert.deepEqual(listOutcomes(entry), ['done']);
+});
+
+// Guards against starts beyond the capacity of a process that is smaller than the former one and does not refuse them.
+test('nothing is started on a later process that does not guard its capacity before its registration is read', async () => {
+	const {clock, executors, scheduler, entry} = await openScheduler({
+		count: 1,
+		taskMs: 100,
+		getDemand,
+		firstBornMs,
+		isCapacityEnforced: false,
+	});
+	const [fake] = executors.fakes;
+	executors.restart(fake!, {downMs: 10});
+	await runFor(clock, 1100, [[scheduler, entry]]);
+	scheduler.receivePart(entry, makePart(clock));
+	await runFor(clock, 200, [[scheduler, entry]]);
+	assert.equal(executors.runs.length, 0);
+	assert.deepEqual(listOutcomes(entry), ['returned']);
+	scheduler.setExecutors(listExecutors(executors));
+	scheduler.receivePart(entry, makePart(clock, {job: 'job2'}));
+	await runFor(clock, 200, [[scheduler, entry]]);
+	assert.equal(executors.runs.length, 1);
+});
+
 // Guards against a list that is older than what the executor has answered: it would end the new session again.
 test('a registration of the former process that comes after an answer of the later one changes nothing', async () => {
 	const {clock, executors, scheduler, entry} = await openScheduler({
