Let the first holder of a new group go by its executors' reports

The holder of the new group knew of no former holder and of a layout written a moment ago, took runs of a former holder outside its group for possible, and confirmed nothing for 1,060 ms. Such runs belong to the holder of the group that had the executors before, which answers for them, as does its successor.

Change: a layout tells how many groups there were before. A group that it has added had no holder under another layout, so the holder goes by its executors' reports. Where the former number is not stated, nothing changes.

Evidence: the new test fails without the change.

--- a/packages/host/src/scheduling/faulty/faulty-store.fixture.ts
+++ b/packages/host/src/scheduling/faulty/faulty-store.fixture.ts
@@ -79,7 +79,11 @@
 		const {count: formerCount} = JSON.parse(former) as {count: number};
 		if (count > formerCount) {
 			this.#revision += 1;
-			const value = JSON.stringify({count, changedAtMs: this.clock.now});
+			const value = JSON.stringify({
+				count,
+				formerCount,
+				changedAtMs: this.clock.now,
+			});
 			this.#items.set(key, {key, value, revision: this.#revision});
 		}
 	}
--- a/packages/host/src/scheduling/group-holding.test.ts
+++ b/packages/host/src/scheduling/group-holding.test.ts
@@ -15,6 +15,7 @@
 	type CoordinationStore,
 	type Executor,
 	type GroupDirectory,
+	type GroupLayout,
 	type StoreItem,
 } from '@gentianshift/scheduling';
 import {GroupHolding} from './group-holding.js';
@@ -51,6 +52,7 @@
 		listExecutors = () => [],
 		candidates = ['mieres_m1', 'mieres_m2'],
 		group = 'mieres',
+		changedLayout,
 		onChange = () => undefined,
 	}: {
 		groups?: GroupDirectory;
@@ -59,6 +61,8 @@
 		listExecutors?: () => readonly Executor[];
 		candidates?: readonly string[];
 		group?: string;
+		/** A layout that was written a short time ago. */
+		changedLayout?: GroupLayout;
 		onChange?: (group: string) => void;
 	} = {},
 ): GroupHolding {
@@ -68,9 +72,9 @@
 		group,
 		dataCentre: 'mieres',
 		layout: {
-			get: () => singleGroupLayout,
+			get: () => changedLayout ?? singleGroupLayout,
 			measureAge: () => Infinity,
-			isRecentlyChanged: () => false,
+			isRecentlyChanged: () => changedLayout !== undefined,
 			refresh: async () => true,
 		},
 		isAssigned: () => true,
@@ -153,6 +157,27 @@
 	}
 }
 
+// Guards against jobs in all data centres that wait a second for a group that a division has just added: its holder would not
+// confirm that it runs no copy of them, as a former holder, which there never was, might.
+test('only a group that a new layout has added is known to have had no holder before', async () => {
+	const layout: GroupLayout = {revision: 90, count: 2, changedAtMs: 0};
+	for (const {group, formerCount, mayRunOutside} of [
+		{group: 'mieres--2', formerCount: 1, mayRunOutside: undefined},
+		{group: 'mieres', formerCount: 1, mayRunOutside: true},
+		{group: 'mieres--2', formerCount: 2, mayRunOutside: true},
+		{group: 'mieres--2', formerCount: undefined, mayRunOutside: true},
+	]) {
+		const clock = {now: 1000};
+		const holding = createHolding(createStore(), clock, {
+			group,
+			changedLayout: {...layout, formerCount},
+		});
+		await runFor(holding, clock, 100);
+		const {hasRunsOutside} = holding.scheduler!.describeState();
+		assert.equal(hasRunsOutside, mayRunOutside, `${group} ${formerCount}`);
+	}
+});
+
 test('a group without a holder is taken at once by the first candidate', async () => {
 	const clock = {now: 1000};
 	const holding = createHolding(createStore(), clock);
--- a/packages/host/src/scheduling/group-holding.ts
+++ b/packages/host/src/scheduling/group-holding.ts
@@ -14,6 +14,7 @@
 	getDataCentre,
 	GroupScheduler,
 	holderSilenceMs,
+	isNewGroup,
 	isSilent,
 	isVacant,
 	makeStorelessToken,
@@ -383,12 +384,16 @@
 
 	/**
 	Whether the group's former holder may have runs on executors that have since been assigned to other groups. After a
-	start of all hosts nobody knows of a former holder, and what it ran is over.
+	start of all hosts nobody knows of a former holder, and what it ran is over. A group that the present layout has added had no holder
+	under another layout.
 	*/
 	#hasRunsOutside(former: KnownGroup | undefined): boolean {
-		const {layout} = this.#options;
+		const {layout, group, dataCentre} = this.#options;
 		if (!former) {
-			return layout.isRecentlyChanged();
+			return (
+				layout.isRecentlyChanged() &&
+				!isNewGroup(group, dataCentre, layout.get())
+			);
 		}
 
 		const {hasRunsOutside = false, layout: formerLayout} = former.state;
--- a/packages/host/src/scheduling/group-layouts.ts
+++ b/packages/host/src/scheduling/group-layouts.ts
@@ -25,6 +25,7 @@
 
 const storedLayoutSchema = z.object({
 	count: z.number().int().min(1),
+	formerCount: z.number().int().min(1).optional(),
 	changedAtMs: z.number(),
 });
 
@@ -82,8 +83,8 @@
 		log('layout of the data centre adopted', {
 			dataCentre,
 			...layout,
-			formerRevision: known.revision,
-			formerCount: known.count,
+			knownRevision: known.revision,
+			knownCount: known.count,
 			source,
 		});
 		known = layout;
@@ -142,7 +143,11 @@
 			return true;
 		},
 		async write(count, firstGroupRevision) {
-			const changedAtMs = readWallClock();
+			const layout = {
+				count,
+				formerCount: known.count,
+				changedAtMs: readWallClock(),
+			};
 			const result = await store.commit({
 				expected: [
 					{key, revision: known.revision},
@@ -151,11 +156,11 @@
 						revision: firstGroupRevision,
 					},
 				],
-				write: [{key, value: JSON.stringify({count, changedAtMs}), leaseId: 0}],
+				write: [{key, value: JSON.stringify(layout), leaseId: 0}],
 			});
 			if (result.isOk()) {
 				const {revision} = result.value;
-				adopt({revision, count, changedAtMs}, 'this host');
+				adopt({revision, ...layout}, 'this host');
 			} else {
 				log('layout is not written', {
 					dataCentre,
--- a/packages/protocol/src/scheduling-messages.ts
+++ b/packages/protocol/src/scheduling-messages.ts
@@ -298,6 +298,7 @@
 		.object({
 			revision: count,
 			count: z.number().int().min(1),
+			formerCount: z.number().int().min(1).optional(),
 			changedAtMs: z.number(),
 		})
 		.optional(),
--- a/packages/scheduling/src/group-layout.ts
+++ b/packages/scheduling/src/group-layout.ts
@@ -11,6 +11,8 @@
 	revision: number;
 	/** Number of groups. */
 	count: number;
+	/** Number of groups before; undefined: not stated by the writer. */
+	formerCount?: number;
 	/** When it was written, Unix time in milliseconds by its writer's clock. */
 	changedAtMs: number;
 };
@@ -43,6 +45,15 @@
 	);
 }
 
+/** Whether the data centre had no such group before this layout. */
+export function isNewGroup(
+	group: string,
+	dataCentre: string,
+	{count, formerCount = count}: GroupLayout,
+): boolean {
+	return !listGroupNames(dataCentre, formerCount).includes(group);
+}
+
 export type GroupCountInput = {
 	/** Number of executors of the data centre. */
 	executors: number;
