Have a successor wait where its list may lack executors of the former holder

A holder that the store does not answer keeps its last list, and uses all executors on it. Registrations that lapse meanwhile are missing in the lists of the other hosts, which drop these executors after 2.5 s. A host that took the group over then had a complete and fresh list, relied on the reports of all executors on it, and started tasks that ran on the dropped ones.

The drawn plans could not show it: they take a registration away for 2.5 s at most.

Executors that are silent and without runs do not count, so one that has crashed or left costs nothing.

--- a/packages/bench/src/slopes-schedulers.ts
+++ b/packages/bench/src/slopes-schedulers.ts
@@ -156,6 +156,7 @@
 			getStartPermission: () => 'granted',
 			isListComplete: () => true,
 			isListFresh: () => true,
+			listUnconfirmed: () => [],
 			listPeers: () => [],
 			isLeaving: () => false,
 			getSuccessor: () => undefined,
--- a/packages/host/src/scheduling/executor-lists.test.ts
+++ b/packages/host/src/scheduling/executor-lists.test.ts
@@ -65,6 +65,7 @@
 			return lists.list().map(({id}) => id);
 		},
 		isComplete: () => lists.isComplete(),
+		listUnconfirmed: () => lists.listUnconfirmed(),
 		end() {
 			ending.abort();
 		},
@@ -122,6 +123,27 @@
 	end();
 });
 
+// Guards against a successor that takes its own list for complete while the former holder still runs tasks on executors that it lacks.
+test('executors that the last list lacked, or that were read long ago, are not confirmed', async () => {
+	let now = 0;
+	let listed = [makeExecutor('e1'), makeExecutor('e2')];
+	const {read, listUnconfirmed, end} = createLists(
+		() => listed,
+		() => now,
+	);
+	await read();
+	assert.deepEqual(listUnconfirmed(), []);
+	now = 1600;
+	assert.deepEqual(listUnconfirmed(), ['e1', 'e2']);
+	listed = [makeExecutor('e2')];
+	await read();
+	assert.deepEqual(listUnconfirmed(), ['e1']);
+	now = 4200;
+	await read();
+	assert.deepEqual(listUnconfirmed(), []);
+	end();
+});
+
 // A host takes a group over while a stale read that it began earlier is still pending. The answer
 // to that read is seconds old and arrives last; it lacks an executor that has registered since and
 // runs tasks.
--- a/packages/host/src/scheduling/executor-lists.ts
+++ b/packages/host/src/scheduling/executor-lists.ts
@@ -33,6 +33,12 @@
 */
 const missingLimitMs = 2500;
 
+/**
+A registration that was read this long ago may be missing from another host's list 1 s later at the soonest: by then that
+host has taken the group over, or has not.
+*/
+const confirmedLimitMs = 1500;
+
 export type ExecutorLists = {
 	list: () => readonly Executor[];
 	/**
@@ -45,6 +51,10 @@
 	that has registered since and runs tasks.
 	*/
 	isFresh: () => boolean;
+	/**
+	Executors of this list that another host's list may lack by now: the last list lacked them, or was read some time ago.
+	*/
+	listUnconfirmed: () => string[];
 	start: (signal: AbortSignal) => void;
 	/**
 	Reads a list now that is not stale, for a host that takes a group over. Resolves also when the
@@ -91,6 +101,8 @@
 	/** Since when no read has failed; undefined: the last read failed, or there was none yet. */
 	let readsSucceedSince: number | undefined;
 	let isFresh = false;
+	/** When the last list that is not stale was asked for. */
+	let confirmedAt = -Infinity;
 	/** Until this time the host accepts no stale lists, like a holder. */
 	let takeoverReadsUntil = -Infinity;
 	/**
@@ -123,6 +135,7 @@
 
 		readsSucceedSince ??= now();
 		isFresh = !mayBeStale;
+		confirmedAt = isFresh ? askedAt : confirmedAt;
 		executors = keepRecentlyMissing(
 			pickKnownServices(registrations.applyList(result.value, askedAt)),
 		);
@@ -197,6 +210,10 @@
 			readsSucceedSince !== undefined &&
 			now() - readsSucceedSince >= missingLimitMs,
 		isFresh: () => isFresh,
+		listUnconfirmed: () =>
+			now() - confirmedAt <= confirmedLimitMs
+				? [...missingSince.keys()]
+				: executors.map(({id}) => id),
 		start(signal) {
 			void repeatReads(signal);
 		},
--- a/packages/host/src/scheduling/faulty/no-task-twice.test.ts
+++ b/packages/host/src/scheduling/faulty/no-task-twice.test.ts
@@ -155,6 +155,17 @@
 			faults: [{at: 0, durationMs: 901, kind: 'suspend', host: 0}],
 		},
 	},
+	{
+		situation:
+			'a holder without the store went on using an executor whose registration had lapsed for all others',
+		plan: {
+			jobs: [{at: 6500, host: 1, tasks: 1, runMs: 2500, allowanceMs: 1000}],
+			faults: [
+				{at: 1400, durationMs: 9000, kind: 'unlist', executor: 0},
+				{at: 3100, durationMs: 5000, kind: 'store', host: 0, how: 'refuses'},
+			],
+		},
+	},
 ];
 
 for (const {situation, plan} of regressions) {
--- a/packages/host/src/scheduling/group-holding.test.ts
+++ b/packages/host/src/scheduling/group-holding.test.ts
@@ -109,6 +109,7 @@
 			getStartPermission: () => 'granted',
 			isListComplete: () => true,
 			isListFresh: () => true,
+			listUnconfirmed: () => [],
 			listPeers: () => [],
 			isLeaving: () => false,
 			readBootTime: () => clock.now,
--- a/packages/host/src/scheduling/host-roles.ts
+++ b/packages/host/src/scheduling/host-roles.ts
@@ -43,7 +43,10 @@
 	processId: string;
 	store: CoordinationStore;
 	control: ExecutorControl;
-	executors: Pick<ExecutorLists, 'list' | 'refresh' | 'isComplete' | 'isFresh'>;
+	executors: Pick<
+		ExecutorLists,
+		'list' | 'refresh' | 'isComplete' | 'isFresh' | 'listUnconfirmed'
+	>;
 	evacuations: Pick<Evacuations, 'getPermission' | 'isEvacuated'>;
 	peers: Peers;
 	getLeaseId: () => number | undefined;
@@ -377,6 +380,7 @@
 				this.groups.takeElsewhere({group, dataCentre, cpu, tasks}, now()),
 			getStartPermission: () => evacuations.getPermission(dataCentre),
 			isListFresh: () => executors.isFresh(),
+			listUnconfirmed: () => executors.listUnconfirmed(),
 			listPeers: peers.listKeys,
 			isLeaving: () => this.isStopping,
 			getStoreAgeMs: () => measureStoreAge(store, now()),
--- a/packages/protocol/src/scheduling-messages.ts
+++ b/packages/protocol/src/scheduling-messages.ts
@@ -306,7 +306,8 @@
 	*/
 	releasing: z.array(z.string()).optional(),
 	/**
-	Runs of this holder, or of an earlier one, may go on on executors that belong to other groups. Absent: none do.
+	Runs of this holder, or of an earlier one, may go on on executors that belong to other groups, or that another host's list
+	may lack. Absent: none do.
 	*/
 	hasRunsOutside: z.boolean().optional(),
 	/** Higher with each new holder. */
--- a/packages/scheduling/src/group-scheduler.fixture.ts
+++ b/packages/scheduling/src/group-scheduler.fixture.ts
@@ -49,6 +49,7 @@
 		layout = singleGroupLayout,
 		hasRunsOutside = false,
 		isHeldElsewhere = () => false,
+		listUnconfirmed = () => [],
 	}: {
 		/** Number of tasks for which other groups have free capacity. */
 		capacityElsewhere?: number;
@@ -60,6 +61,7 @@
 		layout?: GroupLayout;
 		hasRunsOutside?: boolean;
 		isHeldElsewhere?: (executor: string) => boolean;
+		listUnconfirmed?: () => readonly string[];
 	} = {},
 ): GroupScheduler {
 	let capacityLeftElsewhere = capacityElsewhere;
@@ -94,6 +96,7 @@
 		getStartPermission,
 		isListComplete: () => isListComplete,
 		isListFresh: () => true,
+		listUnconfirmed,
 		getStoreAgeMs: () => 0,
 		log,
 	});
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -121,6 +121,8 @@
 	isListComplete: () => boolean;
 	/** Whether the list is the store's current one, not an older one that may lack executors registered since. */
 	isListFresh: () => boolean;
+	/** Listed executors that a successor's list may lack. */
+	listUnconfirmed: () => readonly string[];
 	/** Hosts that this one is connected to or tries to reach; the key of an entry there is `<host>.<incarnation>`. */
 	listPeers: () => readonly string[];
 	/** This host is being stopped. */
@@ -741,7 +743,10 @@
 		);
 	}
 
-	/** A successor in the first second of this holder can't see the runs outside the group either. */
+	/**
+	A successor can't see runs on executors that its list may lack. In the first second of this holder it can't see the runs
+	outside the group either.
+	*/
 	#describeRelease(): Pick<GroupState, 'releasing' | 'hasRunsOutside'> {
 		const releasing = this.#executors.listReleasing();
 		if (releasing.length > 0) {
@@ -750,7 +755,8 @@
 
 		const mayRunOutside =
 			this.ports.hasRunsOutside || this.#executors.hasLeftUnreported();
-		return mayRunOutside && !this.#hasOutlivedEarlierRuns()
+		return (mayRunOutside && !this.#hasOutlivedEarlierRuns()) ||
+			this.#executors.hasHiddenRuns(this.ports.listUnconfirmed())
 			? {hasRunsOutside: true}
 			: {};
 	}
--- a/packages/scheduling/src/load-system.fixture.ts
+++ b/packages/scheduling/src/load-system.fixture.ts
@@ -280,6 +280,7 @@
 		getStartPermission: () => (evacuated.has(name) ? 'evacuated' : 'granted'),
 		isListComplete: () => true,
 		isListFresh: () => true,
+		listUnconfirmed: () => [],
 		listPeers: () => [],
 		isLeaving: () => false,
 		getSuccessor: () => undefined,
