Have tasks of a former holder that come late wait for the limit of its runs

Hosts and executors that are cut off together go on with each other: the former holder starts tasks on executors whose registrations have lapsed for its successor. When the cut ended, the entry handed these tasks to the successor, whose list was complete and fresh without those executors and all of whose executors had reported; it started the tasks at once, while their runs went on under the former holder's leases. So it also was where the former holder started a task just as the cut ended, before it had heard of its successor.

To keep those out that are only sent again after a broken connection, parts name the first holder that their tasks were sent to; a part without it counts as one of an earlier holder.

The simulation can now cut a host off from an executor.

--- a/packages/host/src/scheduling/faulty/fault-plan.fixture.ts
+++ b/packages/host/src/scheduling/faulty/fault-plan.fixture.ts
@@ -75,6 +75,8 @@
 	| {kind: 'unlist'; executor: number}
 	/** The executor can't be reached: calls get no answer and have no effect. */
 	| {kind: 'silence'; executor: number}
+	/** The host can't reach the executor: its calls get no answer and have no effect. */
+	| {kind: 'cut-executor'; host: number; executor: number}
 	/** The executor's port refuses connections; what runs on it goes on. */
 	| {kind: 'refuse-connections'; executor: number}
 	/**
@@ -1168,3 +1170,130 @@
 			faults: [freeze, ...departures, ...faults],
 		})),
 );
+
+/** A registration of an executor that can't reach the store lapses after this long. */
+const registrationLapseMs = 1500;
+
+type CutOff = {
+	at: number;
+	durationMs: number;
+	hosts: number[];
+	executors: number[];
+	/** How much longer the connections between hosts stay cut. */
+	relinkMs: number;
+	/** When the executors are registered again after the end of the cut. */
+	registeredAfterMs: number;
+};
+
+/** Some hosts and executors reach each other, but neither the others nor the store. */
+function listCutOffFaults(
+	{at, durationMs, hosts, executors, relinkMs, registeredAfterMs}: CutOff,
+	executorCount: number,
+): PlannedFault[] {
+	const faults: PlannedFault[] = [];
+	for (const index of hosts) {
+		faults.push({at, durationMs, kind: 'store', host: index, how: 'refuses'});
+		for (let peer = 0; peer < hostCount; peer += 1) {
+			if (!hosts.includes(peer)) {
+				const cutMs = durationMs + relinkMs;
+				faults.push({at, durationMs: cutMs, kind: 'cut', host: index, peer});
+			}
+		}
+	}
+
+	for (let index = 0; index < executorCount; index += 1) {
+		const isCutOff = executors.includes(index);
+		for (let from = 0; from < hostCount; from += 1) {
+			if (hosts.includes(from) !== isCutOff) {
+				faults.push({
+					at,
+					durationMs,
+					kind: 'cut-executor',
+					host: from,
+					executor: index,
+				});
+			}
+		}
+
+		if (isCutOff && durationMs > registrationLapseMs) {
+			faults.push({
+				at: at + registrationLapseMs,
+				durationMs: durationMs - registrationLapseMs + registeredAfterMs,
+				kind: 'unlist',
+				executor: index,
+			});
+		}
+	}
+
+	return faults;
+}
+
+function drawCutOff(executorCount: number) {
+	return fc
+		.record({
+			at: fc.nat(clusterSpreadMs),
+			durationMs: fc.integer({min: 800, max: 9000}),
+			hosts: fc.subarray([0, 1, 2, 3], {minLength: 1, maxLength: 3}),
+			executors: fc.subarray(
+				Array.from({length: executorCount}, (_, i) => i),
+				{minLength: 1},
+			),
+			relinkMs: fc.oneof(fc.constant(0), fc.nat(400)),
+			registeredAfterMs: fc.nat(2000),
+		})
+		.map((cutOff) => ({
+			endsAt: cutOff.at + cutOff.durationMs,
+			faults: listCutOffFaults(cutOff, executorCount),
+		}));
+}
+
+function drawHealedCuts(
+	executorCount: number,
+	otherFault: fc.Arbitrary<PlannedFault>,
+): fc.Arbitrary<Pick<FaultPlan, 'jobs' | 'faults'>> {
+	return drawCutOff(executorCount).chain(({endsAt, faults}) =>
+		fc.record({
+			jobs: fc.array(
+				fc.record({
+					// Mostly shortly before the cut ends: the tasks then run while both holders learn of each other.
+					at: fc.oneof(
+						fc.nat(endsAt),
+						fc.nat(1200).map((beforeMs) => Math.max(0, endsAt - beforeMs)),
+						fc.nat(600).map((afterMs) => endsAt + afterMs),
+					),
+					host,
+					tasks: fc.integer({min: 1, max: 3}),
+					runMs: fc.constantFrom(60, 600, 1500, 2500),
+					allowanceMs: fc.constantFrom(60, 1000),
+					isOnNewConnection: fc.boolean(),
+				}),
+				{minLength: 1, maxLength: 6},
+			),
+			faults: fc
+				.array(
+					fc
+						.tuple(otherFault, fc.nat(endsAt))
+						.map(([one, at]): PlannedFault => ({...one, at})),
+					{maxLength: 2},
+				)
+				.map((others) => [...faults, ...others]),
+		}),
+	);
+}
+
+/** Hosts and executors are cut off together for seconds, and both sides go on until the cut ends. */
+export const healedCutPlans: fc.Arbitrary<FaultPlan> = drawHealedCuts(
+	executorCounts.total,
+	fc.oneof(handOver, executorFault, callFault),
+);
+
+/** The same while the executors of a data centre are divided into more groups. */
+export const dividedCutPlans: fc.Arbitrary<FaultPlan> = fc
+	.tuple(
+		drawHealedCuts(
+			dividedExecutorCounts.total,
+			fc.oneof(division, division, handOver),
+		),
+		fc.constantFrom(1, 2),
+	)
+	.map(([plan, groups]) => ({...plan, groups}));
--- a/packages/host/src/scheduling/faulty/run-plan.fixture.ts
+++ b/packages/host/src/scheduling/faulty/run-plan.fixture.ts
@@ -1,7 +1,9 @@
 /**
 Simulates a plan of jobs and faults, and reports which invariants were violated.
 */
+import {errAsync, ResultAsync} from 'neverthrow';
 import {
+	type CallFailure,
 	type Executor,
 	type ExecutorControl,
 	type JobAnswer,
@@ -98,6 +100,7 @@
 	readonly #cpuByJob = new Map<string, number>();
 	readonly #crashAfterMsByJob = new Map<string, number>();
 	readonly #callFaults = new Set<CallFault>();
+	readonly #executorCuts: FaultySystem['executorCuts'] = new Set();
 	readonly #comingRestarts = new Set<RestartFault>();
 	readonly #unused = new Set<string>();
 	#delayedCallCount = 0;
@@ -145,6 +148,7 @@
 			executors: this.#executors,
 			storeModes: this.#storeModes,
 			callFaults: this.#callFaults,
+			executorCuts: this.#executorCuts,
 			comingRestarts: this.#comingRestarts,
 			activeShrinks: new Set<ShrinkFault>(),
 			sendAgain: (jobs, when) => {
@@ -416,7 +420,7 @@
 		const host: FaultyHost = new FaultyHost(identity, {
 			clock: this.clock,
 			...client,
-			control: this.#executors.control satisfies ExecutorControl,
+			control: this.#createControl(() => host),
 			isCapacityEnforced: this.options.isCapacityEnforced,
 			maxGroups: 1,
 			listTakeoverOrder: () =>
@@ -445,6 +449,50 @@
 		return host;
 	}
 
+	/** The calls of a host to executors. */
+	#createControl(getHost: () => FaultyHost): ExecutorControl {
+		const {control} = this.#executors;
+		const loseIfCut = <T>(
+			{id}: Executor,
+			limits: {answerTimeoutMs: number; waitMs?: number},
+			call: () => ResultAsync<T, CallFailure>,
+		): ResultAsync<T, CallFailure> => {
+			const isCut = [...this.#executorCuts].some(
+				({host, executor}) => host === getHost() && executor === id,
+			);
+			return isCut ? this.#loseCall(limits) : call();
+		};
+
+		return {
+			startTask: (executor, request) =>
+				loseIfCut(executor, request, () =>
+					control.startTask(executor, request),
+				),
+			stopTask: (executor, request) =>
+				loseIfCut(executor, request, () => control.stopTask(executor, request)),
+			renewLease: (executor, request) =>
+				loseIfCut(executor, request, () =>
+					control.renewLease(executor, request),
+				),
+			forgetExecutor: control.forgetExecutor,
+		};
+	}
+
+	/** A call that does not arrive: its caller's time-out passes. */
+	#loseCall({
+		answerTimeoutMs,
+		waitMs = 0,
+	}: {
+		answerTimeoutMs: number;
+		waitMs?: number;
+	}): ResultAsync<never, CallFailure> {
+		return ResultAsync.fromSafePromise(
+			this.clock.wait(answerTimeoutMs + waitMs),
+		).andThen(() =>
+			errAsync({code: 'unanswered' as const, message: 'no answer'}),
+		);
+	}
+
 	/** Sends a caller's job to its host, or to the next one that is alive; each copy that is sent again starts one host further. */
 	#send(job: SimulatedJob): void {
 		const first = (job.host + job.sendCount) % hostCount;
--- a/packages/host/src/scheduling/faulty/start-fault.fixture.ts
+++ b/packages/host/src/scheduling/faulty/start-fault.fixture.ts
@@ -34,6 +34,8 @@
 	/** How the store treats a host; it answers hosts that are not in the map normally. */
 	storeModes: Map<FaultyHost, StoreMode>;
 	callFaults: Set<CallFault>;
+	/** Hosts and the ids of executors that they can't reach. */
+	executorCuts: Set<{host: FaultyHost; executor: string}>;
 	/** Restarts whose executors leave orders unanswered now. */
 	comingRestarts: Set<RestartFault>;
 	activeShrinks: Set<ShrinkFault>;
@@ -257,6 +259,14 @@
 			};
 		}
 
+		case 'cut-executor': {
+			const cut = {host: system.hosts[fault.host]!, executor: id};
+			system.executorCuts.add(cut);
+			return () => {
+				system.executorCuts.delete(cut);
+			};
+		}
+
 		case 'refuse-connections': {
 			fake.isRefusing = true;
 			return () => {
--- a/packages/protocol/src/scheduling-messages.ts
+++ b/packages/protocol/src/scheduling-messages.ts
@@ -138,6 +138,11 @@
 	shifts: count,
 	/** Some of these tasks may still run under a previous holder of the group. */
 	isMoved: z.boolean(),
+	/**
+	The lowest token of a holder of the group that the tasks were sent to since they were placed there. Absent: not known, or
+	this is the first holder.
+	*/
+	firstToken: count.optional(),
 	crashes,
 });
 
--- a/packages/scheduling/src/entry-jobs.test.ts
+++ b/packages/scheduling/src/entry-jobs.test.ts
@@ -112,6 +112,25 @@
 	};
 }
 
+// Guards against a later holder that takes tasks that an earlier one may run for tasks that only it was sent.
+test('a part that is sent again names the first holder that its tasks were sent to', () => {
+	const {entry, groups, clock, listParts} = createEntryJobs();
+	groups.update('mieres_m1', makeState('mieres', {token: 3}), clock.now);
+	entry.submit(makeRequest(), () => undefined);
+	entry.sendGroupTasks('mieres');
+	groups.update('mieres_m2', makeState('mieres', {token: 7}), clock.now);
+	entry.sendGroupTasks('mieres');
+	const firstTokens = [...listParts('mieres_m1'), ...listParts('mieres_m2')];
+	assert.deepEqual(
+		firstTokens.map(({token, firstToken}) => [token, firstToken]),
+		[
+			[3, undefined],
+			[3, 3],
+			[7, 3],
+		],
+	);
+});
+
 test('a job is answered when all its tasks are done', () => {
 	const {entry, groups, clock} = createEntryJobs();
 	groups.update('mieres_m1', makeState('mieres'), clock.now);
--- a/packages/scheduling/src/group-job.ts
+++ b/packages/scheduling/src/group-job.ts
@@ -84,6 +84,11 @@
 	undefined if it did not.
 	*/
 	movedAt?: number;
+	/**
+	The earlier holder may have gone on after this one had begun, on executors that this one does not list: only time proves
+	that its runs are over.
+	*/
+	isMovedLate?: boolean;
 };
 
 /**
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -275,7 +275,7 @@
 		}
 
 		const job =
-			this.#reconcileKnownJob(entry, part) ?? createGroupJob(part, entry, now);
+			this.#reconcileKnownJob(entry, part) ?? this.#createJob(entry, part);
 		renewClaim(job, part.stateAt);
 		if (hasClaimEnded(job, this.ports.readBootTime())) {
 			this.ports.log('part arrived after its claim had ended', {
@@ -553,6 +553,20 @@
 		return job?.isDropped ? undefined : job;
 	}
 
+	/**
+	A part from an earlier holder that comes long after this one has begun: both were at work meanwhile, as when the earlier one was
+	cut off together with the entry and some executors. Registrations of those have lapsed here, so that the reports of all listed
+	executors do not show what runs there.
+	*/
+	#createJob(entry: Entry, part: Part): GroupJob {
+		const {firstToken = 0, isMoved} = part;
+		const isFromEarlier = isMoved && firstToken < this.ports.token;
+		return {
+			...createGroupJob(part, entry, this.ports.now()),
+			isMovedLate: isFromEarlier && this.#hasOutlivedEarlierRuns(),
+		};
+	}
+
 	/** The entry withdrew the job's tasks and has now handed them over again. */
 	#dropFormerClaim(job: GroupJob, claim: number): void {
 		if (!job.isDropped) {
@@ -716,10 +730,12 @@
 	renews their claim there, but here. Right after an outage of the store, or with a list read before it, an
 	executor may be missing from the list; then only the elapsed time counts.
 	*/
-	#isRunStateKnown({movedAt}: GroupJob): boolean {
+	#isRunStateKnown({movedAt, isMovedLate}: GroupJob): boolean {
 		return (
 			movedAt === undefined ||
-			(this.#hasReportsSince(movedAt) && this.#hasHeardFromEntries())
+			(isMovedLate
+				? this.#hasRunLimitPassed(movedAt)
+				: this.#hasReportsSince(movedAt) && this.#hasHeardFromEntries())
 		);
 	}
 
@@ -763,13 +779,18 @@
 
 	/** Whether so much time has passed that no run of an earlier holder goes on. */
 	#hasOutlivedEarlierRuns(): boolean {
-		return this.ports.now() - this.#openedAt > orphanLimitMs + clockSlackMs;
+		return this.#hasRunLimitPassed(this.#openedAt);
+	}
+
+	/** Whether runs that an earlier holder started by `at` are over, as no entry has renewed their claims there since. */
+	#hasRunLimitPassed(at: number): boolean {
+		return this.ports.now() - at > orphanLimitMs + clockSlackMs;
 	}
 
 	/** Whether all runs that an earlier holder started by `at` are known, or must be over by now. */
 	#hasReportsSince(at: number): boolean {
 		return (
-			this.ports.now() - at > orphanLimitMs + clockSlackMs ||
+			this.#hasRunLimitPassed(at) ||
 			(!this.ports.hasRunsOutside &&
 				this.ports.isListComplete() &&
 				this.ports.isListFresh() &&
--- a/packages/scheduling/src/make-part.ts
+++ b/packages/scheduling/src/make-part.ts
@@ -52,6 +52,9 @@
 		]),
 		shifts: Math.max(...tasks.map(({shifts}) => shifts)),
 		isMoved,
+		...(isMoved && {
+			firstToken: Math.min(...tasks.map(({firstToken = 0}) => firstToken)),
+		}),
 		crashes,
 	};
 }
