End a stopped run with its claim, also when the word to stop it came late

The lease of an executor was renewed to 1,000 ms after a run there was to be stopped, instead of to the end of the run's claim. That time counts from when the holder reads the entry's drop, which may have lain unread for up to 850 ms. Where the stops then had no answer while renewals had, the run went on for up to 1,850 ms after its caller's answer, and the copy that the caller sends after 1,300 ms could be placed in another group beside it.

The earlier of the two limits now counts.

--- a/packages/scheduling/src/lease-cap.ts
+++ b/packages/scheduling/src/lease-cap.ts
@@ -29,11 +29,9 @@
 	{job, isUnclaimed, startedAt, stopBy}: Run,
 	getClaimLimit: (job: string) => number,
 ): number {
-	if (stopBy !== undefined) {
-		return stopBy;
-	}
-
-	return isUnclaimed
+	const limit = isUnclaimed
 		? startedAt + claimLimitMs + stopLimitMs
 		: getClaimLimit(job);
+	// The message that the run is to be stopped may have been read late, while the caller counts from when it was sent.
+	return Math.min(limit, stopBy ?? Infinity);
 }
--- a/packages/scheduling/src/takeover.test.ts
+++ b/packages/scheduling/src/takeover.test.ts
@@ -131,6 +131,39 @@
 	assert.ok(ranMs < resendMs, `it ran for ${ranMs} ms more`);
 });
 
+// An entry gives a job up, and the message to drop it lies unread at the holder for 800 ms. The stops of its run are lost while the
+// executor answers renewals. If the lease followed the stops' limit alone, which counts from the reading of the message, the run would
+// go on beside the copy that the caller sends 1,300 ms after its answer.
+test('a run whose drop is read late and whose stop is lost ends before its caller sends the job again', async () => {
+	let isLossy = false;
+	const {clock, executors, scheduler, entry} = await openScheduler({
+		count: 1,
+		taskMs: 5000,
+		decideOutcome: ({kind}: FakeCall): CallOutcome => ({
+			type: isLossy && kind === 'stop' ? 'lost' : 'answered',
+		}),
+	});
+	const other = {...createEntry(), key: 'mieres_m2.0'};
+	const part = makePart(clock, {timeLeftMs: 9000});
+	scheduler.receivePart(entry, part);
+	scheduler.receivePart(
+		other,
+		makePart(clock, {job: 'other', timeLeftMs: 9000}),
+	);
+	await runFor(clock, 300, [
+		[scheduler, entry],
+		[scheduler, other],
+	]);
+	const answeredAt = clock.now;
+	isLossy = true;
+	await runFor(clock, 800, [[scheduler, other]]);
+	scheduler.dropJob(entry, {job: 'job1', takenAtMs: part.takenAtMs});
+	await runFor(clock, 2500, [[scheduler, other]]);
+	const run = executors.runs.find(({job}) => job === 'job1')!;
+	const ranMs = (run.endedAt ?? Infinity) - answeredAt;
+	assert.ok(ranMs < resendMs, `it ran for ${ranMs} ms more`);
+});
+
 // A start gets no answer, the executor falls silent and its lease expires, so the task is placed elsewhere. The
 // executor's registration in the store expires and comes back. If it were followed as a new executor, it would
 // carry out the old start under a fresh lease.
