--- a/packages/protocol/src/scheduling-messages.ts
+++ b/packages/protocol/src/scheduling-messages.ts
@@ -138,6 +138,11 @@
 	shifts: count,
 	/** Some of these tasks may still run under a previous holder of the group. */
 	isMoved: z.boolean(),
+	/**
+	The lowest token of a holder of the group that the tasks were sent to since they were placed there. Absent: not known, or
+	this is the first holder.
+	*/
+	firstToken: count.optional(),
 	crashes,
 });
 
@@ -307,7 +312,8 @@
 	*/
 	releasing: z.array(z.string()).optional(),
 	/**
-	Runs of this holder, or of an earlier one, may go on on executors that belong to other groups. Absent: none do.
+	Runs of this holder, or of an earlier one, may go on on executors that belong to other groups, or that another host's list
+	may lack. Absent: none do.
 	*/
 	hasRunsOutside: z.boolean().optional(),
 	/** Higher with each new holder. */
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -122,6 +122,8 @@
 	isListComplete: () => boolean;
 	/** Whether the list is the store's current one, not an older one that may lack executors registered since. */
 	isListFresh: () => boolean;
+	/** Listed executors that a successor's list may lack. */
+	listUnconfirmed: () => readonly string[];
 	/** Hosts that this one is connected to or tries to reach; the key of an entry there is `<host>.<incarnation>`. */
 	listPeers: () => readonly string[];
 	/** This host is being stopped. */
@@ -276,7 +278,7 @@
 		}
 
 		const job =
-			this.#reconcileKnownJob(entry, part) ?? createGroupJob(part, entry, now);
+			this.#reconcileKnownJob(entry, part) ?? this.#createJob(entry, part);
 		renewClaim(job, part.stateAt);
 		if (hasClaimEnded(job, this.ports.readBootTime())) {
 			this.ports.log('part arrived after its claim had ended', {
@@ -554,6 +556,20 @@
 		return job?.isDropped ? undefined : job;
 	}
 
+	/**
+	A part from an earlier holder that comes long after this one has begun: both were at work meanwhile, as when the earlier one was
+	cut off together with the entry and some executors. Registrations of those have lapsed here, so that the reports of all listed
+	executors do not show what runs there.
+	*/
+	#createJob(entry: Entry, part: Part): GroupJob {
+		const {firstToken = 0, isMoved} = part;
+		const isFromEarlier = isMoved && firstToken < this.ports.token;
+		return {
+			...createGroupJob(part, entry, this.ports.now()),
+			isMovedLate: isFromEarlier && this.#hasOutlivedEarlierRuns(),
+		};
+	}
+
 	/** The entry withdrew the job's tasks and has now handed them over again. */
 	#dropFormerClaim(job: GroupJob, claim: number): void {
 		if (!job.isDropped) {
@@ -717,10 +733,12 @@
 	renews their claim there, but here. Right after an outage of the store, or with a list read before it, an
 	executor may be missing from the list; then only the elapsed time counts.
 	*/
-	#isRunStateKnown({movedAt}: GroupJob): boolean {
+	#isRunStateKnown({movedAt, isMovedLate}: GroupJob): boolean {
 		return (
 			movedAt === undefined ||
-			(this.#hasReportsSince(movedAt) && this.#hasHeardFromEntries())
+			(isMovedLate
+				? this.#hasRunLimitPassed(movedAt)
+				: this.#hasReportsSince(movedAt) && this.#hasHeardFromEntries())
 		);
 	}
 
@@ -744,7 +762,10 @@
 		);
 	}
 
-	/** A successor in the first second of this holder can't see the runs outside the group either. */
+	/**
+	A successor can't see runs on executors that its list may lack. In the first second of this holder it can't see the runs
+	outside the group either.
+	*/
 	#describeRelease(): Pick<GroupState, 'releasing' | 'hasRunsOutside'> {
 		const releasing = this.#executors.listReleasing();
 		if (releasing.length > 0) {
@@ -753,20 +774,26 @@
 
 		const mayRunOutside =
 			this.ports.hasRunsOutside || this.#executors.hasLeftUnreported();
-		return mayRunOutside && !this.#hasOutlivedEarlierRuns()
+		return (mayRunOutside && !this.#hasOutlivedEarlierRuns()) ||
+			this.#executors.hasHiddenRuns(this.ports.listUnconfirmed())
 			? {hasRunsOutside: true}
 			: {};
 	}
 
 	/** Whether so much time has passed that no run of an earlier holder goes on. */
 	#hasOutlivedEarlierRuns(): boolean {
-		return this.ports.now() - this.#openedAt > orphanLimitMs + clockSlackMs;
+		return this.#hasRunLimitPassed(this.#openedAt);
+	}
+
+	/** Whether runs that an earlier holder started by `at` are over, as no entry has renewed their claims there since. */
+	#hasRunLimitPassed(at: number): boolean {
+		return this.ports.now() - at > orphanLimitMs + clockSlackMs;
 	}
 
 	/** Whether all runs that an earlier holder started by `at` are known, or must be over by now. */
 	#hasReportsSince(at: number): boolean {
 		return (
-			this.ports.now() - at > orphanLimitMs + clockSlackMs ||
+			this.#hasRunLimitPassed(at) ||
 			(!this.ports.hasRunsOutside &&
 				this.ports.isListComplete() &&
 				this.ports.isListFresh() &&
