Raise the token for an executor with each of its processes

What callers saw: a task ran twice at the same time. An executor restarts under its id twice; a start without an answer reaches the third process, whose holder has been answered there for 141 ms, but whose stops of the attempt were left unanswered. The task had been placed elsewhere since the first of the two restarts.

Cause: what protects a new process from late calls of its own holder is a stop of each start without an answer, so the protection needs an answer to each of them. The fencing token, which the first call brings, was the same for all processes, and a late renewal was protected against by nothing.

Change: a holder counts, by executor, the processes it has seen start under the id, and adds the count to its token there. From its first answered call on a process refuses all late calls to former ones: starts, renewals and stops. The count has the lowest part of a token that the store gave, which is free and stays below each later holder's token; tokens made without the store are not raised. A refused late call of a former session doesn't end the holding. Stops are sent as before.

A new test with lost stops has two runs before and one after; another, with a stop on its way that the next process refuses, fails if a closed session still reports the fence.

What is left is a call that arrives before the first one of the present holder, or while the executor can't be reached.

--- a/packages/host/src/scheduling/faulty/no-task-twice-restarts.test.ts
+++ b/packages/host/src/scheduling/faulty/no-task-twice-restarts.test.ts
@@ -74,3 +74,37 @@
 	);
 	assert.deepEqual(violations, []);
 });
+
+// Guards against a late start that is carried out by a process that has answered its holder's renewals, because the executor leaves
+// the stops of the attempt unanswered.
+test('a start to a process two restarts ago is not carried out beside another run of its task when its stops have no answer', async () => {
+	const restart = {
+		kind: 'restart',
+		executor: 0,
+		lateMs: 2000,
+		registeredAfterMs: 0,
+		hasLateRegistration: false,
+		clockMs: 0,
+	} as const;
+	const violations = await runPlan(
+		{
+			jobs: [
+				{at: 0, host: 2, tasks: 3, runMs: 2500},
+				{at: 2, host: 0, tasks: 1, runMs: 2500},
+				{at: 0, host: 2, tasks: 3, runMs: 2500},
+				{at: 1594, host: 0, tasks: 3, runMs: 600},
+				{at: 0, host: 1, tasks: 3, runMs: 600},
+				{at: 1861, host: 0, tasks: 3, runMs: 600},
+			].map((job) => ({...job, allowanceMs: 60, isOnNewConnection: false})),
+			faults: [
+				{...restart, at: 0, durationMs: 20, leadMs: 0},
+				{...restart, at: 1594, durationMs: 20, leadMs: 0},
+				{...restart, at: 0, durationMs: 20, leadMs: 100},
+				{...restart, at: 1860, durationMs: 1500, leadMs: 143},
+			],
+			hasBorn: true,
+		},
+		{mayBeBlamed},
+	);
+	assert.deepEqual(violations, []);
+});
--- a/packages/scheduling/src/executor-session.ts
+++ b/packages/scheduling/src/executor-session.ts
@@ -14,7 +14,9 @@
 which knows no fencing token and no attempt, carries it out while the task has been placed elsewhere. So a start without
 an answer counts as a run until a stop of its attempt was answered: the new session takes it over, sends the token and
 these stops before it is open for starts, and stops every run that it did not start itself. Such a run can't be
-claimed by a job either, since only the runs of an earlier holder are there to be claimed.
+claimed by a job either, since only the runs of an earlier holder are there to be claimed. The new session's token is above that of
+the former one, so once its first call is answered, the new process refuses all late calls to the former one: a stop may be lost,
+and a late renewal would extend the lease.
 
 An answer to an order need not state which process has given it; only reports always do. So a start that was accepted, and
 that no report of this process has listed, may be a run of the next one: the new session takes it over, and the first
@@ -966,7 +968,11 @@
 	#handleFailure(failure: CallFailure, call: string): void {
 		switch (failure.code) {
 			case 'fenced': {
-				this.ports.onFenced();
+				// A late call of the former session is refused for the token of the present one.
+				if (!this.#closing.signal.aborted) {
+					this.ports.onFenced();
+				}
+
 				break;
 			}
 
--- a/packages/scheduling/src/executor-set.ts
+++ b/packages/scheduling/src/executor-set.ts
@@ -12,6 +12,7 @@
 	type SessionPorts,
 } from './executor-session.js';
 import {type Executor} from './executor.js';
+import {makeProcessToken} from './fencing-token.js';
 import {createRunIndex} from './run-index.js';
 import {formatTaskKey, type Run} from './run.js';
 import {
@@ -74,6 +75,11 @@
 	const runIndex = createRunIndex<ExecutorSession>();
 	/** By executor id, including executors whose session is closed. */
 	const unansweredStarts = new Map<string, UnansweredStarts>();
+	/**
+	By executor id: how many sessions with stated start times were opened after the first. Kept for as long as the group is held:
+	an executor that has seen a higher token refuses all calls with a lower one.
+	*/
+	const restartCounts = new Map<string, number>();
 	let listedIds: ReadonlySet<string> = new Set();
 	let foreignIds: ReadonlySet<string> = new Set();
 	/** Listed executors that another group's holder has yet to release. */
@@ -83,14 +89,21 @@
 
 	function openSession(executor: Executor, inheritance?: Inheritance): void {
 		const {id} = executor;
-		const starts = unansweredStarts.get(id) ?? createUnansweredStarts();
+		const formerStarts = unansweredStarts.get(id);
+		const starts = formerStarts ?? createUnansweredStarts();
 		unansweredStarts.set(id, starts);
 		// Of an executor whose registration had lapsed, this may be a later process.
 		starts.restoreAll();
+		if (formerStarts && executor.bornMs !== undefined) {
+			restartCounts.set(id, (restartCounts.get(id) ?? 0) + 1);
+		}
+
+		const restartCount = restartCounts.get(id) ?? 0;
 		const session = new ExecutorSession(
 			executor,
 			{
 				...ports,
+				getToken: () => makeProcessToken(ports.getToken(), restartCount),
 				answerTimes,
 				unansweredStarts: starts,
 				runIndex,
--- a/packages/scheduling/src/fencing-token.ts
+++ b/packages/scheduling/src/fencing-token.ts
@@ -24,6 +24,16 @@
 	return Number.isInteger(revision) ? revision : undefined;
 }
 
+/**
+The token for calls to an executor that has started again under its id `restartCount` times: below that of each later holder. A
+token that was made without the store stays as it is, since the next numbers may be those of other hosts.
+*/
+export function makeProcessToken(token: number, restartCount: number): number {
+	return getStoreRevision(token) === undefined
+		? token
+		: token + Math.min(restartCount, slotCount - 1);
+}
+
 /** The slot of a host: always the same for the same name, independent of which other hosts are alive. */
 export function computeSlot(host: string): number {
 	return createHash('sha256').update(host).digest().readUInt32BE(0) % slotCount;
--- a/packages/scheduling/src/restarts.test.ts
+++ b/packages/scheduling/src/restarts.test.ts
@@ -8,10 +8,12 @@
 import {
 	createFakeExecutors,
 	findOverlaps,
+	type CallDelay,
 	type CallOutcome,
 	type FakeCall,
 	type FakeExecutors,
 } from './fake-executors.fixture.js';
+import {makeStoreToken} from './fencing-token.js';
 import {
 	createEntry,
 	createScheduler,
@@ -403,6 +405,63 @@
 	}
 });
 
+// Guards against a late start that the next process carries out beside another run of its task, because the stops that would cancel
+// it there are lost. The first call that the process has answered has to be enough.
+test('a late start is refused by a process that has answered a renewal but no stop', async () => {
+	const clock = new VirtualClock();
+	const decideFirstStart = delayFirstStart(3000);
+	let areStopsLost = false;
+	const executors = createFakeExecutors(clock, {
+		count: 2,
+		taskMs: 5000,
+		getDemand,
+		firstBornMs,
+		decideOutcome: (call) =>
+			areStopsLost && call.kind === 'stop' && call.executor === 'e1'
+				? {type: 'lost'}
+				: decideFirstStart(call),
+	});
+	const scheduler = createScheduler(clock, executors, makeStoreToken(1));
+	const entry = createEntry();
+	await clock.run(10);
+	scheduler.receivePart(entry, makePart(clock, {timeLeftMs: 9000}));
+	await runFor(clock, 2000, [[scheduler, entry]]);
+	areStopsLost = true;
+	executors.restart(executors.fakes[0]!, {downMs: 700, clockMs: 0});
+	await runFor(clock, 5000, [[scheduler, entry]]);
+	assert.equal(executors.runs.length, 1);
+	assert.deepEqual(listOutcomes(entry), ['done']);
+});
+
+// Guards against a holder that gives its group up because the next process of an executor refuses a stop that was on its way to the
+// former one, and whose token is below that of the present session.
+test('a holder keeps its group when a late call to a former process is refused for the token of the next one', async () => {
+	const clock = new VirtualClock();
+	let delay: CallDelay = {requestMs: 0, answerMs: 0};
+	const executors = createFakeExecutors(clock, {
+		count: 1,
+		taskMs: 300,
+		getDemand,
+		firstBornMs,
+		bornIn: 'lists',
+		chooseDelay: () => delay,
+	});
+	const scheduler = createScheduler(clock, executors, makeStoreToken(1));
+	const entry = createEntry();
+	await clock.run(10);
+	scheduler.receivePart(entry, makePart(clock));
+	await runFor(clock, 50, [[scheduler, entry]]);
+	delay = {requestMs: 20, answerMs: 0};
+	scheduler.setExecutors([]);
+	delay = {requestMs: 0, answerMs: 0};
+	executors.restart(executors.fakes[0]!, {downMs: 5, clockMs: 0});
+	await clock.run(10);
+	scheduler.setExecutors(listExecutors(executors));
+	await runFor(clock, 1000, [[scheduler, entry]]);
+	assert.deepEqual(listOutcomes(entry), ['done']);
+	assert.deepEqual(findOverlaps(executors.runs), []);
+});
+
 // Guards against a task that waits for ever for an executor that does not come back.
 test('a task whose start had no answer is placed again once the start can not arrive any more', async () => {
 	const {clock, executors, scheduler, entry} = await openScheduler({
