Wait for an executor that has just restarted before a moved task is placed

What callers saw: a task ran twice at the same time. A group changes hands, and its new holder can't reach an executor that has started again. 1,060 ms after the takeover, when the former holder's leases have passed, it places the tasks that moved elsewhere. Then a start of the former holder, held up for 2 s, reaches the new process and begins a run with a lease of its own; or a late renewal, whose end is stated on the former process's clock, extends the lease of a run there to 1,000 ms after its arrival.

Cause: the new holder knows nothing of its predecessor's calls, and reckoned with none that arrive after they were due. Calls are carried out up to 12 s late; only to a process that started after they were sent do they matter, as the clock that a lease is stated on is another one.

Change: hosts note when the registration of a later process was first read. If an executor has started again in the 20 s before the takeover or since, and its present process has not reported to the new holder, tasks that moved wait for that report, for at most 20 s after the takeover; copies of jobs are confirmed no earlier either. Nothing changes where each executor that restarted answers, or where a silent one has not restarted, so ordinary takeovers take as long as before. What a caller pays in the rare case: its moved job is answered with 504 at its time-out instead of a start after 1,060 ms.

Left: the restart is not registered by the time the wait ends.

--- a/packages/host/src/scheduling/executor-registrations.test.ts
+++ b/packages/host/src/scheduling/executor-registrations.test.ts
@@ -47,6 +47,20 @@
 	assert.equal(executor.capacityReadAt, 600);
 });
 
+// Guards against a new holder that takes an executor that has just started again for one that has run all along.
+test('it is kept when a later process was first read, whatever is registered after it', () => {
+	const first = {bornMs: 1000, sequence: 400};
+	const second = {bornMs: 2000, sequence: 1};
+	assert.equal(applyInTurn(first, first).restartedAt, undefined);
+	assert.equal(applyInTurn(first, second).restartedAt, 600);
+	assert.equal(applyInTurn(first, second, first, second).restartedAt, 600);
+	assert.equal(
+		applyInTurn(first, second, {...second, sequence: 2}).restartedAt,
+		600,
+	);
+	assert.equal(applyInTurn(first, second, {bornMs: 3000}).restartedAt, 1200);
+});
+
 // Guards against a late write of the former process that brings back what the present one has replaced.
 test('a registration of an earlier process changes nothing, also with a higher number and for longer than a renumbering takes', () => {
 	const executor = applyInTurn(
--- a/packages/host/src/scheduling/executor-registrations.ts
+++ b/packages/host/src/scheduling/executor-registrations.ts
@@ -75,9 +75,13 @@
 
 		// A registration without a usable start time doesn't prove another process.
 		const knownBornMs = bornMs ?? former?.executor.bornMs;
+		const isLaterProcess =
+			compareIncarnations(knownBornMs, former?.executor.bornMs) === 'later';
+		const restartedAt = isLaterProcess ? askedAt : former?.executor.restartedAt;
 		const executor: Executor = {
 			...rest,
 			...(knownBornMs !== undefined && {bornMs: knownBornMs}),
+			...(restartedAt !== undefined && {restartedAt}),
 			isCapacityEnforced: isCapacityEnforcingService(registration.service),
 			capacity: usable.capacity,
 			capacityReadAt: usable.capacityReadAt,
--- a/packages/host/src/scheduling/faulty/no-task-twice-late-renewals.test.ts
+++ b/packages/host/src/scheduling/faulty/no-task-twice-late-renewals.test.ts
@@ -101,3 +101,97 @@
 	);
 	assert.deepEqual(violations, []);
 });
+
+// Guards against the same where the start is accepted right after the restart, before the former holder's first call there is answered:
+// nothing tells its late renewal from one to this process, and the lease that it extends outlasts what its successor waits for.
+test('a run on a process that the former holder has not reached is not placed elsewhere while a late renewal extends its lease', async () => {
+	for (const lateMs of [900, 1000, 1100]) {
+		for (const restartAt of [945, 960, 975, 990, 1005, 1020]) {
+			const violations = await runPlan(
+				{
+					jobs: [
+						{at: 600, host: 0, tasks: 1, runMs: 1500, allowanceMs: 60},
+						{
+							at: restartAt + 5,
+							host: 0,
+							tasks: 3,
+							runMs: 2500,
+							allowanceMs: 60,
+						},
+					],
+					faults: [
+						{
+							at: restartAt,
+							durationMs: 0,
+							kind: 'restart',
+							executor: 0,
+							leadMs: 0,
+							lateMs: 0,
+							registeredAfterMs: 0,
+							hasLateRegistration: false,
+							clockMs: 0,
+						},
+						{
+							at: 820,
+							durationMs: 240,
+							kind: 'faulty-calls',
+							executor: 0,
+							how: 'late',
+							every: 1,
+							lateMs,
+							only: 'renewal',
+						},
+						{at: 1049, durationMs: 100, kind: 'hand-over'},
+						{at: 1060, durationMs: 3000, kind: 'silence', executor: 0},
+					],
+					holdMaxMs: 1000,
+					hasBorn: true,
+				},
+				{mayBeBlamed},
+			);
+			assert.deepEqual(violations, [], `${lateMs} ${restartAt}`);
+		}
+	}
+});
+
+// Guards against the same where the new holder does not know of the restart either: the store has yet to list the new process as the
+// former holder's leases pass.
+test('a run on a process that neither the former holder has reached nor the store lists is not placed elsewhere', async () => {
+	const violations = await runPlan(
+		{
+			jobs: [
+				{at: 600, host: 0, tasks: 1, runMs: 1500, allowanceMs: 60},
+				{at: 950, host: 0, tasks: 3, runMs: 2500, allowanceMs: 60},
+			],
+			faults: [
+				{
+					at: 945,
+					durationMs: 0,
+					kind: 'restart',
+					executor: 0,
+					leadMs: 0,
+					lateMs: 0,
+					registeredAfterMs: 1400,
+					hasLateRegistration: false,
+					clockMs: 0,
+				},
+				{
+					at: 820,
+					durationMs: 240,
+					kind: 'faulty-calls',
+					executor: 0,
+					how: 'late',
+					every: 1,
+					lateMs: 900,
+					only: 'renewal',
+				},
+				{at: 1049, durationMs: 100, kind: 'hand-over'},
+				{at: 1060, durationMs: 3000, kind: 'silence', executor: 0},
+			],
+			holdMaxMs: 1000,
+			hasBorn: true,
+		},
+		{mayBeBlamed},
+	);
+	assert.deepEqual(violations, []);
+});
--- a/packages/host/src/scheduling/faulty/no-task-twice-restarts.test.ts
+++ b/packages/host/src/scheduling/faulty/no-task-twice-restarts.test.ts
@@ -108,3 +108,48 @@
 	);
 	assert.deepEqual(violations, []);
 });
+
+// Guards against a late start of the former holder at a process that its successor has never reached: the task is placed elsewhere as
+// the former holder's leases have passed, and the start begins a run with a lease of its own.
+test('a start of the former holder is not carried out beside another run of its task by a process that is out of reach', async () => {
+	const restart = {
+		kind: 'restart',
+		lateMs: 2000,
+		registeredAfterMs: 0,
+		hasLateRegistration: false,
+	} as const;
+	const violations = await runPlan(
+		{
+			jobs: [
+				{at: 225, host: 0, tasks: 1, runMs: 60, isOnNewConnection: false},
+				{at: 211, host: 1, tasks: 3, runMs: 600, isOnNewConnection: true},
+				{at: 3, host: 0, tasks: 3, runMs: 600, isOnNewConnection: false},
+				{at: 433, host: 1, tasks: 3, runMs: 600, isOnNewConnection: false},
+			].map((job) => ({...job, allowanceMs: 60})),
+			faults: [
+				{
+					...restart,
+					at: 211,
+					durationMs: 352,
+					executor: 1,
+					leadMs: 28,
+					clockMs: 0,
+				},
+				{...restart, at: 2, durationMs: 1500, executor: 0, leadMs: 25},
+				{
+					...restart,
+					at: 433,
+					durationMs: 20,
+					executor: 0,
+					leadMs: 0,
+					clockMs: 0,
+				},
+				{at: 287, durationMs: 50, kind: 'hand-over'},
+				{at: 616, durationMs: 1592, kind: 'silence', executor: 1},
+			],
+			hasBorn: true,
+		},
+		{mayBeBlamed},
+	);
+	assert.deepEqual(violations, []);
+});
--- a/packages/scheduling/src/executor-session.ts
+++ b/packages/scheduling/src/executor-session.ts
@@ -208,6 +208,19 @@
 		return this.bornMs === undefined ? this.id : `${this.id}@${this.bornMs}`;
 	}
 
+	/**
+	Whether the process has not reported to this scheduler, and has started after `time` as far as this host knows: late calls to a
+	former process may start runs here, or extend their lease.
+	*/
+	hasNotReportedSince(time: number): boolean {
+		const {restartedAt = -Infinity} = this.#executor;
+		return (
+			!this.hasReported &&
+			!this.isGone &&
+			(this.inheritance !== undefined || restartedAt > time)
+		);
+	}
+
 	get runs(): ReadonlyMap<string, Run> {
 		return this.#runTable.runs;
 	}
--- a/packages/scheduling/src/executor-set.ts
+++ b/packages/scheduling/src/executor-set.ts
@@ -43,6 +43,8 @@
 	another group without having reported: an earlier holder's run may go on there.
 	*/
 	hasAllReported: () => boolean;
+	/** Whether an executor has started again after `time`, and its present process has not reported. */
+	hasUnreportedRestart: (time: number) => boolean;
 	/** Whether an executor has moved to another group without having reported. */
 	hasLeftUnreported: () => boolean;
 	/** A run of the task on any of the executors, including one that is being stopped. */
@@ -198,6 +200,10 @@
 			[...sessions.values()].every(
 				({hasReported, isGone}) => hasReported || isGone,
 			),
+		hasUnreportedRestart: (time) =>
+			[...sessions.values()].some((session) =>
+				session.hasNotReportedSince(time),
+			),
 		hasLeftUnreported: () => hasLeftUnreported,
 		findRun(task) {
 			const key = formatTaskKey(task);
--- a/packages/scheduling/src/executor.ts
+++ b/packages/scheduling/src/executor.ts
@@ -11,6 +11,8 @@
 	Undefined: not stated; each process then has its own id.
 	*/
 	bornMs?: number;
+	/** When this host first read that a later process has registered under the id; this host's clock. Undefined: it has not. */
+	restartedAt?: number;
 	/** `ip:port`. */
 	address: string;
 	dataCentre: string;
@@ -34,7 +36,7 @@
 /** What an executor has registered about itself, as read from the store. */
 export type ExecutorRegistration = Omit<
 	Executor,
-	'capacity' | 'isCapacityEnforced' | 'capacityReadAt'
+	'capacity' | 'isCapacityEnforced' | 'capacityReadAt' | 'restartedAt'
 > & {
 	/** Undefined: the registered capacity is not usable. */
 	capacity: TaskDemand | undefined;
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -760,13 +760,31 @@
 
 	/** Whether so much time has passed that no run of an earlier holder goes on. */
 	#hasOutlivedEarlierRuns(): boolean {
-		return this.ports.now() - this.#openedAt > orphanLimitMs + clockSlackMs;
+		return this.#hasOutlivedRunsOf(this.#openedAt);
+	}
+
+	#hasOutlivedRunsOf(at: number): boolean {
+		return (
+			this.ports.now() - at > orphanLimitMs + clockSlackMs &&
+			!this.#mayHaveLateRuns()
+		);
+	}
+
+	/**
+	Whether runs of an earlier holder may go on for longer than under its leases, or have yet to start: an executor has started again,
+	and late calls to its former process may reach the present one, which this holder has not reached.
+	*/
+	#mayHaveLateRuns(): boolean {
+		return (
+			this.ports.now() - this.#openedAt <= lateStartLimitMs &&
+			this.#executors.hasUnreportedRestart(this.#openedAt - lateStartLimitMs)
+		);
 	}
 
 	/** Whether all runs that an earlier holder started by `at` are known, or must be over by now. */
 	#hasReportsSince(at: number): boolean {
 		return (
-			this.ports.now() - at > orphanLimitMs + clockSlackMs ||
+			this.#hasOutlivedRunsOf(at) ||
 			(!this.ports.hasRunsOutside &&
 				this.ports.isListComplete() &&
 				this.ports.isListFresh() &&
--- a/packages/scheduling/src/restarts.test.ts
+++ b/packages/scheduling/src/restarts.test.ts
@@ -462,6 +462,74 @@
 	assert.deepEqual(findOverlaps(executors.runs), []);
 });
 
+const restartsBeforeTakeover: ReadonlyArray<{
+	how: string;
+	restartedAgoMs: number | undefined;
+	isWaitedFor: boolean;
+}> = [
+	{how: 'just now', restartedAgoMs: 500, isWaitedFor: true},
+	{how: 'long ago', restartedAgoMs: 25_000, isWaitedFor: false},
+	{how: 'never', restartedAgoMs: undefined, isWaitedFor: false},
+];
+
+for (const {how, restartedAgoMs, isWaitedFor} of restartsBeforeTakeover) {
+	// Guards against a run of the former holder that begins, or whose lease is extended, after all its leases should have passed: its
+	// late calls reach a process that has started again and that the new holder can't reach. The wait must not delay other takeovers.
+	test(`a moved task waits beyond the former holder's leases for a silent executor only if it restarted just now: ${how}`, async () => {
+		const {clock, executors, scheduler, entry} = await openScheduler({
+			count: 2,
+			taskMs: 100,
+			getDemand,
+			firstBornMs,
+		});
+		await clock.run(30_000);
+		scheduler.close();
+		const fake = executors.fakes[0]!;
+		fake.unreachableFrom = 'all';
+		const listed = listExecutors(executors).map((executor) =>
+			executor.id === 'e1' && restartedAgoMs !== undefined
+				? {...executor, restartedAt: clock.now - restartedAgoMs}
+				: executor,
+		);
+		const next = createScheduler(clock, {...executors, executors: listed}, 2);
+		next.receivePart(
+			entry,
+			makePart(clock, {token: 2, isMoved: true, timeLeftMs: 60_000}),
+		);
+		await runFor(clock, 1050, [[next, entry]]);
+		assert.equal(executors.runs.length, 0);
+		await runFor(clock, 2000, [[next, entry]]);
+		assert.equal(executors.runs.length, isWaitedFor ? 0 : 1);
+		fake.unreachableFrom = new Set();
+		await runFor(clock, 300, [[next, entry]]);
+		assert.deepEqual(listOutcomes(entry), ['done']);
+		assert.equal(executors.runs.length, 1);
+	});
+}
+
+// Guards against a task that waits for ever for an executor that has started again and does not come back.
+test('a moved task is placed when no late call of the former holder can arrive any more', async () => {
+	const {clock, executors, scheduler, entry} = await openScheduler({
+		count: 2,
+		taskMs: 100,
+		getDemand,
+		firstBornMs,
+	});
+	scheduler.close();
+	const next = createScheduler(clock, executors, 2);
+	executors.fakes[0]!.unreachableFrom = 'all';
+	executors.restart(executors.fakes[0]!, {downMs: 10, clockMs: 0});
+	next.setExecutors(listExecutors(executors));
+	next.receivePart(
+		entry,
+		makePart(clock, {token: 2, isMoved: true, timeLeftMs: 60_000}),
+	);
+	await runFor(clock, 19_900, [[next, entry]]);
+	assert.equal(executors.runs.length, 0);
+	await runFor(clock, 500, [[next, entry]]);
+	assert.deepEqual(listOutcomes(entry), ['done']);
+});
+
 // Guards against a task that waits for ever for an executor that does not come back.
 test('a task whose start had no answer is placed again once the start can not arrive any more', async () => {
 	const {clock, executors, scheduler, entry} = await openScheduler({
