--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -787,7 +787,21 @@
 
 	/** Whether runs that an earlier holder started by `at` are over, as no entry has renewed their claims there since. */
 	#hasRunLimitPassed(at: number): boolean {
-		return this.ports.now() - at > orphanLimitMs + clockSlackMs;
+		return (
+			this.ports.now() - at > orphanLimitMs + clockSlackMs &&
+			!this.#mayHaveLateRuns()
+		);
+	}
+
+	/**
+	Whether runs of an earlier holder may go on for longer than under its leases, or have yet to start: an executor has started again,
+	and late calls to its former process may reach the present one, which this holder has not reached.
+	*/
+	#mayHaveLateRuns(): boolean {
+		return (
+			this.ports.now() - this.#openedAt <= lateStartLimitMs &&
+			this.#executors.hasUnreportedRestart(this.#openedAt - lateStartLimitMs)
+		);
 	}
 
 	/** Whether all runs that an earlier holder started by `at` are known, or must be over by now. */
