List a job that hangs although its claimed run is done as known red

A new holder that claims a run of an earlier one takes the higher of the part's and the run's next attempt, and later counts an end only if the next attempt is the run's plus one. An entry that has sent a task under another claim numbers 16 further, so the end is passed over, and the job waits until its caller's time is over. No task runs twice by this.

--- a/packages/scheduling/src/takeover.test.ts
+++ b/packages/scheduling/src/takeover.test.ts
@@ -75,6 +75,31 @@
 	assert.equal(executors.runs.length, 1);
 });
 
+// Guards against a job that waits until its caller's time is over although its task is done: an entry that has sent a task again under
+// another claim numbers its attempts beyond that of the run that an earlier holder started.
+test('the end of a claimed run counts also when the entry numbers later attempts higher', async () => {
+	const {clock, executors, scheduler, entry} = await openScheduler({
+		count: 2,
+		taskMs: 1500,
+	});
+	const part = makePart(clock, {estimateMs: 1500, timeLeftMs: 10_000});
+	scheduler.receivePart(entry, part);
+	await runFor(clock, 200, [[scheduler, entry]]);
+	scheduler.close();
+	const second = createScheduler(clock, executors, 2);
+	await clock.run(5);
+	second.receivePart(entry, {
+		...part,
+		token: 2,
+		stateAt: clock.now,
+		isMoved: true,
+		tasks: [[0, 17, 2]],
+		claim: 2,
+	});
+	await runFor(clock, 2000, [[second, entry, [2]]]);
+	assert.deepEqual(listOutcomes(entry), ['done']);
+});
+
 // A host dies that was a job's entry and scheduled its tasks. The host that takes the group over finds the
 // runs, which no entry will ever claim. The caller sends the job again to another host, which knows nothing of
 // them.
