--- a/packages/scheduling/src/executor-session.ts
+++ b/packages/scheduling/src/executor-session.ts
@@ -698,7 +698,7 @@
 		const canRenew = this.runs.size > 0 && this.silentSince === undefined;
 		const canWait =
 			this.silentSince === undefined &&
-			(canRenew || this.#mayCarryOutLateStart()) &&
+			(canRenew || this.#isInReachOfLateStart()) &&
 			this.hasReported &&
 			this.#missedRenewals === 0;
 		const reply = await this.#control.renewLease(this.#executor, {
@@ -726,7 +726,7 @@
 			return callRetryMs;
 		}
 
-		return this.runs.size > 0 || hasMoreEnds || this.#mayCarryOutLateStart()
+		return this.runs.size > 0 || hasMoreEnds || this.#isInReachOfLateStart()
 			? 0
 			: idleReportIntervalMs;
 	}
@@ -735,7 +735,7 @@
 	Whether a later process of the executor could carry out a start that is still on its way. A renewal that waits at the executor
 	breaks off when its process ends, so the next one gets the token and the stops of these starts as soon as it answers.
 	*/
-	#mayCarryOutLateStart(): boolean {
+	#isInReachOfLateStart(): boolean {
 		return (
 			this.bornMs !== undefined &&
 			(!this.ports.unansweredStarts.hasNone ||
