Have a successor wait only for executors that it does not list

What callers saw: after each takeover from a holder that the store had not answered, nothing that had moved was started, and no first request of a connection, for 1,060 ms.

Cause: has a holder tell that its successor's list may lack executors, but not which, so the successor waited wherever that could be.

Change: the state names these executors, and a successor goes by time alone only if its own list lacks one of them. They are told while the holder's list is not confirmed, and for unlisted executors until their runs have ended.

Evidence: hidden-runs.test.ts checks the names where it checked the flag; a new test of group-holding has a successor that lists all of them and one that does not.

--- a/packages/host/src/scheduling/group-holding.test.ts
+++ b/packages/host/src/scheduling/group-holding.test.ts
@@ -127,6 +127,17 @@
 	});
 }
 
+const executor: Executor = {
+	id: 'e1',
+	address: '127.0.0.1:8000',
+	dataCentre: 'mieres',
+	service: 'meals',
+	isDraining: false,
+	isCapacityEnforced: true,
+	capacity: {cpu: 32_000, memoryMb: 1000, accelerators: 0},
+	capacityReadAt: 0,
+};
+
 function makeState(state: Partial<GroupState>): GroupState {
 	return {
 		t: 'group-state',
@@ -179,6 +190,27 @@
 	}
 });
 
+// Guards against a successor that relies on its executors' reports while its predecessor's runs go on on one that it does not list,
+// and against one that waits a second although it lists all that its predecessor has used.
+test('a successor looks for executors of its predecessor that it does not list', async () => {
+	for (const {ids, mayRunOutside} of [
+		{ids: ['e1'], mayRunOutside: undefined},
+		{ids: ['e1', 'e2'], mayRunOutside: true},
+	]) {
+		const clock = {now: 1000};
+		const groups = createGroupDirectory();
+		const state = makeState({isReleased: true, unconfirmed: ids});
+		groups.update('mieres_m2', state, clock.now);
+		const holding = createHolding(createStore(), clock, {
+			groups,
+			listExecutors: () => [executor],
+		});
+		await runFor(holding, clock, 100);
+		const {hasRunsOutside} = holding.scheduler!.describeState();
+		assert.equal(hasRunsOutside, mayRunOutside, ids.join(' '));
+	}
+});
+
 test('a group without a holder is taken at once by the first candidate', async () => {
 	const clock = {now: 1000};
 	const holding = createHolding(createStore(), clock);
--- a/packages/host/src/scheduling/group-holding.ts
+++ b/packages/host/src/scheduling/group-holding.ts
@@ -383,7 +383,7 @@
 	}
 
 	/**
-	Whether the group's former holder may have runs on executors that have since been assigned to other groups. After a
+	Whether the group's former holder may have runs on executors that have since been assigned to other groups, or that are not listed. After a
 	start of all hosts nobody knows of a former holder, and what it ran is over. A group that the present layout has added had no holder
 	under another layout.
 	*/
@@ -396,9 +396,18 @@
 			);
 		}
 
-		const {hasRunsOutside = false, layout: formerLayout} = former.state;
+		const {
+			hasRunsOutside = false,
+			unconfirmed = [],
+			layout: formerLayout,
+		} = former.state;
+		const listed = new Set(this.#options.listExecutors().map(({id}) => id));
 		const formerRevision = formerLayout?.revision ?? 0;
-		return hasRunsOutside || formerRevision !== layout.get().revision;
+		return (
+			hasRunsOutside ||
+			formerRevision !== layout.get().revision ||
+			unconfirmed.some((id) => !listed.has(id))
+		);
 	}
 
 	/**
--- a/packages/protocol/src/scheduling-messages.ts
+++ b/packages/protocol/src/scheduling-messages.ts
@@ -311,11 +311,10 @@
 	Executors that belong to another group by this layout, and on which runs of this holder have yet to end. Absent: none.
 	*/
 	releasing: z.array(z.string()).optional(),
-	/**
-	Runs of this holder, or of an earlier one, may go on on executors that belong to other groups, or that another host's list
-	may lack. Absent: none do.
-	*/
+	/** Runs of this holder, or of an earlier one, may go on on executors that belong to other groups. Absent: none do. */
 	hasRunsOutside: z.boolean().optional(),
+	/** Executors that this holder uses, or on which its runs go on, and that another host's list may lack. Absent: none. */
+	unconfirmed: z.array(z.string()).optional(),
 	/** Higher with each new holder. */
 	token: count,
 	/** The holder's monotonic clock when it sent this message, milliseconds; entries return it as `stateAt`. */
--- a/packages/scheduling/src/executor-set.ts
+++ b/packages/scheduling/src/executor-set.ts
@@ -55,10 +55,10 @@
 	/** The session with that process of an executor (`ExecutorSession.incarnation`). */
 	findIncarnation: (name: string) => ExecutorSession | undefined;
 	/**
-	Whether runs may go on that a successor can't see: on an executor that is not listed any more, or on one of `unconfirmed`,
-	where tasks may still be started.
+	Executors on which runs may go on that a successor can't see if its list lacks them: those that are not listed any more, and those
+	of `unconfirmed` where tasks run or may still be started.
 	*/
-	hasHiddenRuns: (unconfirmed: readonly string[]) => boolean;
+	listUsed: (unconfirmed: readonly string[]) => string[];
 	/** Whether a task of the job runs on any of the executors; a run that is being stopped counts. */
 	hasRunOfJob: (job: string) => boolean;
 	/** Sessions with runs, or ends of runs, that an earlier holder may have started and no entry has claimed. */
@@ -221,12 +221,16 @@
 			const run = session?.runs.get(key);
 			return session && run && {run, session};
 		},
-		hasHiddenRuns: (unconfirmed) =>
-			unconfirmed.some((id) => {
-				const session = sessions.get(id);
-				return session && (session.isOpen || session.runs.size > 0);
-			}) ||
-			[...sessions].some(([id, {runs}]) => runs.size > 0 && !listedIds.has(id)),
+		listUsed(unconfirmed) {
+			const unconfirmedIds = new Set(unconfirmed);
+			return [...sessions.values()]
+				.filter(({id, runs, isOpen}) =>
+					runs.size > 0
+						? unconfirmedIds.has(id) || !listedIds.has(id)
+						: unconfirmedIds.has(id) && isOpen,
+				)
+				.map(({id}) => id);
+		},
 		hasRunOfJob: (id) =>
 			listSessionsOf(id).some(({runs}) =>
 				[...runs.values()].some(({job}) => job === id),
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -557,7 +557,7 @@
 	}
 
 	/**
-	A part from an earlier holder that comes long after this one has begun: both were at work meanwhile, as when the earlier one was
+	A part from an earlier holder that comes long after the next one has begun: both were at work meanwhile, as when the earlier one was
 	cut off together with the entry and some executors. Registrations of those have lapsed here, so that the reports of all listed
 	executors do not show what runs there.
 	*/
@@ -762,22 +762,24 @@
 		);
 	}
 
-	/**
-	A successor can't see runs on executors that its list may lack. In the first second of this holder it can't see the runs
-	outside the group either.
-	*/
-	#describeRelease(): Pick<GroupState, 'releasing' | 'hasRunsOutside'> {
+	/** In the first second of this holder a successor can't see the runs outside the group either. */
+	#describeRelease(): Pick<
+		GroupState,
+		'releasing' | 'hasRunsOutside' | 'unconfirmed'
+	> {
 		const releasing = this.#executors.listReleasing();
+		const used = this.#executors.listUsed(this.ports.listUnconfirmed());
 		if (releasing.length > 0) {
-			return {releasing, hasRunsOutside: true};
+			return {releasing, hasRunsOutside: true, unconfirmed: used};
 		}
 
 		const mayRunOutside =
 			this.ports.hasRunsOutside || this.#executors.hasLeftUnreported();
-		return (mayRunOutside && !this.#hasOutlivedEarlierRuns()) ||
-			this.#executors.hasHiddenRuns(this.ports.listUnconfirmed())
-			? {hasRunsOutside: true}
-			: {};
+		return {
+			...(used.length > 0 && {unconfirmed: used}),
+			...(mayRunOutside &&
+				!this.#hasOutlivedEarlierRuns() && {hasRunsOutside: true}),
+		};
 	}
 
 	/** Whether so much time has passed that no run of an earlier holder goes on. */
@@ -789,7 +791,7 @@
 	#hasRunLimitPassed(at: number): boolean {
 		return (
 			this.ports.now() - at > orphanLimitMs + clockSlackMs &&
-			!this.#mayHaveLateRuns()
+			!this.#isExposedToLateCalls()
 		);
 	}
 
@@ -797,7 +799,7 @@
 	Whether runs of an earlier holder may go on for longer than under its leases, or have yet to start: an executor has started again,
 	and late calls to its former process may reach the present one, which this holder has not reached.
 	*/
-	#mayHaveLateRuns(): boolean {
+	#isExposedToLateCalls(): boolean {
 		return (
 			this.ports.now() - this.#openedAt <= lateStartLimitMs &&
 			this.#executors.hasUnreportedRestart(this.#openedAt - lateStartLimitMs)
--- a/packages/scheduling/src/hidden-runs.test.ts
+++ b/packages/scheduling/src/hidden-runs.test.ts
@@ -14,10 +14,10 @@
 		{count: 2},
 		{listUnconfirmed: () => ['e1']},
 	);
-	assert.equal(scheduler.describeState().hasRunsOutside, true);
+	assert.deepEqual(scheduler.describeState().unconfirmed, ['e1']);
 	executors.fakes[0]!.unreachableFrom = 'all';
 	await clock.run(2000);
-	assert.equal(scheduler.describeState().hasRunsOutside, undefined);
+	assert.equal(scheduler.describeState().unconfirmed, undefined);
 });
 
 // Guards against a successor that takes over while the stops on an executor that is no longer listed have no answer yet.
@@ -29,11 +29,11 @@
 	});
 	scheduler.receivePart(entry, makePart(clock, long));
 	await clock.run(20);
-	assert.equal(scheduler.describeState().hasRunsOutside, undefined);
+	assert.equal(scheduler.describeState().unconfirmed, undefined);
 	scheduler.setExecutors([]);
 	await clock.run(20);
-	assert.equal(scheduler.describeState().hasRunsOutside, true);
+	assert.deepEqual(scheduler.describeState().unconfirmed, ['e1']);
 	await clock.run(200);
 	assert.equal(executors.runs[0]!.outcome, 'ended');
-	assert.equal(scheduler.describeState().hasRunsOutside, undefined);
+	assert.equal(scheduler.describeState().unconfirmed, undefined);
 });
