Confirm no copy while an earlier holder's runs may go on elsewhere

What callers saw: a task ran twice at the same time. A host and an executor are cut off together for 5 s, and the executor's registration lapses. A job comes to that host right before the cut ends, and is started there. As the cut ends, the caller's connection breaks, or the host dies, and the caller sends the job to another host. The group's next holder, which does not list the executor, confirms that nothing of the job runs, and the copy starts.

Cause: over 1,060 ms after its takeover a holder took runs of earlier ones for over. One that was cut off has been at work all the while.

Change: a holder that hears of a later one sends that one its state before it gives the group up. For 1,060 ms after such a state, if it names executors that are not listed there, copies are not confirmed.

--- a/packages/host/src/scheduling/host-roles.ts
+++ b/packages/host/src/scheduling/host-roles.ts
@@ -259,7 +259,16 @@
 	receiveState(holder: string, state: GroupState): boolean {
 		const isNew = this.groups.update(holder, state, this.#options.now());
 		this.layouts.noteState(state);
+		const scheduler = this.holdings.findScheduler(state.group);
+		scheduler?.noteEarlierHolder(state);
 		if (isNew) {
+			if (scheduler && scheduler.token < state.token) {
+				// The next holder may not list all executors that this one has used.
+				this.#options.peers
+					.findLink(holder)
+					?.send(this.#describeGroup(scheduler));
+			}
+
 			this.holdings.releaseIfReplaced(state.group);
 			this.entry.sendGroupTasks(state.group);
 			this.cancellations.sendPending(holder);
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -150,6 +150,8 @@
 	#permission: StartPermission;
 	/** After a pause of this host, no claim counts as ended and no run as overdue before this time. */
 	#checksClaimsFrom = 0;
+	/** When an earlier holder was last known to be at work; this host's steady clock. */
+	#earlierHolderSeenAt = -Infinity;
 	#isClosed = false;
 	#isPlacing = false;
 
@@ -438,6 +440,29 @@
 		this.#runPlacingRound();
 	}
 
+	/**
+	To be called with the state of an earlier holder, which has been at work beside this one until now, as when it was cut off. On
+	executors that this one does not list its runs go on until their claims end.
+	*/
+	noteEarlierHolder({token, unconfirmed = []}: GroupState): void {
+		const {sessions} = this.#executors;
+		if (
+			token < this.ports.token &&
+			unconfirmed.some((id) => !sessions.has(id))
+		) {
+			this.#earlierHolderSeenAt = this.ports.now();
+			this.ports.log(
+				'an earlier holder has used executors that are not listed',
+				{
+					group: this.ports.group,
+					token: this.ports.token,
+					earlierToken: token,
+					executors: unconfirmed.filter((id) => !sessions.has(id)),
+				},
+			);
+		}
+	}
+
 	/** Another holder takes over: this one sends nothing more, and runs go on under their leases. */
 	close(): void {
 		this.#isClosed = true;
@@ -756,10 +781,10 @@
 	entry that gave up a copy may not know that the group has changed hands.
 	*/
 	#hasRunReports(): boolean {
-		return (
+		const isKnown =
 			(this.#executors.hasAllReported() && !this.ports.hasRunsOutside) ||
-			this.#hasOutlivedEarlierRuns()
-		);
+			this.#hasOutlivedEarlierRuns();
+		return isKnown && this.#hasRunLimitPassed(this.#earlierHolderSeenAt);
 	}
 
 	/** In the first second of this holder a successor can't see the runs outside the group either. */
