Have tasks of the holder before the last wait for the limit of its runs

What callers saw: a task ran twice at the same time. A holder is cut off with an executor whose registration lapses. The group changes hands twice on the other side, the second time less than 1,060 ms before the cut ends. The last holder takes the first one's task for one of its predecessor, whose executors have all reported, and starts it beside the run of the first.

Change: a moved task that was first sent to a holder before the predecessor waits for 1,060 ms from its coming, as one does that comes late.

Found by a reviewer by reading and shown by a test: with the last holder 100, 500 and 1,000 ms old it has two runs before, and one now; 1,100 ms held.

--- a/packages/host/src/scheduling/group-holding.ts
+++ b/packages/host/src/scheduling/group-holding.ts
@@ -68,6 +68,7 @@
 		| 'token'
 		| 'getLayout'
 		| 'hasRunsOutside'
+		| 'formerToken'
 		| 'isHeldElsewhere'
 		| 'now'
 		| 'onFenced'
@@ -332,6 +333,7 @@
 			token,
 			getLayout: layout.get,
 			hasRunsOutside: this.#hasRunsOutside(known),
+			formerToken: known?.state.token,
 			isHeldElsewhere: (executor) => this.#isHeldElsewhere(executor),
 			now,
 			log,
--- a/packages/scheduling/src/group-scheduler.fixture.ts
+++ b/packages/scheduling/src/group-scheduler.fixture.ts
@@ -48,6 +48,7 @@
 		log = () => undefined,
 		layout = singleGroupLayout,
 		hasRunsOutside = false,
+		formerToken = token - 1,
 		isHeldElsewhere = () => false,
 		listUnconfirmed = () => [],
 	}: {
@@ -60,6 +61,7 @@
 		log?: (message: string, fields: Record<string, unknown>) => void;
 		layout?: GroupLayout;
 		hasRunsOutside?: boolean;
+		formerToken?: number;
 		isHeldElsewhere?: (executor: string) => boolean;
 		listUnconfirmed?: () => readonly string[];
 	} = {},
@@ -70,6 +72,7 @@
 		dataCentre: 'mieres',
 		getLayout: () => layout,
 		hasRunsOutside,
+		formerToken,
 		isHeldElsewhere,
 		token,
 		now: () => clock.now,
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -94,6 +94,8 @@
 	the group's own executors report then does not show all of its runs.
 	*/
 	hasRunsOutside: boolean;
+	/** Token of the holder before this one; undefined: none is known. */
+	formerToken?: number;
 	/** Whether another group's holder may still call the executor, so that this one must not do so yet. */
 	isHeldElsewhere: (executor: string) => boolean;
 	now: () => number;
@@ -587,11 +589,14 @@
 	executors do not show what runs there.
 	*/
 	#createJob(entry: Entry, part: Part): GroupJob {
-		const {firstToken = 0, isMoved} = part;
-		const isFromEarlier = isMoved && firstToken < this.ports.token;
+		const {firstToken, isMoved} = part;
+		const {token, formerToken = token} = this.ports;
+		const isFromEarlier = isMoved && (firstToken ?? 0) < token;
+		const isFromLongAgo =
+			(firstToken ?? token) < formerToken || this.#hasOutlivedEarlierRuns();
 		return {
 			...createGroupJob(part, entry, this.ports.now()),
-			isMovedLate: isFromEarlier && this.#hasOutlivedEarlierRuns(),
+			isMovedLate: isFromEarlier && isFromLongAgo,
 		};
 	}
 
--- a/packages/scheduling/src/late-moves.test.ts
+++ b/packages/scheduling/src/late-moves.test.ts
@@ -4,7 +4,13 @@
 */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {makePart, openScheduler} from './group-scheduler.fixture.js';
+import {findOverlaps} from './fake-executors.fixture.js';
+import {
+	createScheduler,
+	makePart,
+	openScheduler,
+	runFor,
+} from './group-scheduler.fixture.js';
 import {clockSlackMs, orphanLimitMs} from './timing.js';
 
 const limitMs = orphanLimitMs + clockSlackMs;
@@ -40,3 +46,40 @@
 	await clock.run(10);
 	assert.equal(executors.runs.length, 1);
 });
+
+// Guards against a holder that has just begun, and takes a task of the holder before its predecessor for one of the predecessor: that
+// one's reports show nothing of executors whose registrations had lapsed before.
+for (const afterMs of [100, 500, 1000, 1100]) {
+	test(`a task of the holder before the last waits for the limit of its runs, ${afterMs} ms after the last has begun`, async () => {
+		const {clock, executors, scheduler, entry} = await openScheduler({
+			count: 2,
+			taskMs: 5000,
+		});
+		const [near, far] = executors.fakes;
+		scheduler.setExecutors([near!.executor]);
+		await clock.run(50);
+		far!.unreachableFrom = new Set([1]);
+		const farExecutors = {...executors, executors: [far!.executor]};
+		const second = createScheduler(clock, farExecutors, 2);
+		await runFor(clock, 5000, [[second, entry, []]]);
+		second.close();
+		const third = createScheduler(clock, farExecutors, 3);
+		const part = makePart(clock, {estimateMs: 5000, timeLeftMs: 20_000});
+		scheduler.receivePart(entry, part);
+		await runFor(clock, afterMs, [
+			[scheduler, entry],
+			[third, entry, []],
+		]);
+		assert.equal(executors.runs.length, 1);
+		third.receivePart(entry, {
+			...part,
+			token: 3,
+			stateAt: clock.now,
+			claim: 2,
+			isMoved: true,
+			firstToken: 1,
+		});
+		await runFor(clock, 2500, [[third, entry, [2]]]);
+		assert.deepEqual(findOverlaps(executors.runs), []);
+	});
+}
