--- a/packages/host/src/scheduling/faulty/no-task-twice-restarts.test.ts
+++ b/packages/host/src/scheduling/faulty/no-task-twice-restarts.test.ts
@@ -153,3 +153,45 @@
 	);
 	assert.deepEqual(violations, []);
 });
+
+// Guards against two runs of a task whose late start reaches a process that has just restarted, after a change of holders.
+test('a late start at an executor that restarts twice, with a change of holders between, runs beside no other run of its task', async () => {
+	const restart = {
+		kind: 'restart',
+		executor: 1,
+		clockMs: 0,
+	} as const;
+	const violations = await runPlan(
+		{
+			jobs: [
+				{at: 1081, tasks: 3, runMs: 2500, isOnNewConnection: false},
+				{at: 3999, tasks: 3, runMs: 600, isOnNewConnection: false},
+				{at: 2055, tasks: 3, runMs: 600, isOnNewConnection: true},
+			].map((job) => ({...job, host: 0, allowanceMs: 60})),
+			faults: [
+				{
+					...restart,
+					at: 3999,
+					durationMs: 24,
+					leadMs: 2,
+					lateMs: 3076,
+					registeredAfterMs: 261,
+					hasLateRegistration: false,
+				},
+				{
+					...restart,
+					at: 2055,
+					durationMs: 207,
+					leadMs: 4,
+					lateMs: 2125,
+					registeredAfterMs: 13,
+					hasLateRegistration: true,
+				},
+				{at: 3499, durationMs: 326, kind: 'hand-over'},
+			],
+			hasBorn: true,
+		},
+		{mayBeBlamed},
+	);
+	assert.deepEqual(violations, []);
+});
