Draw cuts that heal and hosts that read late, and check claims in the plans

No drawn plan had a host that is cut off from all others while callers reach it, a backlog that is delivered at the heal, or a host that reads all its connections late, and the checks saw only runs that overlap.

Plans now draw isolations (connections broken, held up or silent; with or without the store and the executors), later cuts, late reads with executors' answers that count or time out, stalls, lapsed registrations, late starts, hand-overs and divisions. Two checks were added to all plans: no two groups hold live claims on one task, and no start that its executor would obey is sent while the task runs in another data centre. Two copies are compared only where no caller sends again at once: a new holder holds a replaced copy then until it has asked.

--- a/packages/host/src/scheduling/faulty/fault-plan.fixture.ts
+++ b/packages/host/src/scheduling/faulty/fault-plan.fixture.ts
@@ -55,6 +55,31 @@
 	| {kind: 'hand-over'}
 	/** Connections between two hosts break, and no new one can be made. */
 	| {kind: 'cut'; host: number; peer: number}
+	/**
+	The host is cut off from all others while its callers reach it. `broken`: its connections break at once. `held-up`: what is sent on
+	them arrives `backlogMs` after the heal. `lost`: it never arrives. No connection is opened until `redialMs` after the heal.
+	*/
+	| {
+			kind: 'isolate';
+			host: number;
+			how: 'broken' | 'held-up' | 'lost';
+			isCutFromStore: boolean;
+			isCutFromExecutors: boolean;
+			redialMs: number;
+			backlogMs: number;
+	  }
+	/**
+	The host lacks processor time: it reads what arrives on its connections `lateMs` to `lateMs + spreadMs` later, or when the fault ends
+	if `catchesUp`. Unless `areAnswersLost`, answers of executors that are read late count.
+	*/
+	| {
+			kind: 'read-late';
+			host: number;
+			lateMs: number;
+			spreadMs: number;
+			catchesUp: boolean;
+			areAnswersLost: boolean;
+	  }
 	/** Messages from `host` to `peer` arrive only when the fault ends; the connections stay open. */
 	| {kind: 'delay-messages'; host: number; peer: number}
 	/**
@@ -1168,3 +1193,202 @@
 			faults: [freeze, ...departures, ...faults],
 		})),
 );
+
+function drawCutOff(at: number, durationMs: number, cutHost: number) {
+	return fc.record({
+		at: fc.constant(at),
+		durationMs: fc.constant(durationMs),
+		kind: fc.constant('isolate' as const),
+		host: fc.constant(cutHost),
+		how: fc.constantFrom(
+			'broken' as const,
+			'held-up' as const,
+			'held-up' as const,
+			'lost' as const,
+		),
+		isCutFromStore: fc.boolean(),
+		isCutFromExecutors: fc.boolean(),
+		redialMs: fc.nat(300),
+		backlogMs: fc.nat(300),
+	});
+}
+
+function drawLateReads(
+	at: fc.Arbitrary<number>,
+	lateHost: fc.Arbitrary<number>,
+) {
+	return fc.record({
+		at,
+		durationMs: fc.integer({min: 300, max: 3000}),
+		kind: fc.constant('read-late' as const),
+		host: lateHost,
+		lateMs: fc.integer({min: 300, max: 1000}),
+		spreadMs: fc.constantFrom(0, 0, 50, 150),
+		catchesUp: fc.boolean(),
+		areAnswersLost: fc.boolean(),
+	});
+}
+
+function drawDuring(
+	from: number,
+	until: number,
+	fault: fc.Arbitrary<PlannedFault>,
+) {
+	return fc
+		.tuple(fault, fc.integer({min: from, max: until}))
+		.map(([one, at]): PlannedFault => ({...one, at}));
+}
+
+function drawJobsDuring(from: number, until: number, cutHosts: number[]) {
+	return fc.record({
+		at: fc.integer({min: from, max: until}),
+		host: fc.oneof(fc.constantFrom(...cutHosts), host),
+		tasks: fc.integer({min: 1, max: 6}),
+		runMs: fc.constantFrom(60, 600, 1500, 2500),
+		allowanceMs: fc.constantFrom(60, 1000),
+		isOnNewConnection: fc.boolean(),
+	});
+}
+
+/** Callers leave without an answer, and send their jobs again 1,300 ms later. */
+const departure = fc.record({
+	...clusteredTiming,
+	durationMs: fc.constant(50),
+	kind: fc.constant('reset-callers' as const),
+	host,
+});
+
+/** Too short to count as a pause. */
+const stall = fc.record({
+	...clusteredTiming,
+	durationMs: fc.integer({min: 50, max: 480}),
+	kind: fc.constant('freeze' as const),
+	host,
+});
+
+const lateStart = callFault.map((fault) => ({
+	...fault,
+	how: 'late' as const,
+	only: 'start' as const,
+}));
+
+const healMarginMs = 700;
+
+/** Hosts that are cut off together: of one data centre, or of both. */
+const possibleCuts: number[][] = [
+	[0],
+	[1],
+	[2],
+	[3],
+	[0, 1],
+	[0, 2],
+	[0, 3],
+	[1, 2],
+	[2, 3],
+];
+
+/**
+A quarter of the hosts, or half, are cut off from all others, and read late before the cut and after the heal, while callers come to all
+hosts, registrations of executors lapse, groups change hands or are divided, and calls to executors are lost or late.
+*/
+export const healPlans: fc.Arbitrary<FaultPlan> = fc
+	.record({
+		cutHosts: fc.constantFrom(...possibleCuts),
+		cutAt: fc.integer({min: 100, max: 600}),
+		cutMs: fc.integer({min: 1000, max: 4000}),
+		groups: fc.constantFrom(undefined, 1, 2, 3),
+	})
+	.chain(({cutHosts, cutAt, cutMs, groups}) => {
+		const healAt = cutAt + cutMs;
+		const nearHeal = [healAt - healMarginMs, healAt + healMarginMs] as const;
+		const anyExecutor = groups === undefined ? executor : dividedExecutor;
+		const cuts = fc.tuple(
+			...cutHosts.map((cutHost) => drawCutOff(cutAt, cutMs, cutHost)),
+		);
+		const laterCuts = fc.array(
+			fc
+				.record({
+					at: fc.integer({min: healAt + 100, max: healAt + 1500}),
+					durationMs: fc.integer({min: 300, max: 1500}),
+					cutHost: host,
+				})
+				.chain(({at, durationMs, cutHost}) =>
+					drawCutOff(at, durationMs, cutHost),
+				),
+			{maxLength: 1},
+		);
+		const lateFrom: fc.Arbitrary<number> = fc.oneof(
+			fc.integer({min: 0, max: cutAt}),
+			fc.integer({min: healAt - 200, max: healAt + 200}),
+		);
+		const lateHost: fc.Arbitrary<number> = fc.oneof(
+			{weight: 3, arbitrary: fc.constantFrom(...cutHosts)},
+			{weight: 1, arbitrary: host},
+		);
+		const lateReads = fc.array(drawLateReads(lateFrom, lateHost), {
+			maxLength: 3,
+		});
+		const executorFaults = fc
+			.tuple(
+				fc.oneof(
+					{weight: 3, arbitrary: executorFault},
+					{weight: 2, arbitrary: callFault},
+					{weight: 2, arbitrary: lateStart},
+				),
+				anyExecutor,
+			)
+			.map(([fault, which]): PlannedFault => ({...fault, executor: which}));
+		const others = fc.array(
+			fc.oneof(
+				{
+					weight: 4,
+					arbitrary: drawDuring(0, healAt + healMarginMs, executorFaults),
+				},
+				{weight: 3, arbitrary: drawDuring(cutAt, nearHeal[1], departure)},
+				{weight: 2, arbitrary: drawDuring(...nearHeal, handOver)},
+				{weight: 2, arbitrary: drawDuring(...nearHeal, stall)},
+				{weight: 1, arbitrary: drawDuring(...nearHeal, division)},
+				{weight: 1, arbitrary: drawDuring(...nearHeal, hostFault)},
+				{weight: 1, arbitrary: drawDuring(...nearHeal, linkFault)},
+				{weight: 1, arbitrary: drawDuring(...nearHeal, storeFault)},
+			),
+			{maxLength: 6},
+		);
+		const jobs = fc.tuple(
+			fc.array(drawJobsDuring(0, healAt, cutHosts), {
+				minLength: 1,
+				maxLength: 6,
+			}),
+			fc.array(drawJobsDuring(...nearHeal, cutHosts), {maxLength: 6}),
+		);
+		return fc
+			.tuple(jobs, cuts, laterCuts, lateReads, others)
+			.map(([drawnJobs, ...faults]) => ({
+				...(groups !== undefined && {groups}),
+				jobs: drawnJobs.flat(),
+				faults: faults.flat(),
+			}));
+	});
+
+/** Hosts read late and are not cut off, and callers whose connections break send their jobs again at once or later. */
+export const lateReadPlans: fc.Arbitrary<FaultPlan> = fc.record({
+	jobs: dividedJobs,
+	faults: fc
+		.tuple(
+			fc.array(drawLateReads(fc.nat(planSpanMs), host), {
+				minLength: 1,
+				maxLength: 3,
+			}),
+			fc.array(
+				fc.oneof(
+					{weight: 3, arbitrary: connectionReset},
+					{weight: 3, arbitrary: departure},
+					{weight: 2, arbitrary: handOver},
+					{weight: 1, arbitrary: callFault},
+					{weight: 1, arbitrary: executorFault},
+				),
+				{maxLength: 5},
+			),
+		)
+		.map((faults) => faults.flat()),
+});
--- a/packages/host/src/scheduling/faulty/faulty-host.fixture.ts
+++ b/packages/host/src/scheduling/faulty/faulty-host.fixture.ts
@@ -4,6 +4,7 @@
 */
 import {type Hello, type MeshHandlers} from '@gentianshift/protocol';
 import {
+	type CallFailure,
 	type CancellationOutcome,
 	type CoordinationStore,
 	type ExecutorControl,
@@ -12,7 +13,7 @@
 } from '@gentianshift/scheduling';
 import {loadHash} from '@gentianshift/membership';
 import {type VirtualClock} from '@gentianshift/scheduling/fixtures';
-import {ResultAsync} from 'neverthrow';
+import {err, ResultAsync} from 'neverthrow';
 import {createExecutorLists} from '../executor-lists.js';
 import {HostRoles, type Peers} from '../host-roles.js';
 import {createSchedulingHandlers} from '../scheduling-handlers.js';
@@ -23,6 +24,7 @@
 } from '../host-dependencies.js';
 import {createEvacuations} from '../evacuations.js';
 import {createOperatorWatch} from '../operator-watch.js';
+import {type LiveClaims} from './live-claims.fixture.js';
 
 const hash = await loadHash();
 const updateIntervalMs = 50;
@@ -48,6 +50,7 @@
 	listTakeoverOrder: () => readonly string[];
 	peers: Omit<Peers, 'listCandidates' | 'getCores'>;
 	log: (message: string, fields: Record<string, unknown>) => void;
+	claims: LiveClaims;
 };
 
 type HostProcess = {
@@ -56,7 +59,22 @@
 	abortController: AbortController;
 };
 
+/** A host that lacks processor time: it reads what arrives on its connections this much later, in order on each of them. */
+export type LateReads = {
+	lateMs: number;
+	spreadMs: number;
+	/** All that has arrived by then is read at once; undefined: it stays late. */
+	catchUpAt: number | undefined;
+	/** Calls to executors count as unanswered, as their time-outs pass before the answers are read. */
+	areAnswersLost: boolean;
+};
+
+/** Prime, so that consecutive connections are read differently late. */
+const channelStep = 61;
+
 export class FaultyHost {
+	/** Its calls to executors have no effect and no answer. */
+	isCutFromExecutors = false;
 	readonly key: string;
 	readonly dataCentre: string;
 	#process: HostProcess | undefined;
@@ -70,6 +88,10 @@
 	#deferredWork: Array<() => void> = [];
 	/** What arrived on connections that have yet to be accepted; it runs after all other deferred work. */
 	#deferredAccepts: Array<() => void> = [];
+	#lateReads: LateReads | undefined;
+	/** By channel: when the last of what arrived on it is read. */
+	readonly #lastReadAt = new Map<number, number>();
+	#callCount = 0;
 	/** By job id: callers that wait on a connection to this host; the function tells the host that the connection broke. */
 	readonly #waitingCallers = new Map<string, () => void>();
 
@@ -130,7 +152,14 @@
 	/** Runs work in the host's process, once the host is not frozen; drops it if that process ends before. */
 	run(
 		work: (process: HostProcess) => void,
-		{isReadLast = false}: {isReadLast?: boolean} = {},
+		{
+			isReadLast = false,
+			channel = 0,
+		}: {
+			isReadLast?: boolean;
+			/** What arrives on one channel is read in that order. */
+			channel?: number;
+		} = {},
 	): void {
 		const process = this.#process;
 		if (!process) {
@@ -143,11 +172,34 @@
 			}
 		};
 
-		if (this.#isFrozen()) {
-			const deferred = isReadLast ? this.#deferredAccepts : this.#deferredWork;
-			deferred.push(runNow);
+		const runOnceAwake = () => {
+			if (this.#isFrozen()) {
+				const deferred = isReadLast
+					? this.#deferredAccepts
+					: this.#deferredWork;
+				deferred.push(runNow);
+			} else {
+				runNow();
+			}
+		};
+
+		const lateMs = this.#measureLateness(channel);
+		if (lateMs > 0) {
+			this.environment.clock.schedule(lateMs, runOnceAwake);
 		} else {
-			runNow();
+			runOnceAwake();
+		}
+	}
+
+	/** From now on the host reads late what arrives on its connections. */
+	setLateReads(lateReads: LateReads): void {
+		this.#lateReads = lateReads;
+	}
+
+	/** What has not been read yet is still read late, unless another time of late reads has begun. */
+	endLateReads(lateReads: LateReads): void {
+		if (this.#lateReads === lateReads) {
+			this.#lateReads = undefined;
 		}
 	}
 
@@ -207,19 +259,28 @@
 		options?: {isReadLast?: boolean},
 	): void {
 		let abandon: () => void = doNothing;
+		const channel = this.#takeChannel();
 		const reportDisconnect = () => {
-			abandon();
+			this.run(
+				() => {
+					abandon();
+				},
+				{channel},
+			);
 		};
 
 		this.#waitingCallers.set(request.id, reportDisconnect);
-		this.run(({roles}) => {
-			abandon = roles.submit(request, (answer) => {
-				if (this.#waitingCallers.get(request.id) === reportDisconnect) {
-					this.#waitingCallers.delete(request.id);
-					onAnswer(answer);
-				}
-			});
-		}, options);
+		this.run(
+			({roles}) => {
+				abandon = roles.submit(request, (answer) => {
+					if (this.#waitingCallers.get(request.id) === reportDisconnect) {
+						this.#waitingCallers.delete(request.id);
+						onAnswer(answer);
+					}
+				});
+			},
+			{...options, channel},
+		);
 	}
 
 	/** Cancels a job for a caller that waits for `timeLeftMs`; no answer comes from a process that ends before. */
@@ -239,11 +300,11 @@
 		const ids = this.#takeCallers();
 		const process = this.#process;
 		this.environment.clock.schedule(noticeDelayMs, () => {
-			this.run((current) => {
-				for (const reportDisconnect of current === process ? disconnects : []) {
+			if (this.#process === process) {
+				for (const reportDisconnect of disconnects) {
 					reportDisconnect();
 				}
-			});
+			}
 		});
 		return ids;
 	}
@@ -270,12 +331,34 @@
 		return Math.min(at, this.#suspendedAt ?? Infinity) - this.#suspendedMs;
 	}
 
+	/** Number of a connection of a caller or to an executor: no other host reads it. */
+	#takeChannel(): number {
+		this.#callCount += 1;
+		return -this.#callCount;
+	}
+
 	#takeCallers(): string[] {
 		const ids = [...this.#waitingCallers.keys()];
 		this.#waitingCallers.clear();
 		return ids;
 	}
 
+	/** How long until something that arrives now is read. */
+	#measureLateness(channel: number): number {
+		const {now} = this.environment.clock;
+		const lateReads = this.#lateReads;
+		const lastAt = this.#lastReadAt.get(channel) ?? 0;
+		if (!lateReads && lastAt <= now) {
+			return 0;
+		}
+
+		const lateMs = lateReads ? computeLateness(lateReads, channel) : 0;
+		const latestAt = lateReads?.catchUpAt ?? Infinity;
+		const at = Math.max(lastAt, Math.min(now + lateMs, latestAt), now);
+		this.#lastReadAt.set(channel, at);
+		return at - now;
+	}
+
 	#isFrozen(): boolean {
 		return this.environment.clock.now < this.#frozenUntil;
 	}
@@ -305,10 +388,33 @@
 			new ResultAsync(
 				(async () => {
 					const result = await call;
+					const lateMs = this.#measureLateness(this.#takeChannel());
+					if (lateMs > 0) {
+						await clock.wait(lateMs);
+					}
+
 					await this.#waitUntilRunning(incarnation);
 					return result;
 				})(),
 			);
+		const callExecutor: CallExecutor = (call, {answerTimeoutMs, waitMs = 0}) =>
+			new ResultAsync(
+				(async () => {
+					const {areAnswersLost = false} = this.#lateReads ?? {};
+					if (this.isCutFromExecutors || areAnswersLost) {
+						if (!this.isCutFromExecutors) {
+							void call();
+						}
+
+						await clock.wait(answerTimeoutMs + waitMs);
+						await this.#waitUntilRunning(incarnation);
+						return err(noAnswer);
+					}
+
+					const result = await waitWhileFrozen(call());
+					return this.isCutFromExecutors ? err(noAnswer) : result;
+				})(),
+			);
 		const wait = async (ms: number, signal?: AbortSignal): Promise<void> => {
 			const endsAt = this.#readMonotonicClock() + ms;
 			await clock.wait(ms, signal);
@@ -369,7 +475,7 @@
 			store: wrapStore(this.environment.store, waitWhileFrozen, (at) =>
 				this.#toMonotonicTime(at),
 			),
-			control: wrapControl(this.environment.control, waitWhileFrozen),
+			control: wrapControl(this.environment.control, callExecutor),
 			executors: lists,
 			evacuations,
 			peers: {...peers, listCandidates: listTakeoverOrder, getCores: () => 1},
@@ -411,6 +517,11 @@
 			now: () => this.#readMonotonicClock(),
 			log,
 		});
+		this.environment.claims.observe(
+			this.key,
+			roles.holdings,
+			() => !abortController.signal.aborted,
+		);
 		lists.start(abortController.signal);
 		evacuations.start(abortController.signal);
 		operatorWatch.start(abortController.signal);
@@ -434,6 +545,21 @@
 
 type WaitWhileFrozen = <T, E>(call: ResultAsync<T, E>) => ResultAsync<T, E>;
 
+type CallExecutor = <T>(
+	call: () => ResultAsync<T, CallFailure>,
+	limits: {answerTimeoutMs: number; waitMs?: number},
+) => ResultAsync<T, CallFailure>;
+
+const noAnswer: CallFailure = {code: 'unanswered', message: 'no answer'};
+
+/** Connections differ in how late they are read, by up to `spreadMs`. */
+function computeLateness(
+	{lateMs, spreadMs}: LateReads,
+	channel: number,
+): number {
+	return lateMs + ((Math.abs(channel) * channelStep) % (spreadMs + 1));
+}
+
 function wrapStore(
 	store: CoordinationStore,
 	waitWhileFrozen: WaitWhileFrozen,
@@ -452,15 +578,15 @@
 
 function wrapControl(
 	control: ExecutorControl,
-	waitWhileFrozen: WaitWhileFrozen,
+	callExecutor: CallExecutor,
 ): ExecutorControl {
 	return {
 		startTask: (executor, request) =>
-			waitWhileFrozen(control.startTask(executor, request)),
+			callExecutor(() => control.startTask(executor, request), request),
 		stopTask: (executor, request) =>
-			waitWhileFrozen(control.stopTask(executor, request)),
+			callExecutor(() => control.stopTask(executor, request), request),
 		renewLease: (executor, request) =>
-			waitWhileFrozen(control.renewLease(executor, request)),
+			callExecutor(() => control.renewLease(executor, request), request),
 		forgetExecutor: control.forgetExecutor,
 	};
 }
--- a/packages/host/src/scheduling/faulty/faulty-network.fixture.ts
+++ b/packages/host/src/scheduling/faulty/faulty-network.fixture.ts
@@ -22,8 +22,16 @@
 /** `asked`: sent by the host that opened the connection; `answered`: sent to it. */
 type Direction = 'asked' | 'answered';
 
+export type CutOff = {
+	how: 'held-up' | 'lost';
+	until: number;
+	redialMs: number;
+	backlogMs: number;
+};
+
 export class FaultyNetwork {
 	readonly clock: VirtualClock;
+	#channelCount = 0;
 	readonly #hosts: readonly FaultyHost[];
 	readonly #connections = new Map<string, Connection>();
 	/** By pair of hosts: how many faults keep them disconnected now. */
@@ -36,6 +44,12 @@
 		this.#hosts = hosts;
 	}
 
+	/** Number of the next connection. */
+	takeChannel(): number {
+		this.#channelCount += 1;
+		return this.#channelCount;
+	}
+
 	/** Opens the missing connections between hosts that are alive and not cut off from each other. */
 	connect(): void {
 		for (const from of this.#hosts) {
@@ -117,23 +131,71 @@
 			.map(({link}) => link);
 	}
 
+	/**
+	Cuts a host off from all others, and breaks no connection at once: what is sent on them arrives `backlogMs` after the heal
+	(`held-up`), or never (`lost`). The host that opened a connection closes it when it notices the silence, and the other one
+	reads that behind the backlog. No connection is opened until `redialMs` after the heal.
+	*/
+	cutOff(host: FaultyHost, {how, until, redialMs, backlogMs}: CutOff): void {
+		const {clock} = this;
+		const keys = this.#hosts
+			.filter((other) => other !== host)
+			.flatMap((other) => [makePairKey(host, other), makePairKey(other, host)]);
+		for (const key of keys) {
+			this.#cutCounts.set(key, (this.#cutCounts.get(key) ?? 0) + 1);
+			const connection = this.#connections.get(key);
+			if (connection?.isOpen && how === 'lost') {
+				connection.isSilent = true;
+				this.#closeOnceNoticed(connection, clock.now);
+			} else if (connection?.isOpen) {
+				connection.setDelay('asked', until + backlogMs);
+				connection.setDelay('answered', until + backlogMs);
+				this.#closeOnceNoticed(connection, clock.now, until + backlogMs);
+			}
+		}
+
+		clock.schedule(until + redialMs - clock.now, () => {
+			for (const key of keys) {
+				this.#cutCounts.set(key, this.#cutCounts.get(key)! - 1);
+			}
+
+			this.connect();
+		});
+	}
+
 	computeArrival(from: FaultyHost, to: FaultyHost): number {
 		const delayedUntil = this.#delayedUntil.get(makePairKey(from, to)) ?? 0;
 		return Math.max(this.clock.now + latencyMs, delayedUntil);
 	}
 
-	/** The host that opened the connection pings it more or less often, and closes it when no answer comes. */
-	#closeOnceNoticed(connection: Connection, silentSince: number): void {
+	/**
+	The host that opened the connection pings it more or less often, and closes it when no answer comes. `silentUntil`: what was sent
+	on it arrives then, and so does its close.
+	*/
+	#closeOnceNoticed(
+		connection: Connection,
+		silentSince: number,
+		silentUntil = Infinity,
+	): void {
 		const {from, to} = connection;
+		if (!connection.isOpen || this.clock.now >= silentUntil) {
+			return;
+		}
+
 		const limitMs = from.choosePingInterval(to.key) + pongTimeoutMs;
 		if (this.clock.now - silentSince < limitMs) {
 			this.clock.schedule(silenceCheckMs, () => {
-				this.#closeOnceNoticed(connection, silentSince);
+				this.#closeOnceNoticed(connection, silentSince, silentUntil);
 			});
 			return;
 		}
 
-		connection.close(silentCloseReason);
+		if (silentUntil === Infinity) {
+			connection.close(silentCloseReason);
+		} else {
+			connection.closeAtOpener(silentCloseReason);
+		}
+
 		this.clock.schedule(redialDelayMs, () => {
 			this.connect();
 		});
@@ -142,6 +204,8 @@
 
 class Connection {
 	isOpen = false;
+	/** The host that it was opened to has not read its close. */
+	isOpenAtPeer = false;
 	/** It stays open, and delivers nothing more. */
 	isSilent = false;
 	readonly link: Link;
@@ -149,12 +213,14 @@
 	/** When the last message in each direction arrives: no later one may overtake it. */
 	#lastRequestAt = 0;
 	#lastReplyAt = 0;
+	readonly #channel: number;
 
 	constructor(
 		private readonly network: FaultyNetwork,
 		readonly from: FaultyHost,
 		readonly to: FaultyHost,
 	) {
+		this.#channel = network.takeChannel();
 		this.link = {
 			key: to.key,
 			hello: to.hello,
@@ -187,26 +253,51 @@
 
 	open(): void {
 		this.isOpen = true;
-		this.to.run(({handlers}) => {
+		this.isOpenAtPeer = true;
+		this.#runAt(this.to, ({handlers}) => {
 			handlers.onSessionUp(this.session);
 		});
-		this.from.run(({handlers}) => {
+		this.#runAt(this.from, ({handlers}) => {
 			handlers.onLinkUp(this.link);
 		});
 	}
 
 	close(reason: string): void {
+		this.#closeAtPeer();
 		if (this.isOpen) {
 			this.isOpen = false;
-			this.to.run(({handlers}) => {
-				handlers.onSessionDown(this.session);
-			});
-			this.from.run(({handlers}) => {
+			this.#runAt(this.from, ({handlers}) => {
 				handlers.onLinkDown(this.link, reason, this.#lastReplyAt);
 			});
 		}
 	}
 
+	/** The other host reads the close behind all that was sent to it. */
+	closeAtOpener(reason: string): void {
+		const {clock} = this.network;
+		const silentSince = clock.now;
+		this.isOpen = false;
+		this.#runAt(this.from, ({handlers}) => {
+			handlers.onLinkDown(this.link, reason, silentSince);
+		});
+		clock.schedule(Math.max(0, this.#lastRequestAt - clock.now), () => {
+			this.#closeAtPeer();
+		});
+	}
+
+	#closeAtPeer(): void {
+		if (this.isOpenAtPeer) {
+			this.isOpenAtPeer = false;
+			this.#runAt(this.to, ({handlers}) => {
+				handlers.onSessionDown(this.session);
+			});
+		}
+	}
+
+	#runAt(host: FaultyHost, work: Parameters<FaultyHost['run']>[0]): void {
+		host.run(work, {channel: this.#channel});
+	}
+
 	/** Returns when the message arrives, unless the connection breaks before. */
 	#send(
 		message: Message,
@@ -221,11 +312,11 @@
 
 		const at = Math.max(this.network.computeArrival(from, to), lastAt);
 		clock.schedule(at - clock.now, () => {
-			if (!this.isOpen) {
+			if (!(to === this.to ? this.isOpenAtPeer : this.isOpen)) {
 				return;
 			}
 
-			to.run(({handlers}) => {
+			this.#runAt(to, ({handlers}) => {
 				if (to === this.to) {
 					handlers.onRequest(this.session, message);
 				} else {
--- a/packages/host/src/scheduling/faulty/run-plan.fixture.ts
+++ b/packages/host/src/scheduling/faulty/run-plan.fixture.ts
@@ -31,6 +31,7 @@
 import {findCancelledStarts} from './cancelled-starts.fixture.js';
 import {FaultyHost} from './faulty-host.fixture.js';
 import {FaultyNetwork} from './faulty-network.fixture.js';
+import {LiveClaims} from './live-claims.fixture.js';
 import {FaultyStore, type StoreMode} from './faulty-store.fixture.js';
 import {
 	dataCentres,
@@ -91,9 +92,18 @@
 	isSentAtOnce: boolean;
 };
 
+type SentStart = {
+	job: string;
+	index: number;
+	dataCentre: string;
+	executor: string;
+	at: number;
+};
+
 /** The simulated system while a plan runs. */
 class Simulation {
 	readonly clock = new VirtualClock();
+	readonly #claims: LiveClaims;
 	readonly #runMsByJob = new Map<string, number>();
 	readonly #cpuByJob = new Map<string, number>();
 	readonly #crashAfterMsByJob = new Map<string, number>();
@@ -106,6 +116,8 @@
 	readonly #hosts: FaultyHost[] = [];
 	readonly #system: FaultySystem;
 	readonly #jobs: SimulatedJob[] = [];
+	/** Starts that hosts have sent, whatever became of them. */
+	readonly #sentStarts: SentStart[] = [];
 	/** By job id: when its caller got the confirmation that it is cancelled. */
 	readonly #confirmedAt = new Map<string, number>();
 
@@ -120,6 +132,8 @@
 			areAllCompleted: boolean;
 			/** Executors restart under their ids, and nothing else keeps them from being used. */
 			areAllUsed: boolean;
+			/** Some callers send their jobs again at once. */
+			areSentAtOnce: boolean;
 			/** Jobs may be given up for crashes although they crash no executor. */
 			mayBeBlamed: boolean;
 			hasBorn: boolean;
@@ -132,6 +146,9 @@
 		},
 		private readonly log: (line: string) => void,
 	) {
+		this.#claims = new LiveClaims(this.clock, {
+			areCopiesCompared: !this.options.areSentAtOnce,
+		});
 		this.#executors = this.#createExecutors();
 		this.#system = {
 			clock: this.clock,
@@ -249,6 +266,14 @@
 		yield* findOverlaps(runs).map(
 			(pair) => `task ran twice at a time: ${pair}`,
 		);
+		yield* this.#findStartsElsewhere().map(
+			(start) =>
+				`start sent while the task ran in another data centre: ${start}`,
+		);
+		for (const line of this.#claims.violations) {
+			yield `two groups hold a task at a time: ${line}`;
+		}
+
 		yield* findOverloads(this.#executors, capacityGraceMs).map(
 			(start) => `start exceeded the executor's capacity: ${start}`,
 		);
@@ -415,8 +440,9 @@
 		);
 		const host: FaultyHost = new FaultyHost(identity, {
 			clock: this.clock,
+			claims: this.#claims,
 			...client,
-			control: this.#executors.control satisfies ExecutorControl,
+			control: this.#createControl(),
 			isCapacityEnforced: this.options.isCapacityEnforced,
 			maxGroups: 1,
 			listTakeoverOrder: () =>
@@ -445,6 +471,53 @@
 		return host;
 	}
 
+	#createControl(): ExecutorControl {
+		const {control} = this.#executors;
+		return {
+			...control,
+			startTask: (executor, request) => {
+				const fake = this.#executors.fakes.find(
+					(one) => one.executor.address === executor.address,
+				)!;
+				// A holder that does not know of its successor yet sends starts that its executors refuse.
+				if (request.token >= fake.token) {
+					this.#sentStarts.push({
+						job: request.job,
+						index: request.index,
+						dataCentre: executor.dataCentre,
+						executor: executor.id,
+						at: this.clock.now,
+					});
+				}
+
+				return control.startTask(executor, request);
+			},
+		};
+	}
+
+	/**
+	Describes the starts that were sent while the task ran in the other data centre, whether they were carried out or not: then two
+	schedulers had the right to start it at a time.
+	*/
+	#findStartsElsewhere(): string[] {
+		const {runs} = this.#executors;
+		return this.#sentStarts.flatMap((start) =>
+			runs
+				.filter(
+					(run) =>
+						run.job === start.job &&
+						run.index === start.index &&
+						run.startedAt < start.at &&
+						start.at < (run.endedAt ?? Infinity) &&
+						this.#findDataCentre(run) !== start.dataCentre,
+				)
+				.map(
+					(run) =>
+						`${run.job}/${run.index} runs on ${run.executor}, start sent to ${start.executor}`,
+				),
+		);
+	}
+
 	/** Sends a caller's job to its host, or to the next one that is alive; each copy that is sent again starts one host further. */
 	#send(job: SimulatedJob): void {
 		const first = (job.host + job.sendCount) % hostCount;
@@ -589,6 +662,10 @@
 			areAllCompleted,
 			areAllUsed,
 			mayBeBlamed,
+			areSentAtOnce: plan.faults.some(
+				({kind}) =>
+					kind === 'kill-resend-at-once' || kind === 'reset-resend-at-once',
+			),
 			hasBorn,
 			bornIn,
 			isBornRegistered,
--- a/packages/host/src/scheduling/faulty/start-fault.fixture.ts
+++ b/packages/host/src/scheduling/faulty/start-fault.fixture.ts
@@ -69,6 +69,24 @@
 			return startConnectionReset(fault, system);
 		}
 
+		case 'isolate': {
+			return startIsolation(fault, system);
+		}
+
+		case 'read-late': {
+			const host = hosts[fault.host]!;
+			const {clock} = system;
+			const {durationMs, catchesUp, ...lateReads} = fault;
+			const current = {
+				...lateReads,
+				catchUpAt: catchesUp ? clock.now + durationMs : undefined,
+			};
+			host.setLateReads(current);
+			return () => {
+				host.endLateReads(current);
+			};
+		}
+
 		case 'hand-over': {
 			return startHandOver(system);
 		}
@@ -200,6 +218,39 @@
 	};
 }
 
+function startIsolation(
+	fault: Extract<PlannedFault, {kind: 'isolate'}>,
+	{hosts, network, clock, storeModes}: FaultySystem,
+): () => void {
+	const host = hosts[fault.host]!;
+	const {how, redialMs, backlogMs, durationMs} = fault;
+	if (how === 'broken') {
+		network.setIsolated(host, true);
+	} else {
+		const until = clock.now + durationMs;
+		network.cutOff(host, {how, until, redialMs, backlogMs});
+	}
+
+	if (fault.isCutFromStore) {
+		storeModes.set(host, 'refuses');
+	}
+
+	host.isCutFromExecutors = fault.isCutFromExecutors;
+	return () => {
+		if (how === 'broken') {
+			clock.schedule(redialMs, () => {
+				network.setIsolated(host, false);
+			});
+		}
+
+		if (fault.isCutFromStore) {
+			storeModes.delete(host);
+		}
+
+		host.isCutFromExecutors = false;
+	};
+}
+
 function startLinkFault(
 	fault: Extract<
 		PlannedFault,
