--- a/packages/host/src/scheduling/faulty/run-plan.fixture.ts
+++ b/packages/host/src/scheduling/faulty/run-plan.fixture.ts
@@ -8,6 +8,7 @@
 	type ExecutorControl,
 	type JobAnswer,
 	type JobRequest,
+	type StartRequest,
 } from '@gentianshift/scheduling';
 import {
 	countStartsAfterCrashes,
@@ -33,6 +34,7 @@
 import {findCancelledStarts} from './cancelled-starts.fixture.js';
 import {FaultyHost} from './faulty-host.fixture.js';
 import {FaultyNetwork} from './faulty-network.fixture.js';
+import {LiveClaims} from './live-claims.fixture.js';
 import {FaultyStore, type StoreMode} from './faulty-store.fixture.js';
 import {
 	dataCentres,
@@ -93,9 +95,18 @@
 	isSentAtOnce: boolean;
 };
 
+type SentStart = {
+	job: string;
+	index: number;
+	dataCentre: string;
+	executor: string;
+	at: number;
+};
+
 /** The simulated system while a plan runs. */
 class Simulation {
 	readonly clock = new VirtualClock();
+	readonly #claims: LiveClaims;
 	readonly #runMsByJob = new Map<string, number>();
 	readonly #cpuByJob = new Map<string, number>();
 	readonly #crashAfterMsByJob = new Map<string, number>();
@@ -109,6 +120,8 @@
 	readonly #hosts: FaultyHost[] = [];
 	readonly #system: FaultySystem;
 	readonly #jobs: SimulatedJob[] = [];
+	/** Starts that hosts have sent, whatever became of them. */
+	readonly #sentStarts: SentStart[] = [];
 	/** By job id: when its caller got the confirmation that it is cancelled. */
 	readonly #confirmedAt = new Map<string, number>();
 
@@ -123,6 +136,8 @@
 			areAllCompleted: boolean;
 			/** Executors restart under their ids, and nothing else keeps them from being used. */
 			areAllUsed: boolean;
+			/** Some callers send their jobs again at once. */
+			areSentAtOnce: boolean;
 			/** Jobs may be given up for crashes although they crash no executor. */
 			mayBeBlamed: boolean;
 			hasBorn: boolean;
@@ -135,6 +150,9 @@
 		},
 		private readonly log: (line: string) => void,
 	) {
+		this.#claims = new LiveClaims(this.clock, {
+			areCopiesCompared: !this.options.areSentAtOnce,
+		});
 		this.#executors = this.#createExecutors();
 		this.#system = {
 			clock: this.clock,
@@ -253,6 +271,14 @@
 		yield* findOverlaps(runs).map(
 			(pair) => `task ran twice at a time: ${pair}`,
 		);
+		yield* this.#findStartsElsewhere().map(
+			(start) =>
+				`start sent while the task ran in another data centre: ${start}`,
+		);
+		for (const line of this.#claims.violations) {
+			yield `two groups hold a task at a time: ${line}`;
+		}
+
 		yield* findOverloads(this.#executors, capacityGraceMs).map(
 			(start) => `start exceeded the executor's capacity: ${start}`,
 		);
@@ -419,6 +445,7 @@
 		);
 		const host: FaultyHost = new FaultyHost(identity, {
 			clock: this.clock,
+			claims: this.#claims,
 			...client,
 			control: this.#createControl(() => host),
 			isCapacityEnforced: this.options.isCapacityEnforced,
@@ -464,10 +491,12 @@
 		};
 
 		return {
-			startTask: (executor, request) =>
-				loseIfCut(executor, request, () =>
+			startTask: (executor, request) => {
+				this.#recordStart(executor, request);
+				return loseIfCut(executor, request, () =>
 					control.startTask(executor, request),
-				),
+				);
+			},
 			stopTask: (executor, request) =>
 				loseIfCut(executor, request, () => control.stopTask(executor, request)),
 			renewLease: (executor, request) =>
@@ -493,6 +522,45 @@
 		);
 	}
 
+	#recordStart(executor: Executor, {job, index, token}: StartRequest): void {
+		const fake = this.#executors.fakes.find(
+			(one) => one.executor.address === executor.address,
+		)!;
+		// A holder that does not know of its successor yet sends starts that its executors refuse.
+		if (token >= fake.token) {
+			this.#sentStarts.push({
+				job,
+				index,
+				dataCentre: executor.dataCentre,
+				executor: executor.id,
+				at: this.clock.now,
+			});
+		}
+	}
+
+	/**
+	Describes the starts that were sent while the task ran in the other data centre, whether they were carried out or not: then two
+	schedulers had the right to start it at a time.
+	*/
+	#findStartsElsewhere(): string[] {
+		const {runs} = this.#executors;
+		return this.#sentStarts.flatMap((start) =>
+			runs
+				.filter(
+					(run) =>
+						run.job === start.job &&
+						run.index === start.index &&
+						run.startedAt < start.at &&
+						start.at < (run.endedAt ?? Infinity) &&
+						this.#findDataCentre(run) !== start.dataCentre,
+				)
+				.map(
+					(run) =>
+						`${run.job}/${run.index} runs on ${run.executor}, start sent to ${start.executor}`,
+				),
+		);
+	}
+
 	/** Sends a caller's job to its host, or to the next one that is alive; each copy that is sent again starts one host further. */
 	#send(job: SimulatedJob): void {
 		const first = (job.host + job.sendCount) % hostCount;
@@ -637,6 +705,10 @@
 			areAllCompleted,
 			areAllUsed,
 			mayBeBlamed,
+			areSentAtOnce: plan.faults.some(
+				({kind}) =>
+					kind === 'kill-resend-at-once' || kind === 'reset-resend-at-once',
+			),
 			hasBorn,
 			bornIn,
 			isBornRegistered,
