--- a/packages/host/src/scheduling/executor-lists.ts
+++ b/packages/host/src/scheduling/executor-lists.ts
@@ -34,8 +34,8 @@
 const missingLimitMs = 2500;
 
 /**
-A registration that was read this long ago may be missing from another host's list 1 s later at the soonest: by then that
-host has taken the group over, or has not.
+Registrations that were last read longer ago than this may be missing from another host's list: two reads of a holder have failed
+since. Longer than two intervals of reads, so that a slow answer of the store does not make a current list count as old.
 */
 const confirmedLimitMs = 1500;
 
