--- a/packages/host/src/scheduling/group-holding.test.ts
+++ b/packages/host/src/scheduling/group-holding.test.ts
@@ -129,7 +129,7 @@
 
 const executor: Executor = {
 	id: 'e1',
-	address: '127.0.0.1:8000',
+	address: '10.0.0.1:8000',
 	dataCentre: 'mieres',
 	service: 'meals',
 	isDraining: false,
@@ -315,16 +315,6 @@
 // list from before, that host would start a task that is cut off when the executor ends.
 test('a host that takes a group over reads the executors before it schedules', async () => {
 	const clock = {now: 1000};
-	const executor: Executor = {
-		id: 'e1',
-		address: '10.0.0.1:8000',
-		dataCentre: 'mieres',
-		service: 'meals',
-		isDraining: false,
-		isCapacityEnforced: true,
-		capacity: {cpu: 32_000, memoryMb: 1000, accelerators: 0},
-		capacityReadAt: 0,
-	};
 	let known = executor;
 	const seen: boolean[] = [];
 	const holding = createHolding(createStore(), clock, {
