--- a/review/system-3.js
+++ b/review/system-3.js
@@ -245,17 +245,14 @@
 		});
 		host.child = child;
 		child.once('exit', (code, signal) => {
-			if (this.#isEnding) {
+			if (this.#isEnding || host.isStopped) {
 				return;
 			}
 
-			if (!host.isStopped) {
-				host.ownEnds += 1;
-				this.#record.write(
-					`process of ${host.name} has ended by itself: code ${code}, signal ${signal}; its last words: ${this.readLastWords(host)}`,
-				);
-			}
-
+			host.ownEnds += 1;
+			this.#record.write(
+				`process of ${host.name} has ended by itself: code ${code}, signal ${signal}; its last words: ${this.readLastWords(host)}`,
+			);
 			setTimeout(() => {
 				if (!this.#isEnding && !host.isStopped) {
 					this.#startProcess(host);
