Review: a cancel is acknowledged by a host that is cut off from the job's hosts

Change: review/9, with relays between hosts in the shared system; the cases on LIMIT and ROUTE are now review/10 and review/11.

--- a/review/10/run.js
+++ b/review/10/run.js
@@ -1,104 +1,109 @@
 /**
-Two of twenty executors go down and up by turns, and each time start again under their ids as the other kind. Do tasks that require a
-label start on an executor without it?
+The store turns the hosts of one data centre away for 9 s and serves the others. The data centre's executors, which do not guard their
+capacity, say there in that time that it has shrunk. Does the data centre's scheduler go on to start more than they hold?
 */
 import {setTimeout as delay} from 'node:timers/promises';
-import {isTroubled, makeId, makeJob, runCase, send} from '../system-3.js';
+import {
+	isTroubled,
+	makeId,
+	makeJob,
+	runCase,
+	send,
+	taskCpu,
+} from '../system-3.js';
 
-const kinds = ['a', 'b'];
-const crashingIds = new Set(['mieres-e1', 'langreo-e1']);
-const downMs = 700;
-/** From one crash of an executor to the next. */
-const periodMs = 1400;
-/** How long executors go down and up by turns, and how long they then stay up. */
-const flapMs = 6500;
-const calmMs = 1500;
-const observedMs = 80_000;
-const jobIntervalMs = 110;
-const taskMs = 60;
-/** Hosts have read the list of executors by then. */
-const settleMs = 4500;
+const dataCentre = 'mieres';
+const fullCpu = 32_000;
+const shrunkCpu = 15_000;
+/** `contact_ms` and one beat, from which on the shrunk capacity counts. */
+const shrunkCountsMs = 3000 + 1500;
+/** From the start of the load. */
+const refusedAfterMs = 3000;
+const refusedMs = 9000;
+const shrinkAfterMs = 500;
+const observedMs = 12_000;
+const jobIntervalMs = 45;
+const taskMs = 300;
 
 await runCase(import.meta.dirname, async (system, record) => {
 	await system.start({
 		hosts: {mieres: 3, langreo: 3, tineo: 3},
-		executors: {mieres: 7, langreo: 7, tineo: 6},
+		executors: {mieres: 4, langreo: 4, tineo: 4},
+		isGuarded: false,
 	});
-	/** By executor: its kinds, and since when. */
-	const kindsOf = new Map();
-	for (const [i, executor] of system.executors.entries()) {
-		const kind = kinds[i % kinds.length];
-		kindsOf.set(executor, [{kind, since: -Infinity}]);
-		system.putExecutor(executor, {sequence: 2, labels: [kind]});
-	}
-
-	await delay(settleMs);
-	record.write('ready');
-	const endAt = performance.now() + observedMs;
-	const requirements = new Map();
-	const counts = new Map();
+	const near = system.hosts.filter((host) => host.dataCentre === dataCentre);
+	const executors = system.executors.filter(
+		(executor) => executor.dataCentre === dataCentre,
+	);
+	const traffic = new AbortController();
 	const answers = [];
-
-	const crashAgainAndAgain = async (executor) => {
-		let calmAt = performance.now() + flapMs;
-		while (performance.now() < endAt - periodMs) {
-			if (performance.now() > calmAt) {
-				await delay(calmMs);
-				calmAt = performance.now() + flapMs;
-			}
-
-			const history = kindsOf.get(executor);
-			const kind = history.at(-1).kind === 'a' ? 'b' : 'a';
-			history.push({kind, since: performance.now() + downMs});
-			record.write(`${executor.id} crashes`);
-			await executor.startAgain({downMs});
-			system.putExecutor(executor, {sequence: 1, labels: [kind]});
-			record.write(`${executor.id} has started again, as kind ${kind}`);
-			await delay(periodMs - downMs);
+	const counts = new Map();
+	const load = (async () => {
+		for (let i = 0; !traffic.signal.aborted; i += 1) {
+			const host = system.hosts[i % system.hosts.length];
+			answers.push(
+				(async () => {
+					const answer = await send(host, {
+						id: makeId(),
+						body: makeJob({count: 3, ms: taskMs}),
+					});
+					const told = answer?.status ?? 'no answer';
+					counts.set(told, (counts.get(told) ?? 0) + 1);
+				})(),
+			);
+			await delay(jobIntervalMs);
 		}
-	};
+	})();
+
+	await delay(refusedAfterMs);
+	if (isTroubled) {
+		system.store.faults.busy = new Set(near.map(({ip}) => ip));
+		record.write(
+			`the store turns ${near.length} of ${system.hosts.length} hosts away: all of ${dataCentre}`,
+		);
+		setTimeout(() => {
+			system.store.faults.busy = false;
+			record.write('the store serves all hosts');
+		}, refusedMs);
+	}
 
-	const crashes = system.executors
-		.filter(({id}) => isTroubled && crashingIds.has(id))
-		.map(async (executor) => crashAgainAndAgain(executor));
-	for (let i = 0; performance.now() < endAt; i += 1) {
-		const host = system.hosts[i % system.hosts.length];
-		const id = makeId();
-		const requiredLabel = kinds[i % kinds.length];
-		requirements.set(id, requiredLabel);
-		answers.push(
-			(async () => {
-				const answer = await send(host, {
-					id,
-					body: makeJob({count: 1, ms: taskMs, required_label: requiredLabel}),
-				});
-				const told = answer?.status ?? 'no answer';
-				counts.set(told, (counts.get(told) ?? 0) + 1);
-			})(),
+	await delay(shrinkAfterMs);
+	const shrunkAt = performance.now();
+	for (const executor of executors) {
+		system.putExecutor(executor, {
+			sequence: 2,
+			capacity: {cpu: shrunkCpu, mem_mb: 131_072, gpu: 0},
+		});
+		record.write(
+			`${executor.id} says that it holds ${shrunkCpu}, no longer ${fullCpu}`,
 		);
-		await delay(jobIntervalMs);
 	}
 
-	await Promise.all([...answers, ...crashes]);
+	await delay(observedMs);
+	traffic.abort();
+	await load;
+	await Promise.all(answers);
 	record.write(`answers: ${JSON.stringify([...counts])}`);
-	let runCount = 0;
 	let broken = 0;
-	for (const executor of system.executors) {
-		for (const {task, startedAt} of executor.seen) {
-			runCount += 1;
-			const {kind, since} = kindsOf
-				.get(executor)
-				.findLast((one) => one.since <= startedAt);
-			const required = requirements.get(task.split('.', 1)[0]);
-			if (kind !== required) {
+	for (const executor of executors) {
+		for (const run of executor.seen) {
+			const running = executor.seen.filter(
+				(other) =>
+					other.startedAt <= run.startedAt &&
+					(other.endedAt ?? Infinity) > run.startedAt,
+			);
+			const used = running.length * taskCpu;
+			const sinceMs = run.startedAt - shrunkAt;
+			const limit = sinceMs > shrunkCountsMs ? shrunkCpu : fullCpu;
+			if (used > limit) {
 				broken += 1;
 				record.write(
-					`${task} requires ${required}, and is started on ${executor.id}, of kind ${kind} for ${(startedAt - since).toFixed(0)} ms`,
+					`${run.task} is started on ${run.executor}, ${sinceMs.toFixed(0)} ms after its word: ${used} of ${limit} in use`,
 				);
 			}
 		}
 	}
 
-	record.write(`starts: ${runCount}, without the label: ${broken}`);
+	record.write(`starts over the capacity: ${broken}`);
 	return broken === 0;
 });
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -7,3 +7,6 @@
 npx --no-install esbuild packages/standins/src/leased/index.ts \
 	--bundle --platform=node --target=node20 --format=esm \
 	--log-level=warning --outfile=target/review-3/stand-ins.mjs
+npx --no-install esbuild packages/standins/src/relay.ts \
+	--bundle --platform=node --target=node20 --format=esm \
+	--log-level=warning --outfile=target/review-3/relay.mjs
--- a/review/system-3.js
+++ b/review/system-3.js
@@ -20,6 +20,7 @@
 
 const root = path.resolve(import.meta.dirname, '..');
 const standIns = path.join(root, 'target/review-3/stand-ins.mjs');
+const relays = path.join(root, 'target/review-3/relay.mjs');
 
 export const isTroubled = process.env.TROUBLE !== '0';
 export const exitHeld = 0;
@@ -32,6 +33,8 @@
 export const taskCpu = 14_000;
 const executorCpu = 32_000;
 const readyLimitMs = 20_000;
+/** Hosts hang up on a silent peer within this time, and have dialled it anew after another. */
+const hangUpMs = 3200;
 /** The platform starts a process that has ended again after a short delay. */
 const restartDelayMs = 500;
 
@@ -91,6 +94,10 @@
 	#storeAddress = '';
 	/** Whether executors refuse starts that exceed their capacity. */
 	#isGuarded = true;
+	#slackFactor = 1.6;
+	/** Whether hosts reach one another through relays, one for each ordered pair. */
+	#hasRelays = false;
+	#relays = [];
 
 	constructor(record) {
 		this.#record = record;
@@ -105,10 +112,24 @@
 	}
 
 	/** Counts are by data centre. */
-	async start({hosts, executors, settings = [], isGuarded = true}) {
+	async start({
+		hosts,
+		executors,
+		settings = [],
+		isGuarded = true,
+		hasRelays = false,
+		slackFactor = 1.6,
+	}) {
 		const {MetadataStore} = await import(standIns);
 		this.#isGuarded = isGuarded;
+		this.#slackFactor = slackFactor;
+		this.#hasRelays = hasRelays;
 		this.store = new MetadataStore();
+		if (hasRelays) {
+			this.store.presentValue = (key, value, caller) =>
+				this.#presentHost(key, value, caller);
+		}
+
 		this.#storeAddress = await this.store.start(this.takeIp());
 		this.putConfiguration();
 		for (const [dataCentre, count] of Object.entries(executors)) {
@@ -123,6 +144,10 @@
 			}
 		}
 
+		for (const host of hasRelays ? this.hosts : []) {
+			this.#startProcess(host);
+		}
+
 		await this.waitUntilReady();
 	}
 
@@ -140,7 +165,7 @@
 				priority: 1,
 				service,
 				max_attempts: 3,
-				slack_factor: 1.6,
+				slack_factor: this.#slackFactor,
 			})),
 			services: [{name: service, enforce_limits: this.#isGuarded}],
 			limits: {max_body_bytes: 262_144},
@@ -191,7 +216,9 @@
 
 		const [callers, readiness, inner] = ports;
 		const file = path.join(this.#folder, `${name}.conf`);
-		const seeds = this.hosts.slice(0, 3).map((host) => host.inner);
+		const seeds = this.#hasRelays
+			? []
+			: this.hosts.slice(0, 3).map((host) => host.inner);
 		writeFileSync(
 			file,
 			[
@@ -226,8 +253,72 @@
 			ownEnds: 0,
 			isStopped: false,
 		};
+		for (const other of this.#hasRelays ? this.hosts : []) {
+			await this.#openRelay(other, host);
+			await this.#openRelay(host, other);
+		}
+
 		this.hosts.push(host);
-		this.#startProcess(host);
+		if (!this.#hasRelays) {
+			this.#startProcess(host);
+		}
+	}
+
+	async #openRelay(from, to) {
+		const {RelayLink} = await import(relays);
+		const [ip, port] = to.inner.split(':');
+		const link = new RelayLink({
+			name: `${from.name} to ${to.name}`,
+			listen: {ip, port: 0},
+			target: {ip, port: Number(port)},
+			delayMs: 0,
+		});
+		await link.open();
+		this.#relays.push({from, to, link});
+	}
+
+	/** A host's entry, as another one has to read it to go through its relay. */
+	#presentHost(key, value, caller) {
+		const relay = this.#relays.find(
+			({from, to}) => from.ip === caller && key.endsWith(`/${to.name}`),
+		);
+		return relay && key.startsWith('gentianshift/hosts/')
+			? JSON.stringify({
+					...JSON.parse(value),
+					address: `${relay.to.ip}:${relay.link.port}`,
+				})
+			: value;
+	}
+
+	/** Whether each host is connected to each other one through its relay. */
+	isRelayed() {
+		return this.#relays.every(({link}) => link.connectionCount > 0);
+	}
+
+	/**
+	Hosts that met before they had read the list are connected past the relays. While one is stopped, the others close what they dialled
+	there; dialled anew, it is at its listed address.
+	*/
+	async connectThroughRelays() {
+		for (const {child} of this.hosts) {
+			child.kill('SIGSTOP');
+			await delay(hangUpMs);
+			child.kill('SIGCONT');
+			await delay(hangUpMs);
+		}
+
+		if (!this.isRelayed()) {
+			throw new Error('the hosts are not connected through their relays');
+		}
+	}
+
+	/** Cuts a host off from all others, without a sign: `silence`; or ends that: `heal`. */
+	async cut(host, fault) {
+		for (const {from, to, link} of this.#relays) {
+			if (from === host || to === host) {
+				await link.applyFault(fault);
+			}
+		}
 	}
 
 	/** Started again, as the platform does it, whenever it has ended. */
@@ -328,6 +419,10 @@
 			await executor.stop();
 		}
 
+		for (const {link} of this.#relays) {
+			await link.close();
+		}
+
 		await this.store?.stop();
 		rmSync(this.#folder, {recursive: true, force: true});
 	}
