--- a/review/7/run.js
+++ b/review/7/run.js
@@ -5,7 +5,7 @@
 import {isTroubled, makeId, makeJob, runCase, send} from '../system-3.js';
 
 const warmUpMs = 3000;
-const observedMs = 30_000;
+const observedMs = 60_000;
 const jobIntervalMs = 100;
 /** The rule's numbers: ends by itself on one machine, and machines. */
 const mostEnds = 3;
--- a/review/system-3.js
+++ b/review/system-3.js
@@ -36,7 +36,7 @@
 /** Hosts hang up on a silent peer within this time, and have dialled it anew after another. */
 const hangUpMs = 3200;
 /** The platform starts a process that has ended again after a short delay. */
-const restartDelayMs = 500;
+const restartDelayMs = 1500;
 
 /** What an error that ends the process says of itself, without its stack. */
 const lastWordsPattern = /^\w*Error|^ +(?:code|input):/v;
