--- a/review/system-3.js
+++ b/review/system-3.js
@@ -104,6 +104,11 @@
 		process.once('exit', () => {
 			this.#killAll();
 		});
+		for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) {
+			process.once(signal, () => {
+				process.exit(exitNotRun);
+			});
+		}
 	}
 
 	takeIp() {
