--- a/review/system-3.js
+++ b/review/system-3.js
@@ -103,6 +103,7 @@
 		this.#record = record;
 		process.once('exit', () => {
 			this.#killAll();
+			rmSync(this.#folder, {recursive: true, force: true});
 		});
 		for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) {
 			process.once(signal, () => {
@@ -328,6 +329,10 @@
 
 	/** Started again, as the platform does it, whenever it has ended. */
 	#startProcess(host) {
+		if (this.#isEnding) {
+			return;
+		}
+
 		const [command, ...args] = readCommand();
 		const output = openSync(path.join(this.#folder, `${host.name}.out`), 'a');
 		const child = spawn(command === 'node' ? process.execPath : command, args, {
@@ -532,19 +537,34 @@
 	);
 }
 
+/** Ends the processes of a case that goes on for longer than it may. */
+const caseLimitMs = 115_000;
+
 /** Runs a case; its result is the exit code. */
 export async function runCase(folder, play) {
 	const record = new Recorder(folder);
 	const system = new System(record);
+	const stop = (reason) => {
+		record.write(`the case could not run: ${reason}`);
+		process.exit(exitNotRun);
+	};
+
+	// By default such an error ends the process with 1, which says that the rule was broken.
+	process.on('uncaughtException', (error) => {
+		stop(error.message);
+	});
+	setTimeout(() => {
+		stop('its time is over');
+	}, caseLimitMs).unref();
 	let code = exitNotRun;
 	try {
 		record.write(isTroubled ? 'with the disruption' : 'without the disruption');
 		code = (await play(system, record)) ? exitHeld : exitBroken;
 		record.write(code === exitHeld ? 'the rule held' : 'the rule was broken');
+		await system.end();
 	} catch (error) {
-		record.write(`the case could not run: ${error.stack}`);
+		stop(error.message);
 	}
 
-	await system.end();
 	process.exit(code);
 }
