Refuse addresses whose octets have leading zeros

What callers saw: one entry of another writer under servers/, with the address 127.000.000.009:8169, ended the process of each host that scheduled the data centre, again and again; their requests had no answer. An entry with 127.0.0.010 made hosts connect to 127.0.0.8, which no entry names. Cause: `hostAddressSchema` counted octets as decimal with any number of leading zeros. The URL parser of the HTTP pool reads such an octet as octal: with an 8 or 9 it throws, without one it names another machine. The same pattern stood in four more places (settings' `ip`, the product's own declarations, records and host list), in some without the upper bound of an octet; addresses that a peer passes on were not checked at all before they were dialled, and a port above 65,535 throws there. Change: one check, `isHostAddress`, on Node's `isIPv4`, which takes the canonical form only; all of them use it. A mesh does not dial a peer whose address does not pass. Ruled out: padding the text to its canonical form, as nobody can tell which of the two readings its writer meant.

--- a/packages/host/src/scheduling/host-presence.test.ts
+++ b/packages/host/src/scheduling/host-presence.test.ts
@@ -22,6 +22,7 @@
 	const texts: Record<string, string> = {
 		m2: JSON.stringify({...self, name: 'm2'}),
 		'no-port': JSON.stringify({...self, address: '10.1.0.14'}),
+		'octal-ip': JSON.stringify({...self, address: '10.1.0.014:8166'}),
 		'other-role': JSON.stringify({...self, role: 'guest'}),
 		bytes: '\u{FFFD}{',
 		nothing: '',
@@ -55,7 +56,7 @@
 
 	assert.deepEqual(
 		logged,
-		['no-port', 'other-role', 'bytes', 'nothing'].map(
+		['no-port', 'octal-ip', 'other-role', 'bytes', 'nothing'].map(
 			(name) => `gentianshift/hosts/${name}`,
 		),
 	);
--- a/packages/protocol/src/mesh.test.ts
+++ b/packages/protocol/src/mesh.test.ts
@@ -467,3 +467,12 @@
 	const tookMs = performance.now() - resetAt;
 	assert.ok(tookMs < 60, `${Math.round(tookMs)} ms`);
 });
+
+// Guards against a host that ends as it dials an address that a peer, or the platform's list, has passed on unchecked.
+test('a peer whose address is no IP address and port is not dialled', async (context) => {
+	const {mesh} = await startMesh(context, 'm1', {});
+	for (const address of ['127.0.0.1', '127.0.0.1:99999', '127.0.0.010:1']) {
+		mesh.setPeers([{dataCentre: 'mieres', host: 'm2', address}]);
+		assert.equal(mesh.findAddress('mieres_m2'), undefined, address);
+	}
+});
--- a/packages/protocol/src/mesh.ts
+++ b/packages/protocol/src/mesh.ts
@@ -8,6 +8,7 @@
 */
 import net from 'node:net';
 import {performance} from 'node:perf_hooks';
+import {isHostAddress} from '@gentianshift/resources';
 import {Connection, type Meter} from './connection.js';
 import {
 	computePingInterval,
@@ -174,10 +175,13 @@
 		}, this.#pingIntervalMs / ticksPerPing);
 	}
 
-	/** Replaces the set of peers: links to peers that are no longer in it are closed, new peers are dialled at once. */
+	/**
+	Replaces the set of peers: links to peers that are no longer in it are closed, new peers are dialled at once. Peers whose address
+	can't be dialled are left out.
+	*/
 	setPeers(peers: readonly PeerAddress[]): void {
 		const wanted = new Set<string>();
-		for (const peer of peers) {
+		for (const peer of peers.filter(({address}) => isHostAddress(address))) {
 			const key = formatHostKey(peer);
 			wanted.add(key);
 			this.#setPeer(key, peer);
--- a/packages/resource-store/src/host-list.ts
+++ b/packages/resource-store/src/host-list.ts
@@ -2,7 +2,11 @@
 The platform's list of live and leaving hosts. It lags: who reads it adds what it sees itself.
 */
 import {type ResultAsync} from 'neverthrow';
-import {nameSchema} from '@gentianshift/resources';
+import {
+	hostAddressSchema,
+	ipAddressSchema,
+	nameSchema,
+} from '@gentianshift/resources';
 import {z} from 'zod';
 import {type PlatformFailure} from './failure.js';
 import {createTransport, type TransportOptions} from './transport.js';
@@ -13,7 +17,7 @@
 	dataCentre: nameSchema,
 	role: z.enum(['entry', 'worker']),
 	/** An entry host: its inner address, `ip:port`; a worker: its `ip`. */
-	address: z.string().regex(/^(?:\d{1,3}\.){3}\d{1,3}(?::\d{1,5})?$/v),
+	address: z.union([hostAddressSchema, ipAddressSchema]),
 	state: z.enum(['live', 'leaving']),
 });
 
--- a/packages/resources/src/kinds.ts
+++ b/packages/resources/src/kinds.ts
@@ -3,6 +3,7 @@
 Each schema is the definition; its type falls out of it.
 */
 import {z} from 'zod';
+import {isHostAddress} from './host-address.js';
 
 /** Most tasks in one job (letter 1). */
 export const maxTasksPerJob = 1700;
@@ -18,8 +19,8 @@
 /** An IP address and a port: hosts talk by IP numbers. */
 export const addressSchema = z
 	.string()
-	.regex(
-		/^(?:\d{1,3}\.){3}\d{1,3}:\d{1,5}$/v,
+	.refine(
+		(text) => isHostAddress(text),
 		'an address is IPV4:PORT, like 127.0.0.1:7000',
 	);
 
--- a/packages/settings/src/fields.ts
+++ b/packages/settings/src/fields.ts
@@ -4,7 +4,7 @@
 */
 import {isIPv4} from 'node:net';
 import {z} from 'zod';
-import {nameSchema} from '@gentianshift/resources';
+import {isHostAddress, nameSchema} from '@gentianshift/resources';
 import {formatDuration, parseDuration, parseWithUnit} from './duration.js';
 
 /** Bytes in each unit of a size. */
@@ -80,7 +80,7 @@
 export function defineAddress() {
 	return z
 		.string()
-		.refine((text) => isAddress(text))
+		.refine((text) => isHostAddress(text))
 		.describe(`IPV4:PORT with a port from 1 to ${highestPort}`);
 }
 
@@ -89,7 +89,7 @@
 	return z
 		.string()
 		.transform((text) => splitList(text))
-		.refine((addresses) => addresses.every((address) => isAddress(address)))
+		.refine((addresses) => addresses.every((address) => isHostAddress(address)))
 		.describe('IPV4:PORT, separated by commas');
 }
 
@@ -123,12 +123,6 @@
 		.describe(allowed);
 }
 
-function isAddress(text: string): boolean {
-	const match = /^([\d.]+):(\d{1,5})$/v.exec(text);
-	const port = Number(match?.[2]);
-	return isIPv4(match?.[1] ?? '') && port >= 1 && port <= highestPort;
-}
-
 function splitList(text: string): string[] {
 	return text
 		.split(',')
