Keep exceptions in background work from ending the host

Cause: loops and calls that nobody awaits were started with `void`, about twenty of them. Calls return results, but what throws before there is a promise, or in the handling of an answer, was an unhandled rejection, and ends a Node process. A handler of a peer's message or the update timer that threw ended it as well. Change: `background.ts` starts this work, in the scheduling host and in the product's own. A call to an executor that throws counts as one without an answer, and an exception in the handling of a renewal as silence: the executor gets nothing new, its lease is not renewed, and its tasks are placed elsewhere when it has passed. A takeover that throws is tried again; a start that throws is stopped. Why it works: what a lost order or a silent executor costs is proved by the drawn plans; an exception is now one of the two. Ruled out: a handler of `unhandledRejection`, which keeps the process without the loop that has ended.

--- a/packages/bench/src/slopes-schedulers.ts
+++ b/packages/bench/src/slopes-schedulers.ts
@@ -19,6 +19,7 @@
 	type RunEnd,
 	type RunName,
 } from '@gentianshift/scheduling';
+import {createStrictBackground} from '@gentianshift/scheduling/fixtures';
 import {measureMemory, measureSeries, type Series} from './slope-series.js';
 
 type Size = {executors: number; jobs: number; tasks: number};
@@ -146,6 +147,7 @@
 			now: readNow,
 			readBootTime: readNow,
 			wait: async () => nextTurn(),
+			background: createStrictBackground(),
 			control: this.#executors.control,
 			runTimes: createRunTimes(),
 			crashes: createCrashRecords(),
--- a/packages/host/src/configuration.ts
+++ b/packages/host/src/configuration.ts
@@ -16,6 +16,7 @@
 import {runReader, type ResourceStore} from '@gentianshift/resource-store';
 import {type Link, type Message} from '@gentianshift/protocol';
 import {type Resource} from '@gentianshift/resources';
+import {type Background} from '@gentianshift/scheduling';
 import {repeat, waitFor} from './timers.js';
 
 /** Peers that digests are compared with each time; chosen at random, so that news spreads to all. */
@@ -30,6 +31,7 @@
 	dataCentre: string;
 	listLinks: () => Link[];
 	random: () => number;
+	background: Background;
 	onReaderState: (state: string) => void;
 };
 
@@ -53,7 +55,11 @@
 	}
 
 	start(signal: AbortSignal): void {
-		void this.#followRole(signal);
+		this.#options.background.repeat(
+			{work: 'reading the configuration'},
+			async () => this.#followRole(signal),
+			{signal},
+		);
 	}
 
 	/** A peer's message; `send` answers it on the same connection. */
@@ -88,13 +94,11 @@
 
 	/** Reads the store while this host holds the reader's role. */
 	async #followRole(signal: AbortSignal): Promise<void> {
-		while (!signal.aborted) {
-			if (this.#options.isReader()) {
-				await this.#readWhileHolder(signal);
-			}
-
-			await waitFor(roleEveryMs, signal);
+		if (this.#options.isReader()) {
+			await this.#readWhileHolder(signal);
 		}
+
+		await waitFor(roleEveryMs, signal);
 	}
 
 	async #readWhileHolder(signal: AbortSignal): Promise<void> {
--- a/packages/host/src/directory.ts
+++ b/packages/host/src/directory.ts
@@ -19,8 +19,9 @@
 	type MessageOf,
 	type Session,
 } from '@gentianshift/protocol';
+import {type Background} from '@gentianshift/scheduling';
 import {readNow, type Identity} from './identity.js';
-import {repeat, repeatUntilDone, retryPausesMs} from './timers.js';
+import {repeatUntilDone, retryPausesMs, waitAround} from './timers.js';
 
 /** Hosts of a data centre that read the platform for the others: one may be dying unseen. */
 const readersPerDataCentre = 2;
@@ -51,6 +52,7 @@
 	hostList: {fetchHosts: () => ResultAsync<KnownHost[], unknown>};
 	hash: Hash64;
 	random: () => number;
+	background: Background;
 	/** Milliseconds after which this host takes roles although it has not reached all listed peers. */
 	settleLimitMs?: number;
 	/** How often the view is looked at anew once this host has settled; absent: as often as before. */
@@ -109,22 +111,24 @@
 		this.#mesh = mesh;
 		this.#signal = signal;
 		mesh.setLeaving(true);
-		const {random, settledUpdateMs = updateEveryMs} = this.#options;
-		void repeat(async () => this.#readList(), {
-			everyMs: listEveryMs,
-			signal,
-			random,
-		});
-		void repeat(
-			() => {
+		const {random, background, settledUpdateMs = updateEveryMs} = this.#options;
+		background.repeat(
+			{work: 'list of hosts'},
+			async () => {
+				await this.#readList();
+				await waitAround(listEveryMs, {signal, random});
+			},
+			{signal},
+		);
+		background.repeat(
+			{work: 'update of hosts'},
+			async () => {
 				this.#settle();
 				this.#update();
+				const pauseMs = this.#isSettled ? settledUpdateMs : updateEveryMs;
+				await waitAround(pauseMs, {signal, random});
 			},
-			{
-				everyMs: () => (this.#isSettled ? settledUpdateMs : updateEveryMs),
-				signal,
-				random,
-			},
+			{signal},
 		);
 	}
 
--- a/packages/host/src/mesh-handlers.ts
+++ b/packages/host/src/mesh-handlers.ts
@@ -9,6 +9,7 @@
 	type Message,
 	type Session,
 } from '@gentianshift/protocol';
+import {type Background} from '@gentianshift/scheduling';
 import {type SlotExchange} from '@gentianshift/slots';
 import {type Logger} from '@gentianshift/telemetry';
 import {type Configuration} from './configuration.js';
@@ -46,6 +47,7 @@
 	/** Where a peer is dialled. */
 	findAddress: (key: string) => string;
 	logger: Logger;
+	background: Background;
 	/** Made after the mesh, which it needs. */
 	getRouter: () => Router;
 	sessions: OwnerSessions;
@@ -59,6 +61,7 @@
 	onBeat,
 	findAddress,
 	logger,
+	background,
 	getRouter,
 	sessions,
 	slots,
@@ -118,7 +121,9 @@
 	function receiveRequest(session: Session, message: Message): void {
 		switch (message.t) {
 			case 'forward': {
-				void getRouter().serveForward(session, message);
+				background.run({work: message.t, peer: session.key}, async () =>
+					getRouter().serveForward(session, message),
+				);
 
 				break;
 			}
--- a/packages/host/src/scheduling/evacuations.test.ts
+++ b/packages/host/src/scheduling/evacuations.test.ts
@@ -3,7 +3,10 @@
 */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {VirtualClock} from '@gentianshift/scheduling/fixtures';
+import {
+	createStrictBackground,
+	VirtualClock,
+} from '@gentianshift/scheduling/fixtures';
 import {createEvacuations} from './evacuations.js';
 
 function createRecorded() {
@@ -15,6 +18,7 @@
 			changes.count += 1;
 		},
 		wait: clock.wait,
+		background: createStrictBackground(),
 		log(message) {
 			lines.push(message);
 		},
--- a/packages/host/src/scheduling/evacuations.ts
+++ b/packages/host/src/scheduling/evacuations.ts
@@ -7,7 +7,7 @@
 record of its own.
 */
 import {type EvacuationList} from '@gentianshift/protocol';
-import {type StartPermission} from '@gentianshift/scheduling';
+import {type Background, type StartPermission} from '@gentianshift/scheduling';
 import {type OperatorChange, type OperatorRead} from './host-dependencies.js';
 
 /**
@@ -39,12 +39,14 @@
 	/** Some data centre was evacuated or taken back, or the first list is known. */
 	onChange: () => void;
 	wait: (ms: number, signal: AbortSignal) => Promise<void>;
+	background: Background;
 	log: (message: string, fields: Record<string, unknown>) => void;
 };
 
 export function createEvacuations({
 	onChange,
 	wait,
+	background,
 	log,
 }: EvacuationsOptions): Evacuations {
 	let known: EvacuationList | undefined;
@@ -111,7 +113,9 @@
 		isEvacuated,
 		list: () => known?.dataCentres ?? [],
 		start(signal) {
-			void waitForFirstList(signal);
+			background.run({work: 'first list of evacuations'}, async () =>
+				waitForFirstList(signal),
+			);
 		},
 		applyRead({evacuated, revision}) {
 			applyList({revision, dataCentres: evacuated}, 'store');
--- a/packages/host/src/scheduling/executor-lists.test.ts
+++ b/packages/host/src/scheduling/executor-lists.test.ts
@@ -6,6 +6,7 @@
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import {errAsync, okAsync, ResultAsync} from 'neverthrow';
 import {type ExecutorRegistration} from '@gentianshift/scheduling';
+import {createStrictBackground} from '@gentianshift/scheduling/fixtures';
 import {waitFor} from '../timers.js';
 import {createExecutorLists} from './executor-lists.js';
 
@@ -35,6 +36,7 @@
 		},
 		now: () => 0,
 		wait: waitFor,
+		background: createStrictBackground(),
 		random: () => 0,
 		log() {
 			// Not read.
--- a/packages/host/src/scheduling/executor-lists.ts
+++ b/packages/host/src/scheduling/executor-lists.ts
@@ -11,7 +11,7 @@
 
 A watch of the store would not help: every heartbeat of every executor would trigger it.
 */
-import {type Executor} from '@gentianshift/scheduling';
+import {type Background, type Executor} from '@gentianshift/scheduling';
 import {createExecutorRegistrations} from './executor-registrations.js';
 import {type ExecutorSource} from './host-dependencies.js';
 
@@ -72,6 +72,7 @@
 	now,
 	wait,
 	random,
+	background,
 	log,
 }: {
 	source: ExecutorSource;
@@ -87,6 +88,7 @@
 	now: () => number;
 	wait: (ms: number, signal: AbortSignal) => Promise<void>;
 	random: () => number;
+	background: Background;
 	log: (message: string, fields: Record<string, unknown>) => void;
 }): ExecutorLists {
 	let executors: readonly Executor[] = [];
@@ -191,17 +193,15 @@
 		return [...listed, ...kept];
 	}
 
-	async function repeatReads(signal: AbortSignal): Promise<void> {
-		while (!signal.aborted) {
-			const isRead = await read();
-			const intervalMs = isHolder()
-				? holderReadIntervalMs
-				: standbyReadIntervalMs;
-			const pauseMs =
-				(isRead ? intervalMs : retryPauseMs) * (0.75 + random() / 2);
-			pauseController = new AbortController();
-			await wait(pauseMs, AbortSignal.any([signal, pauseController.signal]));
-		}
+	async function readAndWait(signal: AbortSignal): Promise<void> {
+		const isRead = await read();
+		const intervalMs = isHolder()
+			? holderReadIntervalMs
+			: standbyReadIntervalMs;
+		const pauseMs =
+			(isRead ? intervalMs : retryPauseMs) * (0.75 + random() / 2);
+		pauseController = new AbortController();
+		await wait(pauseMs, AbortSignal.any([signal, pauseController.signal]));
 	}
 
 	return {
@@ -215,7 +215,11 @@
 				? [...missingSince.keys()]
 				: executors.map(({id}) => id),
 		start(signal) {
-			void repeatReads(signal);
+			background.repeat(
+				{work: 'list of executors'},
+				async () => readAndWait(signal),
+				{signal},
+			);
 		},
 		async refresh() {
 			takeoverReadsUntil = now() + takeoverReadsMs;
--- a/packages/host/src/scheduling/faulty/faulty-host.fixture.ts
+++ b/packages/host/src/scheduling/faulty/faulty-host.fixture.ts
@@ -12,7 +12,10 @@
 	type JobRequest,
 } from '@gentianshift/scheduling';
 import {loadHash} from '@gentianshift/membership';
-import {type VirtualClock} from '@gentianshift/scheduling/fixtures';
+import {
+	createStrictBackground,
+	type VirtualClock,
+} from '@gentianshift/scheduling/fixtures';
 import {err, ResultAsync} from 'neverthrow';
 import {createExecutorLists} from '../executor-lists.js';
 import {HostRoles, type Peers} from '../host-roles.js';
@@ -425,6 +428,7 @@
 			}
 		};
 
+		const background = createStrictBackground();
 		const lists = createExecutorLists({
 			source: {
 				list: (options) =>
@@ -439,6 +443,7 @@
 			now: () => this.#readMonotonicClock(),
 			wait,
 			random: () => 0.5,
+			background,
 			log,
 		});
 		const evacuations = createEvacuations({
@@ -454,6 +459,7 @@
 				roles.applyEvacuations();
 			},
 			wait,
+			background,
 			log,
 		});
 		const operatorWatch = createOperatorWatch({
@@ -466,6 +472,7 @@
 			onChange: evacuations.applyChange,
 			wait,
 			random: () => 0.5,
+			background,
 			log,
 		});
 		const roles = new HostRoles({
@@ -485,6 +492,7 @@
 			readWallClock: () => clock.now + this.identity.wallClockOffsetMs,
 			random: () => 0.5,
 			wait,
+			background,
 			hash,
 			maxGroups: this.environment.maxGroups,
 			// What the host reads after a freeze is handled at one moment of the virtual clock.
@@ -509,6 +517,7 @@
 				receiveHosts: doNothing,
 			},
 			roles,
+			background,
 			work: createWorkMeter(() => clock.now),
 			tables: {getVersion: () => 0, receive: doNothing},
 			evacuations,
--- a/packages/host/src/scheduling/group-holding.test.ts
+++ b/packages/host/src/scheduling/group-holding.test.ts
@@ -12,12 +12,15 @@
 	createRunTimes,
 	holderSilenceMs,
 	singleGroupLayout,
+	createBackground,
+	type Background,
 	type CoordinationStore,
 	type Executor,
 	type GroupDirectory,
 	type GroupLayout,
 	type StoreItem,
 } from '@gentianshift/scheduling';
+import {createStrictBackground} from '@gentianshift/scheduling/fixtures';
 import {GroupHolding} from './group-holding.js';
 
 function createStore(item?: StoreItem): CoordinationStore & {commits: number} {
@@ -54,6 +57,7 @@
 		group = 'mieres',
 		changedLayout,
 		onChange = () => undefined,
+		background = createStrictBackground(),
 	}: {
 		groups?: GroupDirectory;
 		isProcessGone?: boolean;
@@ -64,6 +68,7 @@
 		/** A layout that was written a short time ago. */
 		changedLayout?: GroupLayout;
 		onChange?: (group: string) => void;
+		background?: Background;
 	} = {},
 ): GroupHolding {
 	const unused = () =>
@@ -84,12 +89,14 @@
 		store,
 		groups,
 		now: () => clock.now,
+		background,
 		listCandidates: () => candidates,
 		hasPeers: () => true,
 		getLeaseId: () => 1,
 		listExecutors,
 		refreshExecutors,
 		ports: {
+			background: createStrictBackground(),
 			// The scheduler's pauses between calls never end here.
 			wait: async () =>
 				new Promise(() => {
@@ -211,6 +218,34 @@
 	}
 });
 
+// Guards against a group that nobody takes any more, as an exception in the first takeover left the host waiting for its end.
+test('a takeover that throws is tried again', async () => {
+	const clock = {now: 1000};
+	let reads = 0;
+	let exceptions = 0;
+	const holding = createHolding(createStore(), clock, {
+		async refreshExecutors() {
+			reads += 1;
+			if (reads === 1) {
+				throw new Error('the list can not be read');
+			}
+		},
+		background: createBackground({
+			now: () => clock.now,
+			wait: async () => undefined,
+			log: () => undefined,
+			onException() {
+				exceptions += 1;
+			},
+		}),
+	});
+	await runFor(holding, clock, 100);
+	assert.equal(holding.scheduler, undefined);
+	assert.equal(exceptions, 1);
+	await runFor(holding, clock, 500);
+	assert.ok(holding.scheduler);
+});
+
 test('a group without a holder is taken at once by the first candidate', async () => {
 	const clock = {now: 1000};
 	const holding = createHolding(createStore(), clock);
--- a/packages/host/src/scheduling/group-holding.ts
+++ b/packages/host/src/scheduling/group-holding.ts
@@ -19,6 +19,7 @@
 	isVacant,
 	makeStorelessToken,
 	makeStoreToken,
+	type Background,
 	type CoordinationStore,
 	type Executor,
 	type GroupDirectory,
@@ -48,6 +49,7 @@
 	store: CoordinationStore;
 	groups: GroupDirectory;
 	now: () => number;
+	background: Background;
 	/**
 	Hosts of the data centre that could hold the group, in the order in which they take it over.
 	*/
@@ -168,7 +170,15 @@
 			vacantMs >= computeTakeoverDelay(rank, {isStoreReached}) &&
 			!this.#isTakingOver
 		) {
-			void this.#takeOver(isStoreReached);
+			this.#options.background.run(
+				{work: 'takeover of a group', group: this.#options.group},
+				async () => this.#takeOver(isStoreReached),
+				{
+					onException: () => {
+						this.#noTakeoverBefore = at + takeoverRetryMs;
+					},
+				},
+			);
 		}
 	}
 
@@ -202,19 +212,27 @@
 	}
 
 	async #takeOver(isStoreReached: boolean): Promise<void> {
-		this.#isTakingOver = true;
-		const token = isStoreReached
-			? await this.#takeWithStore()
-			: this.#takeWithoutStore();
-		const isLayoutKnown =
-			token === undefined || !isStoreReached || (await this.#refreshLists());
-		this.#isTakingOver = false;
-		if (token === undefined || !isLayoutKnown) {
+		const token = await this.#takeToken(isStoreReached);
+		if (token === undefined) {
 			this.#noTakeoverBefore = this.#options.now() + takeoverRetryMs;
-			return;
+		} else {
+			this.#startScheduler(token, isStoreReached);
 		}
+	}
 
-		this.#startScheduler(token, isStoreReached);
+	/** The token of this host as holder; undefined: it can't take the group now. */
+	async #takeToken(isStoreReached: boolean): Promise<number | undefined> {
+		this.#isTakingOver = true;
+		try {
+			const token = isStoreReached
+				? await this.#takeWithStore()
+				: this.#takeWithoutStore();
+			const isLayoutKnown =
+				token === undefined || !isStoreReached || (await this.#refreshLists());
+			return isLayoutKnown ? token : undefined;
+		} finally {
+			this.#isTakingOver = false;
+		}
 	}
 
 	/**
--- a/packages/host/src/scheduling/group-holdings.ts
+++ b/packages/host/src/scheduling/group-holdings.ts
@@ -294,10 +294,14 @@
 			this.#options.isListComplete();
 		if (revision !== undefined && count > layouts.get().count && mayChange) {
 			this.#layoutChangedAt = now();
-			void layouts.write(count, revision);
+			this.#options.background.run({work: 'writing the layout'}, async () =>
+				layouts.write(count, revision),
+			);
 		} else if (now() - this.#layoutReadAt >= layoutReadIntervalMs) {
 			this.#layoutReadAt = now();
-			void layouts.refresh();
+			this.#options.background.run({work: 'reading the layout'}, async () =>
+				layouts.refresh(),
+			);
 		}
 	}
 
--- a/packages/host/src/scheduling/host-cluster.fixture.ts
+++ b/packages/host/src/scheduling/host-cluster.fixture.ts
@@ -12,6 +12,7 @@
 	type StoreFailure,
 	type StoreItem,
 } from '@gentianshift/scheduling';
+import {createStrictBackground} from '@gentianshift/scheduling/fixtures';
 import {Directory} from '../directory.js';
 import {createIdentity} from '../identity.js';
 import {createHostPresence} from './host-presence.js';
@@ -213,10 +214,12 @@
 	const address = `127.0.0.1:${7000 + nextPort}`;
 	nextPort += 1;
 	const identity = createIdentity({host});
+	const background = createStrictBackground();
 	const presence = createHostPresence({
 		self: {...host, role: 'entry', address, state: 'live'},
 		store: store.connect(host.name),
 		random: () => 0.5,
+		background,
 		onRegistered() {
 			void directory.readListAgain();
 		},
@@ -231,6 +234,7 @@
 		hostList: presence,
 		hash,
 		random: () => 0.5,
+		background,
 		onChange() {
 			// Not of interest here.
 		},
--- a/packages/host/src/scheduling/host-presence.test.ts
+++ b/packages/host/src/scheduling/host-presence.test.ts
@@ -5,6 +5,7 @@
 import {test} from 'node:test';
 import {okAsync} from 'neverthrow';
 import {type CoordinationStore} from '@gentianshift/scheduling';
+import {createStrictBackground} from '@gentianshift/scheduling/fixtures';
 import {createHostPresence} from './host-presence.js';
 
 const self = {
@@ -39,6 +40,7 @@
 			readPrefix: () => okAsync({items, revision: 9}),
 		} as unknown as CoordinationStore,
 		random: () => 0,
+		background: createStrictBackground(),
 		onRegistered() {
 			// This host does not register here.
 		},
--- a/packages/host/src/scheduling/host-presence.ts
+++ b/packages/host/src/scheduling/host-presence.ts
@@ -17,12 +17,13 @@
 import {knownHostSchema, type KnownHost} from '@gentianshift/membership';
 import {hostAddressSchema} from '@gentianshift/resources';
 import {
+	type Background,
 	type CoordinationStore,
 	type StoreFailure,
 	type StoreItem,
 } from '@gentianshift/scheduling';
 import {createOnceLog} from '@gentianshift/telemetry';
-import {repeat, retryPausesMs} from '../timers.js';
+import {retryPausesMs, waitAround} from '../timers.js';
 
 const hostKeyPrefix = 'gentianshift/hosts/';
 /** Bounds how long hosts dial one that is gone: this long after its last renewal. */
@@ -43,12 +44,14 @@
 	self,
 	store,
 	random,
+	background,
 	onRegistered,
 	log,
 }: {
 	self: KnownHost;
 	store: CoordinationStore;
 	random: () => number;
+	background: Background;
 	/**
 	Called when the registration was written, or may have been. A list that is requested from then
 	on names the hosts that registered earlier, which cannot know of this one, so the list is read
@@ -136,14 +139,16 @@
 		},
 		start(signal) {
 			const retries = retryPausesMs.values();
-			void repeat(renew, {
-				everyMs: () =>
+			const renewAndWait = async () => {
+				await renew();
+				const pauseMs =
 					leaseId === undefined
 						? (retries.next().value ?? renewIntervalMs)
-						: renewIntervalMs,
-				signal,
-				random,
-			});
+						: renewIntervalMs;
+				await waitAround(pauseMs, {signal, random});
+			};
+
+			background.repeat({work: 'lease of this host'}, renewAndWait, {signal});
 		},
 		async end() {
 			isEnded = true;
--- a/packages/host/src/scheduling/host-roles.ts
+++ b/packages/host/src/scheduling/host-roles.ts
@@ -12,6 +12,7 @@
 	EntryJobs,
 	parseProcessId,
 	stateIntervalMs,
+	type Background,
 	type CancelledJobs,
 	type Cancellations,
 	type CoordinationStore,
@@ -56,6 +57,7 @@
 	/** Milliseconds since 1970. */
 	readWallClock: () => number;
 	wait: (ms: number, signal?: AbortSignal) => Promise<void>;
+	background: Background;
 	/** Returns a number from 0 up to 1. */
 	random: () => number;
 	/** Assigns executors to groups; the same on all hosts. */
@@ -356,6 +358,7 @@
 			store,
 			groups: this.groups,
 			now,
+			background: this.#options.background,
 			listCandidates: peers.listCandidates,
 			getCores: peers.getCores,
 			hasPeers: () => peers.listLinks().length > 0,
@@ -377,6 +380,7 @@
 			this.#options;
 		return {
 			wait: this.#options.wait,
+			background: this.#options.background,
 			readBootTime: this.#options.readBootTime,
 			control,
 			runTimes: this.#runTimes,
--- a/packages/host/src/scheduling/operator-watch.ts
+++ b/packages/host/src/scheduling/operator-watch.ts
@@ -3,6 +3,7 @@
 
 A host that can't reach the store, or whose watch has gone silent, learns of changes from its peers.
 */
+import {type Background} from '@gentianshift/scheduling';
 import {
 	type OperatorChange,
 	type OperatorRead,
@@ -31,6 +32,7 @@
 	onChange: (change: OperatorChange) => void;
 	wait: (ms: number, signal: AbortSignal) => Promise<void>;
 	random: () => number;
+	background: Background;
 	log: (message: string, fields: Record<string, unknown>) => void;
 };
 
@@ -40,6 +42,7 @@
 	onChange,
 	wait,
 	random,
+	background,
 	log,
 }: OperatorWatchOptions): OperatorWatch {
 	let watchRevision = 0;
@@ -74,20 +77,27 @@
 		log('configuration can not be read', {code, reason: message});
 	}
 
-	async function repeatCalls(signal: AbortSignal): Promise<void> {
-		while (!signal.aborted) {
-			const isDone = await (isWatching ? watchOnce() : readOnce());
-			isWatching = isDone && watchRevision > 0;
-			if (!isWatching) {
-				await wait(retryPauseMs * (0.5 + random()), signal);
-			}
+	async function readOrWatch(signal: AbortSignal): Promise<void> {
+		const isDone = await (isWatching ? watchOnce() : readOnce());
+		isWatching = isDone && watchRevision > 0;
+		if (!isWatching) {
+			await wait(retryPauseMs * (0.5 + random()), signal);
 		}
 	}
 
 	return {
 		isWatching: () => isWatching,
 		start(signal) {
-			void repeatCalls(signal);
+			background.repeat(
+				{work: 'watch of the configuration'},
+				async () => readOrWatch(signal),
+				{
+					signal,
+					onException() {
+						isWatching = false;
+					},
+				},
+			);
 		},
 	};
 }
--- a/packages/host/src/scheduling/queue-tables.test.ts
+++ b/packages/host/src/scheduling/queue-tables.test.ts
@@ -8,6 +8,7 @@
 import {errAsync, ok, okAsync, ResultAsync} from 'neverthrow';
 import {type MessageOf} from '@gentianshift/protocol';
 import {type StoreFailure} from '@gentianshift/scheduling';
+import {createStrictBackground} from '@gentianshift/scheduling/fixtures';
 import {waitFor} from '../timers.js';
 import {createOperatorWatch} from './operator-watch.js';
 import {createQueueTables} from './queue-tables.js';
@@ -48,6 +49,7 @@
 		onChange: applyRead,
 		wait: waitFor,
 		random: () => 0,
+		background: createStrictBackground(),
 		log,
 	});
 	const tables = createQueueTables({
@@ -63,6 +65,7 @@
 		sendToPeers(message) {
 			sent.push(message);
 		},
+		background: createStrictBackground(),
 		log,
 	});
 	return {
--- a/packages/host/src/scheduling/queue-tables.ts
+++ b/packages/host/src/scheduling/queue-tables.ts
@@ -7,7 +7,7 @@
 other one, a large configuration would fill the links of all hosts at each change. A version is never
 replaced by a lower one.
 */
-import {type QueueTable} from '@gentianshift/scheduling';
+import {type Background, type QueueTable} from '@gentianshift/scheduling';
 import {type MessageOf} from '@gentianshift/protocol';
 import {waitFor} from '../timers.js';
 import {type OperatorSource} from './host-dependencies.js';
@@ -64,6 +64,7 @@
 	isWatching: () => boolean;
 	/** Sends to the connected hosts that pass versions on. */
 	sendToPeers: (message: MessageOf<'queue-table'>) => void;
+	background: Background;
 	log: (message: string, fields: Record<string, unknown>) => void;
 };
 
@@ -71,6 +72,7 @@
 	decode,
 	isWatching,
 	sendToPeers,
+	background,
 	log,
 }: QueueTablesOptions): QueueTables {
 	let table: QueueTable | undefined;
@@ -88,7 +90,6 @@
 
 	/** Asks one announcer after another until a version as high as theirs is in force. */
 	async function askAnnouncers(): Promise<void> {
-		isAsking = true;
 		if (isWatching()) {
 			await waitFor(ownWatchLimitMs);
 		}
@@ -103,8 +104,17 @@
 			next.ask();
 			await waitFor(askAgainMs);
 		}
+	}
 
-		isAsking = false;
+	function startAsking(): void {
+		isAsking = true;
+		background.run({work: 'asking for the configuration'}, async () => {
+			try {
+				await askAnnouncers();
+			} finally {
+				isAsking = false;
+			}
+		});
 	}
 
 	function applyText(newText: string, origin: string): boolean {
@@ -155,7 +165,7 @@
 
 		announcers = [...announcers, {version, ask}].slice(-maxAnnouncers);
 		if (!isAsking) {
-			void askAnnouncers();
+			startAsking();
 		}
 	}
 
--- a/packages/host/src/scheduling/scheduling-handlers.ts
+++ b/packages/host/src/scheduling/scheduling-handlers.ts
@@ -11,7 +11,7 @@
 	type Part,
 	type Session,
 } from '@gentianshift/protocol';
-import {type Entry} from '@gentianshift/scheduling';
+import {type Background, type Entry} from '@gentianshift/scheduling';
 import {type Directory} from '../directory.js';
 import {type Evacuations} from './evacuations.js';
 import {type HostRoles} from './host-roles.js';
@@ -40,6 +40,7 @@
 	tables: Pick<QueueTables, 'getVersion' | 'receive'>;
 	evacuations: Pick<Evacuations, 'getList' | 'receive'>;
 	work: Pick<WorkMeter, 'measure'>;
+	background: Pick<Background, 'run'>;
 	/** Whether the peer is told of this host's configuration version and evacuations. */
 	isAnnouncedTo: (link: Link) => boolean;
 	/** The address at which this host dials the peer. */
@@ -54,6 +55,7 @@
 	tables,
 	evacuations,
 	work,
+	background,
 	isAnnouncedTo,
 	findAddress,
 	now,
@@ -66,44 +68,65 @@
 		},
 		onLinkUp(link) {
 			log('link up', {peer: link.key});
-			directory.markLinkUp(link, findAddress(link.key));
-			roles.sendStateTo(link);
-			cancellations.sendAll(link.key);
-			entry.markLinkUp(link.key, link.hello.incarnation);
-			entry.sendAfterReconnect(link.key);
-			const version = tables.getVersion();
-			const list = evacuations.getList();
-			if (isAnnouncedTo(link) && (version > 0 || list)) {
-				link.send({t: 'queue-table', version, evacuations: list});
-			}
+			handleFrom(link.key, 'link up', () => {
+				markLinkUp(link);
+			});
 		},
 		onLinkDown(link, reason, lastReceivedAt) {
 			log('link down', {peer: link.key, reason});
 			const lastAliveAt = reason === silentCloseReason ? lastReceivedAt : now();
-			entry.markLinkDown(link.key, link.hello.incarnation, lastAliveAt);
-			directory.markLinkDown(link, reason);
+			handleFrom(link.key, 'link down', () => {
+				entry.markLinkDown(link.key, link.hello.incarnation, lastAliveAt);
+				directory.markLinkDown(link, reason);
+			});
 		},
 		onReply(link, message) {
-			work.measure(message.t, () => {
+			handleFrom(link.key, message.t, () => {
 				receiveReply(link, message);
 			});
 		},
 		onSessionUp(session) {
-			directory.markSession(session);
+			handleFrom(session.key, 'session up', () => {
+				directory.markSession(session);
+			});
 		},
 		onSessionDown(session) {
-			groups.markDoubtful(session.key, now());
+			handleFrom(session.key, 'session down', () => {
+				groups.markDoubtful(session.key, now());
+			});
 		},
 		onRequest(session, message) {
-			work.measure(message.t, () => {
+			handleFrom(session.key, message.t, () => {
 				receiveRequest(session, message);
 			});
 		},
 		onLeaving(key, isLeaving) {
-			directory.markLeaving(key, isLeaving);
+			handleFrom(key, 'leaving', () => {
+				directory.markLeaving(key, isLeaving);
+			});
 		},
 	};
 
+	/** An exception costs this message, or this change of a connection. */
+	function handleFrom(peer: string, cause: string, handle: () => void): void {
+		background.run({work: cause, peer}, () => {
+			work.measure(cause, handle);
+		});
+	}
+
+	function markLinkUp(link: Link): void {
+		directory.markLinkUp(link, findAddress(link.key));
+		roles.sendStateTo(link);
+		cancellations.sendAll(link.key);
+		entry.markLinkUp(link.key, link.hello.incarnation);
+		entry.sendAfterReconnect(link.key);
+		const version = tables.getVersion();
+		const list = evacuations.getList();
+		if (isAnnouncedTo(link) && (version > 0 || list)) {
+			link.send({t: 'queue-table', version, evacuations: list});
+		}
+	}
+
 	function receiveReply(link: Link, message: Message): void {
 		switch (message.t) {
 			case 'ends':
--- a/packages/host/src/scheduling/start-scheduling-host.ts
+++ b/packages/host/src/scheduling/start-scheduling-host.ts
@@ -13,6 +13,8 @@
 	type PeerAddress,
 } from '@gentianshift/protocol';
 import {
+	createBackground,
+	type Background,
 	type CancellationOutcome,
 	type EntryJob,
 	type GroupScheduler,
@@ -145,6 +147,7 @@
 class Host implements SchedulingHost {
 	readonly #options: SchedulingHostOptions;
 	readonly #identity;
+	readonly #background: Background;
 	readonly #presence: HostPresence;
 	readonly #directory: Directory;
 	readonly #tables: QueueTables;
@@ -166,6 +169,15 @@
 		this.#identity = createIdentity({host: options.host});
 		const {log, dependencies, address} = options;
 		const {random} = Math;
+		const background = createBackground({
+			now: readNow,
+			wait: waitFor,
+			log,
+			onException({work}) {
+				options.metrics.exceptions.inc({work});
+			},
+		});
+		this.#background = background;
 		this.#presence = createHostPresence({
 			self: {
 				...options.host,
@@ -176,8 +188,11 @@
 			},
 			store: dependencies.store,
 			random,
+			background,
 			onRegistered: () => {
-				void this.#directory.readListAgain();
+				background.run({work: 'list of hosts'}, async () =>
+					this.#directory.readListAgain(),
+				);
 			},
 			log,
 		});
@@ -189,6 +204,7 @@
 			hostList: this.#presence,
 			hash,
 			random,
+			background,
 			settleLimitMs,
 			settledUpdateMs,
 			onChange() {
@@ -201,6 +217,7 @@
 			sendToPeers: (message) => {
 				this.#publishToNear(message);
 			},
+			background,
 			log,
 		});
 		this.#evacuations = createEvacuations({
@@ -213,6 +230,7 @@
 				this.#roles.applyEvacuations();
 			},
 			wait: waitFor,
+			background,
 			log,
 		});
 		this.#operatorWatch = createOperatorWatch({
@@ -227,6 +245,7 @@
 			},
 			wait: waitFor,
 			random,
+			background,
 			log,
 		});
 		this.#executors = createExecutorLists({
@@ -243,6 +262,7 @@
 			now: readNow,
 			wait: waitFor,
 			random,
+			background,
 			log,
 		});
 		this.#roles = this.#createRoles();
@@ -364,8 +384,10 @@
 		this.#timer = setTimeout(
 			() => {
 				const startedAt = readNow();
-				this.#work.measure('update', () => {
-					this.#roles.update();
+				this.#background.run({work: 'update'}, () => {
+					this.#work.measure('update', () => {
+						this.#roles.update();
+					});
 				});
 				if (!this.#isStopped) {
 					this.#scheduleUpdate(readNow() - startedAt);
@@ -461,6 +483,7 @@
 			}),
 			readWallClock: Date.now,
 			wait: waitFor,
+			background: this.#background,
 			random: Math.random,
 			hash: this.#hash,
 			maxGroups: this.#options.maxGroups ?? defaultMaxGroups,
@@ -516,6 +539,7 @@
 			isToldLeavingAtOnce: (peer) => peer.dataCentre === dataCentre,
 			handlers: createSchedulingHandlers({
 				work: this.#work,
+				background: this.#background,
 				directory: this.#directory,
 				roles: this.#roles,
 				tables: this.#tables,
--- a/packages/host/src/start-host.ts
+++ b/packages/host/src/start-host.ts
@@ -19,6 +19,7 @@
 import {loadHash, type Hash64} from '@gentianshift/membership';
 import {Mesh} from '@gentianshift/protocol';
 import {StartError, type Executor} from '@gentianshift/resources';
+import {createBackground, type Background} from '@gentianshift/scheduling';
 import {type HostSettings} from '@gentianshift/settings';
 import {SlotExchange} from '@gentianshift/slots';
 import {
@@ -99,6 +100,7 @@
 	readonly #random = Math.random;
 	readonly #logger;
 	readonly #metrics = createMetrics();
+	readonly #background: Background;
 	readonly #tracer;
 	readonly #platform;
 	readonly #table: ResourceTable;
@@ -123,6 +125,16 @@
 		this.#settings = settings;
 		this.#identity = createIdentity(settings);
 		this.#logger = createLogger({level: settings.log.level, host, dataCentre});
+		this.#background = createBackground({
+			now: readNow,
+			wait: waitFor,
+			log: (message, fields) => {
+				this.#logger.error(fields, message);
+			},
+			onException: ({work}) => {
+				this.#metrics.exceptions.inc({work});
+			},
+		});
 		this.#tracer = createTracer(createTraces(settings.traces), {
 			host,
 			dataCentre,
@@ -214,6 +226,7 @@
 			hostList: this.#platform.hostList,
 			hash,
 			random: this.#random,
+			background: this.#background,
 			onChange: () => {
 				this.#slots.refresh();
 			},
@@ -228,6 +241,7 @@
 			dataCentre: this.#identity.dataCentre,
 			listLinks: () => this.#mesh.listLinks(),
 			random: this.#random,
+			background: this.#background,
 			onReaderState: (state) => {
 				this.#logger.debug({state}, 'reader of the configuration');
 			},
@@ -270,6 +284,7 @@
 				},
 				findAddress: (key) => this.#mesh.findAddress(key) ?? '',
 				logger: this.#logger,
+				background: this.#background,
 				getRouter: () => this.#router,
 				sessions,
 				slots: this.#slots,
--- a/packages/host/src/timers.ts
+++ b/packages/host/src/timers.ts
@@ -44,6 +44,14 @@
 	setImmediate(countPass);
 }
 
+/** Waits for this time, more or less by up to a quarter. */
+export async function waitAround(
+	ms: number,
+	{signal, random}: {signal: AbortSignal; random: () => number},
+): Promise<void> {
+	await waitFor(ms * (0.75 + random() / 2), signal);
+}
+
 /** Runs work again and again, with `everyMs` of jittered pause, until the signal is aborted. A function gives each pause anew. */
 export async function repeat(
 	work: () => Promise<void> | void,
@@ -60,7 +68,7 @@
 	while (!signal.aborted) {
 		await work();
 		const pauseMs = typeof everyMs === 'number' ? everyMs : everyMs();
-		await waitFor(pauseMs * (0.75 + random() / 2), signal);
+		await waitAround(pauseMs, {signal, random});
 	}
 }
 
@@ -82,7 +90,7 @@
 			return;
 		}
 
-		await waitFor(pauseMs * (0.75 + random() / 2), signal);
+		await waitAround(pauseMs, {signal, random});
 	}
 
 	if (!signal.aborted) {
--- a/packages/scheduling/src/executor-session.ts
+++ b/packages/scheduling/src/executor-session.ts
@@ -34,6 +34,7 @@
 	type RunName,
 } from './executor-control.js';
 import {type AnswerTimes} from './answer-times.js';
+import {type Background} from './background.js';
 import {compareIncarnations} from './compare-incarnations.js';
 import {createCrashWatch, type CrashWatch} from './crash-watch.js';
 import {createExecutorLease} from './executor-lease.js';
@@ -99,6 +100,7 @@
 export type SessionPorts = {
 	now: () => number;
 	wait: (ms: number, signal: AbortSignal) => Promise<void>;
+	background: Background;
 	control: ExecutorControl;
 	getToken: () => number;
 	/** The latest time to which the lease may be renewed, given these runs; this host's clock. */
@@ -323,7 +325,7 @@
 		this.#takeOverStarts();
 		this.silentSince =
 			unansweredStarts.isEmpty && this.#countHeld() === 0 ? undefined : now();
-		void this.#repeatRenewals();
+		this.#repeatRenewals();
 		// Sent right after the first renewal, which carries the token: a late start may arrive at any time.
 		for (const run of this.runs.values()) {
 			const isStopping = run.stopBy !== undefined;
@@ -333,7 +335,7 @@
 		}
 
 		if (this.inheritance && !unansweredStarts.isEmpty) {
-			void this.#cancelStarts();
+			this.#run('cancelling starts', async () => this.#cancelStarts());
 		}
 	}
 
@@ -491,14 +493,18 @@
 		const {control} = this.ports;
 		return {
 			startTask: (executor, request) =>
-				this.#wrapCall(control.startTask(executor, request), true, (reply) => {
-					this.#noteAnsweredLater(request, reply);
-				}),
+				this.#wrapCall(
+					() => control.startTask(executor, request),
+					true,
+					(reply) => {
+						this.#noteAnsweredLater(request, reply);
+					},
+				),
 			stopTask: (executor, request) =>
-				this.#wrapCall(control.stopTask(executor, request), false),
+				this.#wrapCall(() => control.stopTask(executor, request), false),
 			renewLease: (executor, request) =>
 				this.#wrapCall(
-					control.renewLease(executor, request),
+					() => control.renewLease(executor, request),
 					request.leaseUntilMs !== undefined,
 				),
 			forgetExecutor: control.forgetExecutor,
@@ -506,14 +512,20 @@
 	}
 
 	#wrapCall<T extends Answerer>(
-		call: ResultAsync<T, CallFailure>,
+		call: () => ResultAsync<T, CallFailure>,
 		extendsLease: boolean,
 		noteReply: (reply: Result<T, CallFailure>) => void = doNothing,
 	): ResultAsync<T, CallFailure> {
 		this.#leaseCallCount += Number(extendsLease);
 		return new ResultAsync(
 			(async () => {
-				const reply = await call;
+				let reply: Result<T, CallFailure>;
+				try {
+					reply = await call();
+				} catch (error) {
+					reply = this.#handleThrownCall(error);
+				}
+
 				noteReply(reply);
 				if (extendsLease) {
 					this.#noteLeaseCall(reply);
@@ -526,6 +538,15 @@
 		);
 	}
 
+	/** A call that throws counts as one without an answer: it may have been carried out all the same. */
+	#handleThrownCall(error: unknown): Result<never, CallFailure> {
+		this.ports.background.report(
+			{work: 'call to an executor', executor: this.id},
+			error,
+		);
+		return err({code: 'unanswered', message: String(error)});
+	}
+
 	/** A start that a later process has answered is no run of this one: accepted, it goes on there. */
 	#noteAnsweredLater(
 		start: RunName,
@@ -626,8 +647,9 @@
 	}
 
 	#createCalls(): RunCalls {
-		const {now, wait, getToken, answerTimes, log} = this.ports;
+		const {now, wait, background, getToken, answerTimes, log} = this.ports;
 		return createRunCalls({
+			background,
 			answerTimes,
 			now,
 			wait,
@@ -649,7 +671,7 @@
 				}
 			},
 			onStopped: () => {
-				void this.#fetchReport();
+				this.#run('report of an executor', async () => this.#fetchReport());
 			},
 			onUnstarted: (run, outcome) => {
 				this.#runTable.remove(run);
@@ -660,15 +682,32 @@
 		});
 	}
 
-	async #repeatRenewals(): Promise<void> {
-		const {signal} = this.#closing;
-		while (!signal.aborted && !this.isGone) {
-			const pause = await this.#renew();
-			this.#dropLapsedRuns();
-			this.#stopUnclaimed();
-			if (pause > 0 && !signal.aborted) {
-				await this.#waitIdle(pause);
-			}
+	#run(work: string, task: () => Promise<unknown>): void {
+		this.ports.background.run({work, executor: this.id}, task);
+	}
+
+	/** After an exception the executor counts as silent, so that its runs end with their lease, until a renewal is handled. */
+	#repeatRenewals(): void {
+		this.ports.background.repeat(
+			{work: 'renewals of a lease', executor: this.id},
+			async () => this.#renewAndWait(),
+			{
+				signal: this.#closing.signal,
+				isOver: () => this.isGone,
+				onException: () => {
+					this.#noteSilence(renewalFailure, 'renewal');
+					this.#dropLapsedRuns();
+				},
+			},
+		);
+	}
+
+	async #renewAndWait(): Promise<void> {
+		const pause = await this.#renew();
+		this.#dropLapsedRuns();
+		this.#stopUnclaimed();
+		if (pause > 0 && !this.#closing.signal.aborted) {
+			await this.#waitIdle(pause);
 		}
 	}
 
@@ -849,7 +888,7 @@
 		}
 
 		if (this.silentSince !== undefined) {
-			void this.#endSilence();
+			this.#run('end of a silence', async () => this.#endSilence());
 		}
 
 		if (ended.length > 0) {
@@ -1181,6 +1220,12 @@
 	message: 'another process of the executor has answered',
 };
 
+/** Stands for the answer to a renewal that could not be handled. */
+const renewalFailure: CallFailure = {
+	code: 'unanswered',
+	message: 'the renewal has ended in an exception',
+};
+
 function addBorn(executor: Executor, bornMs: number | undefined): Executor {
 	return bornMs === executor.bornMs ? executor : {...executor, bornMs};
 }
--- a/packages/scheduling/src/group-scheduler.fixture.ts
+++ b/packages/scheduling/src/group-scheduler.fixture.ts
@@ -2,6 +2,8 @@
 A scheduler with fake executors, and an entry that hands jobs to it, for tests on a virtual clock.
 */
 import {type Ends, type Part, type Replaced} from '@gentianshift/protocol';
+import {type Background} from './background.js';
+import {createStrictBackground} from './background.fixture.js';
 import {
 	createFakeExecutors,
 	type FakeExecutors,
@@ -46,6 +48,7 @@
 		peers = [],
 		getStartPermission = () => 'granted',
 		log = () => undefined,
+		background = createStrictBackground(),
 		layout = singleGroupLayout,
 		hasRunsOutside = false,
 		formerToken = token - 1,
@@ -59,6 +62,7 @@
 		peers?: readonly string[];
 		getStartPermission?: () => StartPermission;
 		log?: (message: string, fields: Record<string, unknown>) => void;
+		background?: Background;
 		layout?: GroupLayout;
 		hasRunsOutside?: boolean;
 		formerToken?: number;
@@ -78,6 +82,7 @@
 		now: () => clock.now,
 		readBootTime: () => clock.now,
 		wait: clock.wait,
+		background,
 		control,
 		runTimes: createRunTimes(),
 		crashes: createCrashRecords(),
--- a/packages/scheduling/src/group-scheduler.ts
+++ b/packages/scheduling/src/group-scheduler.ts
@@ -17,6 +17,7 @@
 	type Ends,
 } from '@gentianshift/protocol';
 import {type CancelledJobs} from './cancelled-jobs.js';
+import {type Background} from './background.js';
 import {claimRun} from './claim-run.js';
 import {type CrashRecords} from './crash-records.js';
 import {type ExecutorControl} from './executor-control.js';
@@ -102,6 +103,7 @@
 	/** Like `now`, but also counts the time for which this machine was suspended; claims are timed by it. */
 	readBootTime: () => number;
 	wait: (ms: number, signal: AbortSignal) => Promise<void>;
+	background: Background;
 	control: ExecutorControl;
 	runTimes: RunTimes;
 	/** Shared with the entry on the same host. */
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -1,5 +1,6 @@
 export {type Executor, type ExecutorRegistration} from './executor.js';
 export {type EntryPeers} from './copy-recall.js';
+export * from './background.js';
 export * from './cancellations.js';
 export * from './cancelled-jobs.js';
 export * from './crash-records.js';
--- a/packages/scheduling/src/load-system.fixture.ts
+++ b/packages/scheduling/src/load-system.fixture.ts
@@ -4,6 +4,7 @@
 */
 import {type Draw} from '@gentianshift/standins';
 import {type GroupState} from '@gentianshift/protocol';
+import {createStrictBackground} from './background.fixture.js';
 import {type JobAnswer} from './entry-job.js';
 import {EntryJobs} from './entry-jobs.js';
 import {createCrashRecords} from './crash-records.js';
@@ -266,6 +267,7 @@
 		now: () => clock.now,
 		readBootTime: () => clock.now,
 		wait: clock.wait,
+		background: createStrictBackground(),
 		control: executors.control,
 		runTimes,
 		crashes,
--- a/packages/scheduling/src/run-calls.ts
+++ b/packages/scheduling/src/run-calls.ts
@@ -7,6 +7,7 @@
 */
 import {type Result} from 'neverthrow';
 import {type AnswerTimes} from './answer-times.js';
+import {type Background} from './background.js';
 import {type CallFailure, type ExecutorControl} from './executor-control.js';
 import {type Executor} from './executor.js';
 import {type Run} from './run.js';
@@ -18,6 +19,7 @@
 export type RunCallPorts = {
 	now: () => number;
 	wait: (ms: number, signal: AbortSignal) => Promise<void>;
+	background: Background;
 	control: ExecutorControl;
 	getToken: () => number;
 	getExecutor: () => Executor;
@@ -48,7 +50,7 @@
 export function createRunCalls(ports: RunCallPorts): RunCalls {
 	const {now, wait, control, getToken, getExecutor, isCurrent, signal, log} =
 		ports;
-	const {answerTimes} = ports;
+	const {answerTimes, background} = ports;
 
 	async function sendStart(run: Run, spec: string): Promise<void> {
 		const {job, index, attempt} = run;
@@ -132,37 +134,54 @@
 		run.stopBy = Math.min(run.stopBy ?? Infinity, stopBy);
 		if (run.state !== 'stopping') {
 			run.state = 'stopping';
-			void repeatStop(run);
+			repeatStop(run);
 		}
 	}
 
 	/** Repeats the stop until it is answered or the run has ended otherwise. */
-	async function repeatStop(run: Run): Promise<void> {
+	function repeatStop(run: Run): void {
+		background.repeat(
+			{work: 'stop of a run', executor: getExecutor().id},
+			async () => sendStop(run),
+			{
+				signal,
+				isOver: () => run.stoppedAt !== undefined || !isCurrent(run),
+			},
+		);
+	}
+
+	async function sendStop(run: Run): Promise<void> {
 		const {job, index, attempt} = run;
-		while (isCurrent(run) && !signal.aborted) {
-			const sentAt = now();
-			const reply = await control.stopTask(getExecutor(), {
-				job,
-				index,
-				attempt,
-				token: getToken(),
-				answerTimeoutMs: answerTimes.getTimeoutMs(),
-			});
-			recordAnswerTime(reply, sentAt);
-			if (reply.isOk() || reply.error.code === 'outdated') {
-				run.stoppedAt = now();
-				ports.onStopped();
-				return;
-			}
-
-			ports.onFailure(reply.error, 'stop');
-			await wait(callRetryMs, signal);
+		const sentAt = now();
+		const reply = await control.stopTask(getExecutor(), {
+			job,
+			index,
+			attempt,
+			token: getToken(),
+			answerTimeoutMs: answerTimes.getTimeoutMs(),
+		});
+		recordAnswerTime(reply, sentAt);
+		if (reply.isOk() || reply.error.code === 'outdated') {
+			run.stoppedAt = now();
+			ports.onStopped();
+			return;
 		}
+
+		ports.onFailure(reply.error, 'stop');
+		await wait(callRetryMs, signal);
 	}
 
 	return {
 		start(run, spec) {
-			void sendStart(run, spec);
+			background.run(
+				{work: 'start of a task', executor: getExecutor().id},
+				async () => sendStart(run, spec),
+				{
+					onException() {
+						stop(run, now() + dropStopLimitMs);
+					},
+				},
+			);
 		},
 		stop,
 	};
--- a/packages/scheduling/src/run-index.test.ts
+++ b/packages/scheduling/src/run-index.test.ts
@@ -4,6 +4,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {createDraw, type Draw} from '@gentianshift/standins';
+import {createStrictBackground} from './background.fixture.js';
 import {createExecutorSet, type ExecutorSet} from './executor-set.js';
 import {
 	createFakeExecutors,
@@ -44,6 +45,7 @@
 		const set = createExecutorSet({
 			now: () => clock.now,
 			wait: clock.wait,
+			background: createStrictBackground(),
 			control: executors.control,
 			getToken: () => token,
 			mayHaveForeignStarts: () => false,
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -75,6 +75,12 @@
 			labelNames: ['kind'] as const,
 			registers,
 		}),
+		exceptions: new Counter({
+			name: 'gentianshift_exceptions_total',
+			help: 'Unexpected exceptions that cost no more than the work that threw, by work. Each is a fault of the program.',
+			labelNames: ['work'] as const,
+			registers,
+		}),
 		badFrames: new Counter({
 			name: 'gentianshift_bad_frames_total',
 			help: 'Frames of peers that were oversized, garbage or against the schema.',
