Tell executors' registrations between hosts while a holder can't read them

Cause: a holder goes by the last list that it could read, whatever its age, while other hosts read the newer registrations. Hosts told one another the configuration and the evacuations, not these. On related paths: the next holder's list is older than that of the one before, and an executor that drains, restarts under its id or changes its labels is noticed as late. Change: a holder tells changes that it reads to the hosts of its data centre. One whose reads fail asks other hosts twice a second for what has changed since its own list: holders that reach the store, and others in turn. A host that is asked reads a current list if its own is old and the store answers it. Only changes are told, in optional fields of the message for configuration and evacuations, which hosts of an earlier build ignore. A list has the revision up to which all changes are in it, also a stale one of several pages. Why it works: the newest registration of an executor counts whichever way it comes, and it comes about a second after the first host that is connected has read it, within the 4.5 s after which it counts. Ruled out: a holder that starts nothing on such executors while its list is old; it would serve nobody while the store is away for all.

--- a/packages/host/src/scheduling/executor-lists.test.ts
+++ b/packages/host/src/scheduling/executor-lists.test.ts
@@ -21,6 +21,11 @@
 	};
 }
 
+/** The answer of the store to a read. */
+function answerList(registrations: ExecutorRegistration[], revision = 0) {
+	return okAsync({registrations, revision});
+}
+
 type ListsOptions = Parameters<typeof createExecutorLists>[0];
 
 /** Lists of a host that holds its group, at time 0, with the options that the test is about. */
@@ -56,7 +61,7 @@
 			list: () =>
 				isDown()
 					? errAsync({code: 'unavailable', message: 'down'})
-					: okAsync(readList()),
+					: answerList(readList()),
 		},
 		now,
 	});
@@ -159,7 +164,7 @@
 					new Promise<ExecutorRegistration[]>((resolve) => {
 						answers.push(resolve);
 					}),
-				),
+				).map((registrations) => ({registrations, revision: 0})),
 		},
 		isHolder: () => false,
 	});
@@ -188,7 +193,7 @@
 		source: {
 			list(options) {
 				seen.push(options?.mayBeStale);
-				return okAsync([makeExecutor('e1')]);
+				return answerList([makeExecutor('e1')]);
 			},
 		},
 		isHolder: () => false,
@@ -211,7 +216,7 @@
 	const lists = makeLists({
 		source: {
 			list: () =>
-				okAsync([
+				answerList([
 					makeExecutor('e1'),
 					{...makeExecutor('e2'), service: 'unknown'},
 				]),
@@ -247,7 +252,7 @@
 	});
 	let listed = makeVersion(7, 8000);
 	const lists = makeLists({
-		source: {list: () => okAsync([listed])},
+		source: {list: () => answerList([listed])},
 		now: () => now,
 	});
 	const read = async () => {
@@ -281,7 +286,7 @@
 		revision: 10,
 	};
 	const lists = makeLists({
-		source: {list: () => okAsync([listed])},
+		source: {list: () => answerList([listed])},
 		now: () => now,
 	});
 	const read = async () => {
@@ -307,7 +312,7 @@
 		{...makeExecutor('e1'), sequence: 1},
 		{...makeExecutor('e2'), capacity: undefined, sequence: 1},
 	];
-	const lists = makeLists({source: {list: () => okAsync(listed)}});
+	const lists = makeLists({source: {list: () => answerList(listed)}});
 	const read = async () => {
 		await lists.refresh();
 		return lists
@@ -334,7 +339,7 @@
 test('executors are listed as enforcing their capacity if the configuration says that their service enforces limits', async () => {
 	let isCapacityEnforced = false;
 	const lists = makeLists({
-		source: {list: () => okAsync([{...makeExecutor('e1'), sequence: 1}])},
+		source: {list: () => answerList([{...makeExecutor('e1'), sequence: 1}])},
 		isCapacityEnforcingService: () => isCapacityEnforced,
 	});
 	await lists.refresh();
--- a/packages/host/src/scheduling/executor-lists.ts
+++ b/packages/host/src/scheduling/executor-lists.ts
@@ -11,8 +11,15 @@
 
 A watch of the store would not help: every heartbeat of every executor would trigger it.
 */
-import {type Background, type Executor} from '@gentianshift/scheduling';
-import {createExecutorRegistrations} from './executor-registrations.js';
+import {
+	type Background,
+	type Executor,
+	type ExecutorRegistration,
+} from '@gentianshift/scheduling';
+import {
+	createExecutorRegistrations,
+	type ExecutorRegistrations,
+} from './executor-registrations.js';
 import {type ExecutorSource} from './host-dependencies.js';
 
 /** A third of the two seconds within which the holder must know of a draining executor. */
@@ -20,10 +27,10 @@
 /** The list of other hosts may be this old when they take over, and is then read again at once. */
 const standbyReadIntervalMs = 3000;
 /**
-How long a host that takes a group over accepts no stale lists, like a holder: as long as the calls
-to the store in a takeover may take.
+How long a host that takes a group over, or reads for another host, accepts no stale lists, like a holder: as long as the
+calls to the store in a takeover may take.
 */
-const takeoverReadsMs = 2000;
+const currentReadsMs = 2000;
 /** Pause after a read that failed. */
 const retryPauseMs = 250;
 
@@ -55,7 +62,19 @@
 	Executors of this list that another host's list may lack by now: the last list lacked them, or was read some time ago.
 	*/
 	listUnconfirmed: () => string[];
+	/** The store's revision up to which all changes are in the list; undefined: none has been read. */
+	getRevision: () => number | undefined;
+	/** How long ago the last list was asked for that was read, milliseconds. */
+	measureAge: () => number;
+	/** Whether the last read has succeeded. */
+	isReadable: () => boolean;
+	/** Registrations of a data centre's executors that this host did not know to be as now at that revision of the store. */
+	listChangedSince: ExecutorRegistrations['listChangedSince'];
+	/** Takes over what other hosts tell of executors that this host knows; of each the newest registration counts. */
+	applyTold: (registrations: readonly ExecutorRegistration[]) => void;
 	start: (signal: AbortSignal) => void;
+	/** Reads a list now that is not stale, for another host. Resolves also when the read fails. */
+	readCurrent: () => Promise<void>;
 	/**
 	Reads a list now that is not stale, for a host that takes a group over. Resolves also when the
 	read fails.
@@ -69,6 +88,7 @@
 	isKnownService,
 	isCapacityEnforcingService,
 	onList,
+	onRead = () => undefined,
 	now,
 	wait,
 	random,
@@ -85,6 +105,8 @@
 	/** Whether executors of the service refuse tasks that exceed their capacity. */
 	isCapacityEnforcingService: (service: string) => boolean;
 	onList: (executors: readonly Executor[]) => void;
+	/** Called after each read; `isRead`: it has succeeded. */
+	onRead?: (isRead: boolean) => void;
 	now: () => number;
 	wait: (ms: number, signal: AbortSignal) => Promise<void>;
 	random: () => number;
@@ -103,10 +125,13 @@
 	/** Since when no read has failed; undefined: the last read failed, or there was none yet. */
 	let readsSucceedSince: number | undefined;
 	let isFresh = false;
+	let revision: number | undefined;
+	/** When the last list that was read was asked for. */
+	let readAskedAt = -Infinity;
 	/** When the last list that is not stale was asked for. */
 	let confirmedAt = -Infinity;
 	/** Until this time the host accepts no stale lists, like a holder. */
-	let takeoverReadsUntil = -Infinity;
+	let currentReadsUntil = -Infinity;
 	/**
 	Reads are numbered, so that the answer to an older read that arrives after a newer one is
 	discarded.
@@ -115,7 +140,7 @@
 	let lastHandledRead = 0;
 
 	async function read(): Promise<boolean> {
-		const mayBeStale = !isHolder() && now() >= takeoverReadsUntil;
+		const mayBeStale = !isHolder() && now() >= currentReadsUntil;
 		lastStartedRead += 1;
 		const readNumber = lastStartedRead;
 		const askedAt = now();
@@ -138,14 +163,35 @@
 		readsSucceedSince ??= now();
 		isFresh = !mayBeStale;
 		confirmedAt = isFresh ? askedAt : confirmedAt;
+		readAskedAt = askedAt;
+		const list = result.value;
+		revision = Math.max(list.revision, revision ?? 0);
 		executors = keepRecentlyMissing(
-			pickKnownServices(registrations.applyList(result.value, askedAt)),
+			pickKnownServices(
+				registrations.applyList(list.registrations, askedAt, list.revision),
+			),
 		);
 		registrations.keepOnly(executors);
 		onList(executors);
 		return true;
 	}
 
+	function applyTold(told: readonly ExecutorRegistration[]): void {
+		const ids = new Set(executors.map(({id}) => id));
+		const updated = new Map(
+			registrations
+				.applyList(
+					told.filter(({id}) => ids.has(id)),
+					now(),
+				)
+				.map((executor) => [executor.id, executor]),
+		);
+		if (updated.size > 0) {
+			executors = executors.map((one) => updated.get(one.id) ?? one);
+			onList(executors);
+		}
+	}
+
 	function pickKnownServices(listed: readonly Executor[]): Executor[] {
 		const ignored = listed.filter(({service}) => !isKnownService(service));
 		for (const {id, service} of ignored) {
@@ -193,8 +239,14 @@
 		return [...listed, ...kept];
 	}
 
+	async function readCurrent(): Promise<void> {
+		currentReadsUntil = now() + currentReadsMs;
+		await read();
+	}
+
 	async function readAndWait(signal: AbortSignal): Promise<void> {
 		const isRead = await read();
+		onRead(isRead);
 		const intervalMs = isHolder()
 			? holderReadIntervalMs
 			: standbyReadIntervalMs;
@@ -214,6 +266,11 @@
 			now() - confirmedAt <= confirmedLimitMs
 				? [...missingSince.keys()]
 				: executors.map(({id}) => id),
+		getRevision: () => revision,
+		measureAge: () => now() - readAskedAt,
+		isReadable: () => readsSucceedSince !== undefined,
+		listChangedSince: registrations.listChangedSince,
+		applyTold,
 		start(signal) {
 			background.repeat(
 				{work: 'list of executors'},
@@ -221,9 +278,9 @@
 				{signal},
 			);
 		},
+		readCurrent,
 		async refresh() {
-			takeoverReadsUntil = now() + takeoverReadsMs;
-			await read();
+			await readCurrent();
 			// The current pause is that of a host that does not hold the group, too long for a
 			// holder.
 			pauseController.abort();
--- a/packages/host/src/scheduling/executor-registrations.ts
+++ b/packages/host/src/scheduling/executor-registrations.ts
@@ -9,6 +9,7 @@
 An executor that starts again under its id numbers its registrations anew. Judged by these numbers, the new process
 would be taken for a late write of the former one for seconds. So the start time of the process goes before them.
 */
+import {type ToldRegistration} from '@gentianshift/protocol';
 import {
 	compareIncarnations,
 	type Executor,
@@ -23,6 +24,8 @@
 
 type KnownRegistration = Pick<ExecutorRegistration, 'sequence' | 'revision'> & {
 	executor: Executor;
+	/** Of the store, by which what the executor says of itself was as now. Its numbers apart, which change with each registration. */
+	changedRevision: number;
 	/** Since when lists have brought a lower sequence number than the highest. */
 	lowerSequenceSince?: number;
 };
@@ -36,7 +39,14 @@
 	applyList: (
 		registrations: readonly ExecutorRegistration[],
 		askedAt: number,
+		/** Of the store, for registrations without a revision. */
+		listRevision?: number,
 	) => Executor[];
+	/** The newest registrations of executors of the data centre that were not known to be as now at that revision of the store. */
+	listChangedSince: (
+		dataCentre: string,
+		revision: number,
+	) => ToldRegistration[];
 	/** Forgets all other executors. */
 	keepOnly: (executors: readonly Executor[]) => void;
 };
@@ -55,6 +65,7 @@
 	function applyRegistration(
 		registration: ExecutorRegistration,
 		askedAt: number,
+		listRevision: number,
 	): Executor | undefined {
 		const former = known.get(registration.id);
 		if (former && isOlder(registration, former, askedAt)) {
@@ -86,15 +97,31 @@
 			capacity: usable.capacity,
 			capacityReadAt: usable.capacityReadAt,
 		};
-		known.set(registration.id, {executor, sequence, revision});
+		const isChanged = !former || !holdsSameContent(former.executor, executor);
+		known.set(registration.id, {
+			executor,
+			sequence,
+			revision,
+			changedRevision: isChanged
+				? (revision ?? listRevision)
+				: former.changedRevision,
+		});
 		return executor;
 	}
 
 	return {
-		applyList: (registrations, askedAt) =>
+		applyList: (registrations, askedAt, listRevision = 0) =>
 			registrations.flatMap(
-				(registration) => applyRegistration(registration, askedAt) ?? [],
+				(registration) =>
+					applyRegistration(registration, askedAt, listRevision) ?? [],
 			),
+		listChangedSince: (dataCentre, revision) =>
+			[...known.values()]
+				.filter(
+					({executor, changedRevision}) =>
+						changedRevision > revision && executor.dataCentre === dataCentre,
+				)
+				.map((one) => makeRegistration(one)),
 		keepOnly(executors) {
 			const ids = new Set(executors.map(({id}) => id));
 			for (const id of known.keys()) {
@@ -106,6 +133,36 @@
 	};
 }
 
+function makeRegistration({
+	executor,
+	sequence,
+	revision,
+}: KnownRegistration): ToldRegistration {
+	const {
+		isCapacityEnforced: _isCapacityEnforced,
+		capacityReadAt: _capacityReadAt,
+		restartedAt: _restartedAt,
+		...rest
+	} = executor;
+	return {...rest, sequence, revision};
+}
+
+/** Whether two registrations of an executor say the same; `remainingMs` passes by itself. */
+function holdsSameContent(a: Executor, b: Executor): boolean {
+	return (
+		a.address === b.address &&
+		a.service === b.service &&
+		a.dataCentre === b.dataCentre &&
+		a.isDraining === b.isDraining &&
+		a.bornMs === b.bornMs &&
+		a.capacity.cpu === b.capacity.cpu &&
+		a.capacity.memoryMb === b.capacity.memoryMb &&
+		a.capacity.accelerators === b.capacity.accelerators &&
+		a.labels?.length === b.labels?.length &&
+		(a.labels ?? []).every((label, i) => label === b.labels?.[i])
+	);
+}
+
 function isOlder(
 	registration: ExecutorRegistration,
 	former: KnownRegistration,
--- a/packages/host/src/scheduling/faulty/faulty-host.fixture.ts
+++ b/packages/host/src/scheduling/faulty/faulty-host.fixture.ts
@@ -440,6 +440,9 @@
 			onList(list) {
 				roles.holdings.setExecutors(list);
 			},
+			onRead(isRead) {
+				roles.registrations.noteRead(isRead);
+			},
 			now: () => this.#readMonotonicClock(),
 			wait,
 			random: () => 0.5,
--- a/packages/host/src/scheduling/faulty/faulty-store.fixture.ts
+++ b/packages/host/src/scheduling/faulty/faulty-store.fixture.ts
@@ -15,6 +15,7 @@
 	type ExecutorSource,
 	type OperatorChange,
 	type OperatorSource,
+	type RegistrationList,
 } from '../host-dependencies.js';
 import {type EvacuationSpan} from './evacuated-starts.fixture.js';
 
@@ -35,6 +36,7 @@
 	/** Every list so far, with the time from which it was current. */
 	readonly #listHistory: Array<{
 		since: number;
+		revision: number;
 		registrations: ExecutorRegistration[];
 	}> = [];
 
@@ -125,7 +127,14 @@
 	setCapacity(id: string, capacity: ExecutorRegistration['capacity']): void {
 		const registration = this.#registrations.get(id)!;
 		const sequence = (registration.sequence ?? 0) + 1;
-		this.#registrations.set(id, {...registration, capacity, sequence});
+		this.#revision += 1;
+		const revision = this.#revision;
+		this.#registrations.set(id, {
+			...registration,
+			capacity,
+			sequence,
+			revision,
+		});
 		this.#appendList();
 	}
 
@@ -291,16 +300,17 @@
 		);
 		this.#listHistory.push({
 			since: this.clock.now,
+			revision: this.#revision,
 			registrations,
 		});
 	}
 
-	#listExecutors(mayBeStale: boolean): ExecutorRegistration[] {
+	#listExecutors(mayBeStale: boolean): RegistrationList {
 		const at = this.clock.now - (mayBeStale ? stalenessMs : 0);
 		const list =
 			this.#listHistory.findLast(({since}) => since <= at) ??
 			this.#listHistory[0]!;
-		return list.registrations;
+		return {registrations: list.registrations, revision: list.revision};
 	}
 }
 
--- a/packages/host/src/scheduling/host-dependencies.ts
+++ b/packages/host/src/scheduling/host-dependencies.ts
@@ -52,11 +52,17 @@
 	decode: (text: string) => Result<QueueTable, string>;
 };
 
+export type RegistrationList = {
+	registrations: ExecutorRegistration[];
+	/** The store's revision up to which all changes are in the list; later ones may be. */
+	revision: number;
+};
+
 export type ExecutorSource = {
 	/** The executors' registrations; `mayBeStale`: the list may be some seconds old. */
 	list: (options?: {
 		mayBeStale?: boolean;
-	}) => ResultAsync<ExecutorRegistration[], StoreFailure>;
+	}) => ResultAsync<RegistrationList, StoreFailure>;
 };
 
 export type HostDependencies = {
--- a/packages/host/src/scheduling/host-roles.ts
+++ b/packages/host/src/scheduling/host-roles.ts
@@ -34,6 +34,10 @@
 import {GroupHoldings} from './group-holdings.js';
 import {createGroupLayouts, type GroupLayouts} from './group-layouts.js';
 import {choosePingInterval, createSilenceWatch} from './ping-intervals.js';
+import {
+	createRegistrationExchange,
+	type RegistrationExchange,
+} from './registration-exchange.js';
 import {measureStoreAge} from './store-age.js';
 
 export type HostRolesOptions = {
@@ -46,7 +50,17 @@
 	control: ExecutorControl;
 	executors: Pick<
 		ExecutorLists,
-		'list' | 'refresh' | 'isComplete' | 'isFresh' | 'listUnconfirmed'
+		| 'list'
+		| 'refresh'
+		| 'isComplete'
+		| 'isFresh'
+		| 'listUnconfirmed'
+		| 'getRevision'
+		| 'measureAge'
+		| 'isReadable'
+		| 'readCurrent'
+		| 'listChangedSince'
+		| 'applyTold'
 	>;
 	evacuations: Pick<Evacuations, 'getPermission' | 'isEvacuated'>;
 	peers: Peers;
@@ -103,6 +117,7 @@
 	readonly pauses: PauseWatch;
 	readonly holdings: GroupHoldings;
 	readonly layouts: GroupLayouts;
+	readonly registrations: RegistrationExchange;
 	/** Set when the host stops: it then takes no role any more. */
 	isStopping = false;
 	readonly #options: HostRolesOptions;
@@ -152,6 +167,7 @@
 			onWithdrawal: options.onWithdrawal,
 		});
 		this.cancellations = this.#createCancellations();
+		this.registrations = this.#createRegistrationExchange();
 		this.#localEntry = {
 			key: options.processId,
 			send: (message) => {
@@ -326,6 +342,27 @@
 		});
 	}
 
+	#createRegistrationExchange(): RegistrationExchange {
+		const {dataCentre, executors, peers, now, background, log} = this.#options;
+		return createRegistrationExchange({
+			dataCentre,
+			lists: executors,
+			isHolder: () => this.holdings.isHolder,
+			listInformants: () =>
+				peers.listLinks().map(({key, hello}) => ({
+					key,
+					isNear: hello.dataCentre === dataCentre,
+				})),
+			listGroups: () => this.groups.list(),
+			send(host, message) {
+				peers.findLink(host)?.send(message);
+			},
+			now,
+			background,
+			log,
+		});
+	}
+
 	#createLayouts(): GroupLayouts {
 		const {dataCentre, key, store, now, readWallClock, log} = this.#options;
 		return createGroupLayouts({
--- a/packages/host/src/scheduling/scheduling-handlers.test.ts
+++ b/packages/host/src/scheduling/scheduling-handlers.test.ts
@@ -32,6 +32,7 @@
 			entry: failing,
 			groups: failing,
 			holdings: failing,
+			registrations: failing,
 			sendStateTo: fail,
 			receiveState: fail,
 		},
--- a/packages/host/src/scheduling/scheduling-handlers.ts
+++ b/packages/host/src/scheduling/scheduling-handlers.ts
@@ -34,6 +34,7 @@
 		| 'entry'
 		| 'groups'
 		| 'holdings'
+		| 'registrations'
 		| 'sendStateTo'
 		| 'receiveState'
 	>;
@@ -61,7 +62,7 @@
 	now,
 	log,
 }: SchedulingHandlersOptions): MeshHandlers {
-	const {cancellations, entry, groups, holdings} = roles;
+	const {cancellations, entry, groups, holdings, registrations} = roles;
 	return {
 		onHeartbeat() {
 			// Nothing is sent with the heartbeat: holders send their state more often.
@@ -163,6 +164,9 @@
 			evacuations.receive(message.evacuations);
 		}
 
+		registrations.receive(message, (answer) => {
+			peer.send(answer);
+		});
 		tables.receive(message, (answer) => {
 			peer.send(answer);
 		});
--- a/packages/host/src/scheduling/start-scheduling-host.ts
+++ b/packages/host/src/scheduling/start-scheduling-host.ts
@@ -259,6 +259,9 @@
 					this.#roles.holdings.setExecutors(list);
 				});
 			},
+			onRead: (isRead) => {
+				this.#roles.registrations.noteRead(isRead);
+			},
 			now: readNow,
 			wait: waitFor,
 			random,
--- a/packages/protocol/src/scheduling-messages.ts
+++ b/packages/protocol/src/scheduling-messages.ts
@@ -4,7 +4,7 @@
 An entry sends requests over the connection that it dialled, and the scheduler answers on that connection.
 A scheduler sends its state to every host over the connections that it dialled itself.
 */
-import {nameSchema} from '@gentianshift/resources';
+import {hostAddressSchema, nameSchema} from '@gentianshift/resources';
 import {z} from 'zod';
 
 const count = z.number().int().min(0);
@@ -376,16 +376,52 @@
 	dataCentres: z.array(nameSchema),
 });
 
-/** The newest queue configuration that the sender knows, as the platform's text, and the evacuations. */
+/** What an executor has registered about itself in the store. */
+export const registrationSchema = z.object({
+	id: z.string().min(1),
+	address: hostAddressSchema,
+	dataCentre: z.string().min(1),
+	service: z.string().min(1),
+	isDraining: z.boolean(),
+	/** The least time that a draining executor had left when it registered. */
+	remainingMs: duration.min(0).optional(),
+	/** When its process started, Unix milliseconds. */
+	bornMs: z.number().optional(),
+	labels: z.array(z.string()).readonly().optional(),
+	/** The last capacity that was usable. */
+	capacity: taskDemandSchema,
+	sequence: z.number().optional(),
+	revision: z.number().optional(),
+});
+
+/** Registrations that the sender has read from the store, or was told. */
+export const registrationNewsSchema = z.object({
+	/** Answers a request: all changes up to this revision of the store are there. Absent: only these changes are told. */
+	upTo: count.optional(),
+	registrations: z.array(registrationSchema),
+});
+
+/** Asks for registrations of a data centre's executors that have changed since a revision of the store. */
+export const registrationRequestSchema = z.object({
+	dataCentre: z.string(),
+	since: count,
+});
+
+/**
+What the sender knows of what operators and executors have written in the store. All of it goes in one kind of message: a host of an
+earlier build ignores fields that it does not know, and closes a connection on which an unknown message arrives.
+*/
 export const queueTableSchema = z.object({
 	t: z.literal('queue-table'),
-	/** 0: none is known. */
+	/** Of the newest configuration, the platform's text. 0: none is known, or it is not announced here. */
 	version: count,
 	/** Absent if only the version is announced; a peer with an older version then requests the text. */
 	text: z.string().optional(),
 	isAsked: z.boolean().optional(),
 	/** Absent: not announced here, or not known. */
 	evacuations: evacuationListSchema.optional(),
+	registrations: registrationNewsSchema.optional(),
+	registrationRequest: registrationRequestSchema.optional(),
 });
 
 export const schedulingMessageSchemas = [
@@ -421,5 +457,8 @@
 export type JobCancelled = z.infer<typeof jobCancelledSchema>;
 export type TaskCrashes = z.infer<typeof taskCrashesSchema>;
 export type TaskEnd = z.infer<typeof taskEndSchema>;
+export type ToldRegistration = z.infer<typeof registrationSchema>;
+export type RegistrationNews = z.infer<typeof registrationNewsSchema>;
+export type RegistrationRequest = z.infer<typeof registrationRequestSchema>;
 export type EvacuationList = z.infer<typeof evacuationListSchema>;
 export type GroupState = z.infer<typeof groupStateSchema>;
--- a/packages/scheduling/src/coordination-store.ts
+++ b/packages/scheduling/src/coordination-store.ts
@@ -39,7 +39,10 @@
 	| {type: 'delete'; key: string; revision: number};
 
 export type CoordinationStore = {
-	/** `mayBeStale`: allows a cheaper read whose result may be seconds old. */
+	/**
+	`mayBeStale`: allows a cheaper read whose result may be seconds old. `revision`: all changes up to it are in the result, later ones may
+	be.
+	*/
 	readPrefix: (
 		prefix: string,
 		options?: {mayBeStale?: boolean},
