Abandon jobs whose requests wait behind another when their connection ends

Cause: a job is abandoned when its response emits `close`, which Node does only for the response whose turn it is on the connection. A stopping host said `connection: close` with the first answer, which cuts what waits behind it. Why it works: the entry gives the job up at the reset, so its claim ends within 1,000 ms, before the copy comes. Ruled out: a listener on the connection for each request, which stays as long as the connection.

--- a/packages/api/src/server.ts
+++ b/packages/api/src/server.ts
@@ -8,6 +8,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {getRequestListener} from '@hono/node-server';
 import {headers, type Problem} from '@gentianshift/resources';
+import {tellClosedConnections} from './closed-connections.js';
 import {createApp} from './app.js';
 import {createBodyBudget} from './bodies/index.js';
 import {InFlight} from './in-flight.js';
@@ -93,6 +94,7 @@
 			),
 	});
 	const server = createBoundedServer(options);
+	tellClosedConnections(server);
 	const requests = new Set<ServerResponse>();
 	server.on('request', (req, res) => {
 		requests.add(res);
