--- a/packages/host/src/scheduling/executor-lists.ts
+++ b/packages/host/src/scheduling/executor-lists.ts
@@ -64,11 +64,11 @@
 	listUnconfirmed: () => string[];
 	/** The store's revision up to which all changes are in the list; undefined: none has been read. */
 	getRevision: () => number | undefined;
-	/** How long ago the last list was asked for that was read, milliseconds. */
+	/** Age of the list, from when it was asked for; milliseconds. */
 	measureAge: () => number;
 	/** Whether the last read has succeeded. */
 	isReadable: () => boolean;
-	/** Registrations of a data centre's executors that this host did not know to be as now at that revision of the store. */
+	/** Of a data centre's executors, the registrations whose content has changed after a revision of the store. */
 	listChangedSince: ExecutorRegistrations['listChangedSince'];
 	/** Takes over what other hosts tell of executors that this host knows; of each the newest registration counts. */
 	applyTold: (registrations: readonly ExecutorRegistration[]) => void;
@@ -126,7 +126,7 @@
 	let readsSucceedSince: number | undefined;
 	let isFresh = false;
 	let revision: number | undefined;
-	/** When the last list that was read was asked for. */
+	/** When the last list that was answered was asked for. */
 	let readAskedAt = -Infinity;
 	/** When the last list that is not stale was asked for. */
 	let confirmedAt = -Infinity;
--- a/packages/host/src/scheduling/executor-registrations.ts
+++ b/packages/host/src/scheduling/executor-registrations.ts
@@ -24,7 +24,7 @@
 
 type KnownRegistration = Pick<ExecutorRegistration, 'sequence' | 'revision'> & {
 	executor: Executor;
-	/** Of the store, by which what the executor says of itself was as now. Its numbers apart, which change with each registration. */
+	/** The store's revision at which this host first read the content that it has now; a new sequence number alone is no change. */
 	changedRevision: number;
 	/** Since when lists have brought a lower sequence number than the highest. */
 	lowerSequenceSince?: number;
@@ -42,7 +42,7 @@
 		/** Of the store, for registrations without a revision. */
 		listRevision?: number,
 	) => Executor[];
-	/** The newest registrations of executors of the data centre that were not known to be as now at that revision of the store. */
+	/** The newest registrations of the data centre's executors whose content has changed after that revision of the store. */
 	listChangedSince: (
 		dataCentre: string,
 		revision: number,
