Make executors' registrations in one fixture, and drop a revision that none needs

Cause: three tests made the same registration by functions of their own; `applyList` took a revision for registrations without one, which the store's never are; a loop chose its items in its head. Change: `registration.fixture.ts`; the parameter is gone; the loop is inside its condition. The assertions are as they were.

--- a/packages/host/src/scheduling/executor-lists.test.ts
+++ b/packages/host/src/scheduling/executor-lists.test.ts
@@ -9,17 +9,7 @@
 import {createStrictBackground} from '@gentianshift/scheduling/fixtures';
 import {waitFor} from '../timers.js';
 import {createExecutorLists} from './executor-lists.js';
-
-function makeExecutor(id: string): ExecutorRegistration {
-	return {
-		id,
-		address: '10.0.0.1:8000',
-		dataCentre: 'mieres',
-		service: 'meals',
-		isDraining: false,
-		capacity: {cpu: 32_000, memoryMb: 1000, accelerators: 0},
-	};
-}
+import {makeRegistration} from './registration.fixture.js';
 
 /** The answer of the store to a read. */
 function answerList(registrations: ExecutorRegistration[], revision = 0) {
@@ -84,19 +74,19 @@
 // would start their tasks a second time.
 test('an executor that is missing from lists is kept for as long as registrations take to come back', async () => {
 	let now = 0;
-	let listed = [makeExecutor('e1'), makeExecutor('e2')];
+	let listed = [makeRegistration({id: 'e1'}), makeRegistration({id: 'e2'})];
 	const {read, end} = createLists(
 		() => listed,
 		() => now,
 	);
 	assert.deepEqual(await read(), ['e1', 'e2']);
-	listed = [makeExecutor('e1')];
+	listed = [makeRegistration({id: 'e1'})];
 	now = 1000;
 	assert.deepEqual(await read(), ['e1', 'e2']);
-	listed = [makeExecutor('e1'), makeExecutor('e2')];
+	listed = [makeRegistration({id: 'e1'}), makeRegistration({id: 'e2'})];
 	now = 2000;
 	assert.deepEqual(await read(), ['e1', 'e2']);
-	listed = [makeExecutor('e1')];
+	listed = [makeRegistration({id: 'e1'})];
 	now = 4000;
 	assert.deepEqual(await read(), ['e1', 'e2']);
 	now = 6600;
@@ -110,7 +100,7 @@
 	let now = 0;
 	let isDown = false;
 	const {read, isComplete, end} = createLists(
-		() => [makeExecutor('e1')],
+		() => [makeRegistration({id: 'e1'})],
 		() => now,
 		() => isDown,
 	);
@@ -133,7 +123,7 @@
 // Guards against a successor that takes its own list for complete while the former holder still runs tasks on executors that it lacks.
 test('executors that the last list lacked, or that were read long ago, are not confirmed', async () => {
 	let now = 0;
-	let listed = [makeExecutor('e1'), makeExecutor('e2')];
+	let listed = [makeRegistration({id: 'e1'}), makeRegistration({id: 'e2'})];
 	const {read, listUnconfirmed, end} = createLists(
 		() => listed,
 		() => now,
@@ -142,7 +132,7 @@
 	assert.deepEqual(listUnconfirmed(), []);
 	now = 1600;
 	assert.deepEqual(listUnconfirmed(), ['e1', 'e2']);
-	listed = [makeExecutor('e2')];
+	listed = [makeRegistration({id: 'e2'})];
 	await read();
 	assert.deepEqual(listUnconfirmed(), ['e1']);
 	now = 4200;
@@ -170,10 +160,10 @@
 	});
 	lists.start(ending.signal);
 	const reading = lists.refresh();
-	answers[1]!([makeExecutor('e1'), makeExecutor('e2')]);
+	answers[1]!([makeRegistration({id: 'e1'}), makeRegistration({id: 'e2'})]);
 	await reading;
 	assert.ok(lists.isFresh());
-	answers[0]!([makeExecutor('e1')]);
+	answers[0]!([makeRegistration({id: 'e1'})]);
 	await nextTurn();
 	assert.deepEqual(
 		lists.list().map(({id}) => id),
@@ -193,7 +183,7 @@
 		source: {
 			list(options) {
 				seen.push(options?.mayBeStale);
-				return answerList([makeExecutor('e1')]);
+				return answerList([makeRegistration({id: 'e1'})]);
 			},
 		},
 		isHolder: () => false,
@@ -217,8 +207,8 @@
 		source: {
 			list: () =>
 				answerList([
-					makeExecutor('e1'),
-					{...makeExecutor('e2'), service: 'unknown'},
+					makeRegistration({id: 'e1'}),
+					makeRegistration({id: 'e2', service: 'unknown'}),
 				]),
 		},
 		isKnownService: (service) => service === 'meals',
@@ -245,7 +235,7 @@
 		sequence: number,
 		cpu: number,
 	): ExecutorRegistration => ({
-		...makeExecutor('e1'),
+		...makeRegistration({id: 'e1'}),
 		capacity: {cpu, memoryMb: 1000, accelerators: 0},
 		sequence,
 		revision: sequence + 10,
@@ -281,7 +271,7 @@
 test('a newer write with a lower sequence number counts once such numbers persist', async () => {
 	let now = 0;
 	let listed: ExecutorRegistration = {
-		...makeExecutor('e1'),
+		...makeRegistration({id: 'e1'}),
 		sequence: 900,
 		revision: 10,
 	};
@@ -309,8 +299,8 @@
 // executor whose capacity is not known.
 test('an unusable capacity leaves the last usable one in force, and without one the executor is not listed', async () => {
 	let listed: ExecutorRegistration[] = [
-		{...makeExecutor('e1'), sequence: 1},
-		{...makeExecutor('e2'), capacity: undefined, sequence: 1},
+		makeRegistration({id: 'e1', sequence: 1}),
+		makeRegistration({id: 'e2', capacity: undefined, sequence: 1}),
 	];
 	const lists = makeLists({source: {list: () => answerList(listed)}});
 	const read = async () => {
@@ -328,7 +318,10 @@
 		sequence: 2,
 	}));
 	assert.deepEqual(await read(), [['e1', 32_000, true]]);
-	listed = [makeExecutor('e1'), {...makeExecutor('e2'), sequence: 3}];
+	listed = [
+		makeRegistration({id: 'e1'}),
+		makeRegistration({id: 'e2', sequence: 3}),
+	];
 	assert.deepEqual(await read(), [
 		['e1', 32_000, false],
 		['e2', 32_000, false],
@@ -339,7 +332,9 @@
 test('executors are listed as enforcing their capacity if the configuration says that their service enforces limits', async () => {
 	let isCapacityEnforced = false;
 	const lists = makeLists({
-		source: {list: () => answerList([{...makeExecutor('e1'), sequence: 1}])},
+		source: {
+			list: () => answerList([makeRegistration({id: 'e1', sequence: 1})]),
+		},
 		isCapacityEnforcingService: () => isCapacityEnforced,
 	});
 	await lists.refresh();
--- a/packages/host/src/scheduling/executor-lists.ts
+++ b/packages/host/src/scheduling/executor-lists.ts
@@ -167,9 +167,7 @@
 		const list = result.value;
 		revision = Math.max(list.revision, revision ?? 0);
 		executors = keepRecentlyMissing(
-			pickKnownServices(
-				registrations.applyList(list.registrations, askedAt, list.revision),
-			),
+			pickKnownServices(registrations.applyList(list.registrations, askedAt)),
 		);
 		registrations.keepOnly(executors);
 		onList(executors);
--- a/packages/host/src/scheduling/executor-registrations.test.ts
+++ b/packages/host/src/scheduling/executor-registrations.test.ts
@@ -5,30 +5,18 @@
 import {test} from 'node:test';
 import {type ExecutorRegistration} from '@gentianshift/scheduling';
 import {createExecutorRegistrations} from './executor-registrations.js';
+import {makeRegistration, wholeCapacity} from './registration.fixture.js';
 
-const whole = {cpu: 32_000, memoryMb: 1000, accelerators: 0};
 const half = {cpu: 16_000, memoryMb: 500, accelerators: 0};
 
-function makeRegistration(
-	fields: Partial<ExecutorRegistration>,
-): ExecutorRegistration {
-	return {
-		id: 'e1',
-		address: '10.0.0.1:8000',
-		dataCentre: 'mieres',
-		service: 'meals',
-		isDraining: false,
-		capacity: whole,
-		labels: ['a'],
-		...fields,
-	};
-}
-
 /** Applies lists of one registration, 600 ms apart; returns the executor after the last. */
 function applyInTurn(...list: Array<Partial<ExecutorRegistration>>) {
 	const registrations = createExecutorRegistrations(() => true);
 	const results = list.map((fields, i) =>
-		registrations.applyList([makeRegistration(fields)], i * 600),
+		registrations.applyList(
+			[makeRegistration({labels: ['a'], ...fields})],
+			i * 600,
+		),
 	);
 	return results.at(-1)![0]!;
 }
@@ -121,7 +109,7 @@
 test('without start times a lower number counts only after a renumbering', () => {
 	assert.deepEqual(
 		applyInTurn({sequence: 400}, {sequence: 1, capacity: half}).capacity,
-		whole,
+		wholeCapacity,
 	);
 	const renumbered = applyInTurn(
 		{sequence: 400},
--- a/packages/host/src/scheduling/executor-registrations.ts
+++ b/packages/host/src/scheduling/executor-registrations.ts
@@ -39,8 +39,6 @@
 	applyList: (
 		registrations: readonly ExecutorRegistration[],
 		askedAt: number,
-		/** Of the store, for registrations without a revision. */
-		listRevision?: number,
 	) => Executor[];
 	/** The newest registrations of the data centre's executors whose content has changed after that revision of the store. */
 	listChangedSince: (
@@ -65,7 +63,6 @@
 	function applyRegistration(
 		registration: ExecutorRegistration,
 		askedAt: number,
-		listRevision: number,
 	): Executor | undefined {
 		const former = known.get(registration.id);
 		if (former && isOlder(registration, former, askedAt)) {
@@ -102,18 +99,15 @@
 			executor,
 			sequence,
 			revision,
-			changedRevision: isChanged
-				? (revision ?? listRevision)
-				: former.changedRevision,
+			changedRevision: isChanged ? (revision ?? 0) : former.changedRevision,
 		});
 		return executor;
 	}
 
 	return {
-		applyList: (registrations, askedAt, listRevision = 0) =>
+		applyList: (registrations, askedAt) =>
 			registrations.flatMap(
-				(registration) =>
-					applyRegistration(registration, askedAt, listRevision) ?? [],
+				(registration) => applyRegistration(registration, askedAt) ?? [],
 			),
 		listChangedSince: (dataCentre, revision) =>
 			[...known.values()]
--- a/packages/host/src/scheduling/registration-exchange.test.ts
+++ b/packages/host/src/scheduling/registration-exchange.test.ts
@@ -17,33 +17,24 @@
 import {chooseInformants, type Informant} from './choose-informants.js';
 import {createExecutorLists} from './executor-lists.js';
 import {createRegistrationExchange} from './registration-exchange.js';
+import {makeRegistration, wholeCapacity} from './registration.fixture.js';
 
 type QueueTableMessage = MessageOf<'queue-table'>;
 
-const whole = {cpu: 32_000, memoryMb: 1000, accelerators: 0};
 const half = {cpu: 16_000, memoryMb: 1000, accelerators: 0};
 
-function makeRegistration(
+/** A registration as the store has it, with its numbers. */
+function makeNumbered(
 	fields: Partial<ExecutorRegistration> = {},
 ): ExecutorRegistration {
-	return {
-		id: 'e1',
-		address: '10.0.0.1:8000',
-		dataCentre: 'mieres',
-		service: 'meals',
-		isDraining: false,
-		capacity: whole,
-		sequence: 1,
-		revision: 10,
-		...fields,
-	};
+	return makeRegistration({sequence: 1, revision: 10, ...fields});
 }
 
 /** A store whose list the test changes, or takes away from some hosts. */
 function createStore() {
 	return {
 		revision: 10,
-		registrations: [makeRegistration()],
+		registrations: [makeNumbered()],
 		refused: new Set<string>(),
 		reads: new Map<string, number>(),
 		put(registration: ExecutorRegistration) {
@@ -156,7 +147,7 @@
 test('a holder that can’t read the list learns of changes from another host', async () => {
 	const {store, sent, m1, l1} = await openHolder(['mieres_m2']);
 	store.refused = new Set(['mieres_m1', 'mieres_m2']);
-	store.put(makeRegistration({capacity: half, sequence: 2}));
+	store.put(makeNumbered({capacity: half, sequence: 2}));
 	await l1.read();
 	await m1.read();
 	assert.equal(m1.getCpu(), half.cpu);
@@ -172,7 +163,7 @@
 test('a host that is asked reads a current list if its own is old', async () => {
 	const {store, clock, m1, l1} = await openHolder();
 	store.refused.add('mieres_m1');
-	store.put(makeRegistration({capacity: half, sequence: 2}));
+	store.put(makeNumbered({capacity: half, sequence: 2}));
 	clock.now += 2000;
 	await m1.read();
 	await nextTurn();
@@ -190,15 +181,15 @@
 		'langreo_l1',
 	]);
 	const [m1, m2] = [getHost('mieres_m1'), getHost('mieres_m2')];
-	store.put(makeRegistration({id: 'e2'}));
+	store.put(makeNumbered({id: 'e2'}));
 	holders.add('mieres_m1');
 	await m1.read();
 	await m2.read();
 	assert.equal(sent.length, 0, 'the first list is told to nobody');
-	store.put(makeRegistration({id: 'e2', sequence: 2}));
+	store.put(makeNumbered({id: 'e2', sequence: 2}));
 	await m1.read();
 	assert.equal(sent.length, 0, 'a new number alone is no change');
-	store.put(makeRegistration({capacity: half, sequence: 2}));
+	store.put(makeNumbered({capacity: half, sequence: 2}));
 	await m1.read();
 	assert.deepEqual(
 		sent.map(({to, message}) => [
@@ -208,14 +199,14 @@
 		[['mieres_m2', ['e1']]],
 	);
 	assert.equal(m2.getCpu(), half.cpu);
-	assert.equal(m2.getCpu('e2'), whole.cpu);
+	assert.equal(m2.getCpu('e2'), wholeCapacity.cpu);
 });
 
 // Guards against an older registration that brings a former capacity back, and against executors that another data centre's host makes up.
 test('of each executor the newest registration holds, and only known executors are told', async () => {
 	const {store, getHost} = createHosts(['mieres_m1']);
 	const {lists, exchange, read, getCpu} = getHost('mieres_m1');
-	store.put(makeRegistration({capacity: half, sequence: 2}));
+	store.put(makeNumbered({capacity: half, sequence: 2}));
 	await read();
 	const receive = (registration: ExecutorRegistration) => {
 		exchange.receive(
@@ -224,7 +215,7 @@
 				version: 0,
 				registrations: {
 					registrations: [
-						{...registration, capacity: registration.capacity ?? whole},
+						{...registration, capacity: registration.capacity ?? wholeCapacity},
 					],
 				},
 			},
@@ -232,12 +223,12 @@
 		);
 	};
 
-	receive(makeRegistration());
+	receive(makeNumbered());
 	assert.equal(getCpu(), half.cpu);
-	receive(makeRegistration({id: 'e9', revision: 90}));
+	receive(makeNumbered({id: 'e9', revision: 90}));
 	assert.equal(lists.list().length, 1);
-	receive(makeRegistration({isDraining: true, sequence: 3, revision: 90}));
-	assert.equal(getCpu(), whole.cpu);
+	receive(makeNumbered({isDraining: true, sequence: 3, revision: 90}));
+	assert.equal(getCpu(), wholeCapacity.cpu);
 	assert.ok(lists.list()[0]?.isDraining);
 });
 
@@ -250,7 +241,7 @@
 	const m1 = getHost('mieres_m1');
 	holders.add('mieres_m1');
 	await m1.read();
-	store.put(makeRegistration({labels: ['x'.repeat(100_000)], capacity: half}));
+	store.put(makeNumbered({labels: ['x'.repeat(100_000)], capacity: half}));
 	await m1.read();
 	assert.equal(sent.length, 0);
 });
--- a/packages/host/src/scheduling/registration-exchange.ts
+++ b/packages/host/src/scheduling/registration-exchange.ts
@@ -81,8 +81,10 @@
 		if (toldUpTo !== undefined) {
 			const registrations = listTellable(dataCentre, toldUpTo);
 			const near = listInformants().filter(({isNear}) => isNear);
-			for (const {key} of registrations.length > 0 ? near : []) {
-				send(key, makeMessage({registrations}));
+			if (registrations.length > 0) {
+				for (const {key} of near) {
+					send(key, makeMessage({registrations}));
+				}
 			}
 		}
 
