--- a/packages/host/src/scheduling/faulty/no-start-over-told-capacity.test.ts
+++ b/packages/host/src/scheduling/faulty/no-start-over-told-capacity.test.ts
@@ -6,11 +6,14 @@
 import {test} from 'node:test';
 import fc from 'fast-check';
 import {
-	refusedReaderPlans,
 	type FaultPlan,
 	type PlannedFault,
 	type PlannedJob,
 } from './fault-plan.fixture.js';
+import {
+	refusedReaderPlans,
+	refuseStore,
+} from './refused-reader-plans.fixture.js';
 import {runPlan} from './run-plan.fixture.js';
 import {checkPlans} from './check-plans.fixture.js';
 
@@ -44,25 +47,15 @@
 	}));
 }
 
-function refuse(hosts: number[], at: number, durationMs: number) {
-	return hosts.map((host): PlannedFault => ({
-		at,
-		durationMs,
-		kind: 'store',
-		host,
-		how: 'refuses',
-	}));
-}
-
 const plans: Record<string, FaultPlan> = {
 	'the store turns away all hosts of the data centre': {
 		jobs: makeLoad(9000),
-		faults: [...refuse([0, 1], 500, 9000), ...shrinkFirstCentre(1000)],
+		faults: [...refuseStore([0, 1], 500, 9000), ...shrinkFirstCentre(1000)],
 		isUnguarded: true,
 	},
 	'the store answers one host of another data centre only': {
 		jobs: makeLoad(9000),
-		faults: [...refuse([0, 1, 2], 500, 9000), ...shrinkFirstCentre(1000)],
+		faults: [...refuseStore([0, 1, 2], 500, 9000), ...shrinkFirstCentre(1000)],
 		isUnguarded: true,
 	},
 	'the holder dies after it has read them, and the store is away for all': {
@@ -70,7 +63,7 @@
 		faults: [
 			...shrinkFirstCentre(1000),
 			{at: 1800, durationMs: 8000, kind: 'kill', host: 0},
-			...refuse([0, 1, 2, 3], 1800, 8000),
+			...refuseStore([0, 1, 2, 3], 1800, 8000),
 		],
 		isUnguarded: true,
 	},
