--- a/packages/host/src/timers.ts
+++ b/packages/host/src/timers.ts
@@ -52,23 +52,18 @@
 	await waitFor(ms * (0.75 + random() / 2), signal);
 }
 
-/** Runs work again and again, with `everyMs` of jittered pause, until the signal is aborted. A function gives each pause anew. */
+/** Runs work again and again, with `everyMs` of jittered pause, until the signal is aborted. */
 export async function repeat(
 	work: () => Promise<void> | void,
 	{
 		everyMs,
 		signal,
 		random,
-	}: {
-		everyMs: number | (() => number);
-		signal: AbortSignal;
-		random: () => number;
-	},
+	}: {everyMs: number; signal: AbortSignal; random: () => number},
 ): Promise<void> {
 	while (!signal.aborted) {
 		await work();
-		const pauseMs = typeof everyMs === 'number' ? everyMs : everyMs();
-		await waitAround(pauseMs, {signal, random});
+		await waitAround(everyMs, {signal, random});
 	}
 }
 
